--- /dev/null
+++ b/configurer/doc.go
@@ -0,0 +1,23 @@
+// Package configurer reads and checks the two documents that configure
+// cyclamenhub.
+//
+// Settings belong to one process: its name, failure domain, addresses, peers
+// and data folder. They are read from a JSON file at start.
+//
+// Fleet is the one document that all hosts share: fleet-wide defaults and a
+// short list of exceptions, each with a written reason. It is changed only
+// through the control log, and every accepted document has a revision.
+//
+// Both are checked strictly: unknown fields, malformed addresses and
+// contradictory values are all reported at once, each with the place in the
+// document and a remedy.
+//
+// # Usage
+//
+//	cfg, err := configurer.ReadSettings("a1.json")
+//	if err != nil {
+//		return err // every fault on its own line
+//	}
+//	fleet, err := configurer.DecodeFleet(document)
+//	effective, err := fleet.Effective(clock.Now())
+package configurer
--- /dev/null
+++ b/configurer/fleet.go
@@ -0,0 +1,204 @@
+package configurer
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"cyclamenhub.org/identifier"
+)
+
+// Fleet is the document that all hosts share.
+type Fleet struct {
+	Defaults   Defaults    `json:"defaults"`
+	Exceptions []Exception `json:"exceptions"`
+}
+
+// Defaults hold for the whole fleet.
+type Defaults struct {
+	Services       []Service       `json:"services"`
+	BackendServers []BackendServer `json:"backendServers"`
+	Customers      []Customer      `json:"customers"`
+	Limits         Limits          `json:"limits"`
+}
+
+// ServiceKind tells how a service is spoken to.
+type ServiceKind string
+
+// The kinds of service.
+const (
+	// ModelService is a model engine with OpenAI-compatible calls.
+	ModelService ServiceKind = "model"
+	// PlainService is any other HTTP service.
+	PlainService ServiceKind = "plain"
+)
+
+// Service is a set of backend servers that answer the same calls.
+type Service struct {
+	Name    identifier.Service `json:"name"`
+	Kind    ServiceKind        `json:"kind"`
+	Version identifier.Version `json:"version"`
+	// FirstTokenTarget bounds the time to the first token, or to the answer of
+	// a plain service, for 95 in 100 requests.
+	FirstTokenTarget Duration `json:"firstTokenTarget"`
+	// BetweenTokensTarget bounds the time between tokens for 95 in 100.
+	BetweenTokensTarget Duration `json:"betweenTokensTarget,omitempty"`
+	// Deadline is that of a request that names none.
+	Deadline Duration `json:"deadline"`
+	// NonIdempotentRoutes lists the calls that may run at most once, as in
+	// "POST /filings".
+	NonIdempotentRoutes []identifier.Route `json:"nonIdempotentRoutes,omitempty"`
+}
+
+// BackendServer is one model engine or plain service instance.
+type BackendServer struct {
+	Name          identifier.BackendServer `json:"name"`
+	Service       identifier.Service       `json:"service"`
+	Version       identifier.Version       `json:"version"`
+	FailureDomain identifier.FailureDomain `json:"failureDomain"`
+	Address       string                   `json:"address"`
+	// Concurrency is how many requests it runs side by side.
+	Concurrency int `json:"concurrency"`
+	// Price is its cost per hour, in the fleet's currency.
+	Price float64 `json:"price,omitempty"`
+	// ChecksFencing tells whether it refuses orders with an old fencing number.
+	ChecksFencing bool `json:"checksFencing,omitempty"`
+}
+
+// Customer is an organisation that sends requests.
+type Customer struct {
+	Name      identifier.Customer `json:"name"`
+	KeyHashes []KeyHash           `json:"keyHashes"`
+	// Weight is its part in the fair queue; 0 means 1.
+	Weight float64 `json:"weight,omitempty"`
+	// RequestsPerSecond bounds its rate over the fleet; 0 means no bound.
+	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty"`
+	// TokensPerSecond bounds its generated tokens; 0 means no bound.
+	TokensPerSecond float64 `json:"tokensPerSecond,omitempty"`
+}
+
+// Limits bound what a process holds.
+type Limits struct {
+	// BodyBytes is the largest request body.
+	BodyBytes int64 `json:"bodyBytes"`
+	// QueuedRequests bounds the queue of each process.
+	QueuedRequests int `json:"queuedRequests"`
+	// RetryShare is the part of recent successes that may be spent on retries.
+	RetryShare identifier.Share `json:"retryShare"`
+	// ClaimHorizon is how long an idempotency key is remembered.
+	ClaimHorizon Duration `json:"claimHorizon"`
+}
+
+// Exception overrides one default, with a written reason.
+type Exception struct {
+	// Name identifies the exception.
+	Name string `json:"name"`
+	// Path is the overridden field, as in
+	// "customers/foodbank/requestsPerSecond".
+	Path string `json:"path"`
+	// Value is what stands there instead.
+	Value json.RawMessage `json:"value"`
+	// Reason says why, in the operator's words.
+	Reason string `json:"reason"`
+	// Ends is when the exception lapses, in RFC 3339; empty means never.
+	Ends string `json:"ends,omitempty"`
+}
+
+// DecodeFleet decodes and checks a fleet document.
+func DecodeFleet(b []byte) (*Fleet, error) {
+	var f Fleet
+	if err := decodeStrict("fleet", b, &f); err != nil {
+		return nil, err
+	}
+	var in inspector
+	f.inspect(&in)
+	if err := in.err("fleet"); err != nil {
+		return nil, err
+	}
+	return &f, nil
+}
+
+// Encode returns the document as indented JSON.
+func (f *Fleet) Encode() []byte {
+	b, err := json.MarshalIndent(f, "", "  ")
+	if err != nil {
+		// Every field has a marshalable type.
+		panic(fmt.Sprintf("fleet document: %v", err))
+	}
+	return append(b, '\n')
+}
+
+// Service returns the service with that name.
+func (d *Defaults) Service(name identifier.Service) (Service, bool) {
+	i := slices.IndexFunc(d.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return d.Services[i], true
+}
+
+// IsNonIdempotent reports whether a call may run at most once.
+func (s *Service) IsNonIdempotent(r identifier.Route) bool {
+	return slices.Contains(s.NonIdempotentRoutes, r)
+}
+
+// inspect records every fault of f.
+func (f *Fleet) inspect(in *inspector) {
+	for i, s := range f.Defaults.Services {
+		s.inspect(in, fmt.Sprintf("defaults.services[%d]", i))
+	}
+	for i, b := range f.Defaults.BackendServers {
+		b.inspect(in, fmt.Sprintf("defaults.backendServers[%d]", i), &f.Defaults)
+	}
+	for i, c := range f.Defaults.Customers {
+		c.inspect(in, fmt.Sprintf("defaults.customers[%d]", i))
+	}
+	f.Defaults.Limits.inspect(in, "defaults.limits")
+}
+
+func (s *Service) inspect(in *inspector, path string) {
+	in.check(path+".name", s.Name.Check())
+	in.check(path+".version", s.Version.Check())
+	if s.Kind != ModelService && s.Kind != PlainService {
+		in.add(path+".kind", fmt.Sprintf("%q is no kind of service", s.Kind), `write "model" or "plain"`)
+	}
+	if s.Deadline <= 0 {
+		in.add(path+".deadline", "is missing or not positive", `write a duration, as in "30s"`)
+	}
+}
+
+func (b *BackendServer) inspect(in *inspector, path string, d *Defaults) {
+	in.check(path+".name", b.Name.Check())
+	in.check(path+".version", b.Version.Check())
+	in.check(path+".failureDomain", b.FailureDomain.Check())
+	inspectAddress(in, path+".address", b.Address)
+	if _, ok := d.Service(b.Service); !ok {
+		in.add(path+".service", fmt.Sprintf("service %q is not in defaults.services", b.Service), "add it there or correct the name")
+	}
+	if b.Concurrency <= 0 {
+		in.add(path+".concurrency", "is missing or not positive", "write how many requests it runs side by side")
+	}
+}
+
+func (c *Customer) inspect(in *inspector, path string) {
+	in.check(path+".name", c.Name.Check())
+	for i, h := range c.KeyHashes {
+		in.check(fmt.Sprintf("%s.keyHashes[%d]", path, i), h.Check())
+	}
+	if c.Weight < 0 || c.RequestsPerSecond < 0 || c.TokensPerSecond < 0 {
+		in.add(path, "a weight or rate is negative", "write 0 for none, or a positive number")
+	}
+}
+
+func (l *Limits) inspect(in *inspector, path string) {
+	in.check(path+".retryShare", l.RetryShare.Check())
+	if l.BodyBytes <= 0 {
+		in.add(path+".bodyBytes", "is missing or not positive", "write the largest body in bytes, as in 1048576")
+	}
+	if l.QueuedRequests <= 0 {
+		in.add(path+".queuedRequests", "is missing or not positive", "write the longest queue, as in 1000")
+	}
+	if l.ClaimHorizon <= 0 {
+		in.add(path+".claimHorizon", "is missing or not positive", `write how long a key is remembered, as in "24h"`)
+	}
+}
