messenger, distributor, loader: calls between processes, document distribution, load command's core

The whole path needs calls between processes and a way to bring accepted documents to every host. A silent session is judged by bytes that arrive and a ping, since an open connection may be lost track of while new ones work. Ruled out: yamux's own keep-alive, which sends bytes on every idle session and closes a session whose peer is merely slow to open a stream.

--- /dev/null
+++ b/distributor/reports.go
@@ -0,0 +1,95 @@
+package distributor
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+)
+
+// forgetAfter is how long a host's report is kept without a newer one.
+const forgetAfter = 24 * time.Hour
+
+// MaxReports bounds the hosts whose reports are kept.
+const MaxReports = 4096
+
+// Report tells which revision of the fleet document one host has in force.
+type Report struct {
+	Host          identifier.Host          `json:"host"`
+	FailureDomain identifier.FailureDomain `json:"failureDomain"`
+	Revision      identifier.Revision      `json:"revision"`
+	// InForceSince is by the host's own clock.
+	InForceSince time.Time `json:"inForceSince"`
+	// HeardAt is when the host last said so, by this process's clock.
+	HeardAt time.Time `json:"heardAt"`
+}
+
+// reports keeps the newest report of each host.
+type reports struct {
+	mu     sync.Mutex
+	byHost map[identifier.Host]Report
+}
+
+// newReports returns an empty set.
+func newReports() *reports { return &reports{byHost: make(map[identifier.Host]Report)} }
+
+// merge takes what is newer than what is held.
+func (s *reports) merge(now time.Time, rs []*wire.HostReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range rs {
+		r := decodeReport(now, w)
+		old, ok := s.byHost[r.Host]
+		if ok && !r.HeardAt.After(old.HeardAt) {
+			continue
+		}
+		if !ok && len(s.byHost) >= MaxReports {
+			continue
+		}
+		s.byHost[r.Host] = r
+	}
+	for h, r := range s.byHost {
+		if now.Sub(r.HeardAt) > forgetAfter {
+			delete(s.byHost, h)
+		}
+	}
+}
+
+// list returns all reports, by failure domain and host.
+func (s *reports) list() []Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rs := make([]Report, 0, len(s.byHost))
+	for _, r := range s.byHost {
+		rs = append(rs, r)
+	}
+	slices.SortFunc(rs, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Host, b.Host))
+	})
+	return rs
+}
+
+// encodeReport returns the form of r that is sent at now.
+func encodeReport(now time.Time, r Report) *wire.HostReport {
+	return &wire.HostReport{
+		Host:          string(r.Host),
+		FailureDomain: string(r.FailureDomain),
+		FleetRevision: uint64(r.Revision),
+		InForceUnixMs: r.InForceSince.UnixMilli(),
+		HeardAgoMs:    now.Sub(r.HeardAt).Milliseconds(),
+	}
+}
+
+// decodeReport turns the age of a report into a time of this process's clock.
+func decodeReport(now time.Time, w *wire.HostReport) Report {
+	return Report{
+		Host:          identifier.Host(w.Host),
+		FailureDomain: identifier.FailureDomain(w.FailureDomain),
+		Revision:      identifier.Revision(w.FleetRevision),
+		InForceSince:  time.UnixMilli(w.InForceUnixMs),
+		HeardAt:       now.Add(-time.Duration(max(w.HeardAgoMs, 0)) * time.Millisecond),
+	}
+}
--- /dev/null
+++ b/distributor/watch.go
@@ -0,0 +1,118 @@
+package distributor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+)
+
+// Start asks every upstream once, side by side, and takes the newest topics.
+// It returns when all have answered or failed.
+func (d *Distributor) Start(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, a := range d.opts.Upstreams() {
+		wg.Go(func() { _, _ = d.watch(ctx, a, 0) })
+	}
+	wg.Wait()
+}
+
+// Run keeps the topics current until ctx ends.
+func (d *Distributor) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !d.round(ctx) {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// round watches the first usable upstream once and reports whether one
+// answered.
+func (d *Distributor) round(ctx context.Context) bool {
+	candidates := d.candidates()
+	for _, a := range candidates {
+		fresh, err := d.watch(ctx, a, Hold)
+		if err == nil && (fresh || len(candidates) == 1) {
+			return true
+		}
+		if err != nil {
+			watchesFailed.Inc()
+		} else {
+			watchesStale.Inc()
+		}
+		d.pass(a)
+	}
+	return false
+}
+
+// candidates returns the upstreams in order, those that failed lately last.
+func (d *Distributor) candidates() []string {
+	now := d.opts.Clock.Now()
+	var usable, avoided []string
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range d.opts.Upstreams() {
+		if now.Before(d.avoid[a]) {
+			avoided = append(avoided, a)
+		} else {
+			usable = append(usable, a)
+		}
+	}
+	return append(usable, avoided...)
+}
+
+// pass passes over an upstream for a while.
+func (d *Distributor) pass(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.avoid[address] = d.opts.Clock.Now().Add(avoidFor)
+}
+
+// watch makes one watch and takes its news. It reports whether the upstream's
+// own source is fresh.
+func (d *Distributor) watch(ctx context.Context, address string, hold time.Duration) (fresh bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+answerMargin)
+	defer cancel()
+	req := &wire.WatchRequest{Have: d.topics.have(), Reports: d.outgoing(), HoldMs: hold.Milliseconds()}
+	var resp wire.WatchResponse
+	if err := d.opts.Call(ctx, address, WatchMethod, req, &resp); err != nil {
+		return false, err
+	}
+	for _, w := range resp.News {
+		t := Topic{Name: TopicName(w.Name), Revision: identifier.Revision(w.Revision), Body: w.Body}
+		if err := d.Offer(t); err != nil {
+			return false, err
+		}
+	}
+	if resp.ConfirmedAgoMs < 0 {
+		return false, nil
+	}
+	ago := time.Duration(resp.ConfirmedAgoMs) * time.Millisecond
+	d.Confirm(d.opts.Clock.Now().Add(-ago))
+	return ago <= StaleLimit, nil
+}
+
+// outgoing returns the reports to send upstream.
+func (d *Distributor) outgoing() []*wire.HostReport {
+	rs := d.Reports()
+	now := d.opts.Clock.Now()
+	out := make([]*wire.HostReport, len(rs))
+	for i, r := range rs {
+		out[i] = encodeReport(now, r)
+	}
+	return out
+}
+
+// pause waits for p or until ctx ends.
+func pause(ctx context.Context, p time.Duration) {
+	t := time.NewTimer(p)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/loader/run.go
@@ -0,0 +1,117 @@
+package loader
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// progressInterval is the time between calls of Plan.Progress.
+const progressInterval = time.Second
+
+// runner is the state of one run.
+type runner struct {
+	plan   Plan
+	client *client
+	report *recorder
+
+	started atomic.Int64
+	begin   time.Time
+}
+
+// Run sends the load and returns what was measured. When ctx ends early, it
+// returns what was measured until then.
+func Run(ctx context.Context, p Plan) (*Report, error) {
+	p, err := p.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{plan: p, client: newClient(p), report: newRecorder(), begin: time.Now()}
+	defer r.client.http.CloseIdleConnections()
+	stop := r.showProgress()
+	defer stop()
+	if p.Rate > 0 {
+		r.openLoop(ctx)
+	} else {
+		r.closedLoop(ctx)
+	}
+	return r.report.finish(r.started.Load(), time.Since(r.begin)), nil
+}
+
+// closedLoop keeps Concurrency requests in flight.
+func (r *runner) closedLoop(ctx context.Context) {
+	var wg sync.WaitGroup
+	for range r.plan.Concurrency {
+		wg.Go(func() {
+			for ctx.Err() == nil && time.Since(r.begin) < r.plan.Duration {
+				n := r.started.Add(1)
+				r.report.add(r.client.send(ctx, n, time.Now()))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// openLoop starts requests at the arrivals of a Poisson process.
+func (r *runner) openLoop(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(r.plan.Seed, 1))
+	slots := make(chan struct{}, r.plan.Concurrency)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	next := r.begin
+	for {
+		next = next.Add(time.Duration(rnd.ExpFloat64() / r.plan.Rate * float64(time.Second)))
+		if next.Sub(r.begin) >= r.plan.Duration || !sleepUntil(ctx, next) {
+			return
+		}
+		n := r.started.Add(1)
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.report.add(result{failure: "dropped"})
+			continue
+		}
+		start := next
+		wg.Go(func() {
+			defer func() { <-slots }()
+			r.report.add(r.client.send(ctx, n, start))
+		})
+	}
+}
+
+// sleepUntil waits until t and reports whether ctx is still live.
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// showProgress calls Plan.Progress until the returned function is called.
+func (r *runner) showProgress() (stop func()) {
+	if r.plan.Progress == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for next := r.begin.Add(progressInterval); sleepUntil(ctx, next); next = next.Add(progressInterval) {
+			done, failed := r.report.counts()
+			r.plan.Progress(Progress{Elapsed: time.Since(r.begin), Started: r.started.Load(), Done: done, Fail: failed})
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
--- /dev/null
+++ b/messenger/session.go
@@ -0,0 +1,112 @@
+package messenger
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"cyclamenhub.org/timer"
+)
+
+// watchedConn is a connection that remembers when bytes last arrived.
+type watchedConn struct {
+	net.Conn
+	clock    timer.Clock
+	lastRead atomic.Int64 // Unix nanoseconds
+}
+
+// newWatchedConn wraps c; the wrap counts as an arrival.
+func newWatchedConn(c net.Conn, clock timer.Clock) *watchedConn {
+	w := &watchedConn{Conn: c, clock: clock}
+	w.lastRead.Store(clock.Now().UnixNano())
+	return w
+}
+
+// Read reads from the connection and notes the arrival.
+func (w *watchedConn) Read(b []byte) (int, error) {
+	n, err := w.Conn.Read(b)
+	if n > 0 {
+		w.lastRead.Store(w.clock.Now().UnixNano())
+	}
+	return n, err
+}
+
+// heardSince reports whether a byte arrived after t.
+func (w *watchedConn) heardSince(t time.Time) bool { return w.lastRead.Load() > t.UnixNano() }
+
+// session is one yamux session and the connection below it.
+type session struct {
+	mux  *yamux.Session
+	conn *watchedConn
+}
+
+// newSession starts yamux on c.
+func newSession(c net.Conn, clock timer.Clock, client bool) (*session, error) {
+	w := newWatchedConn(c, clock)
+	start := yamux.Server
+	if client {
+		start = yamux.Client
+	}
+	mux, err := start(w, yamuxConfig())
+	if err != nil {
+		return nil, err
+	}
+	return &session{mux: mux, conn: w}, nil
+}
+
+// yamuxConfig leaves liveness to this package.
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false
+	cfg.LogOutput = io.Discard
+	// StreamOpenTimeout closes the whole session; probes decide that here.
+	cfg.StreamOpenTimeout = 0
+	cfg.StreamCloseTimeout = streamCloseTimeout
+	return cfg
+}
+
+// streamCloseTimeout bounds how long a half-closed stream is kept.
+const streamCloseTimeout = 30 * time.Second
+
+// close ends the session and its connection.
+func (s *session) close() { _ = s.mux.Close() }
+
+// closed reports whether the session has ended.
+func (s *session) closed() bool { return s.mux.IsClosed() }
+
+// watch closes the session if it stays silent while a call waits. It returns
+// when ctx ends, which the call does once answered.
+func (s *session) watch(ctx context.Context, opts *Options) {
+	for {
+		started := s.conn.clock.Now()
+		if !sleep(ctx, opts) {
+			return
+		}
+		if s.conn.heardSince(started) {
+			continue
+		}
+		go func() { _, _ = s.mux.Ping() }()
+		if !sleep(ctx, opts) {
+			return
+		}
+		if !s.conn.heardSince(started) {
+			sessionsSilent.Inc()
+			s.close()
+			return
+		}
+	}
+}
+
+// sleep waits for Silence and reports whether ctx was still live then.
+func sleep(ctx context.Context, opts *Options) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-opts.After(opts.Silence):
+		return true
+	}
+}
