reducer: changes of configuration, their outcomes and audit records

Need: of operators racing under one revision exactly one may win, a change resent after a lost answer must not take effect twice, and the revision never goes back. Reduce is pure; Machine fits the replicated log.

Ruled out: checking the fleet document inside Reduce. Replicas that run different versions of the checks would then disagree about a committed entry. The proposer checks, and the base revision makes that check hold at commit.

--- a/configurer/fleet.go
+++ b/configurer/fleet.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -128,6 +129,16 @@
 	return append(b, '\n')
 }
 
+// Indent returns a fleet document as an operator edits it.
+func Indent(document []byte) ([]byte, error) {
+	var b bytes.Buffer
+	if err := json.Indent(&b, document, "", "  "); err != nil {
+		return nil, fmt.Errorf("fleet document: %w: fetch it again", err)
+	}
+	b.WriteByte('\n')
+	return b.Bytes(), nil
+}
+
 // Service returns the service with that name.
 func (d *Defaults) Service(name identifier.Service) (Service, bool) {
 	i := slices.IndexFunc(d.Services, func(s Service) bool { return s.Name == name })
--- /dev/null
+++ b/reducer/codec.go
@@ -0,0 +1,101 @@
+package reducer
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// envelope is the JSON form of a value of a sealed interface: the name of its
+// type and the value.
+type envelope struct {
+	Type  string          `json:"type"`
+	Value json.RawMessage `json:"value"`
+}
+
+// The names of types in envelopes. They stay as they are for good, since old
+// log entries hold them.
+const (
+	typeChangeConfiguration = "changeConfiguration"
+	typeRecordRefusal       = "recordRefusal"
+	typeAccepted            = "accepted"
+	typeConflict            = "conflict"
+	typeRefused             = "refused"
+)
+
+// EncodeEvent returns ev in the form that the log holds.
+func EncodeEvent(ev Event) ([]byte, error) {
+	switch ev := ev.(type) {
+	case ChangeConfiguration:
+		return encode(typeChangeConfiguration, ev)
+	case RecordRefusal:
+		return encode(typeRecordRefusal, ev)
+	default:
+		return nil, fmt.Errorf("event %T has no encoding: add it to the codec", ev)
+	}
+}
+
+// DecodeEvent reads the form that EncodeEvent writes.
+func DecodeEvent(b []byte) (Event, error) {
+	var e envelope
+	if err := json.Unmarshal(b, &e); err != nil {
+		return nil, fmt.Errorf("log entry is no event: %w: run the version that wrote it", err)
+	}
+	switch e.Type {
+	case typeChangeConfiguration:
+		return decode[ChangeConfiguration](e)
+	case typeRecordRefusal:
+		return decode[RecordRefusal](e)
+	default:
+		return nil, fmt.Errorf("log entry has the unknown type %q: upgrade this keeper", e.Type)
+	}
+}
+
+// EncodeOutcome returns o in the form that Machine.Apply returns.
+func EncodeOutcome(o Outcome) ([]byte, error) {
+	switch o := o.(type) {
+	case Accepted:
+		return encode(typeAccepted, o)
+	case Conflict:
+		return encode(typeConflict, o)
+	case Refused:
+		return encode(typeRefused, o)
+	default:
+		return nil, fmt.Errorf("outcome %T has no encoding: add it to the codec", o)
+	}
+}
+
+// DecodeOutcome reads the form that EncodeOutcome writes.
+func DecodeOutcome(b []byte) (Outcome, error) {
+	var e envelope
+	if err := json.Unmarshal(b, &e); err != nil {
+		return nil, fmt.Errorf("result is no outcome: %w: run one version on every host", err)
+	}
+	switch e.Type {
+	case typeAccepted:
+		return decode[Accepted](e)
+	case typeConflict:
+		return decode[Conflict](e)
+	case typeRefused:
+		return decode[Refused](e)
+	default:
+		return nil, fmt.Errorf("result has the unknown type %q: upgrade this host", e.Type)
+	}
+}
+
+// encode wraps v in an envelope.
+func encode(name string, v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return json.Marshal(envelope{Type: name, Value: b})
+}
+
+// decode reads the value of an envelope as a T.
+func decode[T any](e envelope) (T, error) {
+	var v T
+	if err := json.Unmarshal(e.Value, &v); err != nil {
+		return v, fmt.Errorf("%s: %w: run the version that wrote it", e.Type, err)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/reducer/configuration_test.go
@@ -0,0 +1,125 @@
+package reducer
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/identifier"
+)
+
+var testStart = time.Date(2026, 12, 1, 20, 0, 0, 0, time.UTC)
+
+// changeNumber returns a change whose content is told apart by n.
+func changeNumber(n int, base identifier.Revision) ChangeConfiguration {
+	return ChangeConfiguration{
+		ChangeID: identifier.ChangeID(fmt.Sprintf("c-%d", n)), Base: base, Operator: "els",
+		Document: json.RawMessage(fmt.Sprintf(`{"n":%d}`, n)), At: testStart.Add(time.Duration(n) * time.Second),
+	}
+}
+
+// apply sends ev through a Machine as the log does.
+func apply(t interface{ Fatal(...any) }, m *Machine, index int, ev Event) Outcome {
+	entry, err := EncodeEvent(ev)
+	if err != nil {
+		t.Fatal(err)
+	}
+	outcome, err := DecodeOutcome(m.Apply(identifier.LogIndex(index), entry))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return outcome
+}
+
+func TestRacingOperatorsAndResentChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Machine
+		sent := map[int]ChangeConfiguration{}
+		first := map[int]Outcome{}
+		wins := map[identifier.Revision]int{}
+		var revision identifier.Revision
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			n := rapid.IntRange(0, 15).Draw(t, "change")
+			ev, resent := sent[n]
+			if !resent {
+				ev = changeNumber(n, identifier.Revision(rapid.IntRange(0, int(revision)).Draw(t, "base")))
+				sent[n] = ev
+			}
+			ev.At = testStart.Add(time.Duration(i) * time.Minute)
+			got := apply(t, &m, i+1, ev)
+			if resent {
+				if diff := cmp.Diff(markResent(first[n]), got); diff != "" {
+					t.Fatalf("resent change %d has another outcome than at first (-first +now):\n%s", n, diff)
+				}
+			} else if first[n] = got; got == (Accepted{Revision: ev.Base + 1}) {
+				wins[ev.Base]++
+			}
+			if now := m.View().Revision; now < revision {
+				t.Fatalf("revision went back from %d to %d", revision, now)
+			} else {
+				revision = now
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				m = restarted(t, &m)
+			}
+		}
+		for base := identifier.Revision(0); base < revision; base++ {
+			if wins[base] != 1 {
+				t.Fatalf("%d changes won against revision %d, want 1", wins[base], base)
+			}
+		}
+	})
+}
+
+// restarted returns a machine with the state that m's snapshot holds.
+func restarted(t interface{ Fatal(...any) }, m *Machine) Machine {
+	var r Machine
+	if err := r.Restore(m.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(m.Snapshot()), string(r.Snapshot())); diff != "" {
+		t.Fatal("a restored state differs (-before +after):\n" + diff)
+	}
+	return r
+}
+
+func TestRefusedChanges(t *testing.T) {
+	var m Machine
+	apply(t, &m, 1, changeNumber(1, 0))
+	reused := changeNumber(1, 0)
+	reused.Document = json.RawMessage(`{"n":2}`)
+	noObject := changeNumber(3, 1)
+	noObject.Document = json.RawMessage(`[]`)
+	nameless := changeNumber(4, 1)
+	nameless.ChangeID = ""
+	for _, tt := range []struct {
+		name string
+		ev   Event
+		want string
+	}{
+		{"stale base", changeNumber(2, 0), "the change was made against revision 0 and the present one is 1: look at revision 1 and make the change again with --base 1"},
+		{"change id reused", reused, `change id "c-1" was used for another change: send this change under a new change id`},
+		{"no object", noObject, "the fleet document is no JSON object: send the document that 'cyclamenctl config get' prints, with the change made"},
+		{"no change id", nameless, "the change id is empty or too long: send one of at most 128 bytes"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			before := m.View()
+			err := apply(t, &m, 2, tt.ev).Err()
+			if err == nil {
+				t.Fatal("accepted")
+			}
+			if diff := cmp.Diff(tt.want, err.Error()); diff != "" {
+				t.Error(diff)
+			}
+			after := m.View()
+			if after.Revision != before.Revision || len(after.Refused) != len(before.Refused)+1 {
+				t.Errorf("revision %d, %d refused records; want revision %d and one record more than %d",
+					after.Revision, len(after.Refused), before.Revision, len(before.Refused))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/reducer/event.go
@@ -0,0 +1,42 @@
+package reducer
+
+import (
+	"encoding/json"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// Event is something that changes the replicated state.
+type Event interface{ isEvent() }
+
+// ChangeConfiguration replaces the fleet document.
+type ChangeConfiguration struct {
+	// ChangeID is the same in every resend of the change.
+	ChangeID identifier.ChangeID `json:"changeId"`
+	// Base is the revision the change was made against; 0 is the empty state.
+	Base identifier.Revision `json:"base"`
+	// Operator made the change.
+	Operator identifier.Operator `json:"operator"`
+	// Reason says why, in the operator's words.
+	Reason string `json:"reason,omitempty"`
+	// Document is the whole fleet document, already checked.
+	Document json.RawMessage `json:"document"`
+	// At is when the change was proposed.
+	At time.Time `json:"at"`
+}
+
+// RecordRefusal puts a change that was refused before it was proposed on the
+// audit trail.
+type RecordRefusal struct {
+	ChangeID identifier.ChangeID `json:"changeId"`
+	Base     identifier.Revision `json:"base"`
+	Operator identifier.Operator `json:"operator"`
+	Reason   string              `json:"reason,omitempty"`
+	// Problem says why the change was refused.
+	Problem string    `json:"problem"`
+	At      time.Time `json:"at"`
+}
+
+func (ChangeConfiguration) isEvent() {}
+func (RecordRefusal) isEvent()       {}
--- /dev/null
+++ b/reducer/machine.go
@@ -0,0 +1,61 @@
+package reducer
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/refuser"
+)
+
+var undecodedEntries = metrics.NewCounter("cyclamen_control_undecoded_entries_total")
+
+// Machine adapts a State to a replicated log: it decodes each committed entry,
+// reduces it and encodes the outcome. Its zero value is ready to use. One
+// goroutine may use it at a time.
+type Machine struct {
+	// Perform carries out effects, if set. It must not block.
+	Perform func(index identifier.LogIndex, effects []Effect)
+	state   State
+}
+
+// Apply applies a committed entry and returns its encoded outcome. An empty
+// entry changes nothing and has no outcome.
+func (m *Machine) Apply(index identifier.LogIndex, entry []byte) []byte {
+	if len(entry) == 0 {
+		return nil
+	}
+	ev, err := DecodeEvent(entry)
+	if err != nil {
+		undecodedEntries.Inc()
+		return mustEncodeOutcome(Refused{Kind: refuser.Malformed, Problem: err.Error(), Remedy: "run one version on every keeper"})
+	}
+	effects := Reduce(&m.state, ev)
+	if m.Perform != nil {
+		m.Perform(index, effects)
+	}
+	return mustEncodeOutcome(outcomeOf(effects))
+}
+
+// Snapshot returns the state as bytes.
+func (m *Machine) Snapshot() []byte { return m.state.Snapshot() }
+
+// Restore replaces the state and publishes the configuration it holds.
+func (m *Machine) Restore(b []byte) error {
+	if err := m.state.Restore(b); err != nil {
+		return err
+	}
+	v := m.state.View()
+	if m.Perform != nil && v.Revision > 0 {
+		m.Perform(0, []Effect{PublishConfiguration{Revision: v.Revision, Document: v.Document}})
+	}
+	return nil
+}
+
+// View returns a reading of the state.
+func (m *Machine) View() View { return m.state.View() }
+
+// outcomeOf returns the outcome among the effects of one event.
+func outcomeOf(effects []Effect) Outcome {
+	answer, _ := effects[len(effects)-1].(Answer)
+	return answer.Outcome
+}
--- /dev/null
+++ b/reducer/reduce.go
@@ -0,0 +1,23 @@
+package reducer
+
+import "fmt"
+
+// State is the replicated control state. Its zero value is the empty state
+// before the first change. One goroutine owns it; others read a View.
+type State struct {
+	configuration configuration
+	audit         audit
+}
+
+// Reduce applies ev to s and returns what is to be done. The last effect is
+// always the Answer to the event's proposer.
+func Reduce(s *State, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case ChangeConfiguration:
+		return s.changeConfiguration(ev)
+	case RecordRefusal:
+		return s.recordRefusal(ev)
+	default:
+		panic(fmt.Sprintf("event %T has no case in Reduce", ev))
+	}
+}
--- /dev/null
+++ b/reducer/snapshot.go
@@ -0,0 +1,113 @@
+package reducer
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// snapshotFormat numbers the form of snapshots.
+const snapshotFormat = 1
+
+// wireState is the JSON form of a State.
+type wireState struct {
+	Format   int                 `json:"format"`
+	Revision identifier.Revision `json:"revision"`
+	Document json.RawMessage     `json:"document,omitempty"`
+	Since    time.Time           `json:"since"`
+	Answers  []wireAnswer        `json:"answers,omitempty"`
+	LastMark uint64              `json:"lastAuditNumber"`
+	Accepted []AuditRecord       `json:"accepted,omitempty"`
+	Refused  []AuditRecord       `json:"refused,omitempty"`
+}
+
+// wireAnswer is the JSON form of an answer.
+type wireAnswer struct {
+	ChangeID identifier.ChangeID `json:"changeId"`
+	Digest   string              `json:"digest"`
+	Outcome  json.RawMessage     `json:"outcome"`
+}
+
+// check refuses what no State encodes to.
+func (w *wireState) check() error {
+	switch {
+	case w.Format != snapshotFormat:
+		return fmt.Errorf("snapshot has format %d and this version reads %d: run the version that wrote it", w.Format, snapshotFormat)
+	case w.Revision > 0 && !isObject(w.Document):
+		return fmt.Errorf("snapshot of revision %d holds no document: restore this replica from its peers", w.Revision)
+	case len(w.Answers) > MaxAnswers, len(w.Accepted) > MaxAcceptedRecords, len(w.Refused) > MaxRefusedRecords:
+		return fmt.Errorf("snapshot exceeds a bound: run the version that wrote it")
+	}
+	return nil
+}
+
+// Snapshot returns the state as bytes. Equal states give equal bytes.
+func (s *State) Snapshot() []byte {
+	c := &s.configuration
+	w := wireState{
+		Format: snapshotFormat, Revision: c.revision, Document: c.document, Since: c.since,
+		LastMark: s.audit.last, Accepted: s.audit.accepted, Refused: s.audit.refused,
+	}
+	for _, a := range c.answers {
+		w.Answers = append(w.Answers, wireAnswer{
+			ChangeID: a.change, Digest: hex.EncodeToString(a.digest[:]), Outcome: mustEncodeOutcome(a.outcome),
+		})
+	}
+	b, err := json.Marshal(w)
+	if err != nil {
+		// Every field has a marshalable type.
+		panic(fmt.Sprintf("snapshot: %v", err))
+	}
+	return b
+}
+
+// Restore replaces s by the state that b holds. On an error s stays as it is.
+func (s *State) Restore(b []byte) error {
+	var w wireState
+	if err := json.Unmarshal(b, &w); err != nil {
+		return fmt.Errorf("snapshot is malformed: %w: restore this replica from its peers", err)
+	}
+	if err := w.check(); err != nil {
+		return err
+	}
+	restored := State{
+		configuration: configuration{revision: w.Revision, document: w.Document, since: w.Since},
+		audit:         audit{last: w.LastMark, accepted: w.Accepted, refused: w.Refused},
+	}
+	for _, wa := range w.Answers {
+		a, err := wa.answer()
+		if err != nil {
+			return err
+		}
+		restored.configuration.remember(a)
+	}
+	*s = restored
+	return nil
+}
+
+// answer decodes w.
+func (w *wireAnswer) answer() (answer, error) {
+	a := answer{change: w.ChangeID}
+	b, err := hex.DecodeString(w.Digest)
+	if err != nil || len(b) != len(a.digest) {
+		return answer{}, fmt.Errorf("snapshot holds a malformed digest for change %q: restore this replica from its peers", w.ChangeID)
+	}
+	copy(a.digest[:], b)
+	if a.outcome, err = DecodeOutcome(w.Outcome); err != nil {
+		return answer{}, fmt.Errorf("snapshot: %w", err)
+	}
+	return a, nil
+}
+
+// mustEncodeOutcome encodes an outcome that Reduce produced.
+func mustEncodeOutcome(o Outcome) []byte {
+	b, err := EncodeOutcome(o)
+	if err != nil {
+		// Reduce produces only outcomes that the codec knows.
+		panic(err)
+	}
+	return b
+}
