--- /dev/null
+++ b/administrator/authenticate.go
@@ -0,0 +1,47 @@
+package administrator
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/refuser"
+)
+
+// operatorKey is the context key of the operator's name.
+type operatorKey struct{}
+
+// authenticate lets only known operators through and notes who they are.
+func (h *handler) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		operator := h.operatorOf(token)
+		if !ok || operator == "" {
+			unauthenticatedRequests.Inc()
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			refuse(w, refuser.NotRun(refuser.Unauthenticated, "the operator's token is missing or unknown",
+				"send a token whose hash stands in operators.tokens of this host's settings"))
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, operator)))
+	})
+}
+
+// operatorOf returns the operator with that token, or "". It compares every
+// listed hash, so that the time it takes tells nothing about them.
+func (h *handler) operatorOf(token string) identifier.Operator {
+	var found identifier.Operator
+	for _, t := range h.tokens {
+		if t.TokenHash.Matches(token) {
+			found = t.Operator
+		}
+	}
+	return found
+}
+
+// operator returns who sent r.
+func operator(r *http.Request) identifier.Operator {
+	name, _ := r.Context().Value(operatorKey{}).(identifier.Operator)
+	return name
+}
--- /dev/null
+++ b/administrator/handler.go
@@ -0,0 +1,35 @@
+package administrator
+
+import (
+	"log/slog"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/timer"
+)
+
+// handler serves the operators' API.
+type handler struct {
+	backend Backend
+	tokens  []configurer.OperatorToken
+	clock   timer.Clock
+	log     *slog.Logger
+}
+
+// New returns the handler of the operators' API. It lets in the operators that
+// tokens lists; clock stamps their changes.
+func New(backend Backend, tokens []configurer.OperatorToken, clock timer.Clock, log *slog.Logger) http.Handler {
+	h := &handler{backend: backend, tokens: tokens, clock: clock, log: log}
+	r := chi.NewRouter()
+	r.NotFound(notFound)
+	r.MethodNotAllowed(notFound)
+	r.Route("/v1", func(r chi.Router) {
+		r.Use(h.authenticate)
+		r.Get("/config", h.getConfig)
+		r.Put("/config", h.putConfig)
+		r.Get("/config/status", h.getStatus)
+	})
+	return r
+}
--- /dev/null
+++ b/administrator/respond.go
@@ -0,0 +1,64 @@
+package administrator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cyclamenhub.org/reducer"
+	"cyclamenhub.org/refuser"
+)
+
+// maxRequestBytes bounds a request body: the largest document and its
+// surroundings.
+const maxRequestBytes = reducer.MaxDocumentBytes + 64<<10
+
+var unauthenticatedRequests = metrics.NewCounter("cyclamen_operator_unauthenticated_total")
+
+// respond writes v as JSON.
+func respond(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		responseFailures.Inc()
+	}
+}
+
+var responseFailures = metrics.NewCounter("cyclamen_operator_response_failures_total")
+
+// refuse writes err as a refusal.
+func refuse(w http.ResponseWriter, err error) {
+	f := refuser.From(err)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamen_operator_refusals_total{kind=%q}`, f.Kind())).Inc()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(f.Status())
+	if err := json.NewEncoder(w).Encode(f); err != nil {
+		responseFailures.Inc()
+	}
+}
+
+// notFound refuses a path or method that the API does not have.
+func notFound(w http.ResponseWriter, r *http.Request) {
+	refuse(w, refuser.NotRun(refuser.NotFound, fmt.Sprintf("there is no %s %s", r.Method, r.URL.Path),
+		"use the version of cyclamenctl that goes with this host"))
+}
+
+// readBody decodes the body of r into v.
+func readBody(w http.ResponseWriter, r *http.Request, v any) error {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuser.NotRun(refuser.TooLarge, "the request is too large", fmt.Sprintf("shorten it to %d bytes", maxRequestBytes))
+	case err != nil:
+		return refuser.NotRun(refuser.Malformed, "the request broke off", "send it again")
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		return refuser.NotRun(refuser.Malformed, "the request is not the JSON that this call takes: "+err.Error(),
+			"use the version of cyclamenctl that goes with this host")
+	}
+	return nil
+}
