cyclamenctl: config get, set and status, key hash

Need: the operators' tool for the first whole path. 'config set' demands the base revision that 'config get' showed. Ruled out: taking the present revision where none is given, since the edit of an operator who lost a race would then silently overwrite the winner's.

--- /dev/null
+++ b/cmd/cyclamenctl/doc.go
@@ -0,0 +1,14 @@
+// Cyclamenctl is the operators' tool of cyclamenhub. It speaks the operators'
+// HTTP API of any entry host.
+//
+// # Usage
+//
+//	export CYCLAMEN_ADDRESS=http://10.0.0.1:8081 CYCLAMEN_TOKEN=...
+//	cyclamenctl config get > fleet.json
+//	cyclamenctl config set --base 7 --reason "larger queue" fleet.json
+//	cyclamenctl config status
+//
+// Every command has --help. The exit code is 0 on success, 1 where the command
+// failed, 2 for a wrong command line and 3 where a change conflicts with a
+// newer revision.
+package main
--- /dev/null
+++ b/cmd/cyclamenctl/main.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"cyclamenhub.org/refuser"
+)
+
+// The exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+)
+
+// stdio is where commands read and write.
+type stdio struct {
+	in       io.Reader
+	out, err io.Writer
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], stdio{in: os.Stdin, out: os.Stdout, err: os.Stderr}))
+}
+
+// run executes one command line and returns the exit code.
+func run(args []string, std stdio) int {
+	_, err := newParser(std).ParseArgs(args)
+	var wrong *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &wrong) && wrong.Type == flags.ErrHelp:
+		fmt.Fprintln(std.out, wrong.Message)
+		return exitOK
+	case errors.As(err, &wrong):
+		fmt.Fprintf(std.err, "cyclamenctl: %s: see 'cyclamenctl --help'\n", wrong.Message)
+		return exitUsage
+	default:
+		fmt.Fprintf(std.err, "cyclamenctl: %v\n", err)
+		return exitCode(err)
+	}
+}
+
+// exitCode returns the exit code that goes with a failure.
+func exitCode(err error) int {
+	var f *refuser.Refusal
+	if errors.As(err, &f) && f.Kind() == refuser.Conflict {
+		return exitConflict
+	}
+	return exitFailed
+}
+
+// newParser returns the parser with every command.
+func newParser(std stdio) *flags.Parser {
+	var g globals
+	p := flags.NewNamedParser("cyclamenctl", flags.HelpFlag|flags.PassDoubleDash)
+	p.ShortDescription = "Operates a cyclamenhub fleet."
+	mustAdd(p.AddGroup("Global options", "", &g))
+	c := &commandContext{globals: &g, std: std}
+	addConfigCommands(p, c)
+	addKeyCommands(p, c)
+	return p
+}
+
+// mustAdd panics where a command or group is declared wrongly.
+func mustAdd[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
