server, dispatcher, connector, faker: the thin path from caller to backend server

Callers stream chat completions through to a model engine and call plain services; a non-idempotent call under a key is claimed first. The claimer is in memory and says so; the control log's takes its place behind the same interface.

http.Transport was ruled out towards backend servers: it retries on reused connections by itself and does not tell whether a byte left, so that neither at-most-once nor a true "not run" could be shown. The connector uses net/http's request writer and response reader on connections of its own.

Events are passed on without decoding: the text of an ordinary event is cut out between a known head and tail and kept as it came, so that it can be spliced into a resume request.

--- /dev/null
+++ b/connector/pool.go
@@ -0,0 +1,198 @@
+package connector
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sys/unix"
+
+	"cyclamenhub.org/timer"
+)
+
+const (
+	defaultMaxIdleAge          = 20 * time.Second
+	defaultMaxIdlePerServer    = 256
+	defaultDialTimeout         = time.Second
+	defaultUnacknowledgedLimit = 5 * time.Second
+)
+
+// Reuse tells whether a pooled connection will do.
+type Reuse int
+
+// The kinds of Reuse.
+const (
+	// Pooled takes an idle connection where there is one.
+	Pooled Reuse = iota
+	// Fresh always dials.
+	Fresh
+)
+
+// Options configure a Pool.
+type Options struct {
+	// Dial opens a connection; nil means TCP.
+	Dial  func(ctx context.Context, address string) (net.Conn, error)
+	Clock timer.Clock
+	// MaxIdleAge discards a connection whose last byte is older.
+	MaxIdleAge time.Duration
+	// MaxIdlePerServer bounds the idle connections to one address.
+	MaxIdlePerServer int
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// Metrics receives the counters; nil means a set of its own.
+	Metrics *metrics.Set
+}
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	opt Options
+
+	mu   sync.Mutex
+	idle map[string][]*Conn
+
+	opened, reused, aged, closed *metrics.Counter
+}
+
+// NewPool returns an empty Pool.
+func NewPool(opt Options) *Pool {
+	if opt.Dial == nil {
+		opt.Dial = dialTCP
+	}
+	if opt.Clock == nil {
+		opt.Clock = timer.System{}
+	}
+	if opt.MaxIdleAge == 0 {
+		opt.MaxIdleAge = defaultMaxIdleAge
+	}
+	if opt.MaxIdlePerServer == 0 {
+		opt.MaxIdlePerServer = defaultMaxIdlePerServer
+	}
+	if opt.DialTimeout == 0 {
+		opt.DialTimeout = defaultDialTimeout
+	}
+	if opt.Metrics == nil {
+		opt.Metrics = metrics.NewSet()
+	}
+	return &Pool{
+		opt: opt, idle: make(map[string][]*Conn),
+		opened: opt.Metrics.GetOrCreateCounter("cyclamen_connections_opened_total"),
+		reused: opt.Metrics.GetOrCreateCounter("cyclamen_connections_reused_total"),
+		aged:   opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="age"}`),
+		closed: opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="closed"}`),
+	}
+}
+
+// Open returns a connection to address. Its errors are of type *Error and mean
+// that nothing was sent.
+func (p *Pool) Open(ctx context.Context, address string, reuse Reuse) (*Conn, error) {
+	if reuse == Pooled {
+		if c := p.take(address); c != nil {
+			p.reused.Inc()
+			return c, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.opt.DialTimeout)
+	defer cancel()
+	nc, err := p.opt.Dial(ctx, address)
+	if err != nil {
+		return nil, &Error{Stage: Dialing, Err: err}
+	}
+	p.opened.Inc()
+	return newConn(nc, address, p.opt.Clock), nil
+}
+
+// take returns the most recently used live idle connection, or nil.
+func (p *Pool) take(address string) *Conn {
+	for {
+		c := p.pop(address)
+		switch {
+		case c == nil:
+			return nil
+		case p.opt.Clock.Now().Sub(c.lastByte) > p.opt.MaxIdleAge:
+			p.aged.Inc()
+		case !c.quiet():
+			p.closed.Inc()
+		default:
+			return c
+		}
+		c.Close()
+	}
+}
+
+func (p *Pool) pop(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	list[len(list)-1] = nil
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// Release gives c back for reuse where its last exchange ended cleanly, and
+// closes it otherwise.
+func (p *Pool) Release(c *Conn) {
+	if !c.reusable() || !p.push(c) {
+		c.Close()
+	}
+}
+
+func (p *Pool) push(c *Conn) bool {
+	c.reused = true
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= p.opt.MaxIdlePerServer {
+		return false
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+	return true
+}
+
+// Forget closes the idle connections to address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[string][]*Conn)
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
+// dialTCP opens a TCP connection that breaks when sent data stays
+// unacknowledged.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Control: limitUnacknowledged}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// limitUnacknowledged sets TCP_USER_TIMEOUT (RFC 5482).
+func limitUnacknowledged(_, _ string, rc syscall.RawConn) error {
+	var setErr error
+	err := rc.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(defaultUnacknowledgedLimit.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
--- /dev/null
+++ b/dispatcher/table.go
@@ -0,0 +1,75 @@
+package dispatcher
+
+import (
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/identifier"
+)
+
+// Table is what traffic reads of one revision of the fleet document. It never
+// changes once it is published.
+type Table struct {
+	services  map[identifier.Service]*configurer.Service
+	models    []identifier.Service
+	servers   map[identifier.Service][]configurer.BackendServer
+	customers map[configurer.KeyHash]*configurer.Customer
+	limits    configurer.Limits
+}
+
+// NewTable returns the table of a fleet document.
+func NewTable(f *configurer.Fleet) *Table {
+	t := &Table{
+		services:  make(map[identifier.Service]*configurer.Service),
+		servers:   make(map[identifier.Service][]configurer.BackendServer),
+		customers: make(map[configurer.KeyHash]*configurer.Customer),
+		limits:    f.Defaults.Limits,
+	}
+	for _, s := range f.Defaults.Services {
+		t.services[s.Name] = &s
+		if s.Kind == configurer.ModelService {
+			t.models = append(t.models, s.Name)
+		}
+	}
+	for _, b := range f.Defaults.BackendServers {
+		t.servers[b.Service] = append(t.servers[b.Service], b)
+	}
+	for _, c := range f.Defaults.Customers {
+		for _, h := range c.KeyHashes {
+			t.customers[h] = &c
+		}
+	}
+	return t
+}
+
+// Service returns the service with that name.
+func (t *Table) Service(name identifier.Service) (*configurer.Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Models returns the names of the model services, in the document's order.
+func (t *Table) Models() []identifier.Service { return t.models }
+
+// BackendServers returns the servers of a service, in the document's order.
+func (t *Table) BackendServers(name identifier.Service) []configurer.BackendServer {
+	return t.servers[name]
+}
+
+// Customer returns whose key has the hash of key. Its cost does not grow with
+// the number of customers; the index holds hashes, and the entry that it finds
+// is compared in constant time.
+func (t *Table) Customer(key string) (*configurer.Customer, bool) {
+	h := configurer.HashKey(key)
+	c, ok := t.customers[h]
+	if !ok {
+		return nil, false
+	}
+	for _, own := range c.KeyHashes {
+		if own.Matches(key) {
+			return c, true
+		}
+	}
+	return nil, false
+}
+
+// Limits returns the bounds of a process.
+func (t *Table) Limits() configurer.Limits { return t.limits }
--- /dev/null
+++ b/dispatcher/task.go
@@ -0,0 +1,224 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/connector"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/refuser"
+)
+
+const (
+	// firstPause is the wait before servers are tried a second time.
+	firstPause = 20 * time.Millisecond
+	// maxPause bounds the doubling of firstPause.
+	maxPause = time.Second
+	// comeBackAfter is what a refusal advises where no better time is known.
+	comeBackAfter = time.Second
+)
+
+// errCallerLeft ends a request whose caller went away.
+var errCallerLeft = errors.New("the caller went away")
+
+// task is one accepted request at work. The goroutine that runs it owns all
+// but the atomic fields.
+type task struct {
+	d      *Dispatcher
+	r      *Request
+	record *Record
+	sink   Sink
+	ledger ledger
+	budget *budget
+
+	ctx          context.Context
+	cancel       context.CancelCauseFunc
+	stopDeadline context.CancelFunc
+	stopDetach   func() bool
+
+	// detached tells that nothing more goes to sink.
+	detached atomic.Bool
+	begun    bool
+
+	reuse    connector.Reuse
+	server   configurer.BackendServer
+	version  identifier.Version
+	excluded []identifier.BackendServer
+	avoid    identifier.FailureDomain
+	pauses   int
+	held     *Answer
+	kept     *Answer
+	line     []byte
+}
+
+// answer runs the request.
+func (t *task) answer() *refuser.Refusal {
+	switch k := t.r.Kind.(type) {
+	case Stream:
+		return t.stream(k)
+	case Text:
+		return t.text(k)
+	case Call:
+		return t.call()
+	default:
+		return t.ledger.refuse(refuser.Internal, "the request has no kind", "report this with the request id")
+	}
+}
+
+// detach lets the request go on without its caller, or ends it.
+func (t *task) detach() {
+	t.detached.Store(true)
+	switch {
+	case t.r.nonIdempotent():
+	case t.r.Reconnectable:
+		time.AfterFunc(t.d.opt.ReconnectGrace, t.abandon)
+	default:
+		t.cancel(errCallerLeft)
+	}
+}
+
+// abandon ends the request unless a caller follows it.
+func (t *task) abandon() {
+	t.record.mu.Lock()
+	followed := t.record.followers > 0
+	t.record.mu.Unlock()
+	if followed {
+		time.AfterFunc(t.d.opt.ReconnectGrace, t.abandon)
+		return
+	}
+	t.cancel(errCallerLeft)
+}
+
+// run makes attempts until the ledger ends the request. Each is performed by
+// exec. It returns nil where an answer is at hand.
+func (t *task) run(exec func(*attempt) result) *refuser.Refusal {
+	if t.ledger.nonIdempotent {
+		t.reuse = connector.Fresh
+	}
+	same := false
+	for {
+		if !same {
+			if refusal := t.choose(); refusal != nil {
+				return refusal
+			}
+		}
+		r := t.attempt(exec)
+		s := t.ledger.next(r)
+		if _, done := s.(deliver); !done && t.ctx.Err() != nil {
+			return t.ended()
+		}
+		switch s := s.(type) {
+		case deliver:
+			return nil
+		case giveUp:
+			return s.refusal
+		case tryFresh:
+			t.reuse, same = connector.Fresh, true
+		case tryOther:
+			same = false
+			t.leave()
+			if s.charged && !t.budget.withdraw() {
+				return t.withhold(r)
+			}
+		}
+		t.d.counters.retries.Inc()
+	}
+}
+
+// leave excludes the present server from the next choice.
+func (t *task) leave() {
+	t.excluded = append(t.excluded, t.server.Name)
+	t.avoid = t.server.FailureDomain
+	if !t.ledger.nonIdempotent {
+		t.reuse = connector.Pooled
+	}
+}
+
+// withhold ends a request whose retry the budget does not allow.
+func (t *task) withhold(r result) *refuser.Refusal {
+	t.d.counters.withheld.Inc()
+	if _, ok := r.(answered); ok {
+		return nil
+	}
+	return t.ledger.refuse(refuser.Overloaded, "the attempt failed and the retry budget is spent",
+		"come back after the time in Retry-After").After(comeBackAfter)
+}
+
+// ended returns the final answer of a request that ran out of time or lost its
+// caller.
+func (t *task) ended() *refuser.Refusal {
+	if t.ledger.nonIdempotent && t.ledger.sent > 0 {
+		return t.ledger.refuse(refuser.Unknown, "no answer came in time, so that it may have run",
+			"look at the service whether it ran before sending it anew")
+	}
+	if errors.Is(context.Cause(t.ctx), errCallerLeft) {
+		return t.ledger.refuse(refuser.Failed, "the caller went away", "send the request again")
+	}
+	return t.ledger.refuse(refuser.DeadlinePassed, "no whole answer came before the deadline",
+		"allow more time or send the request when the load is lower")
+}
+
+// choose picks the server of the next attempt. Where all were tried it waits a
+// little and starts over.
+func (t *task) choose() *refuser.Refusal {
+	for {
+		table := t.d.opt.Tables.Load()
+		b, ok := t.d.opt.Chooser.Choose(Query{
+			Table: table, Request: t.r, Version: t.version, Excluded: t.excluded, Avoid: t.avoid,
+		})
+		if ok {
+			t.server = b
+			return nil
+		}
+		if len(t.excluded) == 0 {
+			return t.ledger.refuse(refuser.NoBackendServer, "no backend server takes this request now",
+				"come back after the time in Retry-After").After(comeBackAfter)
+		}
+		t.excluded = t.excluded[:0]
+		if !t.pause() {
+			return t.ended()
+		}
+	}
+}
+
+// pause waits before servers are tried anew, and reports whether time is left.
+func (t *task) pause() bool {
+	d := min(firstPause<<min(t.pauses, 10), maxPause)
+	t.pauses++
+	w := time.NewTimer(d)
+	defer w.Stop()
+	select {
+	case <-w.C:
+		return true
+	case <-t.ctx.Done():
+		return false
+	}
+}
+
+// begin sends the head to the caller, once.
+func (t *task) begin(h Head) {
+	if t.begun || t.detached.Load() {
+		return
+	}
+	t.begun = true
+	if t.sink.Begin(h) != nil {
+		t.detach()
+	}
+}
+
+// write sends b to the caller, who may have left.
+func (t *task) write(b []byte) {
+	if !t.detached.Load() && t.sink.Write(b) != nil {
+		t.detach()
+	}
+}
+
+// flush sends what write buffered.
+func (t *task) flush() {
+	if !t.detached.Load() && t.sink.Flush() != nil {
+		t.detach()
+	}
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,190 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+
+	"cyclamenhub.org/dispatcher"
+	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/timer"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds the reading of a request's body.
+	bodyTimeout = 15 * time.Second
+	// writeTimeout bounds how long a caller may take nothing of its answer.
+	writeTimeout = 15 * time.Second
+	// responseTimeout bounds a whole answer; writeTimeout bounds its parts.
+	responseTimeout = maxDeadline + time.Hour
+	// idleTimeout closes a connection that carries no request.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 32 << 10
+	// defaultReadinessLag is how long the balancer may take to see that this
+	// host is no longer ready.
+	defaultReadinessLag = 2 * time.Second
+	// pollInterval is how often Stop looks whether requests are left.
+	pollInterval = 20 * time.Millisecond
+)
+
+// Options configure a Server. Dispatcher and Tables are required.
+type Options struct {
+	Dispatcher *dispatcher.Dispatcher
+	Tables     *atomic.Pointer[dispatcher.Table]
+	Clock      timer.Clock
+	Log        *slog.Logger
+	// Metrics receives the counters and is shown under /metrics; nil means a
+	// set of its own.
+	Metrics *metrics.Set
+	// ReadinessLag is how long new requests are still taken after readiness
+	// went; 0 means 2 s and a negative one none.
+	ReadinessLag time.Duration
+}
+
+// Server is the interface that callers use. It is an http.Handler and safe for
+// concurrent use.
+type Server struct {
+	opt      Options
+	mux      http.Handler
+	http     *http.Server
+	unready  atomic.Bool
+	stopping atomic.Bool
+	counters counters
+}
+
+// counters count requests and refusals.
+type counters struct {
+	requests *metrics.Counter
+	set      *metrics.Set
+}
+
+// refused counts a refusal of that kind.
+func (c *counters) refused(k refuser.Kind) {
+	c.set.GetOrCreateCounter(`cyclamen_refusals_total{kind="` + string(k) + `"}`).Inc()
+}
+
+// New returns a Server that is ready for requests.
+func New(opt Options) *Server {
+	if opt.Clock == nil {
+		opt.Clock = timer.System{}
+	}
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.DiscardHandler)
+	}
+	if opt.Metrics == nil {
+		opt.Metrics = metrics.NewSet()
+	}
+	if opt.ReadinessLag == 0 {
+		opt.ReadinessLag = defaultReadinessLag
+	}
+	s := &Server{opt: opt, counters: counters{
+		requests: opt.Metrics.GetOrCreateCounter("cyclamen_requests_total"), set: opt.Metrics,
+	}}
+	s.mux = s.routes()
+	s.http = &http.Server{
+		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		WriteTimeout:   responseTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+	}
+	return s
+}
+
+// routes returns the handler of every path.
+func (s *Server) routes() http.Handler {
+	m := chi.NewRouter()
+	m.Get("/healthz", s.healthy)
+	m.Get("/readyz", s.ready)
+	m.Get("/metrics", s.metrics)
+	m.Post("/v1/chat/completions", s.authenticated(s.chatCompletions))
+	m.Post("/v1/completions", s.authenticated(s.completions))
+	m.Get("/v1/models", s.authenticated(s.models))
+	m.Get("/v1/requests/{id}", s.authenticated(s.outcome))
+	m.Get("/v1/requests/{id}/answer", s.authenticated(s.storedAnswer))
+	m.HandleFunc("/services/{service}/*", s.authenticated(s.call))
+	m.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, refuser.NotRun(refuser.NotFound, "there is no such path", "see the callers' page for the paths"))
+	})
+	m.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, refuser.NotRun(refuser.Malformed, "the path takes other methods", "see the callers' page for the methods"))
+	})
+	return m
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Serve accepts connections on l until Stop. It returns nil after Stop.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serving callers: %w", err)
+	}
+	return nil
+}
+
+// SetReady tells the balancer whether to send requests here.
+func (s *Server) SetReady(ready bool) { s.unready.Store(!ready) }
+
+// Stop ends the server gracefully. Readiness goes first; requests that come
+// before the balancer saw it are still taken; then new ones are refused as not
+// run, and Stop returns once every accepted request has its answer. Where ctx
+// ends first, its error is returned and requests may be left.
+func (s *Server) Stop(ctx context.Context) error {
+	s.SetReady(false)
+	s.http.SetKeepAlivesEnabled(false)
+	if !sleep(ctx, s.opt.ReadinessLag) {
+		return ctx.Err()
+	}
+	s.stopping.Store(true)
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("stopping: %w", err)
+	}
+	for s.opt.Dispatcher.Running() > 0 {
+		if !sleep(ctx, pollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) healthy(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.unready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte("stopping\n"))
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s.opt.Metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
