daemon, scenario, scalebench: the whole path in separate processes

The first scenario starts three entry hosts in two failure domains, two fake model engines and a fake plain service, streams an answer, files once under a repeated key, and sees a changed configuration on all three.

--- /dev/null
+++ b/cmd/cyclamend/run.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/internal/daemon"
+)
+
+// runCommand serves with a settings file.
+type runCommand struct {
+	Settings string `long:"settings" required:"true" description:"settings file of this process"`
+}
+
+// Execute serves until the process is told to stop.
+func (c *runCommand) Execute([]string) error {
+	cfg, err := configurer.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(cfg, daemon.Options{Log: newLogger(cfg.Log)})
+	if err != nil {
+		return err
+	}
+	ctx, stop := stopContext()
+	defer stop()
+	return d.Run(ctx)
+}
+
+// stopContext returns a context that ends when the process is told to stop.
+func stopContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// newLogger returns the logger that the settings ask for.
+func newLogger(s configurer.LogSettings) *slog.Logger {
+	if s.Format == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, nil))
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,247 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cyclamenhub.org/administrator"
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/distributor"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/keeper"
+	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/reducer"
+	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/timer"
+)
+
+const (
+	// confirmInterval is the time between confirmations of a keeper's state.
+	confirmInterval = time.Second
+	// initialOperator is who the audit trail names for the initial document.
+	initialOperator identifier.Operator = "initial-settings"
+	// initialChange is the change id of the initial document, the same on every
+	// keeper, so that only one takes effect.
+	initialChange identifier.ChangeID = "initial"
+)
+
+// The methods that keepers answer.
+const (
+	proposeMethod messenger.Method = "control.propose"
+	viewMethod    messenger.Method = "control.view"
+)
+
+// control gives access to the control log: the one kept here, or that of a
+// keeper elsewhere.
+type control struct {
+	cfg       *configurer.Settings
+	messenger *messenger.Messenger
+	dist      *distributor.Distributor
+
+	mu      sync.Mutex // guards machine
+	machine *reducer.Machine
+	keeper  *keeper.Keeper // nil where this host is no keeper
+}
+
+// newControl opens the control log where this host is a keeper.
+func newControl(cfg *configurer.Settings, m *messenger.Messenger, d *distributor.Distributor) (*control, error) {
+	c := &control{cfg: cfg, messenger: m, dist: d}
+	if !cfg.IsKeeper() {
+		return c, nil
+	}
+	c.machine = &reducer.Machine{Perform: c.perform}
+	k, err := keeper.Open(keeper.Options{DataFolder: cfg.DataFolder, StateMachine: c})
+	if err != nil {
+		return nil, err
+	}
+	c.keeper = k
+	m.Handle(proposeMethod, c.handlePropose)
+	m.Handle(viewMethod, c.handleView)
+	return c, nil
+}
+
+// Apply applies a committed entry to the control state.
+func (c *control) Apply(index identifier.LogIndex, entry []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Apply(index, entry)
+}
+
+// perform carries out the effects of an entry.
+func (c *control) perform(_ identifier.LogIndex, effects []reducer.Effect) {
+	for _, e := range effects {
+		if p, ok := e.(reducer.PublishConfiguration); ok {
+			// Committed documents have been checked; one that this release can't
+			// read stays out of force here, as the reports show.
+			_ = c.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: p.Revision, Body: p.Document})
+		}
+	}
+}
+
+// Propose puts ev into the control log and returns its outcome.
+func (c *control) Propose(ctx context.Context, ev reducer.Event) (reducer.Outcome, error) {
+	b, err := reducer.EncodeEvent(ev)
+	if err != nil {
+		return nil, err
+	}
+	if c.keeper != nil {
+		b, err = c.keeper.Propose(ctx, b)
+	} else {
+		var resp wire.ProposeResponse
+		err = c.ask(ctx, proposeMethod, &wire.ProposeRequest{Event: b}, &resp)
+		b = resp.Outcome
+	}
+	if err != nil {
+		return nil, err
+	}
+	return reducer.DecodeOutcome(b)
+}
+
+// View returns a linearizable reading of the control state.
+func (c *control) View(ctx context.Context) (reducer.View, error) {
+	if c.keeper != nil {
+		if err := c.keeper.Read(ctx); err != nil {
+			return reducer.View{}, err
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.machine.View(), nil
+	}
+	var resp wire.ViewResponse
+	if err := c.ask(ctx, viewMethod, &wire.ViewRequest{}, &resp); err != nil {
+		return reducer.View{}, err
+	}
+	var s reducer.State
+	if err := s.Restore(resp.Snapshot); err != nil {
+		return reducer.View{}, err
+	}
+	return s.View(), nil
+}
+
+// HostRevisions returns which host has which revision in force.
+func (c *control) HostRevisions(context.Context) []administrator.HostRevision {
+	rs := c.dist.Reports()
+	out := make([]administrator.HostRevision, len(rs))
+	for i, r := range rs {
+		out[i] = administrator.HostRevision{
+			Host: r.Host, FailureDomain: r.FailureDomain, Revision: r.Revision, Since: r.InForceSince,
+		}
+	}
+	return out
+}
+
+// ask makes a call to the keepers in turn, until one answers. A call that may
+// have taken effect is repeated only because events carry change ids.
+func (c *control) ask(ctx context.Context, method messenger.Method, req, resp proto.Message) error {
+	var last error
+	for _, k := range c.cfg.Keepers {
+		h, ok := c.cfg.HostNamed(k)
+		if !ok || k == c.cfg.Host {
+			continue
+		}
+		last = c.messenger.Call(ctx, h.Address, method, req, resp)
+		var unreachable *messenger.UnreachableError
+		if !errors.As(last, &unreachable) {
+			return last
+		}
+	}
+	if last == nil {
+		last = errors.New("no keeper is listed")
+	}
+	return refuser.MayHaveRun(refuser.NoMajority, "no keeper answers: "+last.Error(),
+		"look at the change with 'cyclamenctl config history', then send it again under the same change id")
+}
+
+// handlePropose answers a proposal from another host.
+func (c *control) handlePropose(ctx context.Context, call *messenger.Call) (proto.Message, error) {
+	var req wire.ProposeRequest
+	if err := call.Decode(&req); err != nil {
+		return nil, err
+	}
+	b, err := c.keeper.Propose(ctx, req.Event)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ProposeResponse{Outcome: b}, nil
+}
+
+// handleView answers another host's question for the control state.
+func (c *control) handleView(ctx context.Context, _ *messenger.Call) (proto.Message, error) {
+	if err := c.keeper.Read(ctx); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &wire.ViewResponse{Snapshot: c.machine.Snapshot()}, nil
+}
+
+// proposeInitial puts the initial fleet document into an empty control log.
+func (c *control) proposeInitial(ctx context.Context, clock timer.Clock) error {
+	if c.keeper == nil || c.cfg.InitialFleet == "" {
+		return nil
+	}
+	v, err := c.View(ctx)
+	if err != nil || v.Revision > 0 {
+		return err
+	}
+	b, err := os.ReadFile(c.cfg.InitialFleet)
+	if err != nil {
+		return fmt.Errorf("initialFleet: %w: name a readable file", err)
+	}
+	f, err := configurer.DecodeFleet(b)
+	if err != nil {
+		return err
+	}
+	out, err := c.Propose(ctx, reducer.ChangeConfiguration{
+		ChangeID: initialChange, Operator: initialOperator, Reason: "initial document of the settings",
+		Document: f.Encode(), At: clock.Now(),
+	})
+	if err != nil {
+		return err
+	}
+	return ignoreConflict(out.Err())
+}
+
+// ignoreConflict drops the error of an initial document that came second.
+func ignoreConflict(err error) error {
+	var f *refuser.Refusal
+	if errors.As(err, &f) && f.Kind() == refuser.Conflict {
+		return nil
+	}
+	return err
+}
+
+// confirm tells the distributor that the state kept here is current, until ctx
+// ends.
+func (c *control) confirm(ctx context.Context) {
+	if c.keeper == nil {
+		return
+	}
+	t := time.NewTicker(confirmInterval)
+	defer t.Stop()
+	for {
+		now := time.Now()
+		if c.keeper.Read(ctx) == nil {
+			c.dist.Confirm(now)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// close closes the control log, if one is kept here.
+func (c *control) close() {
+	if c != nil && c.keeper != nil {
+		_ = c.keeper.Close()
+	}
+}
--- /dev/null
+++ b/internal/scalebench/main.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// maxHosts bounds a fleet, so that a machine's memory is not exceeded.
+const maxHosts = 300
+
+// options are the command line.
+type options struct {
+	Cyclamend string        `long:"cyclamend" required:"true" description:"path of the daemon"`
+	Hosts     []int         `long:"hosts" default:"9" description:"fleet size; may be repeated"`
+	Domains   int           `long:"domains" default:"4" description:"failure domains"`
+	Keepers   int           `long:"keepers" default:"3" description:"keepers, an odd number"`
+	Backends  int           `long:"backends" default:"14" description:"backend servers listed in the fleet document"`
+	Changes   int           `long:"changes" default:"20" description:"changes to measure"`
+	Idle      time.Duration `long:"idle" default:"20s" description:"how long the idle cost is measured"`
+	JSON      bool          `long:"json" description:"print JSON"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := measureAll(ctx, &o)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "scalebench:", err)
+		os.Exit(1)
+	}
+}
+
+// measureAll measures every fleet size and prints the figures.
+func measureAll(ctx context.Context, o *options) error {
+	var all []figures
+	for _, n := range o.Hosts {
+		if n > maxHosts || n < o.Keepers {
+			return fmt.Errorf("%d hosts: choose from %d to %d", n, o.Keepers, maxHosts)
+		}
+		f, err := measure(ctx, o, n)
+		if err != nil {
+			return fmt.Errorf("%d hosts: %w", n, err)
+		}
+		all = append(all, f)
+	}
+	if o.JSON {
+		return json.NewEncoder(os.Stdout).Encode(all)
+	}
+	return printTable(all)
+}
+
+// roleCost is what the processes of one role spent, each on average.
+type roleCost struct {
+	Role      string `json:"role"`
+	Processes int    `json:"processes"`
+	// CoreShare is processor time over elapsed time, in percent of a core.
+	CoreShare float64 `json:"corePercent"`
+	// ResidentMB is the resident memory.
+	ResidentMB float64 `json:"residentMb"`
+	// BytesPerSecond is what was read and written between processes.
+	BytesPerSecond float64 `json:"bytesPerSecond"`
+}
+
+// figures are what one fleet size gave.
+type figures struct {
+	Hosts int `json:"hosts"`
+	// InForceP50 and the rest are times from acceptance until in force on
+	// every host, in milliseconds.
+	InForceP50 float64    `json:"inForceP50Ms"`
+	InForceP99 float64    `json:"inForceP99Ms"`
+	InForceMax float64    `json:"inForceMaxMs"`
+	AcceptP50  float64    `json:"acceptP50Ms"`
+	Idle       []roleCost `json:"idle"`
+	Changing   []roleCost `json:"changing"`
+	// ChangesPerSecond is the rate during Changing.
+	ChangesPerSecond float64 `json:"changesPerSecond"`
+}
+
+// printTable prints the figures for a person.
+func printTable(all []figures) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "hosts\taccept p50\tin force p50\tp99\tmax\tphase\trole\tprocesses\tcore %\tMB\tbytes/s")
+	for _, f := range all {
+		for _, c := range f.Idle {
+			printRow(w, f, "idle", c)
+		}
+		for _, c := range f.Changing {
+			printRow(w, f, fmt.Sprintf("%.2f changes/s", f.ChangesPerSecond), c)
+		}
+	}
+	return w.Flush()
+}
+
+// printRow prints the cost of one role.
+func printRow(w *tabwriter.Writer, f figures, phase string, c roleCost) {
+	fmt.Fprintf(w, "%d\t%.1f ms\t%.1f ms\t%.1f ms\t%.1f ms\t%s\t%s\t%d\t%.3f\t%.1f\t%.0f\n",
+		f.Hosts, f.AcceptP50, f.InForceP50, f.InForceP99, f.InForceMax,
+		phase, c.Role, c.Processes, c.CoreShare, c.ResidentMB, c.BytesPerSecond)
+}
+
+// quantile returns the q-quantile of the values, by nearest rank.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	s := slices.Sorted(slices.Values(values))
+	return s[min(int(q*float64(len(s))), len(s)-1)]
+}
--- /dev/null
+++ b/internal/scalebench/measure.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"cyclamenhub.org/administrator"
+	"cyclamenhub.org/identifier"
+)
+
+const (
+	// readyLimit bounds how long a fleet may take to start.
+	readyLimit = 3 * time.Minute
+	// inForceLimit bounds how long a change may take to be in force everywhere.
+	inForceLimit = time.Minute
+	// pollInterval is the time between looks at the status.
+	pollInterval = 100 * time.Millisecond
+)
+
+// measure starts a fleet, measures it and ends it.
+func measure(ctx context.Context, o *options, n int) (figures, error) {
+	f, err := newFleet(o, n)
+	if err != nil {
+		return figures{}, err
+	}
+	defer f.stop()
+	if err := f.start(o.Cyclamend); err != nil {
+		return figures{}, err
+	}
+	if _, err := f.awaitRevision(ctx, 1, readyLimit); err != nil {
+		return figures{}, err
+	}
+	out := figures{Hosts: n}
+	before, err := f.take(ctx)
+	if err != nil {
+		return out, err
+	}
+	time.Sleep(o.Idle)
+	after, err := f.take(ctx)
+	if err != nil {
+		return out, err
+	}
+	out.Idle = f.costs(before, after)
+	return out, f.measureChanges(ctx, o, &out)
+}
+
+// measureChanges makes changes one after the other and measures them.
+func (f *fleet) measureChanges(ctx context.Context, o *options, out *figures) error {
+	before, err := f.take(ctx)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	var accept, inForce []float64
+	for i := range o.Changes {
+		sent := time.Now()
+		r, err := f.change(ctx, identifier.Revision(i+1), fleetDocument(o, 1001+i))
+		if err != nil {
+			return err
+		}
+		accepted := time.Now()
+		last, err := f.awaitRevision(ctx, r, inForceLimit)
+		if err != nil {
+			return err
+		}
+		accept = append(accept, milliseconds(accepted.Sub(sent)))
+		inForce = append(inForce, milliseconds(last.Sub(accepted)))
+	}
+	out.ChangesPerSecond = float64(o.Changes) / time.Since(started).Seconds()
+	after, err := f.take(ctx)
+	if err != nil {
+		return err
+	}
+	out.Changing = f.costs(before, after)
+	out.AcceptP50 = quantile(accept, 0.5)
+	out.InForceP50, out.InForceP99, out.InForceMax = quantile(inForce, 0.5), quantile(inForce, 0.99), quantile(inForce, 1)
+	return nil
+}
+
+// milliseconds returns d, or 0 where clocks make it negative.
+func milliseconds(d time.Duration) float64 { return max(float64(d)/float64(time.Millisecond), 0) }
+
+// change makes one change of configuration and returns its revision.
+func (f *fleet) change(ctx context.Context, base identifier.Revision, document interface{ Encode() []byte }) (identifier.Revision, error) {
+	b, err := json.Marshal(administrator.Change{
+		ChangeID: identifier.NewChangeID(), Base: base, Reason: "measurement", Document: document.Encode(),
+	})
+	if err != nil {
+		return 0, err
+	}
+	var c administrator.Changed
+	err = f.call(ctx, http.MethodPut, "/v1/config", b, &c)
+	return c.Revision, err
+}
+
+// awaitRevision waits until every host has the revision in force and returns
+// when the last one put it in force.
+func (f *fleet) awaitRevision(ctx context.Context, r identifier.Revision, limit time.Duration) (time.Time, error) {
+	var st administrator.Status
+	var err error
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollInterval) {
+		if ctx.Err() != nil {
+			return time.Time{}, ctx.Err()
+		}
+		st = administrator.Status{}
+		err = f.call(ctx, http.MethodGet, "/v1/config/status", nil, &st)
+		if last, ok := f.allAt(st, r); err == nil && ok {
+			return last, nil
+		}
+	}
+	return time.Time{}, fmt.Errorf("revision %d was not in force on all hosts within %v; %d hosts known, last error: %w", r, limit, len(st.Hosts), err)
+}
+
+// allAt reports whether every host has the revision, and since when the last.
+func (f *fleet) allAt(st administrator.Status, r identifier.Revision) (last time.Time, ok bool) {
+	n := 0
+	for _, h := range st.Hosts {
+		if h.Revision < r {
+			continue
+		}
+		n++
+		if h.Since.After(last) {
+			last = h.Since
+		}
+	}
+	return last, n == len(f.nodes)
+}
+
+// call makes a call to the operators' interface of the first node.
+func (f *fleet) call(ctx context.Context, method, path string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, f.nodes[0].url(operatorPort, path), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+benchToken)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, b)
+	}
+	return json.Unmarshal(b, into)
+}
--- /dev/null
+++ b/internal/scenario/commands_test.go
@@ -0,0 +1,210 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	// awaitLimit bounds every wait for an observed condition.
+	awaitLimit = 60 * time.Second
+	// awaitInterval is the time between looks.
+	awaitInterval = 50 * time.Millisecond
+)
+
+// process is one process that a script started.
+type process struct {
+	cmd   *exec.Cmd
+	done  chan struct{}
+	err   error
+	out   bytes.Buffer
+	outMu sync.Mutex
+}
+
+// Write gathers the process's output.
+func (p *process) Write(b []byte) (int, error) {
+	p.outMu.Lock()
+	defer p.outMu.Unlock()
+	return p.out.Write(b)
+}
+
+// output returns what the process has written so far.
+func (p *process) output() string {
+	p.outMu.Lock()
+	defer p.outMu.Unlock()
+	return p.out.String()
+}
+
+// processesKey finds a script's processes.
+type processesKey struct{}
+
+// processes are those that one script started, by name.
+type processes struct {
+	mu     sync.Mutex
+	byName map[string]*process
+}
+
+func newProcesses() *processes { return &processes{byName: make(map[string]*process)} }
+
+func (ps *processes) get(ts *testscript.TestScript, name string) *process {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	p, ok := ps.byName[name]
+	if !ok {
+		ts.Fatalf("no process %q: start it first", name)
+	}
+	return p
+}
+
+// processesOf returns the processes of a script.
+func processesOf(ts *testscript.TestScript) *processes {
+	return ts.Value(processesKey{}).(*processes)
+}
+
+// expand replaces ${VAR} in files.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		b, err := os.ReadFile(ts.MkAbs(name))
+		ts.Check(err)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(os.Expand(string(b), ts.Getenv)), 0o600))
+	}
+}
+
+// start starts a process in the background and ends it with the script.
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM ARGS...")
+	}
+	name := args[0]
+	p := &process{cmd: command(context.Background(), ts, args[1:]), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p, p
+	ts.Check(p.cmd.Start())
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	ps := processesOf(ts)
+	ps.mu.Lock()
+	ps.byName[name] = p
+	ps.mu.Unlock()
+	ts.Defer(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		ts.Logf("[%s]\n%s", name, p.output())
+	})
+}
+
+// command returns a command in the script's folder and environment.
+func command(ctx context.Context, ts *testscript.TestScript, args []string) *exec.Cmd {
+	program := args[0]
+	if b := binFolder + "/" + program; fileExists(b) {
+		program = b
+	}
+	cmd := exec.CommandContext(ctx, program, args[1:]...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Env = append(os.Environ(), "CYCLAMEN_TOKEN="+ts.Getenv("CYCLAMEN_TOKEN"), "CYCLAMEN_ADDRESS="+ts.Getenv("CYCLAMEN_ADDRESS"))
+	return cmd
+}
+
+func fileExists(name string) bool {
+	_, err := os.Stat(name)
+	return err == nil
+}
+
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM,
+	"KILL": syscall.SIGKILL,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+}
+
+// signal sends a signal to a process of the script.
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: signal SIGNAL NAME")
+	}
+	s, ok := signals[args[0]]
+	if !ok {
+		ts.Fatalf("unknown signal %q", args[0])
+	}
+	p := processesOf(ts).get(ts, args[1])
+	ts.Check(p.cmd.Process.Signal(s))
+	if s == syscall.SIGKILL {
+		<-p.done
+	}
+}
+
+// ended waits until a process has ended and checks its exit code.
+func ended(ts *testscript.TestScript, neg bool, args []string) {
+	p := processesOf(ts).get(ts, args[0])
+	select {
+	case <-p.done:
+	case <-time.After(awaitLimit):
+		ts.Fatalf("%s has not ended", args[0])
+	}
+	if (p.err != nil) != neg {
+		ts.Fatalf("%s ended with %v", args[0], p.err)
+	}
+}
+
+// await repeats a command until its output matches.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	re, err := regexp.Compile(args[0])
+	ts.Check(err)
+	var out []byte
+	for limit := time.Now().Add(awaitLimit); time.Now().Before(limit); time.Sleep(awaitInterval) {
+		ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+		out, _ = command(ctx, ts, args[1:]).CombinedOutput()
+		cancel()
+		if re.Match(out) {
+			return
+		}
+	}
+	ts.Fatalf("%s never matched; last output:\n%s", args[0], out)
+}
+
+// headers gathers -h flags.
+type headers http.Header
+
+func (h headers) String() string { return "" }
+
+func (h headers) Set(s string) error {
+	name, value, _ := strings.Cut(s, ":")
+	http.Header(h).Set(name, strings.TrimSpace(value))
+	return nil
+}
+
+// httpCall makes a call, checks its status and prints the body.
+func httpCall(ts *testscript.TestScript, _ bool, args []string) {
+	fs := flag.NewFlagSet("http", flag.ContinueOnError)
+	status := fs.Int("s", http.StatusOK, "")
+	hs := headers{}
+	fs.Var(hs, "h", "")
+	ts.Check(fs.Parse(args))
+	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, fs.Arg(0), fs.Arg(1), strings.NewReader(fs.Arg(2)))
+	ts.Check(err)
+	r.Header = http.Header(hs)
+	resp, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	_, _ = ts.Stdout().Write(b)
+	if resp.StatusCode != *status {
+		ts.Fatalf("status %d, want %d: %s", resp.StatusCode, *status, b)
+	}
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -89,6 +89,8 @@
 	sessionsSilent  = metrics.NewCounter("cyclamen_messenger_sessions_closed_silent_total")
 	callsSent       = metrics.NewCounter("cyclamen_messenger_calls_sent_total")
 	callsFailed     = metrics.NewCounter("cyclamen_messenger_calls_unreachable_total")
+	bytesRead       = metrics.NewCounter("cyclamen_messenger_bytes_read_total")
+	bytesWritten    = metrics.NewCounter("cyclamen_messenger_bytes_written_total")
 	callsAnswered   = metrics.NewCounter("cyclamen_messenger_calls_answered_total")
 )
 
@@ -155,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer st.Close()
+	defer func() { _ = st.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 
@@ -288,7 +290,7 @@
 
 // serveStream answers one call.
 func (m *Messenger) serveStream(ctx context.Context, st *yamux.Stream) {
-	defer st.Close()
+	defer func() { _ = st.Close() }()
 	f, err := readFrame(st)
 	if err != nil {
 		return
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -31,10 +31,18 @@
 	n, err := w.Conn.Read(b)
 	if n > 0 {
 		w.lastRead.Store(w.clock.Now().UnixNano())
+		bytesRead.Add(n)
 	}
 	return n, err
 }
 
+// Write writes to the connection and counts the bytes.
+func (w *watchedConn) Write(b []byte) (int, error) {
+	n, err := w.Conn.Write(b)
+	bytesWritten.Add(n)
+	return n, err
+}
+
 // heardSince reports whether a byte arrived after t.
 func (w *watchedConn) heardSince(t time.Time) bool { return w.lastRead.Load() > t.UnixNano() }
 
