--- a/connector/conn.go
+++ b/connector/conn.go
@@ -114,9 +114,7 @@
 		return nil, &Error{Stage: FirstByte, Sent: true, Reused: c.reused, Err: err}
 	}
 	c.limit = limits.Silence
-	c.res = newResponse(c, res)
-	c.closing = res.Close
-	return c.res, nil
+	return res, nil
 }
 
 // begin resets what belongs to one exchange.
@@ -149,16 +147,17 @@
 }
 
 // receive reads headers up to the one of the final answer.
-func (c *Conn) receive(req *http.Request) (*http.Response, error) {
+func (c *Conn) receive(req *http.Request) (*Response, error) {
 	for {
 		c.header = maxHeaderBytes
-		res, err := http.ReadResponse(c.br, req)
+		res, err := http.ReadResponse(c.br, req) //nolint:bodyclose // The connection is released or closed as a whole.
 		c.header = 0
 		if err != nil {
 			return nil, err
 		}
 		if res.StatusCode >= http.StatusOK {
-			return res, nil
+			c.res, c.closing = newResponse(c, res), res.Close
+			return c.res, nil
 		}
 	}
 }
--- /dev/null
+++ b/dispatcher/once_test.go
@@ -0,0 +1,114 @@
+package dispatcher_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/dispatcher"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/faker"
+	"cyclamenhub.org/refuser"
+)
+
+// TestFilingIsNotSentAgainOnItsOwn checks that nothing below the ledger sends a
+// request a second time: the server runs the filing and closes the connection
+// unanswered, on a connection that earlier requests had left idle.
+func TestFilingIsNotSentAgainOnItsOwn(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPath(t)
+				defer p.close()
+				for range 2 {
+					if _, refusal := p.do(p.request("plain", dispatcher.Call{}, http.MethodGet, "/warm", "")); refusal != nil {
+						t.Fatal(refusal)
+					}
+				}
+				before := p.executions()
+				for _, s := range p.plains {
+					s.Inject(faker.Fault{Kind: faker.DropAnswer, Count: 1})
+				}
+				r := p.request("plain", dispatcher.Call{NonIdempotent: true}, method, "/filings", "")
+				r.Key = "k1"
+				_, refusal := p.do(r)
+				if refusal == nil || refusal.Kind() != refuser.Unknown || refusal.IsNotRun() {
+					t.Errorf("got refusal %v", refusal)
+				}
+				if n := p.executions() - before; n != 1 {
+					t.Errorf("ran %d times, want 1", n)
+				}
+			})
+		})
+	}
+}
+
+// TestFilingFindsAnotherServerUnsent checks that a refused connection, before
+// any byte, leaves the filing free to go elsewhere.
+func TestFilingFindsAnotherServerUnsent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPath(t)
+		defer p.close()
+		p.stops["p0"]()
+		if _, refusal := p.do(p.filing("{}")); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if p.executions() != 1 || p.counter("cyclamen_attempts_unsent_total") == 0 {
+			t.Errorf("%d executions, %d unsent attempts", p.executions(), p.counter("cyclamen_attempts_unsent_total"))
+		}
+	})
+}
+
+// TestFilingsRunAtMostOnce drives filings through drawn faults and checks each
+// final answer against the executions.
+func TestFilingsRunAtMostOnce(t *testing.T) {
+	kinds := []faker.FaultKind{faker.DropAnswer, faker.Truncate, faker.Crossed, faker.Late, faker.Errors}
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom(kinds), 0, 4).Draw(rt, "faults")
+		down := rapid.SampledFrom([]string{"", "p0", "p1", "both"}).Draw(rt, "down")
+		key := rapid.SampledFrom([]string{"", "k"}).Draw(rt, "key")
+		resent := rapid.IntRange(1, 3).Draw(rt, "resent")
+		synctest.Test(t, func(t *testing.T) {
+			p := newPath(t)
+			defer p.close()
+			for i, k := range faults {
+				p.plains[i%2].Inject(faker.Fault{Kind: k, Count: 1, Delay: 30 * time.Second, Share: 1})
+			}
+			for _, name := range []string{"p0", "p1"} {
+				if down == name || down == "both" {
+					p.stops[name]()
+				}
+			}
+			p.fileOften(rt, identifier.IdempotencyKey(key), resent)
+		})
+	})
+}
+
+// fileOften sends one filing several times under its key, or once without one.
+func (p *path) fileOften(rt *rapid.T, key identifier.IdempotencyKey, times int) {
+	if key == "" {
+		times = 1
+	}
+	for range times {
+		r := p.filing(`{"grant":7}`)
+		r.Key = key
+		before := p.executions()
+		a, refusal := p.do(r)
+		after := p.executions()
+		if after > 1 {
+			rt.Fatalf("ran %d times", after)
+		}
+		if refusal != nil && refusal.IsNotRun() && after != before {
+			rt.Fatalf("refused as not run and ran: %v", refusal)
+		}
+		if (refusal == nil) != (a.begins == 1) {
+			rt.Fatalf("refusal %v and %d answers", refusal, a.begins)
+		}
+		if refusal == nil && a.head.Status == http.StatusOK && after != 1 {
+			rt.Fatalf("answered and ran %d times", after)
+		}
+	}
+}
--- /dev/null
+++ b/dispatcher/silence_test.go
@@ -0,0 +1,85 @@
+package dispatcher_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cyclamenhub.org/dispatcher"
+	"cyclamenhub.org/identifier"
+)
+
+// verdicts is a chooser that keeps what it is told of each server.
+type verdicts struct {
+	*dispatcher.LeastInFlight
+	blamed map[identifier.BackendServer]int
+}
+
+func (v *verdicts) Finished(b identifier.BackendServer, o dispatcher.Outcome) {
+	if o == dispatcher.Blamed {
+		v.blamed[b]++
+	}
+	v.LeastInFlight.Finished(b, o)
+}
+
+// TestSilentConnection checks that a pooled connection that lost its other end
+// is left for a fresh one to the same server, which is not blamed.
+func TestSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPath(t)
+		defer p.close()
+		p.stops["p1"]()
+		v := &verdicts{LeastInFlight: dispatcher.NewLeastInFlight("a", systemClock{}), blamed: make(map[identifier.BackendServer]int)}
+		p.d = dispatcher.New(dispatcher.Options{Tables: &p.tables, Pool: p.pool, Metrics: p.metrics, Chooser: v})
+		tag := func() *dispatcher.Request {
+			return p.request("plain", dispatcher.Call{}, http.MethodPost, "/tags", "{}")
+		}
+		if _, refusal := p.do(tag()); refusal != nil {
+			t.Fatal(refusal)
+		}
+		v.blamed = make(map[identifier.BackendServer]int)
+		if p.net.Silence("p0") == 0 {
+			t.Fatal("no connection to silence")
+		}
+		r := tag()
+		if _, refusal := p.do(r); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if p.net.Lost("p0") == 0 {
+			t.Error("nothing was sent on the silent connection")
+		}
+		if left := time.Until(r.Deadline); left < 10*time.Second {
+			t.Errorf("the silent connection held the request until %v before its deadline", left)
+		}
+		if v.blamed["p0"] != 0 {
+			t.Error("the server was blamed for the connection")
+		}
+		if p.counter(`cyclamen_answers_dropped_total{reason="silent"}`) != 1 {
+			t.Error("the silence was not counted")
+		}
+	})
+}
+
+// TestOldConnectionIsDiscarded checks that a connection is not used again long
+// after its last byte.
+func TestOldConnectionIsDiscarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPath(t)
+		defer p.close()
+		for range 2 {
+			if _, refusal := p.do(p.request("plain", dispatcher.Call{}, http.MethodGet, "/tags", "")); refusal != nil {
+				t.Fatal(refusal)
+			}
+			time.Sleep(time.Minute)
+		}
+		if n := p.counter(`cyclamen_connections_discarded_total{reason="age"}`); n != 1 {
+			t.Errorf("%d connections were discarded by age, want 1", n)
+		}
+	})
+}
+
+// systemClock is the clock of the bubble.
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
--- a/internal/faker/plain.go
+++ b/internal/faker/plain.go
@@ -81,7 +81,12 @@
 	p.mu.Unlock()
 	if x, ok := hits[Late]; ok {
 		p.came(Late)
-		time.Sleep(x.Delay)
+		wait := time.NewTimer(x.Delay)
+		defer wait.Stop()
+		select {
+		case <-wait.C:
+		case <-r.Context().Done():
+		}
 	}
 	attempt := r.Header.Get(attemptHeader)
 	if _, ok := hits[Crossed]; ok {
