--- /dev/null
+++ b/admitter/retry.go
@@ -0,0 +1,33 @@
+package admitter
+
+import "cyclamenhub.org/identifier"
+
+const (
+	// retryReserve is how many retries are allowed before any success was seen,
+	// and the most that are saved up.
+	retryReserve = 10
+	// retryUnit is one retry; the budget counts whole parts of it.
+	retryUnit = 1000
+)
+
+// retryBudget allows retries as a share of recent successes, so that retries
+// cannot multiply an overload: with a share s there are at most s retries for
+// each success, besides the reserve.
+type retryBudget struct{ earns, level int64 }
+
+// newRetryBudget returns a budget with a full reserve.
+func newRetryBudget(share identifier.Share) retryBudget {
+	return retryBudget{earns: int64(share * retryUnit), level: retryReserve * retryUnit}
+}
+
+// succeed adds what one success earns.
+func (b *retryBudget) succeed() { b.level = min(b.level+b.earns, retryReserve*retryUnit) }
+
+// take spends one retry and reports whether there was one.
+func (b *retryBudget) take() bool {
+	if b.level < retryUnit {
+		return false
+	}
+	b.level -= retryUnit
+	return true
+}
