router: choose backend servers by prefix, load, domain and price

Entry hosts must agree on the server for a prefix without talking to each other, must not send anything to a leaving server, and should prefer cheap servers of their own domain as long as the first token comes in time.

--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,193 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/timer"
+)
+
+// epoch is when the tests' clocks start.
+var epoch = time.Date(2026, 3, 1, 22, 0, 0, 0, time.UTC)
+
+// newRouter returns a router of domain "a" and its clock.
+func newRouter(candidates ...Candidate) (*Router, *timer.Manual) {
+	clock := timer.NewManual(epoch)
+	r := New(Config{Clock: clock, Random: NewSeeded(1), FailureDomain: "a"})
+	r.Publish(&Table{Candidates: candidates})
+	return r, clock
+}
+
+// candidate returns a live server of service s, version 1.
+func candidate(name, domain string, price float64) Candidate {
+	return Candidate{
+		BackendServer: identifier.BackendServer(name), Service: "s", Version: "1",
+		FailureDomain: identifier.FailureDomain(domain), Concurrency: 4, Price: price, PrefillRate: 1000,
+	}
+}
+
+// request returns a request whose prefix follows from group and own.
+func request(group, own string) Request {
+	prompt := []byte(fmt.Sprintf("%-2048s%-2048s", group, own))
+	return Request{Service: "s", Version: "1", PrefixBlocks: Blocks(nil, prompt), PromptTokens: 100, OutputTokens: 50}
+}
+
+func mustChoose(t *testing.T, r *Router, req Request) Choice {
+	t.Helper()
+	c, err := r.Choose(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestChooseOrdersGroups(t *testing.T) {
+	r, _ := newRouter(
+		candidate("far", "b", 0.1), candidate("dear", "a", 2), candidate("cheap", "a", 1))
+	// A slot more than 4 waits for a slot and passes the target; the order in
+	// which the servers fill up is the order of the groups.
+	var got []identifier.BackendServer
+	for range 12 {
+		c := mustChoose(t, r, Request{Service: "s", Version: "1", PromptTokens: 1})
+		got = append(got, c.BackendServer)
+	}
+	want := []identifier.BackendServer{
+		"cheap", "cheap", "cheap", "cheap", "dear", "dear", "dear", "dear", "far", "far", "far", "far"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("choices (-want +got):\n%s", diff)
+	}
+}
+
+func TestReleaseReturnsAllLoad(t *testing.T) {
+	r, _ := newRouter(candidate("w1", "a", 1))
+	c := mustChoose(t, r, request("x", "y"))
+	s := r.known("w1")
+	if s.inFlight.Load() != 1 || s.tokens.Load() == 0 {
+		t.Fatalf("a choice holds %d requests and %d tokens", s.inFlight.Load(), s.tokens.Load())
+	}
+	c.FirstToken()
+	c.FirstToken()
+	c.Release(Succeeded)
+	c.Release(Failed)
+	got := []int64{s.inFlight.Load(), s.tokens.Load(), s.pending.Load(), c.tally.tokens.Load()}
+	if diff := cmp.Diff([]int64{0, 0, 0, 0}, got); diff != "" {
+		t.Errorf("load after release (-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusalsMakeSuspectAndTimeClears(t *testing.T) {
+	r, clock := newRouter(candidate("w1", "a", 1), candidate("w2", "a", 2))
+	c := mustChoose(t, r, request("x", "y"))
+	if c.BackendServer != "w1" {
+		t.Fatalf("chose %s, want the cheaper w1", c.BackendServer)
+	}
+	c.Release(Refused)
+	if c := mustChoose(t, r, request("x", "y")); c.BackendServer != "w2" {
+		t.Errorf("chose %s after w1 refused, want w2", c.BackendServer)
+	}
+	clock.Advance(suspectFirst)
+	if c := mustChoose(t, r, request("x", "y")); c.BackendServer != "w1" {
+		t.Errorf("chose %s after the suspicion ended, want w1", c.BackendServer)
+	}
+}
+
+func TestNoServerErrorCounts(t *testing.T) {
+	r, _ := newRouter(candidate("w1", "a", 1), candidate("w2", "a", 1))
+	r.Observe(Leaving{BackendServer: "w1"})
+	req := request("x", "y")
+	req.Exclude = []identifier.BackendServer{"w2"}
+	_, err := r.Choose(req)
+	var got *NoServerError
+	if !errors.As(err, &got) {
+		t.Fatalf("error %v is no NoServerError", err)
+	}
+	want := &NoServerError{Service: "s", Version: "1", Listed: 2, Gone: 1, Excluded: 1}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("error (-want +got):\n%s", diff)
+	}
+}
+
+func TestNewIncarnationEndsNotice(t *testing.T) {
+	r, _ := newRouter(candidate("w1", "a", 1))
+	r.Observe(Leaving{BackendServer: "w1"})
+	// The lagging list still shows the same incarnation as live.
+	r.Publish(&Table{Candidates: []Candidate{candidate("w1", "a", 1)}})
+	if _, err := r.Choose(request("x", "y")); err == nil {
+		t.Error("a stale table brought a leaving server back")
+	}
+	again := candidate("w1", "a", 1)
+	again.Incarnation = 1
+	r.Publish(&Table{Candidates: []Candidate{again}})
+	mustChoose(t, r, request("x", "y"))
+}
+
+func TestRoutersAgreeOnPrefix(t *testing.T) {
+	var servers []Candidate
+	for i := range 8 {
+		servers = append(servers, candidate(fmt.Sprintf("w%d", i), "a", 1))
+	}
+	r1, _ := newRouter(servers...)
+	r2, _ := newRouter(servers...)
+	for i := range 50 {
+		req := request(fmt.Sprint("guide", i), "own")
+		c1, c2 := mustChoose(t, r1, req), mustChoose(t, r2, req)
+		if c1.BackendServer != c2.BackendServer {
+			t.Errorf("prefix %d goes to %s and %s", i, c1.BackendServer, c2.BackendServer)
+		}
+		c1.Release(Succeeded)
+		c2.Release(Succeeded)
+	}
+}
+
+// TestPropertyLeavingNeverChosen drives a router with random choices, notices
+// and stale tables.
+func TestPropertyLeavingNeverChosen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var servers []Candidate
+		for i := range rapid.IntRange(1, 6).Draw(t, "servers") {
+			servers = append(servers, candidate(fmt.Sprintf("w%d", i), string(rune('a'+i%3)), 1))
+		}
+		r, clock := newRouter(servers...)
+		left := make(map[identifier.BackendServer]bool)
+		var held []*Choice
+		t.Repeat(map[string]func(*rapid.T){
+			"leave": func(t *rapid.T) {
+				s := rapid.SampledFrom(servers).Draw(t, "server").BackendServer
+				r.Observe(Leaving{BackendServer: s})
+				left[s] = true
+			},
+			"stale table": func(*rapid.T) { r.Publish(&Table{Candidates: servers}) },
+			"time":        func(*rapid.T) { clock.Advance(time.Second) },
+			"report as idle": func(t *rapid.T) {
+				r.Observe(LoadReport{BackendServer: rapid.SampledFrom(servers).Draw(t, "server").BackendServer})
+			},
+			"choose": func(t *rapid.T) {
+				c, err := r.Choose(request(rapid.StringOfN(rapid.RuneFrom([]rune("xyz")), 1, 1, -1).Draw(t, "prefix"), "own"))
+				if err != nil {
+					if len(left) < len(servers) {
+						t.Fatalf("%v, though %d of %d servers stay", err, len(servers)-len(left), len(servers))
+					}
+					return
+				}
+				if left[c.BackendServer] {
+					t.Fatalf("chose %s, which is leaving", c.BackendServer)
+				}
+				held = append(held, &c)
+			},
+			"release": func(t *rapid.T) {
+				if len(held) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(held)-1).Draw(t, "choice")
+				held[i].Release(Outcome(rapid.IntRange(0, 4).Draw(t, "outcome")))
+				held = append(held[:i], held[i+1:]...)
+			},
+		})
+	})
+}
