distributor: small changes travel as deltas, unchanged reports are not repeated

Cause: with a fleet document of 4,000 backend servers (about 700 KB) every change sent the whole document to every host, and the keeper of a failure domain watched its own domain's hosts, which sent all they knew back to it every two seconds. Ruled out: deflating the whole document (it still grows with the fleet); content-defined chunks (a second round trip, more state). A change of configuration touches one place, so that a delta is the part between the common prefix and suffix. Reports are sent when they are new to an upstream, and else every 20 s. Keepers watch only keepers.

--- /dev/null
+++ b/distributor/delta_test.go
@@ -0,0 +1,95 @@
+package distributor
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+)
+
+// document draws a document of a small alphabet, so that parts repeat.
+func document(t *rapid.T, name string) []byte {
+	return rapid.SliceOfN(rapid.ByteRange('a', 'c'), 0, 40).Draw(t, name)
+}
+
+func TestDeltasLeadToTheNewestDocument(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		upstream, downstream := newTopics(), newTopics()
+		n := rapid.IntRange(1, 6).Draw(t, "revisions")
+		known := rapid.IntRange(0, n).Draw(t, "known")
+		for r := 1; r <= n; r++ {
+			topic := Topic{Name: FleetTopic, Revision: identifier.Revision(r), Body: document(t, "body")}
+			upstream.offer(topic)
+			if r <= known {
+				downstream.offer(topic)
+			}
+		}
+		news, _ := upstream.newer(downstream.have())
+		for _, w := range news {
+			// More may arrive another way while the answer travels.
+			if rapid.Bool().Draw(t, "overtaken") {
+				downstream.offer(upstream.byName[FleetTopic].Topic)
+			}
+			got, err := downstream.decode(w)
+			if err != nil {
+				t.Fatal(err)
+			}
+			downstream.offer(got)
+		}
+		want, got := upstream.byName[FleetTopic].Body, downstream.byName[FleetTopic].Body
+		if !bytes.Equal(want, got) {
+			t.Fatalf("body is %q, want %q", got, want)
+		}
+	})
+}
+
+func TestSmallChangeIsSentSmall(t *testing.T) {
+	s := newTopics()
+	old := bytes.Repeat([]byte("0123456789"), 100_000)
+	changed := bytes.Clone(old)
+	changed[500_000] = 'x'
+	s.offer(Topic{Name: FleetTopic, Revision: 1, Body: old})
+	s.offer(Topic{Name: FleetTopic, Revision: 2, Body: changed})
+	news, _ := s.newer([]*wire.Topic{{Name: string(FleetTopic), Revision: 1}})
+	if diff := cmp.Diff([]byte("x"), news[0].Deltas[0].Middle); diff != "" || len(news[0].Body) != 0 {
+		t.Errorf("body of %d bytes, delta %s", len(news[0].Body), diff)
+	}
+}
+
+func TestDeltaThatDoesNotFitFetchesTheWhole(t *testing.T) {
+	for name, d := range map[string]*wire.Delta{
+		"other base":   {From: 5, To: 6},
+		"long prefix":  {From: 1, To: 2, Prefix: 99},
+		"long suffix":  {From: 1, To: 2, Prefix: 2, Suffix: 2},
+		"wrong result": {From: 1, To: 2, Prefix: 1, Suffix: 1, Middle: []byte("x"), Sum: 1},
+	} {
+		dist := New(Options{OnNews: func(Topic) error { return nil }})
+		if err := dist.Offer(Topic{Name: FleetTopic, Revision: 1, Body: []byte("abc")}); err != nil {
+			t.Fatal(err)
+		}
+		err := dist.takeNews([]*wire.Topic{{Name: string(FleetTopic), Revision: d.To, Deltas: []*wire.Delta{d}}})
+		if err == nil {
+			t.Errorf("%s: no error", name)
+		}
+		if diff := cmp.Diff(0, len(dist.have())); diff != "" {
+			t.Errorf("%s: the next watch tells of %s revisions", name, diff)
+		}
+		if diff := cmp.Diff(identifier.Revision(1), dist.Revision(FleetTopic)); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	var h history
+	for i := range uint64(3 * maxHistoryDeltas) {
+		h.add(&wire.Delta{From: i, To: i + 1, Middle: make([]byte, maxHistoryBytes/maxHistoryDeltas*2)})
+		if len(h.deltas) > maxHistoryDeltas || h.bytes > maxHistoryBytes {
+			t.Fatalf("history holds %d deltas of %d bytes", len(h.deltas), h.bytes)
+		}
+	}
+}
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -28,6 +28,8 @@
 	StaleLimit = 4 * time.Second
 	// avoidFor is how long a failed upstream is passed over.
 	avoidFor = 5 * time.Second
+	// reportInterval is how long an unchanged report is not sent again.
+	reportInterval = 20 * time.Second
 	// retryPause is the pause when no upstream answers.
 	retryPause = 500 * time.Millisecond
 	// startTimeout bounds how long a starting host asks around.
@@ -39,6 +41,9 @@
 	watchesFailed  = metrics.NewCounter("cyclamen_distributor_watches_failed_total")
 	watchesStale   = metrics.NewCounter("cyclamen_distributor_watches_stale_total")
 	topicsTaken    = metrics.NewCounter("cyclamen_distributor_topics_taken_total")
+	sentWhole      = metrics.NewCounter("cyclamen_distributor_sent_whole_total")
+	sentAsDeltas   = metrics.NewCounter("cyclamen_distributor_sent_as_deltas_total")
+	deltasRejected = metrics.NewCounter("cyclamen_distributor_deltas_rejected_total")
 	topicsRejected = metrics.NewCounter("cyclamen_distributor_topics_not_newer_total")
 )
 
@@ -73,6 +78,8 @@
 	confirmed time.Time            // zero means never
 	avoid     map[string]time.Time // until when an upstream is passed over
 	inForce   Report
+	wantWhole bool // after a delta that did not fit
+	sent      map[identifier.Host]sentReport
 }
 
 // New returns a Distributor without topics.
@@ -85,6 +92,7 @@
 		topics:  newTopics(),
 		reports: newReports(),
 		avoid:   make(map[string]time.Time),
+		sent:    make(map[identifier.Host]sentReport),
 		inForce: Report{Host: opts.Self.Name, FailureDomain: opts.Self.FailureDomain},
 	}
 }
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -236,6 +236,21 @@
 	})
 }
 
+func TestUnchangedReportIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestNet().add("a1", "a", "k")
+		first := len(d.outgoing("k"))
+		time.Sleep(Hold)
+		again := len(d.outgoing("k"))
+		elsewhere := len(d.outgoing("k2"))
+		time.Sleep(reportInterval)
+		later := len(d.outgoing("k2"))
+		if diff := cmp.Diff([]int{1, 0, 1, 1}, []int{first, again, elsewhere, later}); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestRevisionNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var published []identifier.Revision
--- a/distributor/reports.go
+++ b/distributor/reports.go
@@ -27,6 +27,13 @@
 	HeardAt time.Time `json:"heardAt"`
 }
 
+// sentReport remembers a report that an upstream was sent.
+type sentReport struct {
+	to       string
+	revision identifier.Revision
+	at       time.Time
+}
+
 // reports keeps the newest report of each host.
 type reports struct {
 	mu     sync.Mutex
--- a/distributor/topics.go
+++ b/distributor/topics.go
@@ -23,16 +23,22 @@
 	Body     []byte
 }
 
+// heldTopic is the newest revision of a topic and how it came from older ones.
+type heldTopic struct {
+	Topic
+	history history
+}
+
 // topics holds the newest revision of each topic.
 type topics struct {
 	mu      sync.Mutex
-	byName  map[TopicName]Topic
+	byName  map[TopicName]*heldTopic
 	changed chan struct{} // closed and replaced at each change
 }
 
 // newTopics returns an empty set.
 func newTopics() *topics {
-	return &topics{byName: make(map[TopicName]Topic), changed: make(chan struct{})}
+	return &topics{byName: make(map[TopicName]*heldTopic), changed: make(chan struct{})}
 }
 
 // offer takes t unless the present revision is as new, and reports whether it
@@ -40,11 +46,21 @@
 func (s *topics) offer(t Topic) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, ok := s.byName[t.Name]
-	if t.Revision <= old.Revision || (!ok && len(s.byName) >= MaxTopics) {
+	held, ok := s.byName[t.Name]
+	if !ok {
+		if len(s.byName) >= MaxTopics {
+			return false
+		}
+		held = &heldTopic{Topic: Topic{Name: t.Name}}
+		s.byName[t.Name] = held
+	}
+	if t.Revision <= held.Revision {
 		return false
 	}
-	s.byName[t.Name] = t
+	if held.Revision > 0 {
+		held.history.add(newDelta(held.Topic, t))
+	}
+	held.Topic = t
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return true
@@ -62,12 +78,46 @@
 	var news []*wire.Topic
 	for _, t := range s.byName {
 		if t.Revision > known[t.Name] {
-			news = append(news, &wire.Topic{Name: string(t.Name), Revision: uint64(t.Revision), Body: t.Body})
+			news = append(news, t.encodeFor(known[t.Name]))
 		}
 	}
 	return news, s.changed
 }
 
+// encodeFor returns what a host that has revision r needs: deltas where these
+// lead from r, else the whole document.
+func (t *heldTopic) encodeFor(r identifier.Revision) *wire.Topic {
+	w := &wire.Topic{Name: string(t.Name), Revision: uint64(t.Revision)}
+	if deltas, ok := t.history.since(r); ok {
+		w.Deltas = deltas
+		sentAsDeltas.Inc()
+		return w
+	}
+	w.Body = t.Body
+	sentWhole.Inc()
+	return w
+}
+
+// decode returns the topic that w carries or, with its deltas, leads to.
+func (s *topics) decode(w *wire.Topic) (Topic, error) {
+	t := Topic{Name: TopicName(w.Name), Revision: identifier.Revision(w.Revision), Body: w.Body}
+	if len(w.Deltas) == 0 {
+		return t, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.byName[t.Name]
+	if !ok {
+		return t, errDeltaMismatch
+	}
+	if t.Revision <= held.Revision {
+		return t, nil // It arrived another way in the meantime.
+	}
+	body, err := applyDeltas(held.Topic, w.Deltas)
+	t.Body = body
+	return t, err
+}
+
 // have returns the revisions held, without bodies.
 func (s *topics) have() []*wire.Topic {
 	s.mu.Lock()
@@ -83,5 +133,8 @@
 func (s *topics) revision(name TopicName) identifier.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.byName[name].Revision
+	if t, ok := s.byName[name]; ok {
+		return t.Revision
+	}
+	return 0
 }
--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
 )
 
@@ -77,16 +76,14 @@
 func (d *Distributor) watch(ctx context.Context, address string, hold time.Duration) (fresh bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+answerMargin)
 	defer cancel()
-	req := &wire.WatchRequest{Have: d.topics.have(), Reports: d.outgoing(), HoldMs: hold.Milliseconds()}
+	req := &wire.WatchRequest{Have: d.have(), Reports: d.outgoing(address), HoldMs: hold.Milliseconds()}
 	var resp wire.WatchResponse
 	if err := d.opts.Call(ctx, address, WatchMethod, req, &resp); err != nil {
+		d.forgetSent()
 		return false, err
 	}
-	for _, w := range resp.News {
-		t := Topic{Name: TopicName(w.Name), Revision: identifier.Revision(w.Revision), Body: w.Body}
-		if err := d.Offer(t); err != nil {
-			return false, err
-		}
+	if err := d.takeNews(resp.News); err != nil {
+		return false, err
 	}
 	if resp.ConfirmedAgoMs < 0 {
 		return false, nil
@@ -96,13 +93,65 @@
 	return ago <= StaleLimit, nil
 }
 
-// outgoing returns the reports to send upstream.
-func (d *Distributor) outgoing() []*wire.HostReport {
+// forgetSent makes the next watch carry every report.
+func (d *Distributor) forgetSent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.sent)
+}
+
+// takeNews offers what an upstream sent. After a delta that does not fit, the
+// next watch asks for the whole document.
+func (d *Distributor) takeNews(news []*wire.Topic) error {
+	for _, w := range news {
+		t, err := d.topics.decode(w)
+		if err != nil {
+			deltasRejected.Inc()
+			d.setWantWhole(true)
+			return err
+		}
+		if err := d.Offer(t); err != nil {
+			return err
+		}
+	}
+	if len(news) > 0 {
+		d.setWantWhole(false)
+	}
+	return nil
+}
+
+// have returns what to tell an upstream about the revisions held.
+func (d *Distributor) have() []*wire.Topic {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.wantWhole {
+		return nil
+	}
+	return d.topics.have()
+}
+
+// setWantWhole says whether the next watch asks for whole documents.
+func (d *Distributor) setWantWhole(want bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wantWhole = want
+}
+
+// outgoing returns the reports to send to an upstream: those that it does not
+// have yet and those that it has not been sent for reportInterval.
+func (d *Distributor) outgoing(address string) []*wire.HostReport {
 	rs := d.Reports()
 	now := d.opts.Clock.Now()
-	out := make([]*wire.HostReport, len(rs))
-	for i, r := range rs {
-		out[i] = encodeReport(now, r)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*wire.HostReport
+	for _, r := range rs {
+		last := d.sent[r.Host]
+		if last.to == address && last.revision == r.Revision && now.Sub(last.at) < reportInterval {
+			continue
+		}
+		d.sent[r.Host] = sentReport{to: address, revision: r.Revision, at: now}
+		out = append(out, encodeReport(now, r))
 	}
 	return out
 }
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -14,7 +14,7 @@
 // hosts of its failure domain that come before it by name, then the keepers in
 // an order of its own, so that the keepers share the relays, and last the other
 // hosts of its failure domain, which may know more once the keepers are out of
-// reach.
+// reach. A keeper has the log itself and watches only the other keepers.
 func upstreamsOf(cfg *configurer.Settings) []string {
 	before, after := domainPeers(cfg)
 	keepers := slices.DeleteFunc(slices.Clone(cfg.Keepers), func(k identifier.Host) bool { return k == cfg.Host })
@@ -22,7 +22,7 @@
 		return cmp.Compare(rank(cfg.Host, a), rank(cfg.Host, b))
 	})
 	if cfg.IsKeeper() {
-		before = nil
+		before, after = nil, nil
 	}
 
 	var addresses []string
