--- a/configurer/duration.go
+++ b/configurer/duration.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -12,8 +13,20 @@
 // Std returns d as the standard type.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
+// String returns d without trailing zero units, as in "24h".
+func (d Duration) String() string {
+	s := time.Duration(d).String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
 // MarshalJSON writes d as a string.
-func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.String()) }
 
 // UnmarshalJSON reads a string with a unit.
 func (d *Duration) UnmarshalJSON(b []byte) error {
--- a/configurer/faults.go
+++ b/configurer/faults.go
@@ -1,11 +1,9 @@
 package configurer
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
+	"reflect"
+	"slices"
 	"strings"
 )
 
@@ -64,32 +62,39 @@
 	return &FaultsError{Document: document, Faults: i.faults}
 }
 
-// decodeStrict decodes one JSON value into v and refuses unknown fields and
-// trailing data.
-func decodeStrict(document string, b []byte, v any) error {
-	d := json.NewDecoder(bytes.NewReader(b))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		return &FaultsError{Document: document, Faults: []Fault{decodeFault(b, err)}}
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return &FaultsError{Document: document, Faults: []Fault{{
-			Path: "(end)", Problem: "more data follows the document", Remedy: "keep one JSON object in it",
-		}}}
-	}
-	return nil
+// covers reports whether a fault is recorded at path or at what holds it.
+func (i *inspector) covers(path string) bool {
+	return slices.ContainsFunc(i.faults, func(f Fault) bool {
+		rest, ok := strings.CutPrefix(path, f.Path)
+		return ok && (rest == "" || rest[0] == '.' || rest[0] == '[')
+	})
 }
 
-// decodeFault turns an error of encoding/json into a fault.
-func decodeFault(b []byte, err error) Fault {
-	var syntax *json.SyntaxError
-	if errors.As(err, &syntax) {
-		line := 1 + bytes.Count(b[:min(int(syntax.Offset), len(b))], []byte("\n"))
-		return Fault{Path: fmt.Sprintf("line %d", line), Problem: syntax.Error(), Remedy: "write valid JSON there"}
+// inspectable is a document that knows its own faults.
+type inspectable interface{ inspect(in *inspector) }
+
+// decodeStrict decodes one JSON object into v and records every fault: unknown
+// and repeated fields, values of a wrong kind, and what v itself finds in the
+// rest.
+func decodeStrict(document string, b []byte, v inspectable) error {
+	var in inspector
+	tree, err := decodeTree(&in, b)
+	if err != nil {
+		return &FaultsError{Document: document, Faults: []Fault{syntaxFault(b, err)}}
+	}
+	tree, ok := in.shape("", reflect.TypeOf(v).Elem(), tree)
+	if !ok {
+		return in.err(document)
+	}
+	if err := json.Unmarshal(encodeNode(tree), v); err != nil {
+		in.add("(document)", err.Error(), "correct the value")
 	}
-	var wrong *json.UnmarshalTypeError
-	if errors.As(err, &wrong) {
-		return Fault{Path: wrong.Field, Problem: "a JSON " + wrong.Value + " stands there", Remedy: "write a " + wrong.Type.String()}
+	var own inspector
+	v.inspect(&own)
+	for _, f := range own.faults {
+		if !in.covers(f.Path) {
+			in.faults = append(in.faults, f)
+		}
 	}
-	return Fault{Path: "(document)", Problem: err.Error(), Remedy: "correct or remove the field"}
+	return in.err(document)
 }
--- a/configurer/fleet.go
+++ b/configurer/fleet.go
@@ -90,32 +90,29 @@
 	ClaimHorizon Duration `json:"claimHorizon"`
 }
 
-// Exception overrides one default, with a written reason.
-type Exception struct {
-	// Name identifies the exception.
-	Name string `json:"name"`
-	// Path is the overridden field, as in
-	// "customers/foodbank/requestsPerSecond".
-	Path string `json:"path"`
-	// Value is what stands there instead.
-	Value json.RawMessage `json:"value"`
-	// Reason says why, in the operator's words.
-	Reason string `json:"reason"`
-	// Ends is when the exception lapses, in RFC 3339; empty means never.
-	Ends string `json:"ends,omitempty"`
+// LoadFleet decodes an accepted fleet document, which was checked in full
+// before it was proposed. It ignores fields that this version does not know,
+// since a newer one may have accepted them, and checks the values it uses.
+func LoadFleet(b []byte) (*Fleet, error) {
+	var f Fleet
+	if err := json.Unmarshal(b, &f); err != nil {
+		return nil, fmt.Errorf("accepted fleet document: %w: upgrade this host", err)
+	}
+	var in inspector
+	f.inspect(&in)
+	if err := in.err("accepted fleet document"); err != nil {
+		return nil, err
+	}
+	return &f, nil
 }
 
-// DecodeFleet decodes and checks a fleet document.
+// DecodeFleet decodes and checks a fleet document from an operator. Unknown
+// and repeated fields are faults, and all faults are reported at once.
 func DecodeFleet(b []byte) (*Fleet, error) {
 	var f Fleet
 	if err := decodeStrict("fleet", b, &f); err != nil {
 		return nil, err
 	}
-	var in inspector
-	f.inspect(&in)
-	if err := in.err("fleet"); err != nil {
-		return nil, err
-	}
 	return &f, nil
 }
 
@@ -123,7 +120,7 @@
 func (f *Fleet) Encode() []byte {
 	b, err := json.MarshalIndent(f, "", "  ")
 	if err != nil {
-		// Every field has a marshalable type.
+		// Every field of a checked document can be encoded.
 		panic(fmt.Sprintf("fleet document: %v", err))
 	}
 	return append(b, '\n')
@@ -152,64 +149,3 @@
 func (s *Service) IsNonIdempotent(r identifier.Route) bool {
 	return slices.Contains(s.NonIdempotentRoutes, r)
 }
-
-// inspect records every fault of f.
-func (f *Fleet) inspect(in *inspector) {
-	for i, s := range f.Defaults.Services {
-		s.inspect(in, fmt.Sprintf("defaults.services[%d]", i))
-	}
-	for i, b := range f.Defaults.BackendServers {
-		b.inspect(in, fmt.Sprintf("defaults.backendServers[%d]", i), &f.Defaults)
-	}
-	for i, c := range f.Defaults.Customers {
-		c.inspect(in, fmt.Sprintf("defaults.customers[%d]", i))
-	}
-	f.Defaults.Limits.inspect(in, "defaults.limits")
-}
-
-func (s *Service) inspect(in *inspector, path string) {
-	in.check(path+".name", s.Name.Check())
-	in.check(path+".version", s.Version.Check())
-	if s.Kind != ModelService && s.Kind != PlainService {
-		in.add(path+".kind", fmt.Sprintf("%q is no kind of service", s.Kind), `write "model" or "plain"`)
-	}
-	if s.Deadline <= 0 {
-		in.add(path+".deadline", "is missing or not positive", `write a duration, as in "30s"`)
-	}
-}
-
-func (b *BackendServer) inspect(in *inspector, path string, d *Defaults) {
-	in.check(path+".name", b.Name.Check())
-	in.check(path+".version", b.Version.Check())
-	in.check(path+".failureDomain", b.FailureDomain.Check())
-	inspectAddress(in, path+".address", b.Address)
-	if _, ok := d.Service(b.Service); !ok {
-		in.add(path+".service", fmt.Sprintf("service %q is not in defaults.services", b.Service), "add it there or correct the name")
-	}
-	if b.Concurrency <= 0 {
-		in.add(path+".concurrency", "is missing or not positive", "write how many requests it runs side by side")
-	}
-}
-
-func (c *Customer) inspect(in *inspector, path string) {
-	in.check(path+".name", c.Name.Check())
-	for i, h := range c.KeyHashes {
-		in.check(fmt.Sprintf("%s.keyHashes[%d]", path, i), h.Check())
-	}
-	if c.Weight < 0 || c.RequestsPerSecond < 0 || c.TokensPerSecond < 0 {
-		in.add(path, "a weight or rate is negative", "write 0 for none, or a positive number")
-	}
-}
-
-func (l *Limits) inspect(in *inspector, path string) {
-	in.check(path+".retryShare", l.RetryShare.Check())
-	if l.BodyBytes <= 0 {
-		in.add(path+".bodyBytes", "is missing or not positive", "write the largest body in bytes, as in 1048576")
-	}
-	if l.QueuedRequests <= 0 {
-		in.add(path+".queuedRequests", "is missing or not positive", "write the longest queue, as in 1000")
-	}
-	if l.ClaimHorizon <= 0 {
-		in.add(path+".claimHorizon", "is missing or not positive", `write how long a key is remembered, as in "24h"`)
-	}
-}
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -2,9 +2,8 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
-	"strconv"
+	"slices"
 
 	"cyclamenhub.org/identifier"
 )
@@ -82,11 +81,6 @@
 	if err := decodeStrict(document, b, &s); err != nil {
 		return nil, err
 	}
-	var in inspector
-	s.inspect(&in)
-	if err := in.err(document); err != nil {
-		return nil, err
-	}
 	return &s, nil
 }
 
@@ -108,81 +102,5 @@
 
 // IsKeeper reports whether this process keeps the control log.
 func (s *Settings) IsKeeper() bool {
-	for _, k := range s.Keepers {
-		if k == s.Host {
-			return true
-		}
-	}
-	return false
-}
-
-// inspect records every fault of s.
-func (s *Settings) inspect(in *inspector) {
-	in.check("host", s.Host.Check())
-	in.check("failureDomain", s.FailureDomain.Check())
-	inspectAddress(in, "callers.listen", s.Callers.Listen)
-	inspectAddress(in, "operators.listen", s.Operators.Listen)
-	for i, t := range s.Operators.Tokens {
-		path := fmt.Sprintf("operators.tokens[%d]", i)
-		in.check(path+".operator", t.Operator.Check())
-		in.check(path+".tokenHash", t.TokenHash.Check())
-	}
-	s.inspectHosts(in)
-	s.inspectKeepers(in)
-	switch s.Log.Format {
-	case "", "text", "json":
-	default:
-		in.add("log.format", fmt.Sprintf("%q is no format", s.Log.Format), `write "text" or "json"`)
-	}
-}
-
-// inspectHosts records the faults of the host list.
-func (s *Settings) inspectHosts(in *inspector) {
-	seen := make(map[identifier.Host]bool)
-	for i, h := range s.Hosts {
-		path := fmt.Sprintf("hosts[%d]", i)
-		in.check(path+".name", h.Name.Check())
-		in.check(path+".failureDomain", h.FailureDomain.Check())
-		inspectAddress(in, path+".address", h.Address)
-		if seen[h.Name] {
-			in.add(path+".name", fmt.Sprintf("host %q is listed twice", h.Name), "list each host once")
-		}
-		seen[h.Name] = true
-		if h.Name == s.Host && h.FailureDomain != s.FailureDomain {
-			in.add(path+".failureDomain", "this host's entry names another failure domain than failureDomain", "write the same in both places")
-		}
-	}
-	if !seen[s.Host] {
-		in.add("hosts", fmt.Sprintf("host %q is not listed", s.Host), "list this host too")
-	}
-}
-
-// inspectKeepers records the faults of the keeper list.
-func (s *Settings) inspectKeepers(in *inspector) {
-	if len(s.Keepers)%2 == 0 {
-		in.add("keepers", fmt.Sprintf("%d keepers are listed", len(s.Keepers)), "list an odd number, as 1, 3 or 5, so that a majority is unambiguous")
-	}
-	for i, k := range s.Keepers {
-		if _, ok := s.HostNamed(k); !ok {
-			in.add(fmt.Sprintf("keepers[%d]", i), fmt.Sprintf("host %q is not in hosts", k), "add it there or correct the name")
-		}
-	}
-	if s.IsKeeper() && s.DataFolder == "" {
-		in.add("dataFolder", "this host is a keeper and has no data folder", "name a folder on a disk that survives restarts")
-	}
-}
-
-// inspectAddress records a fault unless a is an IP address and port.
-func inspectAddress(in *inspector, path, a string) {
-	host, port, err := net.SplitHostPort(a)
-	if err != nil {
-		in.add(path, fmt.Sprintf("%q is no address", a), `write IP and port, as in "10.0.0.1:7000"`)
-		return
-	}
-	if net.ParseIP(host) == nil {
-		in.add(path, fmt.Sprintf("%q is no IP address", host), "hosts reach each other by IP numbers: write one")
-	}
-	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
-		in.add(path, fmt.Sprintf("%q is no port", port), "write a number from 0 to 65535")
-	}
+	return slices.Contains(s.Keepers, s.Host)
 }
