reducer: exceptions as own changes, and a bounded audit trail with before and after

Need: an exception that is sent again under its change id must get its first answer. Were the proposer to build the whole document, a resend made after the first took effect would build another one and be refused. So adding and removing an exception are events of their own, edited into the JSON at commit.

A record lists at most 64 fields, and a value over 1 KiB by its size and digest.

--- a/reducer/audit.go
+++ b/reducer/audit.go
@@ -1,7 +1,10 @@
 package reducer
 
 import (
+	"crypto/sha256"
 	"encoding/json"
+	"fmt"
+	"strings"
 	"time"
 
 	"cyclamenhub.org/configurer"
@@ -13,16 +16,29 @@
 	// MaxAcceptedRecords bounds the accepted changes that are kept: a week of
 	// them.
 	MaxAcceptedRecords = 7 * 2100
-	// MaxRefusedRecords bounds the refused changes that are kept. They have
-	// their own bound, so that a flood of refusals cannot push out what
-	// changed.
+	// MaxAcceptedBytes bounds their size in JSON: a quarter of the 32 MB that
+	// control may take on a host.
+	MaxAcceptedBytes = 8 << 20
+	// MaxRefusedRecords bounds the refused changes that are kept: a day of
+	// them. They have their own bounds, so that a flood of refusals cannot push
+	// out what changed.
 	MaxRefusedRecords = 2100
+	// MaxRefusedBytes bounds their size in JSON.
+	MaxRefusedBytes = 2 << 20
+	// MaxRecordedChanges bounds the fields listed in one record, and
+	// MaxRecordedValueBytes each value before and after.
+	MaxRecordedChanges    = 64
+	MaxRecordedValueBytes = 1024
+	// MaxProblemBytes bounds the reason of a refusal.
+	MaxProblemBytes = 4096
 )
 
 // AuditRecord tells who changed what, when and why.
 type AuditRecord struct {
 	// Number rises by one with every record.
-	Number   uint64              `json:"number"`
+	Number uint64 `json:"number"`
+	// Action is the kind of change, as in "addException".
+	Action   string              `json:"action"`
 	ChangeID identifier.ChangeID `json:"changeId"`
 	Operator identifier.Operator `json:"operator"`
 	At       time.Time           `json:"at"`
@@ -36,26 +52,39 @@
 	// Changes lists the fields that changed, with their values before and
 	// after.
 	Changes []configurer.FieldChange `json:"changes,omitempty"`
+	// Omitted counts the changed fields beyond those listed.
+	Omitted int `json:"omitted,omitempty"`
 }
 
 // IsRefused reports whether the change was refused.
 func (r AuditRecord) IsRefused() bool { return r.Problem != "" }
 
-// setDocuments records the difference between two documents.
-func (r *AuditRecord) setDocuments(before, after json.RawMessage) {
+// setChanges records the difference between two documents, within bounds.
+func (r *AuditRecord) setChanges(before, after json.RawMessage) {
 	r.Changes = configurer.Diff(before, after)
+	if n := len(r.Changes); n > MaxRecordedChanges {
+		r.Changes, r.Omitted = r.Changes[:MaxRecordedChanges:MaxRecordedChanges], n-MaxRecordedChanges
+	}
+	for i := range r.Changes {
+		r.Changes[i].Before = shorten(r.Changes[i].Before)
+		r.Changes[i].After = shorten(r.Changes[i].After)
+	}
 }
 
-// auditOfChange returns the record of ev without its result.
-func auditOfChange(ev ChangeConfiguration) AuditRecord {
-	return AuditRecord{ChangeID: ev.ChangeID, Operator: ev.Operator, At: ev.At, Reason: ev.Reason, Base: ev.Base}
+// shorten replaces a long value by a JSON string that tells its size and
+// digest.
+func shorten(value json.RawMessage) json.RawMessage {
+	if len(value) <= MaxRecordedValueBytes {
+		return value
+	}
+	return fmt.Appendf(nil, `"%d bytes, sha256 %x"`, len(value), sha256.Sum256(value))
 }
 
-// audit is the bounded audit trail. Records are never changed once added.
+// audit is the bounded audit trail.
 type audit struct {
 	last     uint64
-	accepted []AuditRecord
-	refused  []AuditRecord
+	accepted trail
+	refused  trail
 }
 
 // writeAudit numbers r, keeps it and returns the effect that logs it.
@@ -63,10 +92,11 @@
 	a := &s.audit
 	a.last++
 	r.Number = a.last
+	r.Problem = strings.ToValidUTF8(r.Problem[:min(len(r.Problem), MaxProblemBytes)], "")
 	if r.IsRefused() {
-		a.refused = appendBounded(a.refused, r, MaxRefusedRecords)
+		a.refused.add(r, MaxRefusedRecords, MaxRefusedBytes)
 	} else {
-		a.accepted = appendBounded(a.accepted, r, MaxAcceptedRecords)
+		a.accepted.add(r, MaxAcceptedRecords, MaxAcceptedBytes)
 	}
 	return WriteAudit{Record: r}
 }
@@ -75,14 +105,8 @@
 // proposed.
 func (s *State) recordRefusal(ev RecordRefusal) []Effect {
 	record := s.writeAudit(AuditRecord{
-		ChangeID: ev.ChangeID, Operator: ev.Operator, At: ev.At, Reason: ev.Reason,
+		Action: ev.Action, ChangeID: ev.ChangeID, Operator: ev.Operator, At: ev.At, Reason: ev.Reason,
 		Base: ev.Base, Revision: s.configuration.revision, Problem: ev.Problem,
 	})
 	return []Effect{record, Answer{ChangeID: ev.ChangeID, Outcome: Accepted{Revision: s.configuration.revision}}}
 }
-
-// appendBounded appends r and drops the oldest records beyond bound.
-func appendBounded(records []AuditRecord, r AuditRecord, bound int) []AuditRecord {
-	records = append(records, r)
-	return records[max(0, len(records)-bound):]
-}
--- /dev/null
+++ b/reducer/change.go
@@ -0,0 +1,107 @@
+package reducer
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/refuser"
+)
+
+// change is what every event that leads to a new revision has in common.
+type change struct {
+	id       identifier.ChangeID
+	base     identifier.Revision
+	operator identifier.Operator
+	reason   string
+	at       time.Time
+	// kind and content tell what is changed. A resend has the same.
+	kind    string
+	content []byte
+	// edit returns the document that the present one becomes.
+	edit func(present json.RawMessage) (json.RawMessage, error)
+}
+
+// changeOfDocument returns the change that replaces the whole document.
+func changeOfDocument(ev ChangeConfiguration) change {
+	return change{
+		id: ev.ChangeID, base: ev.Base, operator: ev.Operator, reason: ev.Reason, at: ev.At,
+		kind: typeChangeConfiguration, content: ev.Document,
+		edit: func(json.RawMessage) (json.RawMessage, error) {
+			if !isObject(ev.Document) {
+				return nil, errors.New("the fleet document is no JSON object: send the document that 'cyclamenctl config get' prints, with the change made")
+			}
+			return ev.Document, nil
+		},
+	}
+}
+
+// additionOfException returns the change that adds an exception.
+func additionOfException(ev AddException) change {
+	return change{
+		id: ev.ChangeID, base: ev.Base, operator: ev.Operator, reason: ev.Reason, at: ev.At,
+		kind: typeAddException, content: ev.Exception,
+		edit: func(present json.RawMessage) (json.RawMessage, error) {
+			return configurer.AddException(present, ev.Exception)
+		},
+	}
+}
+
+// removalOfException returns the change that removes an exception.
+func removalOfException(ev RemoveException) change {
+	return change{
+		id: ev.ChangeID, base: ev.Base, operator: ev.Operator, reason: ev.Reason, at: ev.At,
+		kind: typeRemoveException, content: []byte(ev.Name),
+		edit: func(present json.RawMessage) (json.RawMessage, error) {
+			return configurer.RemoveException(present, ev.Name)
+		},
+	}
+}
+
+// inspect refuses what no revision could accept.
+func (p *change) inspect() (Refused, bool) {
+	switch {
+	case p.id == "" || len(p.id) > MaxChangeIDBytes:
+		return Refused{Kind: refuser.Malformed, Problem: "the change id is empty or too long",
+			Remedy: fmt.Sprintf("send one of at most %d bytes", MaxChangeIDBytes)}, true
+	case len(p.reason) > MaxReasonBytes:
+		return Refused{Kind: refuser.TooLarge, Problem: "the reason is too long",
+			Remedy: fmt.Sprintf("shorten it to %d bytes", MaxReasonBytes)}, true
+	default:
+		return Refused{}, false
+	}
+}
+
+// digest returns the digest of what p changes. The time is left out, since a
+// resend is proposed later.
+func (p *change) digest() digest {
+	h := sha256.New()
+	write := func(field []byte) {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(field)))
+		h.Write(n[:])
+		h.Write(field)
+	}
+	write(binary.BigEndian.AppendUint64(nil, uint64(p.base)))
+	write([]byte(p.operator))
+	write([]byte(p.reason))
+	write([]byte(p.kind))
+	write(p.content)
+	return digest(h.Sum(nil))
+}
+
+// record returns the audit record of p without its result.
+func (p *change) record() AuditRecord {
+	return AuditRecord{Action: p.kind, ChangeID: p.id, Operator: p.operator, At: p.at, Reason: p.reason, Base: p.base}
+}
+
+// isObject reports whether b is one valid JSON object.
+func isObject(b []byte) bool {
+	return json.Valid(b) && bytes.HasPrefix(bytes.TrimSpace(b), []byte("{"))
+}
--- a/reducer/codec.go
+++ b/reducer/codec.go
@@ -16,17 +16,37 @@
 // log entries hold them.
 const (
 	typeChangeConfiguration = "changeConfiguration"
+	typeAddException        = "addException"
+	typeRemoveException     = "removeException"
 	typeRecordRefusal       = "recordRefusal"
 	typeAccepted            = "accepted"
 	typeConflict            = "conflict"
 	typeRefused             = "refused"
 )
 
+// ActionOf returns the name under which the audit trail lists ev.
+func ActionOf(ev Event) string {
+	switch ev.(type) {
+	case ChangeConfiguration:
+		return typeChangeConfiguration
+	case AddException:
+		return typeAddException
+	case RemoveException:
+		return typeRemoveException
+	default:
+		return typeRecordRefusal
+	}
+}
+
 // EncodeEvent returns ev in the form that the log holds.
 func EncodeEvent(ev Event) ([]byte, error) {
 	switch ev := ev.(type) {
 	case ChangeConfiguration:
 		return encode(typeChangeConfiguration, ev)
+	case AddException:
+		return encode(typeAddException, ev)
+	case RemoveException:
+		return encode(typeRemoveException, ev)
 	case RecordRefusal:
 		return encode(typeRecordRefusal, ev)
 	default:
@@ -43,6 +63,10 @@
 	switch e.Type {
 	case typeChangeConfiguration:
 		return decode[ChangeConfiguration](e)
+	case typeAddException:
+		return decode[AddException](e)
+	case typeRemoveException:
+		return decode[RemoveException](e)
 	case typeRecordRefusal:
 		return decode[RecordRefusal](e)
 	default:
--- a/reducer/configuration.go
+++ b/reducer/configuration.go
@@ -1,11 +1,10 @@
 package reducer
 
 import (
-	"bytes"
 	"crypto/sha256"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"cyclamenhub.org/identifier"
@@ -62,85 +61,62 @@
 	}
 }
 
-// changeConfiguration accepts ev if it was made against the present revision.
-func (s *State) changeConfiguration(ev ChangeConfiguration) []Effect {
+// change accepts p if it was made against the present revision.
+func (s *State) change(p change) []Effect {
 	c := &s.configuration
-	d := digestOf(ev)
-	if earlier, ok := c.byChange[ev.ChangeID]; ok {
-		return s.answerAgain(ev, earlier, d)
+	if earlier, ok := c.byChange[p.id]; ok {
+		return s.answerAgain(p, earlier)
 	}
-	outcome := c.judge(ev)
+	document, outcome := c.judge(p)
+	record := p.record()
 	var effects []Effect
-	record := auditOfChange(ev)
 	if accepted, ok := outcome.(Accepted); ok {
-		record.setDocuments(c.document, ev.Document)
-		record.Revision = accepted.Revision
-		c.revision, c.document, c.since = accepted.Revision, ev.Document, ev.At
+		record.setChanges(c.document, document)
+		c.revision, c.document, c.since = accepted.Revision, document, p.at
 		effects = append(effects, PublishConfiguration{Revision: c.revision, Document: c.document})
 	} else {
-		record.Revision = c.revision
 		record.Problem = outcome.Err().Error()
 	}
-	c.remember(answer{change: ev.ChangeID, digest: d, outcome: outcome})
-	return append(effects, s.writeAudit(record), Answer{ChangeID: ev.ChangeID, Outcome: outcome})
+	record.Revision = c.revision
+	c.remember(answer{change: p.id, digest: p.digest(), outcome: outcome})
+	return append(effects, s.writeAudit(record), Answer{ChangeID: p.id, Outcome: outcome})
 }
 
 // answerAgain answers a change id that was seen before: with the first outcome
 // where the content is the same, and else with a refusal.
-func (s *State) answerAgain(ev ChangeConfiguration, earlier answer, d digest) []Effect {
-	if earlier.digest == d {
-		return []Effect{Answer{ChangeID: ev.ChangeID, Outcome: markResent(earlier.outcome)}}
+func (s *State) answerAgain(p change, earlier answer) []Effect {
+	if earlier.digest == p.digest() {
+		return []Effect{Answer{ChangeID: p.id, Outcome: markResent(earlier.outcome)}}
 	}
 	outcome := Refused{
 		Kind:    refuser.KeyReused,
-		Problem: fmt.Sprintf("change id %q was used for another change", ev.ChangeID),
+		Problem: fmt.Sprintf("change id %q was used for another change", p.id),
 		Remedy:  "send this change under a new change id",
 	}
-	record := auditOfChange(ev)
+	record := p.record()
 	record.Revision = s.configuration.revision
 	record.Problem = outcome.Problem
-	return []Effect{s.writeAudit(record), Answer{ChangeID: ev.ChangeID, Outcome: outcome}}
+	return []Effect{s.writeAudit(record), Answer{ChangeID: p.id, Outcome: outcome}}
 }
 
-// judge decides about a change that was not seen before.
-func (c *configuration) judge(ev ChangeConfiguration) Outcome {
+// judge decides about a change that was not seen before, and returns the
+// document that it leads to if it is accepted.
+func (c *configuration) judge(p change) (json.RawMessage, Outcome) {
+	if refused, bad := p.inspect(); bad {
+		return nil, refused
+	}
+	if p.base != c.revision {
+		return nil, Conflict{Base: p.base, Present: c.revision}
+	}
+	document, err := p.edit(c.document)
 	switch {
-	case ev.ChangeID == "" || len(ev.ChangeID) > MaxChangeIDBytes:
-		return Refused{Kind: refuser.Malformed, Problem: "the change id is empty or too long",
-			Remedy: fmt.Sprintf("send one of at most %d bytes", MaxChangeIDBytes)}
-	case len(ev.Reason) > MaxReasonBytes:
-		return Refused{Kind: refuser.TooLarge, Problem: "the reason is too long",
-			Remedy: fmt.Sprintf("shorten it to %d bytes", MaxReasonBytes)}
-	case len(ev.Document) > MaxDocumentBytes:
-		return Refused{Kind: refuser.TooLarge, Problem: "the fleet document is too large",
+	case err != nil:
+		problem, remedy, _ := strings.Cut(err.Error(), ": ")
+		return nil, Refused{Kind: refuser.Malformed, Problem: problem, Remedy: remedy}
+	case len(document) > MaxDocumentBytes:
+		return nil, Refused{Kind: refuser.TooLarge, Problem: "the fleet document is too large",
 			Remedy: fmt.Sprintf("shorten it to %d bytes", MaxDocumentBytes)}
-	case !isObject(ev.Document):
-		return Refused{Kind: refuser.Malformed, Problem: "the fleet document is no JSON object",
-			Remedy: "send the document that 'cyclamenctl config get' prints, with the change made"}
-	case ev.Base != c.revision:
-		return Conflict{Base: ev.Base, Present: c.revision}
 	default:
-		return Accepted{Revision: c.revision + 1}
-	}
-}
-
-// isObject reports whether b is one valid JSON object.
-func isObject(b []byte) bool {
-	return json.Valid(b) && bytes.HasPrefix(bytes.TrimSpace(b), []byte("{"))
-}
-
-// digestOf returns the digest of what ev changes. The time is left out, since a
-// resend is proposed later.
-func digestOf(ev ChangeConfiguration) digest {
-	h := sha256.New()
-	var base [8]byte
-	binary.BigEndian.PutUint64(base[:], uint64(ev.Base))
-	h.Write(base[:])
-	for _, field := range [][]byte{[]byte(ev.Operator), []byte(ev.Reason), ev.Document} {
-		var n [8]byte
-		binary.BigEndian.PutUint64(n[:], uint64(len(field)))
-		h.Write(n[:])
-		h.Write(field)
+		return document, Accepted{Revision: c.revision + 1}
 	}
-	return digest(h.Sum(nil))
 }
--- a/reducer/configuration_test.go
+++ b/reducer/configuration_test.go
@@ -22,6 +22,38 @@
 	}
 }
 
+// anyChange returns a change of a drawn kind, told apart by n.
+func anyChange(t *rapid.T, n int, base identifier.Revision, at time.Time) Event {
+	ev := changeNumber(n, base)
+	name := fmt.Sprintf("e-%d", n%3)
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		ev.At = at
+		return ev
+	case 1:
+		return AddException{ChangeID: ev.ChangeID, Base: base, Operator: "els", At: at, Exception: fmt.Appendf(nil, `{"name":%q}`, name)}
+	default:
+		return RemoveException{ChangeID: ev.ChangeID, Base: base, Operator: "els", At: at, Name: name}
+	}
+}
+
+// laterResend returns ev as it is sent again.
+func laterResend(ev Event, at time.Time) Event {
+	switch ev := ev.(type) {
+	case ChangeConfiguration:
+		ev.At = at
+		return ev
+	case AddException:
+		ev.At = at
+		return ev
+	case RemoveException:
+		ev.At = at
+		return ev
+	default:
+		return ev
+	}
+}
+
 // apply sends ev through a Machine as the log does.
 func apply(t interface{ Fatal(...any) }, m *Machine, index int, ev Event) Outcome {
 	entry, err := EncodeEvent(ev)
@@ -38,25 +70,27 @@
 func TestRacingOperatorsAndResentChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var m Machine
-		sent := map[int]ChangeConfiguration{}
+		sent := map[int]Event{}
 		first := map[int]Outcome{}
 		wins := map[identifier.Revision]int{}
 		var revision identifier.Revision
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			n := rapid.IntRange(0, 15).Draw(t, "change")
+			at := testStart.Add(time.Duration(i) * time.Minute)
+			base := identifier.Revision(0)
 			ev, resent := sent[n]
 			if !resent {
-				ev = changeNumber(n, identifier.Revision(rapid.IntRange(0, int(revision)).Draw(t, "base")))
+				base = identifier.Revision(rapid.IntRange(0, int(revision)).Draw(t, "base"))
+				ev = anyChange(t, n, base, at)
 				sent[n] = ev
 			}
-			ev.At = testStart.Add(time.Duration(i) * time.Minute)
-			got := apply(t, &m, i+1, ev)
+			got := apply(t, &m, i+1, laterResend(ev, at))
 			if resent {
 				if diff := cmp.Diff(markResent(first[n]), got); diff != "" {
 					t.Fatalf("resent change %d has another outcome than at first (-first +now):\n%s", n, diff)
 				}
-			} else if first[n] = got; got == (Accepted{Revision: ev.Base + 1}) {
-				wins[ev.Base]++
+			} else if first[n] = got; got == (Accepted{Revision: base + 1}) {
+				wins[base]++
 			}
 			if now := m.View().Revision; now < revision {
 				t.Fatalf("revision went back from %d to %d", revision, now)
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -26,9 +26,34 @@
 	At time.Time `json:"at"`
 }
 
+// AddException adds one exception to the present fleet document.
+type AddException struct {
+	ChangeID identifier.ChangeID `json:"changeId"`
+	Base     identifier.Revision `json:"base"`
+	Operator identifier.Operator `json:"operator"`
+	Reason   string              `json:"reason,omitempty"`
+	// Exception is a configurer.Exception in JSON, already checked against the
+	// base.
+	Exception json.RawMessage `json:"exception"`
+	At        time.Time       `json:"at"`
+}
+
+// RemoveException removes one exception from the present fleet document.
+type RemoveException struct {
+	ChangeID identifier.ChangeID `json:"changeId"`
+	Base     identifier.Revision `json:"base"`
+	Operator identifier.Operator `json:"operator"`
+	Reason   string              `json:"reason,omitempty"`
+	// Name is that of the exception.
+	Name string    `json:"name"`
+	At   time.Time `json:"at"`
+}
+
 // RecordRefusal puts a change that was refused before it was proposed on the
 // audit trail.
 type RecordRefusal struct {
+	// Action is the kind of change, as in "addException".
+	Action   string              `json:"action"`
 	ChangeID identifier.ChangeID `json:"changeId"`
 	Base     identifier.Revision `json:"base"`
 	Operator identifier.Operator `json:"operator"`
@@ -39,4 +64,6 @@
 }
 
 func (ChangeConfiguration) isEvent() {}
+func (AddException) isEvent()        {}
+func (RemoveException) isEvent()     {}
 func (RecordRefusal) isEvent()       {}
--- a/reducer/reduce.go
+++ b/reducer/reduce.go
@@ -14,7 +14,11 @@
 func Reduce(s *State, ev Event) []Effect {
 	switch ev := ev.(type) {
 	case ChangeConfiguration:
-		return s.changeConfiguration(ev)
+		return s.change(changeOfDocument(ev))
+	case AddException:
+		return s.change(additionOfException(ev))
+	case RemoveException:
+		return s.change(removalOfException(ev))
 	case RecordRefusal:
 		return s.recordRefusal(ev)
 	default:
--- a/reducer/snapshot.go
+++ b/reducer/snapshot.go
@@ -14,14 +14,14 @@
 
 // wireState is the JSON form of a State.
 type wireState struct {
-	Format   int                 `json:"format"`
-	Revision identifier.Revision `json:"revision"`
-	Document json.RawMessage     `json:"document,omitempty"`
-	Since    time.Time           `json:"since"`
-	Answers  []wireAnswer        `json:"answers,omitempty"`
-	LastMark uint64              `json:"lastAuditNumber"`
-	Accepted []AuditRecord       `json:"accepted,omitempty"`
-	Refused  []AuditRecord       `json:"refused,omitempty"`
+	Format    int                 `json:"format"`
+	Revision  identifier.Revision `json:"revision"`
+	Document  json.RawMessage     `json:"document,omitempty"`
+	Since     time.Time           `json:"since"`
+	Answers   []wireAnswer        `json:"answers,omitempty"`
+	LastAudit uint64              `json:"lastAudit"`
+	Accepted  []AuditRecord       `json:"accepted,omitempty"`
+	Refused   []AuditRecord       `json:"refused,omitempty"`
 }
 
 // wireAnswer is the JSON form of an answer.
@@ -49,7 +49,7 @@
 	c := &s.configuration
 	w := wireState{
 		Format: snapshotFormat, Revision: c.revision, Document: c.document, Since: c.since,
-		LastMark: s.audit.last, Accepted: s.audit.accepted, Refused: s.audit.refused,
+		LastAudit: s.audit.last, Accepted: s.audit.accepted.records, Refused: s.audit.refused.records,
 	}
 	for _, a := range c.answers {
 		w.Answers = append(w.Answers, wireAnswer{
@@ -75,7 +75,13 @@
 	}
 	restored := State{
 		configuration: configuration{revision: w.Revision, document: w.Document, since: w.Since},
-		audit:         audit{last: w.LastMark, accepted: w.Accepted, refused: w.Refused},
+		audit:         audit{last: w.LastAudit},
+	}
+	for _, r := range w.Accepted {
+		restored.audit.accepted.add(r, MaxAcceptedRecords, MaxAcceptedBytes)
+	}
+	for _, r := range w.Refused {
+		restored.audit.refused.add(r, MaxRefusedRecords, MaxRefusedBytes)
 	}
 	for _, wa := range w.Answers {
 		a, err := wa.answer()
--- a/reducer/view.go
+++ b/reducer/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"cyclamenhub.org/identifier"
@@ -27,7 +26,7 @@
 		Revision: s.configuration.revision,
 		Document: s.configuration.document,
 		Since:    s.configuration.since,
-		Accepted: slices.Clip(s.audit.accepted),
-		Refused:  slices.Clip(s.audit.refused),
+		Accepted: s.audit.accepted.view(),
+		Refused:  s.audit.refused.view(),
 	}
 }
