administrator, cyclamenctl: exceptions, history, audit trail, diff and check

Need: operators drive the fleet by defaults and a short list of exceptions, and see who changed what, when and why.

A change is checked against the document of its base. A base yet to come is refused at once: proposed unchecked, it could take effect when that revision is reached. An earlier base goes to the log, which knows whether it is a resend.

MemoryBackend serves the tests of both packages.

--- a/administrator/doc.go
+++ b/administrator/doc.go
@@ -9,9 +9,16 @@
 //
 // The API, all under /v1:
 //
-//	GET  /config          the present document and its revision
-//	PUT  /config          change it
-//	GET  /config/status   which hosts run which revision, and since when
+//	GET  /config                     the present document and its revision
+//	PUT  /config                     change it
+//	GET  /config/status              which hosts run which revision, and since when
+//	GET  /config/history             the accepted changes, newest first
+//	GET  /exceptions                 the exceptions and whether they hold
+//	POST /exceptions                 add one
+//	POST /exceptions/{name}/remove   remove one
+//	GET  /audit                      every change, refused ones too, newest first
+//
+// History and audit take limit and before, a record's number, as parameters.
 //
 // Every error is a refuser.Refusal in JSON.
 //
--- /dev/null
+++ b/administrator/exceptions.go
@@ -0,0 +1,74 @@
+package administrator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/reducer"
+	"cyclamenhub.org/refuser"
+)
+
+// getExceptions lists the exceptions and whether they hold.
+func (h *handler) getExceptions(w http.ResponseWriter, r *http.Request) {
+	v, err := h.backend.View(r.Context())
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answer := Exceptions{Revision: v.Revision, Exceptions: []ExceptionStatus{}}
+	if v.Revision > 0 {
+		fleet, err := configurer.LoadFleet(v.Document)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		now := h.clock.Now()
+		for _, e := range fleet.Exceptions {
+			answer.Exceptions = append(answer.Exceptions, ExceptionStatus{Exception: e, Active: e.IsActive(now)})
+		}
+	}
+	respond(w, answer)
+}
+
+// addException adds one exception.
+func (h *handler) addException(w http.ResponseWriter, r *http.Request) {
+	var a Addition
+	if err := readBody(w, r, &a); err != nil {
+		refuse(w, err)
+		return
+	}
+	exception, err := json.Marshal(a.Exception)
+	if err != nil {
+		refuse(w, refuser.NotRun(refuser.Malformed, "the exception is no JSON: "+err.Error(), "write its value as JSON"))
+		return
+	}
+	event := reducer.AddException{
+		ChangeID: a.ChangeID, Base: a.Base, Operator: operator(r), Reason: a.Exception.Reason,
+		Exception: exception, At: h.clock.Now().UTC(),
+	}
+	h.change(w, r, proposal{
+		event: event, refusal: h.refusalOf(r, event, a.ChangeID, a.Base, a.Exception.Reason),
+		edit: func(present []byte) ([]byte, error) { return configurer.AddException(present, exception) },
+	})
+}
+
+// removeException removes one exception.
+func (h *handler) removeException(w http.ResponseWriter, r *http.Request) {
+	var removal Removal
+	if err := readBody(w, r, &removal); err != nil {
+		refuse(w, err)
+		return
+	}
+	name := chi.URLParam(r, "name")
+	event := reducer.RemoveException{
+		ChangeID: removal.ChangeID, Base: removal.Base, Operator: operator(r), Reason: removal.Reason,
+		Name: name, At: h.clock.Now().UTC(),
+	}
+	h.change(w, r, proposal{
+		event: event, refusal: h.refusalOf(r, event, removal.ChangeID, removal.Base, removal.Reason),
+		edit: func(present []byte) ([]byte, error) { return configurer.RemoveException(present, name) },
+	})
+}
--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -30,6 +30,11 @@
 		r.Get("/config", h.getConfig)
 		r.Put("/config", h.putConfig)
 		r.Get("/config/status", h.getStatus)
+		r.Get("/config/history", h.getHistory)
+		r.Get("/exceptions", h.getExceptions)
+		r.Post("/exceptions", h.addException)
+		r.Post("/exceptions/{name}/remove", h.removeException)
+		r.Get("/audit", h.getAudit)
 	})
 	return r
 }
--- a/administrator/handler_test.go
+++ b/administrator/handler_test.go
@@ -1,7 +1,6 @@
 package administrator
 
 import (
-	"context"
 	"encoding/json"
 	"log/slog"
 	"net/http"
@@ -14,7 +13,6 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cyclamenhub.org/configurer"
-	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/timer"
@@ -22,26 +20,16 @@
 
 var testStart = time.Date(2026, 12, 1, 20, 0, 0, 0, time.UTC)
 
-// fakeBackend is a control log of one replica.
-type fakeBackend struct {
-	machine reducer.Machine
-	index   identifier.LogIndex
-	hosts   []HostRevision
-}
-
-func (b *fakeBackend) Propose(_ context.Context, ev reducer.Event) (reducer.Outcome, error) {
-	entry, err := reducer.EncodeEvent(ev)
+// viewOf returns the state of b.
+func viewOf(t *testing.T, b *MemoryBackend) reducer.View {
+	t.Helper()
+	v, err := b.View(t.Context())
 	if err != nil {
-		return nil, err
+		t.Fatal(err)
 	}
-	b.index++
-	return reducer.DecodeOutcome(b.machine.Apply(b.index, entry))
+	return v
 }
 
-func (b *fakeBackend) View(context.Context) (reducer.View, error) { return b.machine.View(), nil }
-
-func (b *fakeBackend) HostRevisions(context.Context) []HostRevision { return b.hosts }
-
 // newTestHandler returns a handler that lets in operator els.
 func newTestHandler(b Backend) http.Handler {
 	tokens := []configurer.OperatorToken{
@@ -89,7 +77,7 @@
 }
 
 func TestUnknownTokensAreRefused(t *testing.T) {
-	h := newTestHandler(&fakeBackend{})
+	h := newTestHandler(&MemoryBackend{})
 	for _, header := range []string{"", "Bearer ", "Bearer wrong", "els-token", "Basic els-token"} {
 		r := httptest.NewRequest(http.MethodGet, "/v1/config", nil)
 		r.Header.Set("Authorization", header)
@@ -102,7 +90,7 @@
 }
 
 func TestConfigIsChangedOncePerBase(t *testing.T) {
-	b := &fakeBackend{hosts: []HostRevision{{Host: "b1", Revision: 1}, {Host: "a1", Revision: 0}}}
+	b := &MemoryBackend{Hosts: []HostRevision{{Host: "b1", Revision: 1}, {Host: "a1", Revision: 0}}}
 	h := newTestHandler(b)
 	change := Change{ChangeID: "c-1", Reason: "first", Document: fleetDocument(t)}
 	for _, want := range []Changed{{ChangeID: "c-1", Revision: 1}, {ChangeID: "c-1", Revision: 1, Resent: true}} {
@@ -129,12 +117,12 @@
 }
 
 func TestFaultyDocumentIsRefusedAndAudited(t *testing.T) {
-	b := &fakeBackend{}
+	b := &MemoryBackend{}
 	f := send(t, newTestHandler(b), http.MethodPut, "/config", Change{ChangeID: "c-1", Document: json.RawMessage(`{"defaults":{}}`)}, nil)
 	if f == nil || f.Kind() != refuser.Malformed || !strings.Contains(f.Error(), "defaults.limits.bodyBytes") {
 		t.Errorf("refusal %v does not name defaults.limits.bodyBytes", f)
 	}
-	v := b.machine.View()
+	v := viewOf(t, b)
 	if v.Revision != 0 || len(v.Refused) != 1 || v.Refused[0].Operator != "els" {
 		t.Errorf("revision %d, refused records %v; want revision 0 and one record of els", v.Revision, v.Refused)
 	}
--- a/administrator/respond.go
+++ b/administrator/respond.go
@@ -17,7 +17,11 @@
 // surroundings.
 const maxRequestBytes = reducer.MaxDocumentBytes + 64<<10
 
-var unauthenticatedRequests = metrics.NewCounter("cyclamen_operator_unauthenticated_total")
+var (
+	unauthenticatedRequests = metrics.NewCounter("cyclamen_operator_unauthenticated_total")
+	unauditedRefusals       = metrics.NewCounter("cyclamen_operator_unaudited_refusals_total")
+	responseFailures        = metrics.NewCounter("cyclamen_operator_response_failures_total")
+)
 
 // respond writes v as JSON.
 func respond(w http.ResponseWriter, v any) {
@@ -27,8 +31,6 @@
 	}
 }
 
-var responseFailures = metrics.NewCounter("cyclamen_operator_response_failures_total")
-
 // refuse writes err as a refusal.
 func refuse(w http.ResponseWriter, err error) {
 	f := refuser.From(err)
--- a/cmd/cyclamenctl/config.go
+++ b/cmd/cyclamenctl/config.go
@@ -21,6 +21,12 @@
 		"Prints the present fleet document; its revision goes to the standard error output.", &configGet{c: c}))
 	mustAdd(group.AddCommand("set", "Replace the fleet document",
 		"Replaces the fleet document. Of several changes against one base revision only one is accepted.", &configSet{c: c}))
+	mustAdd(group.AddCommand("check", "Check a fleet document",
+		"Checks a fleet document without a host and names every fault.", &configCheck{c: c}))
+	mustAdd(group.AddCommand("diff", "Compare a fleet document with the present one",
+		"Shows the fields in which a file differs from the present fleet document.", &configDiff{c: c}))
+	mustAdd(group.AddCommand("history", "List the accepted changes",
+		"Lists the accepted changes, newest first.", &configHistory{c: c}))
 	mustAdd(group.AddCommand("status", "Show which hosts run which revision",
 		"Shows which hosts run which revision and since when.", &configStatus{c: c}))
 }
@@ -49,54 +55,40 @@
 	return err
 }
 
-// changeOptions are the options of every change.
-type changeOptions struct {
-	Reason   string `long:"reason" description:"why the change is made"`
-	ChangeID string `long:"change-id" description:"id of the change; give the same one again to resend a change whose answer was lost"`
-}
-
-// id returns the change id, a new one where none was given.
-func (o *changeOptions) id() identifier.ChangeID {
-	if o.ChangeID == "" {
-		o.ChangeID = string(identifier.NewChangeID())
-	}
-	return identifier.ChangeID(o.ChangeID)
-}
-
 // configSet is "config set".
 type configSet struct {
 	Base uint64 `long:"base" required:"yes" description:"revision that 'config get' showed with the document"`
-	changeOptions
+	reasonOption
+	idOption
+	fileArgument
+	c *commandContext
+}
+
+// fileArgument is the argument of commands that read a fleet document.
+type fileArgument struct {
 	Args struct {
-		File string `positional-arg-name:"FILE" description:"file with the new document; - for the standard input"`
+		File flags.Filename `positional-arg-name:"FILE" description:"file with the fleet document; - for the standard input"`
 	} `positional-args:"yes" required:"yes"`
-	c *commandContext
+}
+
+// read returns the contents of the file once it is free of faults.
+func (a *fileArgument) read(c *commandContext) ([]byte, error) {
+	document, err := c.readFile(string(a.Args.File))
+	if err != nil {
+		return nil, err
+	}
+	_, err = configurer.DecodeFleet(document)
+	return document, err
 }
 
 // Execute runs the command.
 func (cmd *configSet) Execute([]string) error {
-	document, err := cmd.c.readFile(cmd.Args.File)
+	document, err := cmd.read(cmd.c)
 	if err != nil {
 		return err
 	}
-	if _, err := configurer.DecodeFleet(document); err != nil {
-		return err
-	}
 	change := administrator.Change{ChangeID: cmd.id(), Base: identifier.Revision(cmd.Base), Reason: cmd.Reason, Document: document}
-	return cmd.c.change(http.MethodPut, "/config", change.ChangeID, change)
-}
-
-// change sends a change and prints its revision. Where there is no answer it
-// names the change id, which a resend needs.
-func (c *commandContext) change(method, path string, id identifier.ChangeID, body any) error {
-	var changed administrator.Changed
-	if err := c.client().call(method, path, body, &changed); err != nil {
-		return fmt.Errorf("change %s: %w", id, err)
-	}
-	return c.print(changed, func(w *tabwriter.Writer) {
-		row(w, "REVISION", "RESENT", "CHANGE ID")
-		row(w, changed.Revision, yesNo(changed.Resent), id)
-	})
+	return cmd.c.change(http.MethodPut, "/config", change.ChangeID, change.Base, change)
 }
 
 // readFile reads a file, or the standard input for "-".
@@ -111,6 +103,57 @@
 	return b, nil
 }
 
+// configCheck is "config check".
+type configCheck struct {
+	fileArgument
+	c *commandContext
+}
+
+// Execute runs the command.
+func (cmd *configCheck) Execute([]string) error {
+	_, err := cmd.read(cmd.c)
+	return err
+}
+
+// configDiff is "config diff".
+type configDiff struct {
+	fileArgument
+	c *commandContext
+}
+
+// Execute runs the command.
+func (cmd *configDiff) Execute([]string) error {
+	document, err := cmd.read(cmd.c)
+	if err != nil {
+		return err
+	}
+	var present administrator.Configuration
+	if err := cmd.c.client().call(http.MethodGet, "/config", nil, &present); err != nil {
+		return err
+	}
+	changes := configurer.Diff(present.Document, document)
+	return cmd.c.print(changes, func(w *tabwriter.Writer) { printChanges(w, changes) })
+}
+
+// printChanges writes one row for each changed field.
+func printChanges(w *tabwriter.Writer, changes []configurer.FieldChange) {
+	row(w, "FIELD", "BEFORE", "AFTER")
+	for _, change := range changes {
+		row(w, change.Path, orDash(change.Before), orDash(change.After))
+	}
+}
+
+// configHistory is "config history".
+type configHistory struct {
+	recordOptions
+	c *commandContext
+}
+
+// Execute runs the command.
+func (cmd *configHistory) Execute([]string) error {
+	return cmd.c.printRecords("/config/history", cmd.recordOptions)
+}
+
 // configStatus is "config status".
 type configStatus struct{ c *commandContext }
 
--- a/cmd/cyclamenctl/globals.go
+++ b/cmd/cyclamenctl/globals.go
@@ -52,6 +52,14 @@
 	return "no"
 }
 
+// orDash shows a text or JSON value, or a dash where there is none.
+func orDash[T ~string | ~[]byte](v T) string {
+	if len(v) == 0 {
+		return "-"
+	}
+	return string(v)
+}
+
 // row writes the cells of one table row.
 func row(w *tabwriter.Writer, cells ...any) {
 	for i, cell := range cells {
--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -65,6 +65,8 @@
 	mustAdd(p.AddGroup("Global options", "", &g))
 	c := &commandContext{globals: &g, std: std}
 	addConfigCommands(p, c)
+	addExceptionCommands(p, c)
+	addAuditCommands(p, c)
 	addKeyCommands(p, c)
 	return p
 }
