claimer: each idempotency key is granted at most once

Need: a non-idempotent request runs at most once, also when its entry host dies and the caller sends it again elsewhere. A claim is an entry of a majority log, made before the send; the receipt is another, made before the answer leaves. Intent before publication and durable receipts are from the paper "Salt result recovery with durable minion receipts".

Entries can be repeated and delayed, so each call of Claim has a token. Without it a late release of one claim would give back the next one, which may have sent. Time is the sum of steps that the leader measures on its monotonic clock: with the wall clock of each proposer, one host whose clock jumps would expire every claim and so allow second sends.

Ruled out: a heap by expiry.

--- /dev/null
+++ b/claimer/bench_test.go
@@ -0,0 +1,123 @@
+package claimer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// heldClaims are the sizes of the measured tables.
+var heldClaims = []int{1_000, 10_000, 100_000, 1_000_000}
+
+// nthClaim returns one of many claims, with ids of the usual size.
+func nthClaim(n int) Claim {
+	c := Claim{
+		Customer: identifier.Customer(fmt.Sprintf("customer-%d", n%8)), Key: identifier.IdempotencyKey(fmt.Sprintf("0192f3a1-7c2e-7f4a-%016x", n)),
+		Service: "studio-desk", Route: "POST /invoices", Request: identifier.RequestID(fmt.Sprintf("r-%032x", n)),
+		Horizon: 24 * time.Hour, RunFor: 30 * time.Second,
+	}
+	binary.BigEndian.PutUint64(c.Token[:], uint64(n)+1)
+	return c
+}
+
+// receiptOf returns a receipt with a body of that many bytes.
+func receiptOf(bytes int) Receipt {
+	return Receipt{Status: 201, Header: map[string][]string{"Content-Type": {"application/json"}}, Body: make([]byte, bytes), BodyBytes: int64(bytes)}
+}
+
+// tableOf returns a table that holds n claims, each settled with a body of that
+// many bytes, or none where it is negative.
+func tableOf(n, bytes int) *Table {
+	t := &Table{bounds: SetBounds{Claims: 8 * n, ReceiptBytes: 1 << 40}}
+	for i := range n {
+		c := nthClaim(i)
+		t.reduce(acquireOf(&c))
+		if bytes >= 0 {
+			t.reduce(settle{name: c.name(), token: c.Token, receipt: receiptOf(bytes)})
+		}
+	}
+	return t
+}
+
+// BenchmarkApply measures the two entries of one settled claim, decoding
+// included.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range heldClaims {
+		b.Run(fmt.Sprintf("held=%d", n), func(b *testing.B) {
+			t := tableOf(n, -1)
+			entries := make([][]byte, 0, 2*b.N)
+			for i := range b.N {
+				c := nthClaim(n + i)
+				for _, ev := range []Event{acquireOf(&c), settle{name: c.name(), token: c.Token, receipt: receiptOf(200)}} {
+					entry, err := EncodeEvent(ev)
+					if err != nil {
+						b.Fatal(err)
+					}
+					entries = append(entries, entry)
+				}
+			}
+			t.bounds.Claims = 8 * (n + b.N)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i, entry := range entries {
+				t.Apply(identifier.LogIndex(i+1), entry)
+			}
+			b.ReportMetric(float64(len(entries[0])+len(entries[1])), "logB/op")
+		})
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range heldClaims {
+		b.Run(fmt.Sprintf("held=%d", n), func(b *testing.B) {
+			t := tableOf(n, 200)
+			b.ResetTimer()
+			for range b.N {
+				b.ReportMetric(float64(len(t.Snapshot()))/float64(n), "B/claim")
+			}
+		})
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	for _, n := range heldClaims {
+		b.Run(fmt.Sprintf("held=%d", n), func(b *testing.B) {
+			snapshot := tableOf(n, 200).Snapshot()
+			b.ResetTimer()
+			for range b.N {
+				if err := new(Table).Restore(snapshot); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMemory measures the heap that a held claim takes, without a receipt
+// and with one of 200 bytes.
+func BenchmarkMemory(b *testing.B) {
+	for _, bytes := range []int{-1, 200} {
+		for _, n := range heldClaims[1:] {
+			b.Run(fmt.Sprintf("receipt=%d/held=%d", bytes, n), func(b *testing.B) {
+				for range b.N {
+					before := heapBytes()
+					t := tableOf(n, bytes)
+					b.ReportMetric(float64(heapBytes()-before)/float64(n), "B/claim")
+					runtime.KeepAlive(t)
+				}
+			})
+		}
+	}
+}
+
+// heapBytes returns the live heap.
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/claimer/table_test.go
@@ -0,0 +1,256 @@
+package claimer
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/identifier"
+)
+
+// testHorizon is the horizon of the claims of the tests.
+const testHorizon = 10 * time.Second
+
+// testClaim returns a claim of a key and body, under a token told apart by n.
+func testClaim(key, body, n int) Claim {
+	c := Claim{
+		Customer: "foodbank", Key: identifier.IdempotencyKey(fmt.Sprintf("k-%d", key)),
+		Service: "dossierbeheer", Route: "POST /filings",
+		Request: identifier.RequestID(fmt.Sprintf("r-%d", n)), Horizon: testHorizon, RunFor: time.Second,
+	}
+	c.Digest[0], c.Token[0] = byte(body), byte(n+1)
+	return c
+}
+
+// testReceipt returns a receipt told apart by n.
+func testReceipt(n int) Receipt {
+	body := fmt.Sprintf("filing %d", n)
+	return Receipt{
+		Status: http.StatusCreated, Header: http.Header{"Location": {fmt.Sprintf("/filings/%d", n)}},
+		Body: []byte(body), BodyBytes: int64(len(body)),
+	}
+}
+
+// send applies ev as the log does and returns the answer.
+func send(t interface{ Fatal(...any) }, table *Table, ev Event) answer {
+	entry, err := EncodeEvent(ev)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := decodeAnswer(table.Apply(1, entry))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// restarted returns the table that the snapshot of table holds.
+func restarted(t interface{ Fatal(...any) }, table *Table) *Table {
+	var r Table
+	if err := r.Restore(table.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(table.Snapshot(), r.Snapshot()) || table.Len() != r.Len() || table.ReceiptBytes() != r.ReceiptBytes() {
+		t.Fatal("a restored table differs")
+	}
+	return &r
+}
+
+// grant is what the model of a key knows: who may send, since when, and what
+// was settled.
+type grant struct {
+	token   Token
+	body    int
+	at      time.Duration
+	receipt *Receipt
+}
+
+// TestKeysAreGrantedAtMostOnce sends claims, receipts, releases and steps of
+// the clock in any order, each any number of times, through restarts.
+func TestKeysAreGrantedAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := &Table{}
+		granted := map[identifier.IdempotencyKey]*grant{}
+		var now time.Duration
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			n := rapid.IntRange(0, 7).Draw(t, "token")
+			// The token decides key and body, as a repeated entry would.
+			key, body := n%2, (n/2)%2
+			c := testClaim(key, body, n)
+			held := granted[c.Key]
+			if held != nil && held.at+testHorizon < now {
+				delete(granted, c.Key)
+				held = nil
+			}
+			switch rapid.SampledFrom([]string{"claim", "claim", "settle", "release", "abandon", "advance", "restart"}).Draw(t, "op") {
+			case "claim":
+				checkClaim(t, send(t, table, acquireOf(&c)), held, c, body)
+				if held == nil {
+					granted[c.Key] = &grant{token: c.Token, body: body, at: now}
+				}
+			case "settle":
+				r := testReceipt(n)
+				if send(t, table, settle{name: c.name(), token: c.Token, receipt: r}) != (noted{}) {
+					continue
+				}
+				if held == nil || held.token != c.Token {
+					t.Fatalf("token %d settled what it does not hold", n)
+				}
+				if held.receipt == nil {
+					held.receipt = &r
+				}
+			case "release":
+				if send(t, table, release{name: c.name(), token: c.Token}) == (noted{}) {
+					if held == nil || held.token != c.Token || held.receipt != nil {
+						t.Fatalf("token %d released what it does not hold", n)
+					}
+					delete(granted, c.Key)
+				}
+			case "abandon":
+				send(t, table, abandon{name: c.name(), token: c.Token})
+			case "advance":
+				step := time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second
+				send(t, table, Advance{Elapsed: step})
+				now += step
+			case "restart":
+				table = restarted(t, table)
+			}
+		}
+	})
+}
+
+// checkClaim compares an answer with what the model allows.
+func checkClaim(t *rapid.T, got answer, held *grant, c Claim, body int) {
+	switch {
+	case held == nil:
+		if got != (Granted{}) {
+			t.Fatalf("a free key got %T", got)
+		}
+	case held.body != body:
+		if got != (Reused{}) {
+			t.Fatalf("another action under the key got %T", got)
+		}
+	case held.receipt != nil:
+		if diff := cmp.Diff(answer(Settled{Receipt: *held.receipt}), got); diff != "" {
+			t.Fatalf("a settled key (-want +got):\n%s", diff)
+		}
+	case held.token != c.Token:
+		if got == (Granted{}) {
+			t.Fatalf("the key was granted to %x and to %x", held.token[0], c.Token[0])
+		}
+	}
+}
+
+func TestLaterClaimsHearWhatIsKnown(t *testing.T) {
+	first, second, other := testClaim(1, 1, 1), testClaim(1, 1, 2), testClaim(1, 2, 3)
+	var table Table
+	if got := send(t, &table, acquireOf(&first)); got != (Granted{}) {
+		t.Fatalf("first claim: %#v", got)
+	}
+	for _, tt := range []struct {
+		name  string
+		event Event
+		claim Claim
+		want  answer
+	}{
+		{"while it runs", Advance{}, second, InProgress{Request: "r-1"}},
+		{"another action", Advance{}, other, Reused{}},
+		{"its answer lost on the way", Advance{}, first, Granted{}},
+		{"after it should have ended", Advance{Elapsed: 2 * time.Second}, second, Lost{}},
+		{"after a late receipt", settle{name: first.name(), token: first.Token, receipt: testReceipt(1)}, second, Settled{Receipt: testReceipt(1)}},
+		{"after another receipt", settle{name: first.name(), token: first.Token, receipt: testReceipt(2)}, second, Settled{Receipt: testReceipt(1)}},
+		{"at the horizon", Advance{Elapsed: 8 * time.Second}, second, Settled{Receipt: testReceipt(1)}},
+		{"after the horizon", Advance{Elapsed: time.Nanosecond}, second, Granted{}},
+		{"released by the first claim", release{name: first.name(), token: first.Token}, first, InProgress{Request: "r-2"}},
+		{"abandoned", abandon{name: second.name(), token: second.Token}, first, Lost{}},
+		{"released after it was abandoned", release{name: second.name(), token: second.Token}, first, Lost{}},
+	} {
+		send(t, &table, tt.event)
+		if diff := cmp.Diff(tt.want, send(t, &table, acquireOf(&tt.claim))); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", tt.name, diff)
+		}
+	}
+}
+
+func TestTableIsBounded(t *testing.T) {
+	var table Table
+	send(t, &table, SetBounds{Claims: 8, ReceiptBytes: 40})
+	claim := func(customer identifier.Customer, n int) answer {
+		c := testClaim(n, 0, n)
+		c.Customer = customer
+		return send(t, &table, acquireOf(&c))
+	}
+	for n, want := range []answer{Granted{}, Granted{}, full{}} {
+		if got := claim("large", n); got != want {
+			t.Errorf("claim %d of one customer: %T, want %T", n, got, want)
+		}
+	}
+	for n, want := range []answer{Granted{}, Granted{}, Granted{}, Granted{}, Granted{}, Granted{}, full{}} {
+		if got := claim(identifier.Customer(fmt.Sprintf("small-%d", n)), n); got != want {
+			t.Errorf("claim of customer %d: %T, want %T", n, got, want)
+		}
+	}
+	send(t, &table, Advance{Elapsed: testHorizon + 1})
+	if got := claim("large", 2); got != (Granted{}) {
+		t.Errorf("claim once the others have expired: %T", got)
+	}
+	if len(table.customers) != 1 || table.Len() != 1 || len(table.order) != 1 {
+		t.Errorf("%d customers, %d claims and %d records are left, want one each", len(table.customers), table.Len(), len(table.order))
+	}
+}
+
+func TestReceiptsAreBounded(t *testing.T) {
+	var table Table
+	send(t, &table, SetBounds{ReceiptBytes: 100})
+	for n, tt := range []struct {
+		body int
+		want bool
+	}{{60, true}, {60, false}, {10, true}} {
+		c := testClaim(n, 0, n)
+		send(t, &table, acquireOf(&c))
+		receipt := Receipt{Status: 200, Header: http.Header{"Set-Cookie": {"secret"}}, Body: make([]byte, tt.body)}
+		send(t, &table, settle{name: c.name(), token: c.Token, receipt: receipt})
+		c.Token = NewToken()
+		got, _ := send(t, &table, acquireOf(&c)).(Settled)
+		if got.Receipt.IsWhole() != tt.want || got.Receipt.BodyBytes != int64(tt.body) || len(got.Receipt.Header) != 0 {
+			t.Errorf("receipt %d is whole: %v, want %v; it says %d bytes and keeps %v", n, got.Receipt.IsWhole(), tt.want, got.Receipt.BodyBytes, got.Receipt.Header)
+		}
+	}
+	large := Receipt{Body: make([]byte, MaxReceiptBody+1)}.bounded()
+	if large.IsWhole() || large.BodyBytes != MaxReceiptBody+1 {
+		t.Errorf("a body of %d bytes is kept as %d bytes", MaxReceiptBody+1, len(large.Body))
+	}
+}
+
+func TestReleasedRecordsAreSwept(t *testing.T) {
+	var table Table
+	for range 10 * minSweep {
+		c := testClaim(1, 0, 1)
+		table.reduce(acquireOf(&c))
+		table.reduce(release{name: c.name(), token: c.Token})
+	}
+	if n := len(table.order); n > 2*minSweep {
+		t.Errorf("%d records are kept for no claim, want at most %d", n, 2*minSweep)
+	}
+}
+
+func TestImpossibleClaimsAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*Claim){
+		"no token":                   func(c *Claim) { c.Token = Token{} },
+		"no horizon":                 func(c *Claim) { c.Horizon = 0 },
+		"runs longer than it's held": func(c *Claim) { c.RunFor = c.Horizon },
+		"no customer":                func(c *Claim) { c.Customer = "" },
+	} {
+		c := testClaim(1, 1, 1)
+		change(&c)
+		var table Table
+		if got, ok := send(t, &table, acquireOf(&c)).(malformed); !ok || got.problem == "" {
+			t.Errorf("%s: %#v, want a refusal", name, got)
+		}
+	}
+}
