dispatcher: freeze, hand over, adopt and relay a request

A leaving host has to pass an accepted request on with its progress, and a leaving backend server its streams. A task parks between two attempts, exports what another host needs under the next owner epoch, and either goes on here or relays what the new owner does to its caller. Reconnecting callers, the relay and other hosts all read a request through the same Remote, one bounded update at a time. Non-idempotent requests stay with their owner.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -44,12 +44,31 @@
 	a := &attempt{t: t, server: t.server, id: t.d.newAttemptID(t.r.ID)}
 	a.ctx, a.cancel = context.WithCancelCause(t.ctx)
 	defer a.cancel(nil)
+	t.enter(a)
 	r := a.perform(exec)
+	t.enter(nil)
+	if _, ok := r.(whole); !ok && errors.Is(context.Cause(a.ctx), errMoving) {
+		r = moved{}
+	}
 	t.d.opt.Chooser.Finished(a.server.Name, a.outcome(r))
 	a.count(r)
 	return r
 }
 
+// enter notes the attempt that is at work; nil means none.
+func (t *task) enter(a *attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a == nil {
+		t.at, t.stopAttempt = "", nil
+		return
+	}
+	t.at, t.stopAttempt = a.server.Name, a.cancel
+	if t.parking {
+		a.cancel(errMoving)
+	}
+}
+
 // newAttemptID returns an id that no other attempt of any process has.
 func (d *Dispatcher) newAttemptID(r identifier.RequestID) identifier.AttemptID {
 	b := append(make([]byte, 0, len(r)+12), r...)
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -122,15 +122,20 @@
 
 // deliver sends a whole answer to the caller.
 func (t *task) deliver(a *Answer) {
-	if len(a.Body) <= maxKeptBytes {
+	if t.adopted || len(a.Body) <= maxKeptBytes {
 		t.kept = a
 	}
+	t.begin(a.wholeHead())
+	t.write(a.Body)
+}
+
+// wholeHead returns the head with the body's length.
+func (a *Answer) wholeHead() Head {
 	h := Head{Status: a.Status, Header: a.Header.Clone()}
 	if len(a.Body) > 0 {
 		h.Header.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
-	t.begin(h)
-	t.write(a.Body)
+	return h
 }
 
 // readWhole reads a body that tells its own end.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -108,10 +108,14 @@
 	if refusal != nil {
 		return refusal
 	}
-	t := d.start(ctx, r, record, sink)
+	return d.finish(d.start(ctx, r, record, sink))
+}
+
+// finish runs a request that was started.
+func (d *Dispatcher) finish(t *task) *refuser.Refusal {
 	defer d.end(t)
-	refusal = t.answer()
-	record.settle(t.kept, refusal)
+	refusal := t.answer()
+	t.record.settle(t.kept, refusal)
 	return refusal
 }
 
@@ -120,6 +124,7 @@
 	t := &task{
 		d: d, r: r, record: record, sink: sink,
 		ledger: ledger{nonIdempotent: r.nonIdempotent()}, budget: d.budget(r.Service.Name),
+		parked: make(chan *Handover, 1), verdict: make(chan Remote, 1), over: make(chan struct{}),
 	}
 	t.ctx, t.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	t.ctx, t.stopDeadline = context.WithDeadline(t.ctx, r.Deadline)
@@ -132,6 +137,7 @@
 
 // end forgets a running request.
 func (d *Dispatcher) end(t *task) {
+	close(t.over)
 	t.stopDetach()
 	t.stopDeadline()
 	t.cancel(nil)
@@ -172,17 +178,3 @@
 	defer c.mu.Unlock()
 	return c.answer, c.answer != nil
 }
-
-// Follow sends the events of a customer's stream after event n to sink until
-// the stream ends. It returns the refusal that ended the stream, if any, and
-// an error where the caller went away.
-func (d *Dispatcher) Follow(ctx context.Context, customer identifier.Customer, id identifier.RequestID, n int, sink Sink) (*refuser.Refusal, error) {
-	c, ok := d.records.find(customer, id)
-	if !ok || !c.stream {
-		return refuser.MayHaveRun(refuser.NotFound, "no stream with that request id is known here", "send the request anew"), nil
-	}
-	if err := sink.Begin(streamHead()); err != nil {
-		return nil, err
-	}
-	return c.follow(ctx, n, sink)
-}
--- a/dispatcher/generation.go
+++ b/dispatcher/generation.go
@@ -177,9 +177,7 @@
 		return nil
 	}
 	t.begin(streamHead())
-	t.line = appendEventHead(t.line[:0], n)
-	t.line = append(t.line, payload...)
-	t.line = append(t.line, eventEnd...)
+	t.line = appendEvent(t.line[:0], n, payload)
 	t.write(t.line)
 	return nil
 }
--- a/dispatcher/ledger.go
+++ b/dispatcher/ledger.go
@@ -13,7 +13,7 @@
 var errSent = errors.New("the request was sent before and may run at most once")
 
 // result is what became of one attempt. It is one of unsent, silent, lost,
-// cutOff, answered and whole.
+// cutOff, moved, answered and whole.
 type result interface{ isResult() }
 
 // unsent is an attempt of which no byte left.
@@ -32,6 +32,9 @@
 // cutOff is an attempt that the caller got a part of which cannot be continued.
 type cutOff struct{ err error }
 
+// moved is an attempt that was broken off to go on elsewhere.
+type moved struct{}
+
 // answered is a whole answer that tells of a failure of the server.
 type answered struct{ status int }
 
@@ -42,6 +45,7 @@
 func (silent) isResult()   {}
 func (lost) isResult()     {}
 func (cutOff) isResult()   {}
+func (moved) isResult()    {}
 func (answered) isResult() {}
 func (whole) isResult()    {}
 
@@ -95,6 +99,9 @@
 
 // next decides what follows from the result of the latest attempt.
 func (l *ledger) next(r result) step {
+	if _, ok := r.(moved); ok && !l.nonIdempotent {
+		return tryOther{}
+	}
 	l.attempts++
 	if _, ok := r.(whole); ok {
 		return deliver{}
--- a/dispatcher/progress.go
+++ b/dispatcher/progress.go
@@ -70,6 +70,43 @@
 	return append(b, p.tail...)
 }
 
+// restore appends an event that was taken in on another host.
+func (p *progress) restore(payload []byte) {
+	var c chunk
+	// A payload that is no chunk was refused where it came from.
+	_ = json.Unmarshal(payload, &c)
+	if p.id == "" {
+		p.id = c.ID
+	}
+	if f := c.finish(); f != nil {
+		p.finish = bytes.Clone(f)
+	}
+	if !isNull(c.Usage) {
+		p.usage = bytes.Clone(c.Usage)
+	}
+	text, plain := c.text()
+	p.opaque = p.opaque || !plain
+	head, fragment, tail, ok := cutText(payload)
+	if ok && p.finish == nil && len(p.head) == 0 {
+		p.head, p.tail = bytes.Clone(head), bytes.Clone(tail)
+	}
+	switch {
+	case ok && bytes.Equal(head, p.head) && bytes.Equal(tail, p.tail):
+		p.add(fragment)
+	case ok:
+		p.addSpecial(fragment, payload)
+	default:
+		p.addSpecial(quotedText(text), payload)
+	}
+}
+
+// quotedText returns the inside of the JSON string of text.
+func quotedText(text string) []byte {
+	// A string always has a JSON form.
+	quoted, _ := json.Marshal(text)
+	return quoted[1 : len(quoted)-1]
+}
+
 // textMarks stand before the text of an ordinary event. They hold unescaped
 // quotes, so that they cannot occur within a text.
 var textMarks = [...][]byte{
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -1,10 +1,10 @@
 package dispatcher
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
@@ -19,6 +19,8 @@
 	Done    State = "done"
 	Failed  State = "failed"
 	Unknown State = "unknown"
+	// Moved tells that another host owns the request.
+	Moved State = "moved"
 )
 
 // Status is what a caller may ask about a request.
@@ -29,6 +31,8 @@
 	Events int `json:"events,omitempty"`
 	// Status is the HTTP status of the answer.
 	Status int `json:"status,omitempty"`
+	// Epoch counts the changes of owner.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Refusal tells why there is no answer.
 	Refusal *refuser.Refusal `json:"refusal,omitempty"`
 }
@@ -45,13 +49,18 @@
 	customer identifier.Customer
 	stream   bool
 
-	mu        sync.Mutex
-	state     State
-	progress  progress
-	answer    *Answer
-	refusal   *refuser.Refusal
-	followers int
-	changed   chan struct{}
+	mu       sync.Mutex
+	state    State
+	progress progress
+	answer   *Answer
+	refusal  *refuser.Refusal
+	changed  chan struct{}
+	// epoch rises with every change of owner; the highest owner is the owner.
+	epoch uint64
+	// owner is the host that took the request over, in state Moved.
+	owner identifier.Host
+	// seen is when a follower last asked for progress.
+	seen time.Time
 }
 
 func newRecord(r *Request) *Record {
@@ -63,7 +72,7 @@
 func (c *Record) Status() Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := Status{Request: c.id, State: c.state, Events: c.progress.count(), Refusal: c.refusal}
+	s := Status{Request: c.id, State: c.state, Events: c.progress.count(), Epoch: c.epoch, Refusal: c.refusal}
 	if c.answer != nil {
 		s.Status = c.answer.Status
 	} else if c.stream && c.state == Done {
@@ -119,47 +128,6 @@
 	return n
 }
 
-// follow sends the stream's events after the first n to sink, and waits for
-// further ones until the stream ends. It returns the refusal that ended it.
-func (c *Record) follow(ctx context.Context, n int, sink Sink) (*refuser.Refusal, error) {
-	c.mu.Lock()
-	c.followers++
-	c.mu.Unlock()
-	defer c.unfollow()
-	var buf []byte
-	for {
-		c.mu.Lock()
-		buf = buf[:0]
-		for ; n < c.progress.count(); n++ {
-			buf = appendEventHead(buf, n+1)
-			buf = c.progress.appendPayload(buf, n)
-			buf = append(buf, eventEnd...)
-		}
-		state, refusal, changed := c.state, c.refusal, c.wait()
-		c.mu.Unlock()
-		if state == Done {
-			buf = append(buf, doneEvent...)
-		}
-		if err := sendAll(sink, buf); err != nil {
-			return nil, err
-		}
-		if state != Running {
-			return refusal, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-func (c *Record) unfollow() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.followers--
-}
-
 const (
 	eventEnd  = "\n\n"
 	doneEvent = "data: [DONE]\n\n"
--- a/dispatcher/registry.go
+++ b/dispatcher/registry.go
@@ -45,6 +45,19 @@
 	return c, nil
 }
 
+// adopt adds a request of another host, unless a higher epoch is known.
+func (g *registry) adopt(h *Handover) (*Record, *refuser.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if old, ok := g.records[h.Request.ID]; ok && !old.yields(h.Epoch) {
+		return nil, refuser.NotRun(refuser.Conflict, "this host owns the request already", "let go of it, or hand it over under a higher epoch")
+	}
+	c := newRecord(&h.Request)
+	c.epoch, c.progress = h.Epoch, newProgress(h.Progress)
+	g.records[h.Request.ID] = c
+	return c, nil
+}
+
 // find returns a request of that customer.
 func (g *registry) find(customer identifier.Customer, id identifier.RequestID) (*Record, bool) {
 	g.mu.Lock()
@@ -80,5 +93,7 @@
 	g.finished[0] = finishedRecord{}
 	g.finished = g.finished[1:]
 	g.bytes -= oldest.size
-	delete(g.records, oldest.record.id)
+	if g.records[oldest.record.id] == oldest.record {
+		delete(g.records, oldest.record.id)
+	}
 }
--- /dev/null
+++ b/dispatcher/remote.go
@@ -0,0 +1,152 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/refuser"
+)
+
+const (
+	// maxUpdateEvents and maxUpdateBytes bound one Update.
+	maxUpdateEvents = 1024
+	maxUpdateBytes  = 1 << 20
+)
+
+// Update is what became of a request after some event.
+type Update struct {
+	// Payloads are the events of a stream that follow.
+	Payloads [][]byte
+	State    State
+	// Owner is the host that took the request over, in state Moved.
+	Owner identifier.Host
+	// Answer is the whole answer of a finished request that is no stream.
+	Answer *Answer
+	// Refusal tells why a finished request has no answer.
+	Refusal *refuser.Refusal
+}
+
+// Remote is a request at its owner, here or on another host.
+type Remote interface {
+	// Next returns what follows event n, and waits until there is something.
+	Next(ctx context.Context, n int) (Update, error)
+}
+
+// local is a Remote for a request of this host.
+type local struct {
+	record *Record
+	now    func() time.Time
+}
+
+// Next returns what follows event n.
+func (l local) Next(ctx context.Context, n int) (Update, error) {
+	for {
+		u, changed := l.record.update(n, l.now())
+		if u.State != Running || len(u.Payloads) > 0 {
+			return u, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return u, ctx.Err()
+		}
+	}
+}
+
+// update returns what follows event n, and a channel that is closed at the next
+// change.
+func (c *Record) update(n int, now time.Time) (Update, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen = now
+	u := Update{State: c.state, Owner: c.owner, Answer: c.answer, Refusal: c.refusal}
+	size := 0
+	for ; n < c.progress.count() && len(u.Payloads) < maxUpdateEvents && size < maxUpdateBytes; n++ {
+		b := c.progress.appendPayload(nil, n)
+		size += len(b)
+		u.Payloads = append(u.Payloads, b)
+	}
+	if n < c.progress.count() {
+		// The end is told once the rest was fetched.
+		u.State = Running
+	}
+	return u, c.wait()
+}
+
+// Find returns a customer's request as a Remote, and its status.
+func (d *Dispatcher) Find(customer identifier.Customer, id identifier.RequestID) (Remote, Status, bool) {
+	c, ok := d.records.find(customer, id)
+	if !ok {
+		return nil, Status{}, false
+	}
+	return local{record: c, now: d.opt.Clock.Now}, c.Status(), true
+}
+
+// Follow sends the events of a stream after event n to sink until the stream
+// ends. It returns the refusal that ended it, if any, and an error where the
+// caller or the owner went away.
+func Follow(ctx context.Context, r Remote, n int, sink Sink) (*refuser.Refusal, error) {
+	if err := sink.Begin(streamHead()); err != nil {
+		return nil, err
+	}
+	var buf []byte
+	for {
+		u, err := r.Next(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		buf = buf[:0]
+		for _, p := range u.Payloads {
+			n++
+			buf = appendEvent(buf, n, p)
+		}
+		if u.State == Done {
+			buf = append(buf, doneEvent...)
+		}
+		if err := sendAll(sink, buf); err != nil {
+			return nil, err
+		}
+		if u.State != Running {
+			return u.Refusal, nil
+		}
+	}
+}
+
+// errNoAnswer reports a request without a whole answer to send.
+var errNoAnswer = errors.New("the request has no whole answer: follow its stream, or look for its outcome")
+
+// SendAnswer sends the whole answer of a request to sink, once it is there.
+func SendAnswer(ctx context.Context, r Remote, sink Sink) (*refuser.Refusal, error) {
+	for n := 0; ; {
+		u, err := r.Next(ctx, n)
+		switch {
+		case err != nil:
+			return nil, err
+		case u.State == Running:
+			n += len(u.Payloads)
+		case u.Refusal != nil:
+			return u.Refusal, nil
+		case u.Answer == nil:
+			return nil, errNoAnswer
+		default:
+			return nil, send(sink, u.Answer)
+		}
+	}
+}
+
+// send sends a whole answer.
+func send(sink Sink, a *Answer) error {
+	if err := sink.Begin(a.wholeHead()); err != nil {
+		return err
+	}
+	return sink.Write(a.Body)
+}
+
+// appendEvent appends event n, counted from 1.
+func appendEvent(b []byte, n int, payload []byte) []byte {
+	b = appendEventHead(b, n)
+	b = append(b, payload...)
+	return append(b, eventEnd...)
+}
--- a/dispatcher/scanner.go
+++ b/dispatcher/scanner.go
@@ -78,7 +78,7 @@
 	if finish != nil {
 		s.p.finish = bytes.Clone(finish)
 	}
-	return s.take(data, text)
+	return s.take(data, text), nil
 }
 
 // checkID refuses an event of another answer.
@@ -99,7 +99,7 @@
 }
 
 // take appends the event and learns the form of ordinary ones.
-func (s *scanner) take(data []byte, text string) ([]byte, error) {
+func (s *scanner) take(data []byte, text string) []byte {
 	head, fragment, tail, ok := cutText(data)
 	if ok && s.p.finish == nil && len(s.p.head) == 0 {
 		s.p.head, s.p.tail = bytes.Clone(head), bytes.Clone(tail)
@@ -107,18 +107,14 @@
 	if ok && bytes.Equal(tail, s.p.tail) {
 		s.head = bytes.Clone(head)
 		s.same = bytes.Equal(s.head, s.p.head)
-		return s.ordinary(data, fragment), nil
+		return s.ordinary(data, fragment)
 	}
 	if !ok {
-		quoted, err := json.Marshal(text)
-		if err != nil {
-			return nil, fmt.Errorf("event text: %w", err)
-		}
-		fragment = quoted[1 : len(quoted)-1]
+		fragment = quotedText(text)
 	}
 	payload := s.withID(data)
 	s.p.addSpecial(fragment, payload)
-	return payload, nil
+	return payload
 }
 
 // withID puts the id that the caller knows into an event of a later attempt.
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,20 @@
 	detached atomic.Bool
 	begun    bool
 
+	// mu guards the fields that Move and Freeze share with the running
+	// goroutine.
+	mu          sync.Mutex
+	stopAttempt context.CancelCauseFunc
+	stopPause   context.CancelFunc
+	at          identifier.BackendServer
+	parking     bool
+	handed      bool
+	parked      chan *Handover
+	verdict     chan Remote
+	over        chan struct{}
+	// adopted tells that another host accepted the request.
+	adopted bool
+
 	reuse    connector.Reuse
 	server   configurer.BackendServer
 	version  identifier.Version
@@ -83,9 +98,9 @@
 // abandon ends the request unless a caller follows it.
 func (t *task) abandon() {
 	t.record.mu.Lock()
-	followed := t.record.followers > 0
+	idle := t.d.opt.Clock.Now().Sub(t.record.seen)
 	t.record.mu.Unlock()
-	if followed {
+	if t.ctx.Err() == nil && idle < t.d.opt.ReconnectGrace {
 		time.AfterFunc(t.d.opt.ReconnectGrace, t.abandon)
 		return
 	}
@@ -100,13 +115,28 @@
 	}
 	same := false
 	for {
+		if t.parkAsked() {
+			if r := t.park(); r != nil {
+				if refusal, done := t.relay(r); done {
+					return refusal
+				}
+			}
+			same = false
+			continue
+		}
 		if !same {
 			if refusal := t.choose(); refusal != nil {
 				return refusal
 			}
+			if t.server.Name == "" {
+				continue
+			}
 		}
 		r := t.attempt(exec)
 		s := t.ledger.next(r)
+		if _, ok := r.(moved); ok && t.parkAsked() {
+			continue
+		}
 		if _, done := s.(deliver); !done && t.ctx.Err() != nil {
 			return t.ended()
 		}
@@ -162,8 +192,10 @@
 }
 
 // choose picks the server of the next attempt. Where all were tried it waits a
-// little and starts over.
+// little and starts over. It leaves the server unset where the request is to be
+// frozen.
 func (t *task) choose() *refuser.Refusal {
+	t.server = configurer.BackendServer{}
 	for {
 		table := t.d.opt.Tables.Load()
 		b, ok := t.d.opt.Chooser.Choose(Query{
@@ -181,6 +213,9 @@
 		if !t.pause() {
 			return t.ended()
 		}
+		if t.parkAsked() {
+			return nil
+		}
 	}
 }
 
@@ -188,14 +223,16 @@
 func (t *task) pause() bool {
 	d := min(firstPause<<min(t.pauses, 10), maxPause)
 	t.pauses++
-	w := time.NewTimer(d)
-	defer w.Stop()
-	select {
-	case <-w.C:
-		return true
-	case <-t.ctx.Done():
-		return false
+	ctx, stop := context.WithTimeout(t.ctx, d)
+	defer stop()
+	t.mu.Lock()
+	t.stopPause = stop
+	if t.parking {
+		stop()
 	}
+	t.mu.Unlock()
+	<-ctx.Done()
+	return t.ctx.Err() == nil
 }
 
 // begin sends the head to the caller, once.
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"errors"
 	"net/http"
 	"strings"
 
@@ -200,7 +199,7 @@
 		s.follow(w, r, c, id, n)
 		return
 	}
-	status, ok := s.opt.Dispatcher.Lookup(c.Name, id)
+	_, status, ok := s.find(r, c, id)
 	if !ok {
 		s.refuse(w, notKnown())
 		return
@@ -212,28 +211,50 @@
 	return refuser.MayHaveRun(refuser.NotFound, "no request with that id is known", "check the id; finished requests are forgotten after a while")
 }
 
-// storedAnswer sends the answer of a finished request once more.
+// storedAnswer sends the whole answer of a request, once more or once it is
+// there.
 func (s *Server) storedAnswer(w http.ResponseWriter, r *http.Request, c *configurer.Customer) {
-	a, ok := s.opt.Dispatcher.Stored(c.Name, identifier.RequestID(chi.URLParam(r, "id")))
+	remote, _, ok := s.find(r, c, identifier.RequestID(chi.URLParam(r, "id")))
 	if !ok {
 		s.refuse(w, notKnown())
 		return
 	}
-	out := &sink{w: w, clock: s.opt.Clock}
-	if out.Begin(a.Head) == nil {
-		_ = out.Write(a.Body)
+	refusal, err := dispatcher.SendAnswer(r.Context(), remote, &sink{w: w, clock: s.opt.Clock})
+	switch {
+	case refusal != nil:
+		s.refuse(w, refusal)
+	case err != nil:
+		s.refuse(w, notKnown())
+	}
+}
+
+// find returns a customer's request, wherever in the fleet it is.
+func (s *Server) find(r *http.Request, c *configurer.Customer, id identifier.RequestID) (dispatcher.Remote, dispatcher.Status, bool) {
+	remote, status, ok := s.opt.Dispatcher.Find(c.Name, id)
+	if ok && status.State != dispatcher.Moved {
+		return remote, status, true
 	}
+	if s.opt.Finder == nil {
+		return remote, status, ok
+	}
+	return s.opt.Finder.Find(r.Context(), c.Name, id)
 }
 
 // follow picks a stream up again after event n.
 func (s *Server) follow(w http.ResponseWriter, r *http.Request, c *configurer.Customer, id identifier.RequestID, n int) {
 	w.Header().Set(RequestHeader, string(id))
-	out := &sink{w: w, clock: s.opt.Clock}
-	refusal, err := s.opt.Dispatcher.Follow(r.Context(), c.Name, id, n, out)
-	if err != nil && !errors.Is(err, r.Context().Err()) {
+	remote, _, ok := s.find(r, c, id)
+	if !ok {
+		s.refuse(w, notKnown())
 		return
 	}
-	if refusal != nil {
+	out := &sink{w: w, clock: s.opt.Clock}
+	refusal, err := dispatcher.Follow(r.Context(), remote, n, out)
+	switch {
+	case refusal != nil:
 		s.finish(out, refusal)
+	case err != nil:
+		// The caller sees a stream without its terminal marker and comes again.
+		panic(http.ErrAbortHandler)
 	}
 }
--- a/server/server.go
+++ b/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"cyclamenhub.org/dispatcher"
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/timer"
 )
@@ -47,11 +48,19 @@
 	// Metrics receives the counters and is shown under /metrics; nil means a
 	// set of its own.
 	Metrics *metrics.Set
+	// Finder finds requests that other hosts own; nil means none are.
+	Finder Finder
 	// ReadinessLag is how long new requests are still taken after readiness
 	// went; 0 means 2 s and a negative one none.
 	ReadinessLag time.Duration
 }
 
+// Finder finds requests that other hosts own.
+type Finder interface {
+	// Find returns a customer's request at its owner.
+	Find(ctx context.Context, customer identifier.Customer, id identifier.RequestID) (dispatcher.Remote, dispatcher.Status, bool)
+}
+
 // Server is the interface that callers use. It is an http.Handler and safe for
 // concurrent use.
 type Server struct {
