drainer: reclaims and stops of backend servers and entry hosts

A pure Plan decides what moves when; a Drainer performs it over the messenger. Streams leave a reclaimed backend server spread over the notice, those with most to lose first; a reclaimed host gives up readiness, lets a third of the notice pass for what finishes, and hands the rest to peers, its own failure domain first. Every change of owner raises the request's epoch, so that a lost acknowledgement leaves one owner, the highest. A non-idempotent request stays and is told to a peer as unknown when the time runs out. While it lives, the old host relays the new owner's events, and takes the request back where that one dies.

Two-phase confirmation was ruled out: a sender killed between the phases leaves a request that nobody runs until a timeout, while for idempotent requests a second run costs only its tokens and is abandoned without followers.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -73,6 +73,8 @@
 	counters counters
 	records  *registry
 	sequence atomic.Uint64
+	// adopted counts the running requests that other hosts accepted.
+	adopted atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[identifier.Service]*budget
@@ -91,6 +93,9 @@
 	return d
 }
 
+// Table returns the present table.
+func (d *Dispatcher) Table() *Table { return d.opt.Tables.Load() }
+
 // Running returns the number of accepted requests without a final answer.
 func (d *Dispatcher) Running() int {
 	d.mu.Lock()
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -158,6 +158,18 @@
 	}
 }
 
+// Describe returns a running request as it is, for a host that is told of its
+// outcome.
+func (d *Dispatcher) Describe(id identifier.RequestID) (*Handover, bool) {
+	t := d.task(id)
+	if t == nil {
+		return nil, false
+	}
+	t.record.mu.Lock()
+	defer t.record.mu.Unlock()
+	return &Handover{Request: *t.r, Epoch: t.record.epoch + 1}, true
+}
+
 // Thaw lets a frozen request go on here.
 func (d *Dispatcher) Thaw(id identifier.RequestID) {
 	if t := d.task(id); t != nil {
@@ -304,6 +316,9 @@
 	if r.nonIdempotent() && h.Final == nil {
 		return refuser.NotRun(refuser.Forbidden, "a non-idempotent request stays with its owner", "hand over its outcome")
 	}
+	if int(d.adopted.Load()) >= d.Table().Limits().QueuedRequests {
+		return refuser.NotRun(refuser.Overloaded, "this host has taken as many requests over as it may hold", "hand the request to another host")
+	}
 	record, refusal := d.records.adopt(h)
 	if refusal != nil {
 		return refusal
@@ -319,6 +334,11 @@
 	t.adopted = true
 	t.detached.Store(true)
 	time.AfterFunc(adoptGrace, t.abandon)
-	go func() { _ = d.finish(t) }()
+	d.adopted.Add(1)
+	go func() {
+		defer d.adopted.Add(-1)
+		// The outcome stays with the record.
+		_ = d.finish(t)
+	}()
 	return nil
 }
--- /dev/null
+++ b/drainer/handover.go
@@ -0,0 +1,78 @@
+package drainer
+
+import (
+	"context"
+	"errors"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/dispatcher"
+	"cyclamenhub.org/drainer/wire"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/refuser"
+)
+
+// handOver hands one request to the first peer that takes it.
+func (d *Drainer) handOver(ctx context.Context, id identifier.RequestID) {
+	h, ok := d.opt.Dispatcher.Freeze(ctx, id)
+	if !ok {
+		d.put(HandoverEnded{Request: id})
+		return
+	}
+	host, ok := d.offer(ctx, h)
+	if !ok {
+		d.failed.Inc()
+		d.opt.Dispatcher.Thaw(id)
+		d.put(HandoverEnded{Request: id, Failed: true})
+		return
+	}
+	d.handed.Inc()
+	d.opt.Dispatcher.Handed(id, host.Name, &remote{d: d, host: host, customer: h.Request.Customer, id: id})
+	d.put(HandoverEnded{Request: id})
+}
+
+// offer offers h to the peers in turn and returns the one that acknowledged. A
+// peer whose answer was lost may own the request, so that the next one is
+// offered it under a higher epoch.
+func (d *Drainer) offer(ctx context.Context, h *dispatcher.Handover) (configurer.HostAddress, bool) {
+	for _, p := range d.takers() {
+		req := d.encode(h)
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := d.opt.Call(callCtx, p.Address, takeMethod, req, &wire.TakeResponse{})
+		cancel()
+		if err == nil {
+			return p, true
+		}
+		if mayHaveTaken(err) {
+			h.Epoch++
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return configurer.HostAddress{}, false
+}
+
+// mayHaveTaken reports whether the peer may own the request in spite of err.
+func mayHaveTaken(err error) bool {
+	var f *refuser.Refusal
+	if errors.As(err, &f) {
+		return false
+	}
+	var u *messenger.UnreachableError
+	return !errors.As(err, &u) || !u.NotSent
+}
+
+// tellUnknown tells a peer that a request that may run at most once had no
+// outcome when this host left.
+func (d *Drainer) tellUnknown(ctx context.Context, id identifier.RequestID) {
+	h, ok := d.opt.Dispatcher.Describe(id)
+	if !ok {
+		return
+	}
+	h.Final = refuser.MayHaveRun(refuser.Unknown, "the host was reclaimed before the answer came, so that it may have run",
+		"look at the service whether it ran before sending it anew")
+	if _, ok := d.offer(ctx, h); ok {
+		d.unknown.Inc()
+	}
+}
--- /dev/null
+++ b/drainer/plan_test.go
@@ -0,0 +1,141 @@
+package drainer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/dispatcher"
+	"cyclamenhub.org/identifier"
+)
+
+// fleet is a model of the requests that a plan moves.
+type fleet struct {
+	active map[identifier.RequestID]dispatcher.Active
+}
+
+func (f *fleet) list() []dispatcher.Active {
+	list := make([]dispatcher.Active, 0, len(f.active))
+	for _, a := range f.active {
+		list = append(list, a)
+	}
+	return list
+}
+
+// drawFleet draws requests on two servers.
+func drawFleet(t *rapid.T) *fleet {
+	f := &fleet{active: make(map[identifier.RequestID]dispatcher.Active)}
+	for i := range rapid.IntRange(0, 60).Draw(t, "requests") {
+		id := identifier.RequestID(fmt.Sprint(i))
+		f.active[id] = dispatcher.Active{
+			ID: id, Server: rapid.SampledFrom([]identifier.BackendServer{"w1", "w2"}).Draw(t, "server"),
+			NonIdempotent: rapid.Bool().Draw(t, "nonIdempotent"), Events: rapid.IntRange(0, 100).Draw(t, "events"),
+		}
+	}
+	return f
+}
+
+// TestPlanMovesStreamsInTime checks that all requests that may move have left a
+// leaving server before its notice ends, those that would lose most first, and
+// that no other request is touched.
+func TestPlanMovesStreamsInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		start := time.Unix(1, 0)
+		left := time.Duration(rapid.IntRange(200, 30_000).Draw(t, "noticeMs")) * time.Millisecond
+		var p Plan
+		p.Reduce(ServerLeaves{Server: "w1", At: start, Deadline: start.Add(left)})
+		for now := start; now.Before(start.Add(left)); now = now.Add(tickInterval) {
+			last := -1
+			for _, x := range p.Reduce(Tick{Now: now, Active: f.list()}) {
+				a := f.active[x.(Move).Request]
+				if a.Server != "w1" || a.NonIdempotent {
+					t.Fatalf("moved %+v", a)
+				}
+				if last >= 0 && a.Events > last {
+					t.Fatalf("moved %d events after %d", a.Events, last)
+				}
+				last = a.Events
+				delete(f.active, a.ID)
+			}
+		}
+		for _, a := range f.active {
+			if a.Server == "w1" && !a.NonIdempotent {
+				t.Fatalf("%+v has not moved", a)
+			}
+		}
+	})
+}
+
+// TestPlanHandsEverythingOver checks that a leaving host hands each request over
+// that may move, never two times at once, within a bound, and tells of the
+// others once.
+func TestPlanHandsEverythingOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		start := time.Unix(1, 0)
+		left := time.Duration(rapid.IntRange(1000, 30_000).Draw(t, "noticeMs")) * time.Millisecond
+		var p Plan
+		p.Reduce(HostLeaves{At: start, Deadline: start.Add(left)})
+		told := make(map[identifier.RequestID]int)
+		for now := start; now.Before(start.Add(left)); now = now.Add(tickInterval) {
+			effects := p.Reduce(Tick{Now: now, Active: f.list()})
+			if len(p.handing) > maxHandovers {
+				t.Fatalf("%d handovers at once", len(p.handing))
+			}
+			for _, x := range effects {
+				f.perform(t, &p, x, told)
+			}
+		}
+		for _, a := range f.active {
+			if a.NonIdempotent && told[a.ID] != 1 || !a.NonIdempotent && !a.Handed {
+				t.Fatalf("%+v was told of %d times", a, told[a.ID])
+			}
+		}
+	})
+}
+
+// perform carries an effect out on the model.
+func (f *fleet) perform(t *rapid.T, p *Plan, x Effect, told map[identifier.RequestID]int) {
+	switch x := x.(type) {
+	case HandOver:
+		a := f.active[x.Request]
+		if a.NonIdempotent || a.Handed {
+			t.Fatalf("hands over %+v", a)
+		}
+		a.Handed = !rapid.Bool().Draw(t, "failed") || rapid.Bool().Draw(t, "failedAgain")
+		f.active[a.ID] = a
+		p.Reduce(HandoverEnded{Request: a.ID, Failed: !a.Handed})
+	case TellUnknown:
+		told[x.Request]++
+	default:
+		t.Fatalf("effect %T", x)
+	}
+}
+
+func TestPlanNotices(t *testing.T) {
+	var p Plan
+	start := time.Unix(1, 0)
+	got := [][]Effect{
+		p.Reduce(ServerLeaves{Server: "w1", At: start, Deadline: start.Add(time.Minute)}),
+		p.Reduce(ServerLeaves{Server: "w1", At: start, Deadline: start.Add(2 * time.Minute)}),
+		p.Reduce(ServerLeaves{Server: "w2", At: start, Deadline: start.Add(time.Minute), Heard: true}),
+		p.Reduce(HostStops{}),
+		p.Reduce(HostLeaves{At: start, Deadline: start.Add(time.Minute)}),
+		p.Reduce(ServerStays{Server: "w1"}),
+	}
+	want := [][]Effect{
+		{Avoid{Server: "w1", Leaving: true}, Tell{Server: "w1", Left: time.Minute}},
+		nil,
+		{Avoid{Server: "w2", Leaving: true}},
+		{BecomeUnready{}},
+		{Tell{Left: time.Minute}},
+		{Avoid{Server: "w1"}},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("effects differ (-want +got):\n%s", diff)
+	}
+}
--- a/internal/faker/network.go
+++ b/internal/faker/network.go
@@ -31,10 +31,7 @@
 // Serve answers calls to address with h until stop is called, which also breaks
 // the open connections.
 func (n *Network) Serve(address string, h http.Handler) (stop func()) {
-	l := &memoryListener{conns: make(chan net.Conn), closed: make(chan struct{}), address: address}
-	n.mu.Lock()
-	n.servers[address] = l
-	n.mu.Unlock()
+	l := n.Listen(address)
 	srv := &http.Server{Handler: h}
 	done := make(chan struct{})
 	go func() {
@@ -42,14 +39,20 @@
 		_ = srv.Serve(l)
 	}()
 	return func() {
-		n.mu.Lock()
-		delete(n.servers, address)
-		n.mu.Unlock()
 		_ = srv.Close()
 		<-done
 	}
 }
 
+// Listen opens address to connections.
+func (n *Network) Listen(address string) net.Listener {
+	l := &memoryListener{net: n, conns: make(chan net.Conn), closed: make(chan struct{}), address: address}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers[address] = l
+	return l
+}
+
 // Dial opens a connection to address.
 func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
 	n.mu.Lock()
@@ -132,6 +135,7 @@
 
 // memoryListener hands connections to an HTTP server.
 type memoryListener struct {
+	net     *Network
 	conns   chan net.Conn
 	closed  chan struct{}
 	once    sync.Once
@@ -150,7 +154,14 @@
 
 // Close ends Accept.
 func (l *memoryListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mu.Lock()
+		defer l.net.mu.Unlock()
+		if l.net.servers[l.address] == l {
+			delete(l.net.servers, l.address)
+		}
+	})
 	return nil
 }
 
