drainer: see that a request is followed to its third owner

The trial without looking for the new owner passed the former assertion, since the first host took the request back and handed it over once more before the state was read. The number of its handovers is now checked; the trial fails with 2 handovers where 1 is wanted.

--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -344,8 +344,9 @@
 			t.Error("the second host did not hand over")
 		}
 		second.stop()
-		if _, s, _ := f.hosts[0].d.Find("c", "r1"); s.State != dispatcher.Moved {
-			t.Errorf("the first host took the request back: %+v", s)
+		time.Sleep(100 * time.Millisecond)
+		if n := f.hosts[0].counter("cyclamen_handovers_total"); n != 1 {
+			t.Errorf("the first host took the request back and handed it over %d times", n)
 		}
 		<-a.ended
 		if a.err != nil || !a.done {
