dispatcher: admission by the admitter and choice by the router

Acceptance is now one point: admission by rate, fair queue and deadline, then the request is owned. The retry budget is the admitter's; the own budget and the least-in-flight choice go, since both stood twice. A first version is drawn by Options.Version, so that rollouts can set its share; a request without progress draws anew when it leaves a server.

--- /dev/null
+++ b/dispatcher/admission.go
@@ -0,0 +1,88 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"cyclamenhub.org/admitter"
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/timer"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// admission is the one point at which requests are accepted. It keeps an
+// admitter in step with the table.
+type admission struct {
+	admitter *admitter.Admitter
+	table    atomic.Pointer[Table]
+	mu       sync.Mutex
+}
+
+// newAdmission returns an admission by a, or by an admitter of its own where a
+// is nil.
+func newAdmission(a *admitter.Admitter, clock timer.Clock, set *metrics.Set, l configurer.Limits) *admission {
+	if a == nil {
+		a = admitter.New(admitter.Config{Clock: clock, Metrics: set, Queued: l.QueuedRequests, RetryShare: l.RetryShare})
+	}
+	return &admission{admitter: a}
+}
+
+// admit waits until r may be sent. Its refusals say not run.
+func (a *admission) admit(ctx context.Context, t *Table, r *Request) (*admitter.Grant, *refuser.Refusal) {
+	a.follow(t)
+	p := admitter.Interactive
+	if r.Priority == Batch {
+		p = admitter.Batch
+	}
+	g, err := a.admitter.Admit(ctx, admitter.Request{
+		Customer: r.Customer, Service: r.Service.Name, Priority: p, Deadline: r.Deadline,
+		PromptTokens: r.promptTokens(), MaxTokens: r.MaxTokens,
+	})
+	if err != nil {
+		return nil, refuser.From(err)
+	}
+	return g, nil
+}
+
+// follow puts the limits of t in force, once.
+func (a *admission) follow(t *Table) {
+	if a.table.Load() == t {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.table.Load() == t {
+		return
+	}
+	a.admitter.SetServices(serviceLimits(t))
+	a.admitter.SetCustomers(customerLimits(t))
+	a.table.Store(t)
+}
+
+// serviceLimits returns the limits of all services. A host sends at most what
+// all backend servers of a service run side by side.
+func serviceLimits(t *Table) []admitter.ServiceLimits {
+	list := make([]admitter.ServiceLimits, 0, len(t.services))
+	for name, s := range t.services {
+		n := 0
+		for _, b := range t.servers[name] {
+			n += b.Concurrency
+		}
+		list = append(list, admitter.ServiceLimits{Service: name, FirstTokenTarget: s.FirstTokenTarget.Std(), Concurrency: n})
+	}
+	return list
+}
+
+// customerLimits returns the limits of all customers.
+func customerLimits(t *Table) []admitter.CustomerLimits {
+	list := make([]admitter.CustomerLimits, 0, len(t.all))
+	for _, c := range t.all {
+		list = append(list, admitter.CustomerLimits{
+			Customer: c.Name, Weight: c.Weight, RequestsPerSecond: c.RequestsPerSecond, TokensPerSecond: c.TokensPerSecond,
+		})
+	}
+	return list
+}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -32,6 +32,7 @@
 type attempt struct {
 	t      *task
 	id     identifier.AttemptID
+	pick   Pick
 	server configurer.BackendServer
 	conn   *connector.Conn
 	ctx    context.Context
@@ -41,7 +42,7 @@
 // attempt performs one attempt on the chosen server.
 func (t *task) attempt(exec func(*attempt) result) result {
 	t.d.counters.attempts.Inc()
-	a := &attempt{t: t, server: t.server, id: t.d.newAttemptID(t.r.ID)}
+	a := &attempt{t: t, pick: t.pick, server: t.server, id: t.d.newAttemptID(t.r.ID)}
 	a.ctx, a.cancel = context.WithCancelCause(t.ctx)
 	defer a.cancel(nil)
 	t.enter(a)
@@ -50,7 +51,9 @@
 	if _, ok := r.(whole); !ok && errors.Is(context.Cause(a.ctx), errMoving) {
 		r = moved{}
 	}
-	t.d.opt.Chooser.Finished(a.server.Name, a.outcome(r))
+	if _, ok := r.(silent); !ok {
+		t.finishPick(a.outcome(r))
+	}
 	a.count(r)
 	return r
 }
@@ -117,6 +120,8 @@
 		return Succeeded
 	case silent:
 		return Neutral
+	case unsent:
+		return Unreached
 	default:
 		return Blamed
 	}
@@ -152,16 +157,33 @@
 func (a *attempt) exchange(body []byte, limits connector.Limits) (*connector.Response, result) {
 	limits.Deadline = a.t.r.Deadline
 	limits.Sending = a.t.ledger.send
+	a.t.noteSend()
 	res, err := a.conn.Exchange(a.ctx, a.request(body), limits)
 	if err != nil {
 		return nil, failed(err)
 	}
+	a.pick.FirstToken()
+	a.t.noteFirstByte()
 	if echo := res.Header.Get(AttemptHeader); echo != "" && echo != string(a.id) {
 		return nil, lost{err: errCrossed}
 	}
 	return res, nil
 }
 
+// noteSend notes when the first attempt was sent.
+func (t *task) noteSend() {
+	if t.sentAt.IsZero() {
+		t.sentAt = t.d.opt.Clock.Now()
+	}
+}
+
+// noteFirstByte notes when the first byte of an answer came.
+func (t *task) noteFirstByte() {
+	if t.firstToken == 0 {
+		t.firstToken = t.d.opt.Clock.Now().Sub(t.sentAt)
+	}
+}
+
 // failed returns the result that an error of an exchange stands for.
 func failed(err error) result {
 	var e *connector.Error
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -116,7 +116,6 @@
 	if res.Status >= http.StatusInternalServerError || res.Status == http.StatusTooManyRequests {
 		return answered{res.Status}
 	}
-	t.budget.deposit(t.d.opt.Tables.Load().Limits().RetryShare)
 	return whole{}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -9,9 +9,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cyclamenhub.org/admitter"
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/router"
 	"cyclamenhub.org/timer"
 )
 
@@ -29,8 +31,14 @@
 	// Host and FailureDomain are those of this process.
 	Host          identifier.Host
 	FailureDomain identifier.FailureDomain
-	// Chooser chooses backend servers; nil means LeastInFlight.
+	// Chooser chooses backend servers; nil means one with a router of its own.
 	Chooser Chooser
+	// Admitter accepts requests; nil means one of its own. The dispatcher keeps
+	// it in step with the table.
+	Admitter *admitter.Admitter
+	// Version draws the version that a new request goes to; nil means the
+	// version of its service.
+	Version func(r *Request) identifier.Version
 	// Claimer grants idempotency keys; nil means a MemoryClaimer.
 	Claimer Claimer
 	// Pool holds the connections; nil means a pool of its own.
@@ -53,7 +61,10 @@
 		o.Metrics = metrics.NewSet()
 	}
 	if o.Chooser == nil {
-		o.Chooser = NewLeastInFlight(o.FailureDomain, o.Clock)
+		o.Chooser = NewRouted(router.New(router.Config{Clock: o.Clock, Metrics: o.Metrics, FailureDomain: o.FailureDomain}))
+	}
+	if o.Version == nil {
+		o.Version = func(r *Request) identifier.Version { return r.Service.Version }
 	}
 	if o.Claimer == nil {
 		o.Claimer = NewMemoryClaimer(maxMemoryClaims)
@@ -76,8 +87,10 @@
 	// adopted counts the running requests that other hosts accepted.
 	adopted atomic.Int64
 
+	admissionOnce sync.Once
+	admit         *admission
+
 	mu      sync.Mutex
-	budgets map[identifier.Service]*budget
 	running map[identifier.RequestID]*task
 }
 
@@ -86,7 +99,6 @@
 	opt = opt.withDefaults()
 	d := &Dispatcher{
 		opt: opt, counters: newCounters(opt.Metrics), records: newRegistry(),
-		budgets: make(map[identifier.Service]*budget),
 		running: make(map[identifier.RequestID]*task),
 	}
 	opt.Metrics.GetOrCreateGauge("cyclamen_requests_running", func() float64 { return float64(d.Running()) })
@@ -109,11 +121,27 @@
 //
 // A request outlives ctx, which is its caller's: see Request.Reconnectable.
 func (d *Dispatcher) Do(ctx context.Context, r *Request, sink Sink) *refuser.Refusal {
+	if !r.Deadline.After(d.opt.Clock.Now()) {
+		return refuser.NotRun(refuser.DeadlinePassed, "the deadline has passed", "send the request with a later deadline")
+	}
+	grant, refusal := d.admission().admit(ctx, d.Table(), r)
+	if refusal != nil {
+		return refusal
+	}
 	record, refusal := d.records.open(r)
 	if refusal != nil {
+		grant.Done(admitter.Outcome{Result: admitter.Abandoned})
 		return refusal
 	}
-	return d.finish(d.start(ctx, r, record, sink))
+	return d.finish(d.start(ctx, r, record, sink, grant))
+}
+
+// admission returns the point of acceptance, which needs a first table.
+func (d *Dispatcher) admission() *admission {
+	d.admissionOnce.Do(func() {
+		d.admit = newAdmission(d.opt.Admitter, d.opt.Clock, d.opt.Metrics, d.Table().Limits())
+	})
+	return d.admit
 }
 
 // finish runs a request that was started.
@@ -121,14 +149,15 @@
 	defer d.end(t)
 	refusal := t.answer()
 	t.record.settle(t.kept, refusal)
+	t.giveBack(refusal)
 	return refusal
 }
 
 // start registers a running request.
-func (d *Dispatcher) start(ctx context.Context, r *Request, record *Record, sink Sink) *task {
+func (d *Dispatcher) start(ctx context.Context, r *Request, record *Record, sink Sink, grant *admitter.Grant) *task {
 	t := &task{
 		d: d, r: r, record: record, sink: sink,
-		ledger: ledger{nonIdempotent: r.nonIdempotent()}, budget: d.budget(r.Service.Name),
+		ledger: ledger{nonIdempotent: r.nonIdempotent()}, grant: grant,
 		parked: make(chan *Handover, 1), verdict: make(chan Remote, 1), over: make(chan struct{}),
 	}
 	t.ctx, t.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
@@ -152,16 +181,9 @@
 	d.records.close(t.record, t.r.Reconnectable || t.r.Key != "")
 }
 
-// budget returns the retry budget of a service.
-func (d *Dispatcher) budget(s identifier.Service) *budget {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	b, ok := d.budgets[s]
-	if !ok {
-		b = newBudget()
-		d.budgets[s] = b
-	}
-	return b
+// SetLeaving tells the choice of backend servers whether one takes no new work.
+func (d *Dispatcher) SetLeaving(b identifier.BackendServer, leaving bool) {
+	d.opt.Chooser.SetLeaving(b, leaving)
 }
 
 // Lookup returns what is known of a customer's request.
--- a/dispatcher/generation.go
+++ b/dispatcher/generation.go
@@ -133,7 +133,6 @@
 	for {
 		data, err := events.next()
 		if err == nil && bytes.Equal(data, doneMarker) {
-			t.budget.deposit(t.d.opt.Tables.Load().Limits().RetryShare)
 			return whole{}
 		}
 		if err == nil {
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -329,7 +329,7 @@
 		return nil
 	}
 	r.Reconnectable = true
-	t := d.start(context.Background(), &r, record, nil)
+	t := d.start(context.Background(), &r, record, nil, nil)
 	t.version = h.Version
 	t.adopted = true
 	t.detached.Store(true)
--- a/dispatcher/once_test.go
+++ b/dispatcher/once_test.go
@@ -112,3 +112,28 @@
 		}
 	}
 }
+
+// TestRetriesDoNotMultiplyAnOverload checks that retries stay a share of the
+// requests where every server fails, and that the last answer is told.
+func TestRetriesDoNotMultiplyAnOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPath(t)
+		defer p.close()
+		for _, s := range p.plains {
+			s.Inject(faker.Fault{Kind: faker.Errors, Share: 1})
+		}
+		const requests = 200
+		for range requests {
+			a, refusal := p.do(p.request("plain", dispatcher.Call{}, http.MethodGet, "/tags", ""))
+			if refusal != nil || a.head.Status != http.StatusInternalServerError {
+				t.Fatalf("refusal %v, status %d", refusal, a.head.Status)
+			}
+		}
+		if n := p.counter("cyclamen_retries_total"); n > requests/4 {
+			t.Errorf("%d retries of %d requests", n, requests)
+		}
+		if p.counter("cyclamen_retries_withheld_total") == 0 {
+			t.Error("no retry was withheld")
+		}
+	})
+}
--- a/dispatcher/path_test.go
+++ b/dispatcher/path_test.go
@@ -108,7 +108,8 @@
 			{Name: "model", Kind: configurer.ModelService, Version: "v1", BetweenTokensTarget: configurer.Duration(20 * time.Millisecond)},
 			{Name: "plain", Kind: configurer.PlainService, Version: "v1"},
 		},
-		Limits: configurer.Limits{BodyBytes: 1 << 16, QueuedRequests: 100, RetryShare: 0.1, ClaimHorizon: configurer.Duration(time.Hour)},
+		Customers: []configurer.Customer{{Name: "c"}},
+		Limits:    configurer.Limits{BodyBytes: 1 << 16, QueuedRequests: 100, RetryShare: 0.1, ClaimHorizon: configurer.Duration(time.Hour)},
 	}}
 	for i := range p.engines {
 		e := string(rune('0' + i))
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -6,6 +6,7 @@
 
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/router"
 )
 
 // AttemptHeader carries the id of an attempt to a backend server, which may
@@ -63,9 +64,13 @@
 	Priority Priority
 	// Prompt is what a generation depends on; it guides the choice of server.
 	Prompt []byte
+	// MaxTokens bounds the answer of a generation; 0 means not known.
+	MaxTokens identifier.Tokens
 	// Reconnectable tells that the caller knows the request id, so that the
 	// request goes on for a while after its caller's connection broke.
 	Reconnectable bool
+
+	blocks []router.Block
 }
 
 // nonIdempotent reports whether r may run at most once.
--- a/dispatcher/silence_test.go
+++ b/dispatcher/silence_test.go
@@ -8,19 +8,30 @@
 
 	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/router"
 )
 
 // verdicts is a chooser that keeps what it is told of each server.
 type verdicts struct {
-	*dispatcher.LeastInFlight
+	dispatcher.Chooser
 	blamed map[identifier.BackendServer]int
 }
 
-func (v *verdicts) Finished(b identifier.BackendServer, o dispatcher.Outcome) {
-	if o == dispatcher.Blamed {
-		v.blamed[b]++
+func (v *verdicts) Choose(q dispatcher.Query) (dispatcher.Pick, bool) {
+	p, ok := v.Chooser.Choose(q)
+	return &verdictPick{p, v}, ok
+}
+
+type verdictPick struct {
+	dispatcher.Pick
+	v *verdicts
+}
+
+func (p *verdictPick) Finished(o dispatcher.Outcome) {
+	if o == dispatcher.Blamed || o == dispatcher.Unreached {
+		p.v.blamed[p.Server().Name]++
 	}
-	v.LeastInFlight.Finished(b, o)
+	p.Pick.Finished(o)
 }
 
 // TestSilentConnection checks that a pooled connection that lost its other end
@@ -30,7 +41,7 @@
 		p := newPath(t)
 		defer p.close()
 		p.stops["p1"]()
-		v := &verdicts{LeastInFlight: dispatcher.NewLeastInFlight("a", systemClock{}), blamed: make(map[identifier.BackendServer]int)}
+		v := &verdicts{Chooser: dispatcher.NewRouted(router.New(router.Config{FailureDomain: "a"})), blamed: make(map[identifier.BackendServer]int)}
 		p.d = dispatcher.New(dispatcher.Options{Tables: &p.tables, Pool: p.pool, Metrics: p.metrics, Chooser: v})
 		tag := func() *dispatcher.Request {
 			return p.request("plain", dispatcher.Call{}, http.MethodPost, "/tags", "{}")
@@ -78,8 +89,3 @@
 		}
 	})
 }
-
-// systemClock is the clock of the bubble.
-type systemClock struct{}
-
-func (systemClock) Now() time.Time { return time.Now() }
--- a/dispatcher/table.go
+++ b/dispatcher/table.go
@@ -12,6 +12,7 @@
 	models    []identifier.Service
 	servers   map[identifier.Service][]configurer.BackendServer
 	customers map[configurer.KeyHash]*configurer.Customer
+	all       []configurer.Customer
 	limits    configurer.Limits
 }
 
@@ -21,6 +22,7 @@
 		services:  make(map[identifier.Service]*configurer.Service),
 		servers:   make(map[identifier.Service][]configurer.BackendServer),
 		customers: make(map[configurer.KeyHash]*configurer.Customer),
+		all:       f.Defaults.Customers,
 		limits:    f.Defaults.Limits,
 	}
 	for _, s := range f.Defaults.Services {
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"cyclamenhub.org/admitter"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/identifier"
@@ -33,7 +35,8 @@
 	record *Record
 	sink   Sink
 	ledger ledger
-	budget *budget
+	// grant is nil for a request that another host accepted.
+	grant *admitter.Grant
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
@@ -59,6 +62,7 @@
 	adopted bool
 
 	reuse    connector.Reuse
+	pick     Pick
 	server   configurer.BackendServer
 	version  identifier.Version
 	excluded []identifier.BackendServer
@@ -67,6 +71,9 @@
 	held     *Answer
 	kept     *Answer
 	line     []byte
+	// firstToken is the time from the first send to the first byte.
+	firstToken time.Duration
+	sentAt     time.Time
 }
 
 // answer runs the request.
@@ -113,9 +120,11 @@
 	if t.ledger.nonIdempotent {
 		t.reuse = connector.Fresh
 	}
+	defer t.finishPick(Neutral)
 	same := false
 	for {
 		if t.parkAsked() {
+			t.finishPick(Neutral)
 			if r := t.park(); r != nil {
 				if refusal, done := t.relay(r); done {
 					return refusal
@@ -150,7 +159,7 @@
 		case tryOther:
 			same = false
 			t.leave()
-			if s.charged && !t.budget.withdraw() {
+			if s.charged && !t.mayRetry() {
 				return t.withhold(r)
 			}
 		}
@@ -158,15 +167,46 @@
 	}
 }
 
+// finishPick ends the present choice of a server, if there is one.
+func (t *task) finishPick(o Outcome) {
+	if t.pick != nil {
+		t.pick.Finished(o)
+		t.pick = nil
+	}
+}
+
 // leave excludes the present server from the next choice.
 func (t *task) leave() {
 	t.excluded = append(t.excluded, t.server.Name)
 	t.avoid = t.server.FailureDomain
+	if t.record.progress.count() == 0 {
+		t.version = ""
+	}
 	if !t.ledger.nonIdempotent {
 		t.reuse = connector.Pooled
 	}
 }
 
+// mayRetry takes one retry from the budget.
+func (t *task) mayRetry() bool { return t.grant == nil || t.grant.Retry() == nil }
+
+// giveBack ends the grant.
+func (t *task) giveBack(refusal *refuser.Refusal) {
+	if t.grant == nil {
+		return
+	}
+	o := admitter.Outcome{
+		Result: admitter.Succeeded, FirstToken: t.firstToken, Generated: identifier.Tokens(t.record.progress.count()),
+	}
+	switch {
+	case errors.Is(context.Cause(t.ctx), errCallerLeft):
+		o.Result = admitter.Abandoned
+	case refusal != nil, t.held != nil && t.held.Status >= http.StatusInternalServerError:
+		o.Result = admitter.Failed
+	}
+	t.grant.Done(o)
+}
+
 // withhold ends a request whose retry the budget does not allow.
 func (t *task) withhold(r result) *refuser.Refusal {
 	t.d.counters.withheld.Inc()
@@ -198,11 +238,14 @@
 	t.server = configurer.BackendServer{}
 	for {
 		table := t.d.opt.Tables.Load()
-		b, ok := t.d.opt.Chooser.Choose(Query{
+		if t.version == "" {
+			t.version = t.d.opt.Version(t.r)
+		}
+		p, ok := t.d.opt.Chooser.Choose(Query{
 			Table: table, Request: t.r, Version: t.version, Excluded: t.excluded, Avoid: t.avoid,
 		})
 		if ok {
-			t.server = b
+			t.pick, t.server = p, p.Server()
 			return nil
 		}
 		if len(t.excluded) == 0 {
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -34,9 +34,6 @@
 	Hosts      []configurer.HostAddress
 	Dispatcher *dispatcher.Dispatcher
 	Call       CallFunc
-	// Avoid tells the choice of backend servers whether one is leaving; nil
-	// means that the dispatcher's own chooser needs no telling.
-	Avoid func(b identifier.BackendServer, leaving bool)
 	// SetReady tells the balancer whether to send requests here.
 	SetReady func(ready bool)
 	Clock    timer.Clock
@@ -74,9 +71,6 @@
 	if opt.Metrics == nil {
 		opt.Metrics = metrics.NewSet()
 	}
-	if opt.Avoid == nil {
-		opt.Avoid = func(identifier.BackendServer, bool) {}
-	}
 	if opt.SetReady == nil {
 		opt.SetReady = func(bool) {}
 	}
@@ -126,7 +120,7 @@
 	switch x := x.(type) {
 	case Avoid:
 		d.opt.Log.Info("backend server leaving", "server", string(x.Server), "leaving", x.Leaving)
-		d.opt.Avoid(x.Server, x.Leaving)
+		d.opt.Dispatcher.SetLeaving(x.Server, x.Leaving)
 	case BecomeUnready:
 		d.opt.Log.Info("host leaving", "host", string(d.opt.Self.Name))
 		d.opt.SetReady(false)
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -26,7 +26,6 @@
 	"cyclamenhub.org/internal/faker"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/refuser"
-	"cyclamenhub.org/timer"
 )
 
 // host is one entry host.
@@ -65,7 +64,8 @@
 			{Name: "model", Kind: configurer.ModelService, Version: "v1"},
 			{Name: "plain", Kind: configurer.PlainService, Version: "v1"},
 		},
-		Limits: configurer.Limits{BodyBytes: 1 << 16, QueuedRequests: 100, RetryShare: 0.1},
+		Customers: []configurer.Customer{{Name: "c"}},
+		Limits:    configurer.Limits{BodyBytes: 1 << 16, QueuedRequests: 100, RetryShare: 0.1},
 	}}
 	add := func(name, service string, h http.Handler) {
 		f.stops = append(f.stops, f.net.Serve(name, h))
@@ -93,10 +93,9 @@
 func (f *fleet) newHost(self configurer.HostAddress, all []configurer.HostAddress) *host {
 	h := &host{name: self.Name, metrics: metrics.NewSet()}
 	h.pool = connector.NewPool(connector.Options{Dial: f.net.Dial, Metrics: h.metrics})
-	chooser := dispatcher.NewLeastInFlight(self.FailureDomain, timer.System{})
-	h.d = dispatcher.New(dispatcher.Options{Tables: &f.tables, Pool: h.pool, Metrics: h.metrics, Chooser: chooser})
+	h.d = dispatcher.New(dispatcher.Options{Tables: &f.tables, Pool: h.pool, Metrics: h.metrics})
 	h.dr = drainer.New(drainer.Options{
-		Self: self, Hosts: all, Dispatcher: h.d, Metrics: h.metrics, Avoid: chooser.SetLeaving,
+		Self: self, Hosts: all, Dispatcher: h.d, Metrics: h.metrics,
 		SetReady: func(ready bool) { h.unready.Store(!ready) },
 		Call: func(ctx context.Context, address string, method messenger.Method, req, resp proto.Message) error {
 			if c := h.tamper.Load(); c != nil {
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -79,6 +79,7 @@
 	}
 	q.Path, q.Body, q.Route = r.URL.Path, body, identifier.Route("POST "+r.URL.Path)
 	q.Header = http.Header{"Content-Type": {"application/json"}}
+	q.MaxTokens = max(g.MaxTokens, g.MaxCompletionTokens)
 	q.Prompt = g.Prompt
 	if chat {
 		q.Prompt = g.Messages
--- a/server/input.go
+++ b/server/input.go
@@ -63,7 +63,10 @@
 	Messages json.RawMessage    `json:"messages"`
 	Stream   *bool              `json:"stream"`
 	N        *int               `json:"n"`
-	BestOf   *int               `json:"best_of"`
+	// MaxTokens has two names.
+	MaxTokens           identifier.Tokens `json:"max_tokens"`
+	MaxCompletionTokens identifier.Tokens `json:"max_completion_tokens"`
+	BestOf              *int              `json:"best_of"`
 	// StreamOptions, Tools and the like make the answer more than one text.
 	StreamOptions json.RawMessage `json:"stream_options"`
 	Tools         json.RawMessage `json:"tools"`
