--- a/dispatcher/generation.go
+++ b/dispatcher/generation.go
@@ -31,6 +31,13 @@
 	}}
 }
 
+// beginStream sends the head of a stream, once.
+func (t *task) beginStream() {
+	if !t.begun {
+		t.begin(streamHead())
+	}
+}
+
 // stream runs a generation that the caller reads event by event.
 func (t *task) stream(Stream) *refuser.Refusal {
 	refusal := t.run(func(a *attempt) result { return t.generateOnce(a, t.r.Body, true) })
@@ -41,7 +48,7 @@
 		t.deliver(t.held)
 		return nil
 	}
-	t.begin(streamHead())
+	t.beginStream()
 	t.write([]byte(doneEvent))
 	t.flush()
 	return nil
@@ -175,7 +182,7 @@
 	if !toCaller {
 		return nil
 	}
-	t.begin(streamHead())
+	t.beginStream()
 	t.line = appendEvent(t.line[:0], n, payload)
 	t.write(t.line)
 	return nil
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -296,7 +296,7 @@
 		n := t.record.progress.count()
 		t.record.mu.Unlock()
 		if toCaller {
-			t.begin(streamHead())
+			t.beginStream()
 			t.line = appendEvent(t.line[:0], n, p)
 			t.write(t.line)
 		}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -27,16 +27,18 @@
 
 // path is a server before two fake engines and a fake plain service.
 type path struct {
-	t       *testing.T
-	url     string
-	engines []*faker.Engine
-	plain   *faker.Plain
-	metrics *metrics.Set
-	server  *server.Server
+	t   testing.TB
+	url string
+	// engineURL and plainURL are those of the fakes.
+	engineURL, plainURL string
+	engines             []*faker.Engine
+	plain               *faker.Plain
+	metrics             *metrics.Set
+	server              *server.Server
 }
 
 // newPath starts a path. tune may change the fleet document.
-func newPath(t *testing.T, tune func(*configurer.Fleet)) *path {
+func newPath(t testing.TB, tune func(*configurer.Fleet)) *path {
 	t.Helper()
 	p := &path{t: t, plain: faker.NewPlain(1), metrics: metrics.NewSet()}
 	f := &configurer.Fleet{Defaults: configurer.Defaults{
@@ -64,6 +66,8 @@
 	if tune != nil {
 		tune(f)
 	}
+	p.engineURL = "http://" + f.Defaults.BackendServers[0].Address
+	p.plainURL = "http://" + f.Defaults.BackendServers[2].Address
 	p.start(f)
 	return p
 }
@@ -77,7 +81,7 @@
 }
 
 // serve starts h on loopback and returns its address.
-func serve(t *testing.T, h http.Handler) string {
+func serve(t testing.TB, h http.Handler) string {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
