server: bounded input, outcomes of requests, and a stop that cuts nothing off

Every input that cannot be taken gets a clear 4xx that says not run. A request must arrive within 20 s and a header within 5 s; bodies at work share 256 MiB. Reading deadlines per handler were ruled out: a body that no handler reads, as that of a stranger, would hold its connection for good. A stop no longer closes idle connections at once, which raced with requests on their way; it asks callers to change connections during the readiness lag and closes them after.

Non-idempotent routes may hold wildcards, ignore a trailing slash, and a call under a key runs at most once also where its route is not listed.

--- a/dispatcher/table.go
+++ b/dispatcher/table.go
@@ -13,6 +13,7 @@
 	servers   map[identifier.Service][]configurer.BackendServer
 	customers map[configurer.KeyHash]*configurer.Customer
 	all       []configurer.Customer
+	once      map[identifier.Service][]routePattern
 	limits    configurer.Limits
 }
 
@@ -23,10 +24,14 @@
 		servers:   make(map[identifier.Service][]configurer.BackendServer),
 		customers: make(map[configurer.KeyHash]*configurer.Customer),
 		all:       f.Defaults.Customers,
+		once:      make(map[identifier.Service][]routePattern),
 		limits:    f.Defaults.Limits,
 	}
 	for _, s := range f.Defaults.Services {
 		t.services[s.Name] = &s
+		for _, r := range s.NonIdempotentRoutes {
+			t.once[s.Name] = append(t.once[s.Name], newRoutePattern(r))
+		}
 		if s.Kind == configurer.ModelService {
 			t.models = append(t.models, s.Name)
 		}
@@ -48,6 +53,16 @@
 	return s, ok
 }
 
+// IsNonIdempotent reports whether a call of a service may run at most once.
+func (t *Table) IsNonIdempotent(s identifier.Service, r identifier.Route) bool {
+	for _, p := range t.once[s] {
+		if p.matches(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // Models returns the names of the model services, in the document's order.
 func (t *Table) Models() []identifier.Service { return t.models }
 
--- a/internal/faker/engine.go
+++ b/internal/faker/engine.go
@@ -235,7 +235,7 @@
 	d := time.Duration(float64(g.engine.cfg.StepTime) * (1 + batch*batchSlowdown))
 	if x, ok := g.hits[Slow]; ok {
 		g.engine.came(Slow)
-		d = time.Duration(float64(d) * x.Factor)
+		d = time.Duration(float64(d)*x.Factor) + x.Delay
 	}
 	return g.sleep(ctx, d)
 }
--- a/internal/faker/fault.go
+++ b/internal/faker/fault.go
@@ -26,7 +26,7 @@
 	Crossed FaultKind = "crossed"
 	// CrossedMidStream sends one event of another answer after AfterTokens.
 	CrossedMidStream FaultKind = "crossedMidStream"
-	// Slow multiplies every step time by Factor.
+	// Slow multiplies every step time by Factor and adds Delay.
 	Slow FaultKind = "slow"
 	// Errors answers a share of the calls with status 500.
 	Errors FaultKind = "errors"
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"path"
 	"strings"
 
 	"github.com/go-chi/chi/v5"
@@ -51,7 +52,13 @@
 		s.follow(w, r, c, identifier.RequestID(id), n)
 		return
 	}
-	q, refusal := s.generation(w, r, c, chat)
+	body, refusal := s.readBody(w, r)
+	if refusal != nil {
+		s.refuse(w, refusal)
+		return
+	}
+	defer s.release(body)
+	q, refusal := s.generation(r, c, body.bytes, chat)
 	if refusal != nil {
 		s.refuse(w, refusal)
 		return
@@ -60,11 +67,7 @@
 }
 
 // generation reads a generation request.
-func (s *Server) generation(w http.ResponseWriter, r *http.Request, c *configurer.Customer, chat bool) (*dispatcher.Request, *refuser.Refusal) {
-	body, refusal := s.readBody(w, r)
-	if refusal != nil {
-		return nil, refusal
-	}
+func (s *Server) generation(r *http.Request, c *configurer.Customer, body []byte, chat bool) (*dispatcher.Request, *refuser.Refusal) {
 	g, refusal := decodeGeneration(body, chat)
 	if refusal != nil {
 		return nil, refusal
@@ -97,7 +100,13 @@
 
 // call passes a call of a plain service through.
 func (s *Server) call(w http.ResponseWriter, r *http.Request, c *configurer.Customer) {
-	q, refusal := s.plainCall(w, r, c)
+	body, refusal := s.readBody(w, r)
+	if refusal != nil {
+		s.refuse(w, refusal)
+		return
+	}
+	defer s.release(body)
+	q, refusal := s.plainCall(r, c, body.bytes)
 	if refusal != nil {
 		s.refuse(w, refusal)
 		return
@@ -106,28 +115,29 @@
 }
 
 // plainCall reads a call of a plain service.
-func (s *Server) plainCall(w http.ResponseWriter, r *http.Request, c *configurer.Customer) (*dispatcher.Request, *refuser.Refusal) {
+func (s *Server) plainCall(r *http.Request, c *configurer.Customer, body []byte) (*dispatcher.Request, *refuser.Refusal) {
 	name := chi.URLParam(r, "service")
 	service, ok := s.opt.Tables.Load().Service(identifier.Service(name))
 	if !ok || service.Kind != configurer.PlainService {
 		return nil, refuser.NotRun(refuser.NotFound, "there is no such plain service", "correct the name after /services/")
 	}
-	body, refusal := s.readBody(w, r)
-	if refusal != nil {
-		return nil, refusal
-	}
 	q, refusal := s.newRequest(r, c, service)
 	if refusal != nil {
 		return nil, refusal
 	}
 	prefix := "/services/" + name
 	q.Path = strings.TrimPrefix(r.URL.EscapedPath(), prefix)
-	q.Route = identifier.Route(r.Method + " " + strings.TrimPrefix(r.URL.Path, prefix))
+	if strings.HasPrefix(q.Path, "//") {
+		return nil, malformed("the path begins with two slashes", "write one slash after the service")
+	}
+	q.Route = identifier.Route(r.Method + " " + path.Clean(strings.TrimPrefix(r.URL.Path, prefix)))
 	if r.URL.RawQuery != "" {
 		q.Path += "?" + r.URL.RawQuery
 	}
 	q.Body, q.Header = body, callHeader(r.Header)
-	q.Kind = dispatcher.Call{NonIdempotent: service.IsNonIdempotent(q.Route)}
+	// A caller that names a key asks for at most once, also where the route is
+	// not listed.
+	q.Kind = dispatcher.Call{NonIdempotent: q.Key != "" || s.opt.Tables.Load().IsNonIdempotent(service.Name, q.Route)}
 	return q, nil
 }
 
--- a/server/input.go
+++ b/server/input.go
@@ -15,30 +15,54 @@
 // smallBodyBytes is the first buffer for a body of undeclared length.
 const smallBodyBytes = 4 << 10
 
-// readBody reads a request's body within its bounds of size and time.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refuser.Refusal) {
+// readBody reads a request's body within its bounds of size, time and memory.
+// The caller releases it when the request has ended.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (requestBody, *refuser.Refusal) {
 	if r.ContentLength == 0 {
-		return nil, nil
+		return requestBody{}, nil
 	}
 	limit := s.opt.Tables.Load().Limits().BodyBytes
 	if r.ContentLength > limit {
-		return nil, tooLarge(w)
+		return requestBody{}, tooLarge(w)
+	}
+	held := r.ContentLength
+	if held < 0 {
+		held = limit
+	}
+	if !s.bodies.TryAcquire(held) {
+		w.Header().Set("Connection", "close")
+		return requestBody{}, refuser.NotRun(refuser.Overloaded, "the request bodies at work fill their memory",
+			"come back after the time in Retry-After").After(time.Second)
 	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(s.opt.Clock.Now().Add(bodyTimeout))
 	b, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	// What follows must not run into the body's deadline.
-	_ = rc.SetReadDeadline(time.Time{})
+	if err != nil {
+		s.bodies.Release(held)
+		return requestBody{}, badBody(w, err)
+	}
+	return requestBody{bytes: b, held: held}, nil
+}
+
+// requestBody is a body and the memory that it holds.
+type requestBody struct {
+	bytes []byte
+	held  int64
+}
+
+// release gives the memory of a body back.
+func (s *Server) release(b requestBody) {
+	if b.held > 0 {
+		s.bodies.Release(b.held)
+	}
+}
+
+// badBody refuses a body that could not be read.
+func badBody(w http.ResponseWriter, err error) *refuser.Refusal {
 	var over *http.MaxBytesError
-	switch {
-	case err == nil:
-		return b, nil
-	case errors.As(err, &over):
-		return nil, tooLarge(w)
-	default:
-		w.Header().Set("Connection", "close")
-		return nil, malformed("the body did not arrive in time or in full", "send the whole body without delay")
+	if errors.As(err, &over) {
+		return tooLarge(w)
 	}
+	w.Header().Set("Connection", "close")
+	return malformed("the body did not arrive in time or in full", "send the whole body without delay")
 }
 
 // readAll reads r, whose length is n or, where n is negative, unknown.
--- a/server/server.go
+++ b/server/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
+	"golang.org/x/sync/semaphore"
 
 	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/identifier"
@@ -24,6 +25,8 @@
 	headerTimeout = 5 * time.Second
 	// bodyTimeout bounds the reading of a request's body.
 	bodyTimeout = 15 * time.Second
+	// maxBodiesBytes bounds the bodies of all requests at work.
+	maxBodiesBytes = 256 << 20
 	// writeTimeout bounds how long a caller may take nothing of its answer.
 	writeTimeout = 15 * time.Second
 	// responseTimeout bounds a whole answer; writeTimeout bounds its parts.
@@ -32,11 +35,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 32 << 10
-	// defaultReadinessLag is how long the balancer may take to see that this
-	// host is no longer ready.
-	defaultReadinessLag = 2 * time.Second
-	// pollInterval is how often Stop looks whether requests are left.
-	pollInterval = 20 * time.Millisecond
 )
 
 // Options configure a Server. Dispatcher and Tables are required.
@@ -64,11 +62,16 @@
 // Server is the interface that callers use. It is an http.Handler and safe for
 // concurrent use.
 type Server struct {
-	opt      Options
-	mux      http.Handler
-	http     *http.Server
-	unready  atomic.Bool
+	opt     Options
+	mux     http.Handler
+	http    *http.Server
+	unready atomic.Bool
+	// leaving tells callers to come back on another connection; stopping
+	// refuses them.
+	leaving  atomic.Bool
 	stopping atomic.Bool
+	// bodies bounds the request bodies in memory.
+	bodies   *semaphore.Weighted
 	counters counters
 }
 
@@ -97,13 +100,13 @@
 	if opt.ReadinessLag == 0 {
 		opt.ReadinessLag = defaultReadinessLag
 	}
-	s := &Server{opt: opt, counters: counters{
+	s := &Server{opt: opt, bodies: semaphore.NewWeighted(maxBodiesBytes), counters: counters{
 		requests: opt.Metrics.GetOrCreateCounter("cyclamen_requests_total"), set: opt.Metrics,
 	}}
 	s.mux = s.routes()
 	s.http = &http.Server{
-		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		WriteTimeout:   responseTimeout,
+		Handler: s, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout + bodyTimeout,
+		IdleTimeout: idleTimeout, WriteTimeout: responseTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	return s
@@ -131,7 +134,12 @@
 }
 
 // ServeHTTP answers one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.mux.ServeHTTP(w, r)
+}
 
 // Serve accepts connections on l until Stop. It returns nil after Stop.
 func (s *Server) Serve(l net.Listener) error {
@@ -144,43 +152,6 @@
 // SetReady tells the balancer whether to send requests here.
 func (s *Server) SetReady(ready bool) { s.unready.Store(!ready) }
 
-// Stop ends the server gracefully. Readiness goes first; requests that come
-// before the balancer saw it are still taken; then new ones are refused as not
-// run, and Stop returns once every accepted request has its answer. Where ctx
-// ends first, its error is returned and requests may be left.
-func (s *Server) Stop(ctx context.Context) error {
-	s.SetReady(false)
-	s.http.SetKeepAlivesEnabled(false)
-	if !sleep(ctx, s.opt.ReadinessLag) {
-		return ctx.Err()
-	}
-	s.stopping.Store(true)
-	if err := s.http.Shutdown(ctx); err != nil {
-		return fmt.Errorf("stopping: %w", err)
-	}
-	for s.opt.Dispatcher.Running() > 0 {
-		if !sleep(ctx, pollInterval) {
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Server) healthy(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/server/slow_test.go
@@ -0,0 +1,116 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/connector"
+	"cyclamenhub.org/dispatcher"
+	"cyclamenhub.org/internal/faker"
+	"cyclamenhub.org/server"
+)
+
+// TestSlowCallersAreLeft checks that a caller that does not finish its request
+// is answered or left within bounded time, known or not.
+func TestSlowCallersAreLeft(t *testing.T) {
+	const known = "Authorization: Bearer " + testKey + "\r\n"
+	tests := []struct{ name, sent, want string }{
+		{"header", "POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Slow: ", ""},
+		{"body", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + known + "Content-Length: 100\r\n\r\n{", "400 Bad Request"},
+		{"chunked body", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + known + "Transfer-Encoding: chunked\r\n\r\n5\r\n{", "400 Bad Request"},
+		{"body of a stranger", "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{", "401 Unauthorized"},
+		{"body that is too large", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + known + "Content-Length: 9999999\r\n\r\n{", "413 Request Entity Too Large"},
+		{"nothing", "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got, after := sendSlowly(t, tt.sent)
+				if !strings.Contains(got, tt.want) || tt.want == "" && got != "" {
+					t.Errorf("got %q, want %q", got, tt.want)
+				}
+				if after > 30*time.Second {
+					t.Errorf("the caller was left after %v", after)
+				}
+			})
+		})
+	}
+}
+
+// sendSlowly sends a part of a request and returns all that comes back until
+// the server closes the connection, and when that is.
+func sendSlowly(t *testing.T, sent string) (string, time.Duration) {
+	t.Helper()
+	var tables atomic.Pointer[dispatcher.Table]
+	tables.Store(dispatcher.NewTable(&configurer.Fleet{Defaults: configurer.Defaults{
+		Customers: []configurer.Customer{{Name: "foodbank", KeyHashes: []configurer.KeyHash{configurer.HashKey(testKey)}}},
+		Limits:    configurer.Limits{BodyBytes: 1 << 16, QueuedRequests: 1},
+	}}))
+	s := server.New(server.Options{Dispatcher: dispatcher.New(dispatcher.Options{Tables: &tables}), Tables: &tables, ReadinessLag: -1})
+	network := faker.NewNetwork()
+	l := network.Listen("x")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(l)
+	}()
+	c, err := network.Dial(context.Background(), "x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	if _, err := io.WriteString(c, sent); err != nil {
+		t.Fatal(err)
+	}
+	b, _ := io.ReadAll(c)
+	after := time.Since(start)
+	_ = c.Close()
+	if err := s.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	<-done
+	return string(b), after
+}
+
+// TestLongAnswerOutlivesReadTimeout checks that the time limits of a request's
+// arrival do not end its answer.
+func TestLongAnswerOutlivesReadTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := faker.NewNetwork()
+		stop := network.Serve("w0", faker.NewEngine(faker.EngineConfig{StepTime: 100 * time.Millisecond}))
+		defer stop()
+		var tables atomic.Pointer[dispatcher.Table]
+		tables.Store(dispatcher.NewTable(&configurer.Fleet{Defaults: configurer.Defaults{
+			Services:       []configurer.Service{{Name: "m", Kind: configurer.ModelService, Version: "v1", Deadline: configurer.Duration(time.Minute)}},
+			BackendServers: []configurer.BackendServer{{Name: "w0", Service: "m", Version: "v1", Address: "w0", Concurrency: 1}},
+			Customers:      []configurer.Customer{{Name: "foodbank", KeyHashes: []configurer.KeyHash{configurer.HashKey(testKey)}}},
+			Limits:         configurer.Limits{BodyBytes: 1 << 16, QueuedRequests: 1},
+		}}))
+		pool := connector.NewPool(connector.Options{Dial: network.Dial})
+		defer pool.Close()
+		s := server.New(server.Options{Dispatcher: dispatcher.New(dispatcher.Options{Tables: &tables, Pool: pool}), Tables: &tables, ReadinessLag: -1})
+		l := network.Listen("x")
+		go func() { _ = s.Serve(l) }()
+		c, err := network.Dial(context.Background(), "x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := `{"model":"m","prompt":"long","max_tokens":300,"stream":true}`
+		go fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+		b, err := io.ReadAll(c)
+		if n := strings.Count(string(b), "id: "); err != nil || n != 300 || !strings.Contains(string(b), "[DONE]") {
+			t.Errorf("%d events, error %v", n, err)
+		}
+		_ = c.Close()
+		if err := s.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+}
