router: nested server sets by share of traffic

- A bound of 1.25 on few requests a server is passed by chance all the time, and every passing makes another copy of a prefix.
- A hint of a prefix that several servers hold, such as what all prompts start with, outweighed the hash.
- Sets within the own failure domain of two or three servers have too little cache for 40 style guides.

Levels of a prefix (what all share, a style guide, a conversation) are now hashed each over as many servers as carry its share, out of those of the level above; an overloaded set gives way to the one around it. The mean that the bound stands on is taken over the servers that may be chosen: with all servers in it, leaving ones that are idle pulled it down until nobody was below, which TestPropertyLeavingNeverChosen had found.

Also ruled out: bounds on each host's own requests, since most hosts have less than one for a server and each rounds up.

--- a/internal/loadbench/host.go
+++ b/internal/loadbench/host.go
@@ -56,8 +56,8 @@
 func (b *bench) pickByPrefix(h *host, c *call) (*engine, func(), func(router.Outcome)) {
 	choice, err := h.router.Choose(router.Request{
 		Service: service, Version: "1", PrefixBlocks: c.prompt.blocks,
-		PromptTokens: identifier.Tokens(c.prompt.tokens), OutputTokens: identifier.Tokens(b.s.Workload.OutputTokens),
-		Exclude: c.tried,
+		PromptTokens: identifier.Tokens(c.prompt.tokens),
+		Exclude:      c.tried,
 	})
 	if err != nil {
 		return nil, nil, nil
--- a/router/choice.go
+++ b/router/choice.go
@@ -37,10 +37,8 @@
 
 	r        *Router
 	s        *server
-	tally    *tally
 	stats    *poolStats
 	sent     time.Time
-	tokens   int64
 	pending  int64
 	idle     bool
 	released bool
@@ -49,9 +47,7 @@
 // hold adds the choice's load to the counters.
 func (c *Choice) hold() {
 	c.s.inFlight.Add(1)
-	c.s.tokens.Add(c.tokens)
 	c.s.pending.Add(c.pending)
-	c.tally.tokens.Add(c.tokens)
 }
 
 // FirstToken tells that the first token has come, or the answer of a plain
@@ -79,9 +75,7 @@
 	}
 	c.released = true
 	c.s.inFlight.Add(-1)
-	c.s.tokens.Add(-c.tokens)
 	c.s.pending.Add(-c.pending)
-	c.tally.tokens.Add(-c.tokens)
 	now := c.r.cfg.Clock.Now()
 	switch o {
 	case Succeeded:
--- a/router/choose.go
+++ b/router/choose.go
@@ -14,9 +14,8 @@
 	// PrefixBlocks are the blocks of the prompt; see Blocks. Nil means that no
 	// prefix is known.
 	PrefixBlocks []Block
-	// PromptTokens is the length of the prompt and OutputTokens what it is
-	// expected to generate.
-	PromptTokens, OutputTokens identifier.Tokens
+	// PromptTokens is the length of the prompt.
+	PromptTokens identifier.Tokens
 	// FirstTokenTarget replaces that of the Config where it is not 0.
 	FirstTokenTarget time.Duration
 	// Exclude rules out servers that earlier attempts went to.
@@ -52,13 +51,14 @@
 	req *Request
 	p   *pool
 	now time.Time
-	// key is the part of the prefix that is hashed, share its share of the
-	// requests; keyed tells whether there is one.
-	key    Block
-	share  float64
-	keyed  bool
+	// path[:levels] are the levels of the prefix.
+	path   [maxLevels]level
+	levels int
+	// hinted is the server thought to hold most of the prefix, hintDepth blocks.
+	hinted    uint32
+	hintDepth int
+	// strict leaves out suspect servers and the avoided domain.
 	strict bool
-	hinted uint32
 }
 
 // Choose returns the backend server for an attempt and counts its load until
@@ -91,10 +91,11 @@
 	}
 	limit := target.Seconds() * spillAt
 	var best finalist
-	for _, g := range d.p.groups {
-		if d.strict && g.domain == d.req.Avoid {
-			continue
-		}
+	groups := d.p.plain
+	if d.levels > 0 {
+		groups = d.p.prefixed
+	}
+	for _, g := range groups {
 		f, ok := d.bestOf(g)
 		if !ok {
 			continue
@@ -119,7 +120,7 @@
 	if m.State == Gone || m.s.isGone(m.Incarnation) {
 		return false
 	}
-	if d.strict && (m.State == Suspect || m.s.isSuspect(d.now)) {
+	if d.strict && (m.State == Suspect || m.FailureDomain == d.req.Avoid || m.s.isSuspect(d.now)) {
 		return false
 	}
 	return len(d.req.Exclude) == 0 || !slices.Contains(d.req.Exclude, m.BackendServer)
@@ -133,9 +134,8 @@
 		FailureDomain:   f.m.FailureDomain,
 		CachedTokens:    f.cached,
 		FirstTokenAfter: time.Duration(f.first * float64(time.Second)),
-		r:               d.r, s: f.m.s, tally: f.g.tally, stats: d.p.stats,
+		r:               d.r, s: f.m.s, stats: d.p.stats,
 		sent: d.now, idle: f.idle,
-		tokens:  int64(uncached + d.req.OutputTokens),
 		pending: int64(uncached),
 	}
 	c.hold()
@@ -157,23 +157,21 @@
 	case byRandom:
 		d.r.metrics.random.Inc()
 	}
-	if !f.g.own {
+	if f.m.FailureDomain != d.r.cfg.FailureDomain {
 		d.r.metrics.spilled.Inc()
 	}
 }
 
 // noServer returns the error that tells why nothing could be chosen.
 func (d *decision) noServer() error {
-	e := &NoServerError{Service: d.req.Service, Version: d.req.Version, Listed: d.p.size}
-	for _, g := range d.p.groups {
-		for i := range g.members {
-			m := &g.members[i]
-			switch {
-			case m.State == Gone || m.s.isGone(m.Incarnation):
-				e.Gone++
-			case slices.Contains(d.req.Exclude, m.BackendServer):
-				e.Excluded++
-			}
+	e := &NoServerError{Service: d.req.Service, Version: d.req.Version, Listed: len(d.p.members)}
+	for i := range d.p.members {
+		m := &d.p.members[i]
+		switch {
+		case m.State == Gone || m.s.isGone(m.Incarnation):
+			e.Gone++
+		case slices.Contains(d.req.Exclude, m.BackendServer):
+			e.Excluded++
 		}
 	}
 	return e
--- a/router/event.go
+++ b/router/event.go
@@ -68,11 +68,13 @@
 	if s == nil {
 		return
 	}
-	s.report.Store(&report{
+	p := &report{
 		at:            r.cfg.Clock.Now(),
-		requests:      max(float64(e.Running+e.Waiting)-float64(s.inFlight.Load()), 0),
-		waitingTokens: max(float64(e.WaitingTokens)-float64(s.pending.Load()), 0),
-	})
+		requests:      max(int64(e.Running+e.Waiting)-s.inFlight.Load(), 0),
+		waitingTokens: max(int64(e.WaitingTokens)-s.pending.Load(), 0),
+	}
+	s.report.Store(p)
+	s.others.Store(p.requests)
 }
 
 // observeCache corrects the guesses of what a server holds.
--- a/router/group.go
+++ b/router/group.go
@@ -1,85 +1,112 @@
 package router
 
-import (
-	"math"
+import "cyclamenhub.org/identifier"
 
-	"cyclamenhub.org/identifier"
-)
-
-// maxRanked bounds how far down the rendezvous order a choice looks, beyond the
-// replicas of its key.
-const (
-	maxRanked    = 16
-	beyondBound  = 3
-	randomProbes = 8
-)
-
-// ranked is a member with its place in the rendezvous order.
-type ranked struct {
-	m     *member
-	score float64
-}
+// randomProbes bounds the random tries for a server that may be chosen.
+const randomProbes = 8
 
 // bestOf returns the best finalist of a group.
 func (d *decision) bestOf(g *group) (finalist, bool) {
 	var best finalist
-	consider := func(m *member, by reason) {
-		f := d.estimate(g, m)
+	consider := func(m *member, by reason, warm int) {
+		f := d.estimate(g, m, warm)
 		f.by = by
 		if best.m == nil || f.first < best.first {
 			best = f
 		}
 	}
-	if d.keyed {
+	if d.levels > 0 {
 		d.byPrefix(g, consider)
-	}
-	if best.m == nil {
+	} else {
 		d.byRandom(g, consider)
 	}
 	return best, best.m != nil
 }
 
-// byPrefix considers two random servers of the key's replicas that stand below
-// the bound, and the server that is thought to hold most of the prefix.
-func (d *decision) byPrefix(g *group, consider func(*member, reason)) {
-	k := min(d.replicas(g), maxRanked-beyondBound)
-	var top [maxRanked]ranked
-	n := d.rank(g, top[:k+beyondBound])
-	within := top[:0]
-	for _, t := range top[:n] {
-		if len(within) < k && d.belowBound(g, t.m) {
-			within = append(within, t)
+// byPrefix narrows the group down level by level and considers two random
+// servers of the narrowest set that has one below the bound, and the server
+// that is thought to hold most of the prefix. A set that is above the bound
+// gives way to the one around it, whose servers hold the prefix but for the
+// last level.
+func (d *decision) byPrefix(g *group, consider func(*member, reason, int)) {
+	scratch := d.r.scratch.Get().(*[]ranked)
+	defer d.r.scratch.Put(scratch)
+	s := d.stand(g, *scratch)
+	*scratch = s.set
+	var sizes, warm [maxLevels + 1]int
+	n := len(s.set)
+	sizes[0] = n
+	for i := range d.levels {
+		l := &d.path[i]
+		k := min(d.replicas(l, n), sizes[i])
+		if k < sizes[i] {
+			g.rank(l.key, s.set[:sizes[i]], k)
+		}
+		sizes[i+1], warm[i+1] = k, warm[i]
+		if d.r.shares.count(l.share) >= warmUses*float64(k) {
+			warm[i+1] = l.depth
+		}
+	}
+	d.byHint(&s, consider)
+	for i := d.levels; i >= 0; i-- {
+		if d.twoOf(&s, sizes[i], warm[i], consider) {
+			return
+		}
+	}
+}
+
+// byHint considers the server that is thought to hold most of the prefix.
+func (d *decision) byHint(s *standing, consider func(*member, reason, int)) {
+	if d.hinted == 0 {
+		return
+	}
+	for i := range s.set {
+		if t := &s.set[i]; t.m.s.id == d.hinted && s.below(d.r.cfg.Bound, t) {
+			consider(t.m, byHint, 0)
 		}
 	}
-	switch len(within) {
-	case 0:
-	case 1, 2:
-		for _, t := range within {
-			consider(t.m, byPrefix)
+}
+
+// warmUses is how often each server of a level's set must have been sent the
+// level lately to be thought to hold it.
+const warmUses = 2
+
+// twoOf considers two random servers, of the first n, that are below the bound,
+// or the only one, and reports whether there was any. The order of the set is
+// not kept.
+func (d *decision) twoOf(s *standing, n, warm int, consider func(*member, reason, int)) bool {
+	set := s.set[:n]
+	within := 0
+	for i := range set {
+		if s.below(d.r.cfg.Bound, &set[i]) {
+			set[i], set[within] = set[within], set[i]
+			within++
 		}
-	default:
-		i := below(d.r.cfg.Random, len(within))
-		j := below(d.r.cfg.Random, len(within)-1)
+	}
+	if within == 0 {
+		return false
+	}
+	i := below(d.r.cfg.Random, within)
+	consider(set[i].m, byPrefix, warm)
+	if within > 1 {
+		j := below(d.r.cfg.Random, within-1)
 		if j >= i {
 			j++
 		}
-		consider(within[i].m, byPrefix)
-		consider(within[j].m, byPrefix)
-	}
-	if m := d.hintedIn(g); m != nil && d.belowBound(g, m) {
-		consider(m, byHint)
+		consider(set[j].m, byPrefix, warm)
 	}
+	return true
 }
 
 // byRandom considers two random servers.
-func (d *decision) byRandom(g *group, consider func(*member, reason)) {
+func (d *decision) byRandom(g *group, consider func(*member, reason, int)) {
 	found := 0
 	for range randomProbes {
 		m := &g.members[below(d.r.cfg.Random, len(g.members))]
 		if !d.eligible(m) {
 			continue
 		}
-		consider(m, byRandom)
+		consider(m, byRandom, 0)
 		if found++; found == 2 {
 			return
 		}
@@ -89,76 +116,21 @@
 	}
 	for i := range g.members {
 		if m := &g.members[i]; d.eligible(m) {
-			consider(m, byRandom)
-		}
-	}
-}
-
-// rank fills top with the eligible servers that come first in the rendezvous
-// order of the key and returns how many there are.
-func (d *decision) rank(g *group, top []ranked) int {
-	n := 0
-	for i := range g.members {
-		m := &g.members[i]
-		score := d.score(g, m)
-		if n == len(top) && score <= top[n-1].score || !d.eligible(m) {
-			continue
-		}
-		if n < len(top) {
-			n++
-		}
-		j := n - 1
-		for ; j > 0 && top[j-1].score < score; j-- {
-			top[j] = top[j-1]
-		}
-		top[j] = ranked{m, score}
-	}
-	return n
-}
-
-// score is the weight of a server for the key. With servers of unequal size it
-// is the logarithmic method, by which each gets keys in proportion to its size
-// (Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", SPAA 2005).
-func (d *decision) score(g *group, m *member) float64 {
-	h := mix(uint64(d.key) ^ m.s.hash)
-	if g.uniform {
-		return float64(h >> 11)
-	}
-	u := (float64(h>>11) + 0.5) / (1 << 53)
-	return -float64(m.Concurrency) / math.Log(u)
-}
-
-// belowBound reports whether a server stands at most Bound times above the mean
-// load of its group, this request counted in the mean. Some server always
-// does, since the least loaded stands at or below the mean.
-func (d *decision) belowBound(g *group, m *member) bool {
-	added := float64(max(d.req.PromptTokens+d.req.OutputTokens, 1))
-	mean := (float64(g.tally.tokens.Load()) + added) / g.capacity
-	return float64(m.s.tokens.Load()) <= d.r.cfg.Bound*mean*float64(m.Concurrency)
-}
-
-// hintedIn returns the hinted server where it is in g and eligible.
-func (d *decision) hintedIn(g *group) *member {
-	if d.hinted == 0 {
-		return nil
-	}
-	for i := range g.members {
-		if m := &g.members[i]; m.s.id == d.hinted && d.eligible(m) {
-			return m
+			consider(m, byRandom, 0)
 		}
 	}
-	return nil
 }
 
 // estimate returns a finalist with its time to the first token: the wait for a
 // slot, the prompt tokens that wait and the request's own, and what recent
 // first tokens came later than that.
-func (d *decision) estimate(g *group, m *member) finalist {
-	cached := d.cachedOn(m)
+func (d *decision) estimate(g *group, m *member, warm int) finalist {
+	blocks := float64(len(d.req.PrefixBlocks) + 1)
+	cached := float64(d.req.PromptTokens) * float64(d.cachedOn(m, warm)) / blocks
 	requests, waiting := float64(m.s.inFlight.Load()), float64(m.s.pending.Load())
 	if p := m.s.fresh(d.now, d.r.cfg.ReportTTL); p != nil {
-		requests += p.requests
-		waiting += p.waitingTokens
+		requests += float64(p.requests)
+		waiting += float64(p.waitingTokens)
 	}
 	perToken := d.p.stats.prefill.value(defaultPrefillSeconds)
 	if m.PrefillRate > 0 {
--- a/router/prefix.go
+++ b/router/prefix.go
@@ -33,21 +33,35 @@
 	return dst
 }
 
-// probeStride is the distance of the depths that are looked at in long
-// prefixes, in blocks.
-const probeStride = 8
+// Depths of a prefix that are looked at: every one up to denseDepth, then one in
+// probeStride, in blocks.
+const (
+	denseDepth  = 64
+	probeStride = 8
+)
 
-// nextDepth returns the depth to look at after d: 1, 2, 4, 8 and then every
-// eighth block.
+// nextDepth returns the depth to look at after d.
 func nextDepth(d int) int {
-	switch {
-	case d == 0:
-		return 1
-	case d < probeStride:
-		return d * 2
-	default:
-		return d + probeStride
+	if d < denseDepth {
+		return d + 1
+	}
+	return d + probeStride
+}
+
+// lastDepth returns the greatest depth to look at in n blocks.
+func lastDepth(n int) int {
+	if n > denseDepth {
+		return n - (n-denseDepth)%probeStride
+	}
+	return n
+}
+
+// previousDepth returns the depth to look at before d, or 0.
+func previousDepth(d int) int {
+	if d > denseDepth {
+		return d - probeStride
 	}
+	return d - 1
 }
 
 // mix is the finalizer of SplitMix64 (Steele, Lea and Flood, "Fast Splittable
--- a/router/router.go
+++ b/router/router.go
@@ -75,13 +75,14 @@
 	view    atomic.Pointer[view]
 	shares  shareSketch
 	hints   hints
+	// scratch holds *[]ranked for the rankings of one Choose.
+	scratch sync.Pool
 
 	// mu guards what Publish carries over from one view to the next.
 	mu      sync.Mutex
 	servers map[identifier.BackendServer]*server
 	lastID  uint32
 	stats   map[poolKey]*poolStats
-	tallies map[tallyKey]*tally
 }
 
 // New returns a Router without a table.
@@ -92,8 +93,8 @@
 		metrics: newCounters(cfg.Metrics),
 		servers: make(map[identifier.BackendServer]*server),
 		stats:   make(map[poolKey]*poolStats),
-		tallies: make(map[tallyKey]*tally),
 	}
+	r.scratch.New = func() any { return new([]ranked) }
 	r.view.Store(&view{})
 	return r
 }
@@ -108,7 +109,7 @@
 	r.forget(v)
 }
 
-// forget drops what is kept for servers and groups that are gone.
+// forget drops what is kept for servers and versions that are gone.
 func (r *Router) forget(v *view) {
 	for name := range r.servers {
 		if _, ok := v.servers[name]; !ok {
@@ -120,17 +121,6 @@
 			delete(r.stats, key)
 		}
 	}
-	used := make(map[*tally]bool)
-	for _, p := range v.pools {
-		for _, g := range p.groups {
-			used[g.tally] = true
-		}
-	}
-	for key, t := range r.tallies {
-		if !used[t] {
-			delete(r.tallies, key)
-		}
-	}
 }
 
 // serverOf returns what is known of a candidate's server. A new incarnation
@@ -145,6 +135,7 @@
 	if s.incarnation.Swap(c.Incarnation) < c.Incarnation {
 		s.clear()
 		s.report.Store(nil)
+		s.others.Store(0)
 	}
 	return s
 }
@@ -159,16 +150,6 @@
 	return s
 }
 
-// tallyOf returns the tally of a group.
-func (r *Router) tallyOf(key tallyKey) *tally {
-	t, ok := r.tallies[key]
-	if !ok {
-		t = &tally{}
-		r.tallies[key] = t
-	}
-	return t
-}
-
 // known returns the server of that name, or nil.
 func (r *Router) known(name identifier.BackendServer) *server {
 	return r.view.Load().servers[name]
--- a/router/server.go
+++ b/router/server.go
@@ -16,9 +16,10 @@
 	name identifier.BackendServer
 	hash uint64
 
-	// inFlight counts this host's requests, tokens their estimated work and
-	// pending the prompt tokens whose first token has not come.
-	inFlight, tokens, pending atomic.Int64
+	// inFlight counts this host's requests, pending their prompt tokens whose
+	// first token has not come; others counts the requests of other hosts by
+	// the last report.
+	inFlight, pending, others atomic.Int64
 	report                    atomic.Pointer[report]
 	// incarnation is that of the latest table; gone is 1 + the one that was
 	// noticed to leave.
@@ -34,8 +35,8 @@
 // report is the part of a load report that is due to other hosts.
 type report struct {
 	at            time.Time
-	requests      float64
-	waitingTokens float64
+	requests      int64
+	waitingTokens int64
 }
 
 // Bounds of suspicion after refusals and silence.
@@ -45,6 +46,9 @@
 	suspectDouble = 5
 )
 
+// load counts the server's requests of all hosts, as far as this one knows.
+func (s *server) load() int64 { return s.inFlight.Load() + s.others.Load() }
+
 // strike makes the server suspect, longer with every failure in a row.
 func (s *server) strike(now time.Time) {
 	n := min(s.strikes.Add(1)-1, suspectDouble)
--- a/router/share.go
+++ b/router/share.go
@@ -45,6 +45,9 @@
 	return float64(count-1) / float64(total)
 }
 
+// count returns about how many recent requests a share is.
+func (s *shareSketch) count(share float64) float64 { return share * float64(s.total.Load()) }
+
 // halve halves every count. Concurrent additions may be lost, which is harmless
 // in an estimate.
 func (s *shareSketch) halve() {
--- a/router/view.go
+++ b/router/view.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
-	"sync/atomic"
 
 	"cyclamenhub.org/identifier"
 )
@@ -20,14 +20,23 @@
 	version identifier.Version
 }
 
-// pool holds the servers of one version in the order in which they are looked
+// pool holds the servers of one version in the orders in which they are looked
 // at.
 type pool struct {
-	groups []*group
-	stats  *poolStats
-	size   int
+	members []member
+	// plain is the order for requests without a prefix: the own failure domain
+	// first, then the others, each by price. prefixed is that for requests with
+	// one.
+	plain, prefixed []*group
+	stats           *poolStats
 }
 
+// ownCacheServers is how many servers of the own failure domain hold enough
+// cache together to keep prefixes within it. With fewer, all domains share one
+// set by price: recomputing a prefix in each domain costs far more than the
+// way to another.
+const ownCacheServers = 32
+
 // poolStats are what this host has learnt of a version. They outlive views.
 type poolStats struct {
 	// service is the time from send to release, prefill the seconds for one
@@ -35,27 +44,12 @@
 	service, prefill average
 }
 
-// group holds servers of one failure domain and about one price.
+// group holds servers of about one price.
 type group struct {
-	domain  identifier.FailureDomain
-	own     bool
 	price   float64
 	members []member
-	// capacity is the sum of the members' concurrency, uniform tells that it
-	// is the same for all.
-	capacity float64
-	uniform  bool
-	tally    *tally
-}
-
-// tally sums this host's tokens in flight over a group. It outlives views.
-type tally struct{ tokens atomic.Int64 }
-
-// tallyKey names a tally.
-type tallyKey struct {
-	poolKey
-	domain identifier.FailureDomain
-	price  float64
+	// uniform tells that all members have the same concurrency.
+	uniform bool
 }
 
 // member is a candidate with what this host knows of it.
@@ -86,61 +80,49 @@
 			p = &pool{stats: r.statsOf(key)}
 			v.pools[key] = p
 		}
-		p.size++
-		p.insert(r.cfg.FailureDomain, member{Candidate: c, s: s})
+		p.members = append(p.members, member{Candidate: c, s: s})
 	}
-	for key, p := range v.pools {
-		r.arrange(key, p)
+	for _, p := range v.pools {
+		p.arrange(r.cfg.FailureDomain)
 	}
 	return v
 }
 
-// insert puts m into the group of its domain.
-func (p *pool) insert(own identifier.FailureDomain, m member) {
-	i := slices.IndexFunc(p.groups, func(g *group) bool { return g.domain == m.FailureDomain })
-	if i < 0 {
-		p.groups = append(p.groups, &group{domain: m.FailureDomain, own: m.FailureDomain == own})
-		i = len(p.groups) - 1
+// arrange makes the groups out of the members.
+func (p *pool) arrange(own identifier.FailureDomain) {
+	domains := make(map[identifier.FailureDomain][]member)
+	for _, m := range p.members {
+		domains[m.FailureDomain] = append(domains[m.FailureDomain], m)
 	}
-	p.groups[i].members = append(p.groups[i].members, m)
-}
-
-// arrange splits the domains' groups by price and puts them in order.
-func (r *Router) arrange(key poolKey, p *pool) {
-	var groups []*group
-	for _, g := range p.groups {
-		groups = append(groups, g.split()...)
-	}
-	slices.SortStableFunc(groups, func(a, b *group) int {
-		if a.own != b.own {
-			if a.own {
-				return -1
-			}
-			return 1
+	p.plain = tiers(domains[own])
+	var others []*group
+	for _, d := range slices.Sorted(maps.Keys(domains)) {
+		if d != own {
+			others = append(others, tiers(domains[d])...)
 		}
-		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.domain, b.domain))
-	})
-	for _, g := range groups {
-		g.tally = r.tallyOf(tallyKey{key, g.domain, g.price})
 	}
-	p.groups = groups
+	slices.SortStableFunc(others, func(a, b *group) int { return cmp.Compare(a.price, b.price) })
+	p.plain = append(p.plain, others...)
+	p.prefixed = p.plain
+	if len(domains[own]) < ownCacheServers {
+		p.prefixed = tiers(p.members)
+	}
 }
 
-// split returns g's members as groups of about one price.
-func (g *group) split() []*group {
-	slices.SortFunc(g.members, func(a, b member) int {
+// tiers returns members as groups of about one price, the cheapest first.
+func tiers(members []member) []*group {
+	members = slices.SortedFunc(slices.Values(members), func(a, b member) int {
 		return cmp.Or(cmp.Compare(a.pricePerSlot(), b.pricePerSlot()), cmp.Compare(a.BackendServer, b.BackendServer))
 	})
-	var tiers []*group
+	var list []*group
 	var tier *group
-	for _, m := range g.members {
+	for _, m := range members {
 		if tier == nil || m.pricePerSlot() > tier.price*sameTier {
-			tier = &group{domain: g.domain, own: g.own, price: m.pricePerSlot(), uniform: true}
-			tiers = append(tiers, tier)
+			tier = &group{price: m.pricePerSlot(), uniform: true}
+			list = append(list, tier)
 		}
 		tier.uniform = tier.uniform && (len(tier.members) == 0 || tier.members[0].Concurrency == m.Concurrency)
-		tier.capacity += float64(m.Concurrency)
 		tier.members = append(tier.members, m)
 	}
-	return tiers
+	return list
 }
