router: no wait for a slot while the mean server has one

Near saturation a bound of 1.25 times the mean stands above a server's slots, and a prefix waited for a slot beside free servers. The limit is now capped at the slots as long as the mean is below them.

--- a/internal/loadbench/scenario.go
+++ b/internal/loadbench/scenario.go
@@ -44,6 +44,8 @@
 	Every, Lag time.Duration
 	// StopAfter ends them for good, 0 means never.
 	StopAfter time.Duration
+	// OwnDomain sends them to the hosts of the server's domain only.
+	OwnDomain bool
 	// Liars is the number of servers that always report no load.
 	Liars int
 }
--- a/internal/loadbench/signals.go
+++ b/internal/loadbench/signals.go
@@ -23,7 +23,9 @@
 		b.after(r.Lag, func() {
 			for i, report := range reports {
 				for _, h := range b.hosts {
-					h.observe(i, report)
+					if !r.OwnDomain || h.domain == b.engines[i].FailureDomain {
+						h.observe(i, report)
+					}
 				}
 			}
 		})
--- a/internal/loadbench/tables.go
+++ b/internal/loadbench/tables.go
@@ -13,6 +13,7 @@
 // tables are the tables by name.
 var tables = map[string]func(w io.Writer, seed uint64){
 	"policies": policiesTable,
+	"scale":    scaleTable,
 }
 
 // WriteTable runs what a table needs and prints it. The name "list" prints the
--- a/router/affinity.go
+++ b/router/affinity.go
@@ -59,7 +59,7 @@
 	blocks := d.req.PrefixBlocks
 	for depth := lastDepth(len(blocks)); depth > 0; depth = previousDepth(depth) {
 		if id, ok := d.r.hints.holder(blocks[depth-1]); ok {
-			if d.shareAt(depth)*float64(len(d.p.members))*d.r.cfg.Bound <= 1 {
+			if d.shareAt(depth)*float64(d.p.size)*d.r.cfg.Bound <= 1 {
 				d.hinted, d.hintDepth = id, depth
 			}
 			return
--- a/router/choose.go
+++ b/router/choose.go
@@ -164,14 +164,16 @@
 
 // noServer returns the error that tells why nothing could be chosen.
 func (d *decision) noServer() error {
-	e := &NoServerError{Service: d.req.Service, Version: d.req.Version, Listed: len(d.p.members)}
-	for i := range d.p.members {
-		m := &d.p.members[i]
-		switch {
-		case m.State == Gone || m.s.isGone(m.Incarnation):
-			e.Gone++
-		case slices.Contains(d.req.Exclude, m.BackendServer):
-			e.Excluded++
+	e := &NoServerError{Service: d.req.Service, Version: d.req.Version, Listed: d.p.size}
+	for _, g := range d.p.plain {
+		for i := range g.members {
+			m := &g.members[i]
+			switch {
+			case m.State == Gone || m.s.isGone(m.Incarnation):
+				e.Gone++
+			case slices.Contains(d.req.Exclude, m.BackendServer):
+				e.Excluded++
+			}
 		}
 	}
 	return e
--- a/router/ranking.go
+++ b/router/ranking.go
@@ -39,14 +39,16 @@
 // longer batch.
 const freePart = 0.75
 
-// below reports whether a server's load, with this request, is at most bound
-// times its part of the load of all, rounded up, or leaves slots free. Some
-// server always is below, since the least loaded stands at or below the mean.
+// below reports whether a server's load, with this request, leaves slots free
+// or is at most bound times its part of the load of all, rounded up. It may not
+// wait for a slot while the mean server has one. Some server always is below,
+// since the least loaded stands at or below the mean.
 // Loads are those of all hosts: bounds on each host's own requests would round
 // up on every host, and most hosts have less than one request for a server.
 func (s *standing) below(bound float64, t *ranked) bool {
 	slots := float64(t.m.Concurrency)
-	limit := math.Ceil(bound * slots / s.capacity * float64(s.load+1))
+	mean := slots / s.capacity * float64(s.load+1)
+	limit := max(min(math.Ceil(bound*mean), slots), math.Ceil(mean))
 	return float64(t.load+1) <= max(limit, freePart*slots)
 }
 
--- a/router/view.go
+++ b/router/view.go
@@ -23,7 +23,7 @@
 // pool holds the servers of one version in the orders in which they are looked
 // at.
 type pool struct {
-	members []member
+	size int
 	// plain is the order for requests without a prefix: the own failure domain
 	// first, then the others, each by price. prefixed is that for requests with
 	// one.
@@ -70,6 +70,7 @@
 		pools:   make(map[poolKey]*pool),
 		servers: make(map[identifier.BackendServer]*server, len(t.Candidates)),
 	}
+	members := make(map[poolKey][]member)
 	for _, c := range t.Candidates {
 		s := r.serverOf(c)
 		v.servers[c.BackendServer] = s
@@ -80,18 +81,19 @@
 			p = &pool{stats: r.statsOf(key)}
 			v.pools[key] = p
 		}
-		p.members = append(p.members, member{Candidate: c, s: s})
+		members[key] = append(members[key], member{Candidate: c, s: s})
 	}
-	for _, p := range v.pools {
-		p.arrange(r.cfg.FailureDomain)
+	for key, p := range v.pools {
+		p.arrange(r.cfg.FailureDomain, members[key])
 	}
 	return v
 }
 
 // arrange makes the groups out of the members.
-func (p *pool) arrange(own identifier.FailureDomain) {
+func (p *pool) arrange(own identifier.FailureDomain, members []member) {
+	p.size = len(members)
 	domains := make(map[identifier.FailureDomain][]member)
-	for _, m := range p.members {
+	for _, m := range members {
 		domains[m.FailureDomain] = append(domains[m.FailureDomain], m)
 	}
 	p.plain = tiers(domains[own])
@@ -105,7 +107,7 @@
 	p.plain = append(p.plain, others...)
 	p.prefixed = p.plain
 	if len(domains[own]) < ownCacheServers {
-		p.prefixed = tiers(p.members)
+		p.prefixed = tiers(members)
 	}
 }
 
