messenger: a call that has ended never closes its session

Cause: sleep chose at random between an ended context and an elapsed wait, so that the watch of an answered call could go on and close a session that other calls used. TestSlowPeerKeepsItsSession waited without end where bytes of the call itself were read after the clock was advanced; it now drains them first and its waits are bounded. It checks the same.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -177,13 +177,16 @@
 func TestSlowPeerKeepsItsSession(t *testing.T) {
 	const silences = 10
 	a := newAlarm()
-	release := make(chan struct{})
+	entered, release := make(chan struct{}), make(chan struct{})
 	client, p := pair(t, a, func(ctx context.Context, c *Call) (proto.Message, error) {
+		close(entered)
 		<-release
 		return echo(ctx, c)
 	})
-	done := make(chan error)
+	done := make(chan error, 1)
 	go func() { done <- client.Call(t.Context(), "server", testMethod, &wire.Empty{}, &wire.Frame{}) }()
+	<-entered
+	drain(t, client)
 	for range silences {
 		a.ring() // the ping goes out
 		awaitHeard(t, client, a.Now())
@@ -198,6 +201,22 @@
 	}
 }
 
+// drain returns once the client has read all that the server sent so far: the
+// answer to a ping comes after it.
+func drain(t *testing.T, m *Messenger) {
+	t.Helper()
+	s, err := m.session(t.Context(), "server")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.mux.Ping(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitLimit bounds the wait for an observed condition.
+const awaitLimit = time.Minute
+
 // awaitHeard returns once the client's session has read a byte at time now.
 func awaitHeard(t *testing.T, m *Messenger, now time.Time) {
 	t.Helper()
@@ -205,8 +224,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for !s.conn.heardSince(now.Add(-1)) {
-		if t.Context().Err() != nil {
+	for limit := time.Now().Add(awaitLimit); !s.conn.heardSince(now.Add(-1)); {
+		if time.Now().After(limit) {
 			t.Fatal("the ping was not answered")
 		}
 		time.Sleep(time.Millisecond)
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -115,6 +115,6 @@
 	case <-ctx.Done():
 		return false
 	case <-opts.After(opts.Silence):
-		return true
+		return ctx.Err() == nil
 	}
 }
