--- a/configurer/fleet.go
+++ b/configurer/fleet.go
@@ -11,16 +11,22 @@
 
 // Fleet is the document that all hosts share.
 type Fleet struct {
-	Defaults   Defaults    `json:"defaults"`
-	Exceptions []Exception `json:"exceptions"`
+	// Defaults hold unless an exception overrides them.
+	Defaults Defaults `json:"defaults"`
+	// Exceptions lists what overrides a default, and why.
+	Exceptions []Exception `json:"exceptions,omitempty"`
 }
 
 // Defaults hold for the whole fleet.
 type Defaults struct {
-	Services       []Service       `json:"services"`
-	BackendServers []BackendServer `json:"backendServers"`
-	Customers      []Customer      `json:"customers"`
-	Limits         Limits          `json:"limits"`
+	// Services lists what the backend servers offer.
+	Services []Service `json:"services,omitempty"`
+	// BackendServers lists the instances of every service.
+	BackendServers []BackendServer `json:"backendServers,omitempty"`
+	// Customers lists who may send requests.
+	Customers []Customer `json:"customers,omitempty"`
+	// Limits bound what each process holds.
+	Limits Limits `json:"limits"`
 }
 
 // ServiceKind tells how a service is spoken to.
@@ -36,8 +42,11 @@
 
 // Service is a set of backend servers that answer the same calls.
 type Service struct {
-	Name    identifier.Service `json:"name"`
-	Kind    ServiceKind        `json:"kind"`
+	// Name is the service's own.
+	Name identifier.Service `json:"name"`
+	// Kind is "model" or "plain".
+	Kind ServiceKind `json:"kind"`
+	// Version is the present version.
 	Version identifier.Version `json:"version"`
 	// FirstTokenTarget bounds the time to the first token, or to the answer of
 	// a plain service, for 95 in 100 requests.
@@ -53,11 +62,16 @@
 
 // BackendServer is one model engine or plain service instance.
 type BackendServer struct {
-	Name          identifier.BackendServer `json:"name"`
-	Service       identifier.Service       `json:"service"`
-	Version       identifier.Version       `json:"version"`
+	// Name is the backend server's own.
+	Name identifier.BackendServer `json:"name"`
+	// Service is what it is an instance of.
+	Service identifier.Service `json:"service"`
+	// Version is the version it runs.
+	Version identifier.Version `json:"version"`
+	// FailureDomain is where it stands.
 	FailureDomain identifier.FailureDomain `json:"failureDomain"`
-	Address       string                   `json:"address"`
+	// Address is where it answers, as in "10.0.0.11:9000".
+	Address string `json:"address"`
 	// Concurrency is how many requests it runs side by side.
 	Concurrency int `json:"concurrency"`
 	// Price is its cost per hour, in the fleet's currency.
@@ -68,8 +82,10 @@
 
 // Customer is an organisation that sends requests.
 type Customer struct {
-	Name      identifier.Customer `json:"name"`
-	KeyHashes []KeyHash           `json:"keyHashes"`
+	// Name is the customer's own.
+	Name identifier.Customer `json:"name"`
+	// KeyHashes lists the stored forms of its keys.
+	KeyHashes []KeyHash `json:"keyHashes"`
 	// Weight is its part in the fair queue; 0 means 1.
 	Weight float64 `json:"weight,omitempty"`
 	// RequestsPerSecond bounds its rate over the fleet; 0 means no bound.
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -28,7 +28,7 @@
 	// starts from.
 	InitialFleet string `json:"initialFleet,omitempty"`
 	// Log configures the process's log.
-	Log LogSettings `json:"log"`
+	Log LogSettings `json:"log,omitzero"`
 }
 
 // CallerSettings configure the interface that callers use.
@@ -42,11 +42,12 @@
 	// Listen is the address, as in "127.0.0.1:8081".
 	Listen string `json:"listen"`
 	// Tokens lists who may use it.
-	Tokens []OperatorToken `json:"tokens"`
+	Tokens []OperatorToken `json:"tokens,omitempty"`
 }
 
 // OperatorToken lets one operator in.
 type OperatorToken struct {
+	// Operator is the name that the audit trail shows.
 	Operator identifier.Operator `json:"operator"`
 	// TokenHash is "sha256:" and the hexadecimal SHA-256 of the token.
 	TokenHash KeyHash `json:"tokenHash"`
@@ -54,7 +55,9 @@
 
 // HostAddress tells where one entry host stands.
 type HostAddress struct {
-	Name          identifier.Host          `json:"name"`
+	// Name is the host's own.
+	Name identifier.Host `json:"name"`
+	// FailureDomain is where the host stands.
 	FailureDomain identifier.FailureDomain `json:"failureDomain"`
 	// Address is where its peers reach it, as in "10.0.0.1:7000".
 	Address string `json:"address"`
