administrator, cyclamenctl: members of the control log and the fleet's status

Need: an operator replaces a lost keeper and sees the fleet at one glance. A host whose backend knows the group's members offers them (MemberBackend); a change is put on the audit trail before it is made, and its refusal after, so that no change goes without a record.

A change whose id or reason breaks a bound is refused without being remembered: the empty id was remembered, and the next change without one was told that its id had been used.

--- a/administrator/backend.go
+++ b/administrator/backend.go
@@ -17,3 +17,14 @@
 	// HostRevisions tells what each host last reported, in any order.
 	HostRevisions(ctx context.Context) []HostRevision
 }
+
+// MemberBackend is a Backend that also shows and changes the members of the
+// control log's group.
+type MemberBackend interface {
+	Backend
+	// Members tells which replicas the group has, in any order.
+	Members(ctx context.Context) (Members, error)
+	// ChangeMembers makes one change of membership. On an error that is no
+	// refusal it may have been made.
+	ChangeMembers(ctx context.Context, c MemberChange) error
+}
--- a/administrator/config.go
+++ b/administrator/config.go
@@ -42,10 +42,15 @@
 		refuse(w, err)
 		return
 	}
+	respond(w, h.status(r, v))
+}
+
+// status returns which hosts run which revision, by host.
+func (h *handler) status(r *http.Request, v reducer.View) Status {
 	status := Status{Revision: v.Revision, InForce: true, Hosts: h.backend.HostRevisions(r.Context())}
 	slices.SortFunc(status.Hosts, func(a, b HostRevision) int { return cmp.Compare(a.Host, b.Host) })
 	for _, host := range status.Hosts {
 		status.InForce = status.InForce && host.Revision >= v.Revision
 	}
-	respond(w, status)
+	return status
 }
--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -35,6 +35,9 @@
 		r.Post("/exceptions", h.addException)
 		r.Post("/exceptions/{name}/remove", h.removeException)
 		r.Get("/audit", h.getAudit)
+		r.Get("/members", h.getMembers)
+		r.Post("/members", h.changeMembers)
+		r.Get("/status", h.getOverview)
 	})
 	return r
 }
--- a/administrator/memory.go
+++ b/administrator/memory.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/reducer"
+	"cyclamenhub.org/refuser"
 )
 
 // MemoryBackend is a control log of one replica in memory. It forgets all when
@@ -15,6 +17,8 @@
 type MemoryBackend struct {
 	// Hosts is what HostRevisions returns.
 	Hosts []HostRevision
+	// Replicas is what Members returns and ChangeMembers changes.
+	Replicas Members
 
 	mu      sync.Mutex // guards what follows
 	machine reducer.Machine
@@ -42,3 +46,30 @@
 
 // HostRevisions returns a copy of Hosts.
 func (b *MemoryBackend) HostRevisions(context.Context) []HostRevision { return slices.Clone(b.Hosts) }
+
+// Members returns a copy of Replicas.
+func (b *MemoryBackend) Members(context.Context) (Members, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Members{Term: b.Replicas.Term, Members: slices.Clone(b.Replicas.Members)}, nil
+}
+
+// ChangeMembers changes Replicas.
+func (b *MemoryBackend) ChangeMembers(_ context.Context, c MemberChange) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	members := &b.Replicas.Members
+	i := slices.IndexFunc(*members, func(m Member) bool { return m.Replica == c.Replica })
+	switch {
+	case c.Action == AddMember && i < 0:
+		*members = append(*members, Member{Replica: c.Replica, Host: c.Host})
+	case c.Action == PromoteMember && i >= 0:
+		(*members)[i].Voter = true
+	case c.Action == RemoveMember && i >= 0:
+		*members = slices.Delete(*members, i, i+1)
+	default:
+		return refuser.NotRun(refuser.Conflict, fmt.Sprintf("replica %d is a member already or not at all", c.Replica),
+			"see 'cyclamenctl members list'")
+	}
+	return nil
+}
--- /dev/null
+++ b/administrator/overview.go
@@ -0,0 +1,101 @@
+package administrator
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/reducer"
+)
+
+// Overview is the answer to GET /v1/status.
+type Overview struct {
+	Configuration Status `json:"configuration"`
+	// Keepers is absent where the host does not know the control log's members.
+	Keepers *Members `json:"keepers,omitempty"`
+	// ActiveExceptions and LapsedExceptions count the exceptions.
+	ActiveExceptions int `json:"activeExceptions"`
+	LapsedExceptions int `json:"lapsedExceptions"`
+	// BackendServers counts those in the effective configuration.
+	BackendServers []BackendServerCount `json:"backendServers"`
+}
+
+// BackendServerCount counts the backend servers of one service, version and
+// failure domain.
+type BackendServerCount struct {
+	Service       identifier.Service       `json:"service"`
+	Version       identifier.Version       `json:"version"`
+	FailureDomain identifier.FailureDomain `json:"failureDomain"`
+	Count         int                      `json:"count"`
+	// Concurrency is how many requests they run side by side in all.
+	Concurrency int `json:"concurrency"`
+}
+
+// getOverview shows the fleet at one glance.
+func (h *handler) getOverview(w http.ResponseWriter, r *http.Request) {
+	v, err := h.backend.View(r.Context())
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	overview := Overview{Configuration: h.status(r, v), BackendServers: []BackendServerCount{}}
+	if members, err := h.members(r); err == nil {
+		overview.Keepers = &members
+	}
+	if err := h.fillIn(&overview, v); err != nil {
+		refuse(w, err)
+		return
+	}
+	respond(w, overview)
+}
+
+// fillIn adds what the fleet document tells.
+func (h *handler) fillIn(o *Overview, v reducer.View) error {
+	if v.Revision == 0 {
+		return nil
+	}
+	fleet, err := configurer.LoadFleet(v.Document)
+	if err != nil {
+		return err
+	}
+	now := h.clock.Now()
+	for _, e := range fleet.Exceptions {
+		if e.IsActive(now) {
+			o.ActiveExceptions++
+		} else {
+			o.LapsedExceptions++
+		}
+	}
+	effective, err := fleet.Effective(now)
+	if err != nil {
+		return err
+	}
+	o.BackendServers = countBackendServers(effective.BackendServers)
+	return nil
+}
+
+// countBackendServers counts by service, version and failure domain, in that
+// order.
+func countBackendServers(servers []configurer.BackendServer) []BackendServerCount {
+	counts := make(map[BackendServerCount]BackendServerCount)
+	for _, b := range servers {
+		key := BackendServerCount{Service: b.Service, Version: b.Version, FailureDomain: b.FailureDomain}
+		count, ok := counts[key]
+		if !ok {
+			count = key
+		}
+		count.Count++
+		count.Concurrency += b.Concurrency
+		counts[key] = count
+	}
+	list := make([]BackendServerCount, 0, len(counts))
+	for _, count := range counts {
+		list = append(list, count)
+	}
+	slices.SortFunc(list, func(a, b BackendServerCount) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version), cmp.Compare(a.FailureDomain, b.FailureDomain))
+	})
+	return list
+}
--- a/cmd/cyclamenctl/audit.go
+++ b/cmd/cyclamenctl/audit.go
@@ -45,9 +45,9 @@
 		return err
 	}
 	return c.print(answer, func(w *tabwriter.Writer) {
-		row(w, "NUMBER", "AT", "OPERATOR", "ACTION", "BASE", "REVISION", "RESULT", "REASON")
+		row(w, "NUMBER", "AT", "OPERATOR", "ACTION", "BASE", "REVISION", "RESULT", "REASON", "DETAIL")
 		for _, r := range answer.Records {
-			row(w, r.Number, since(r.At), r.Operator, r.Action, r.Base, r.Revision, result(r), orDash(r.Reason))
+			row(w, r.Number, since(r.At), r.Operator, r.Action, r.Base, r.Revision, result(r), orDash(r.Reason), r.Detail)
 			if o.Changes {
 				rowsOfChanges(w, r)
 			}
--- a/cmd/cyclamenctl/config.go
+++ b/cmd/cyclamenctl/config.go
@@ -163,10 +163,13 @@
 	if err := cmd.c.client().call(http.MethodGet, "/config/status", nil, &status); err != nil {
 		return err
 	}
-	return cmd.c.print(status, func(w *tabwriter.Writer) {
-		row(w, "HOST", "FAILURE DOMAIN", "REVISION", "SINCE", "IN FORCE")
-		for _, h := range status.Hosts {
-			row(w, h.Host, h.FailureDomain, h.Revision, since(h.Since), yesNo(h.Revision >= status.Revision))
-		}
-	})
+	return cmd.c.print(status, func(w *tabwriter.Writer) { rowsOfHosts(w, status) })
+}
+
+// rowsOfHosts writes one row for each host.
+func rowsOfHosts(w *tabwriter.Writer, s administrator.Status) {
+	row(w, "HOST", "FAILURE DOMAIN", "REVISION", "SINCE", "IN FORCE")
+	for _, h := range s.Hosts {
+		row(w, h.Host, h.FailureDomain, h.Revision, since(h.Since), yesNo(h.Revision >= s.Revision))
+	}
 }
--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -67,6 +67,8 @@
 	addConfigCommands(p, c)
 	addExceptionCommands(p, c)
 	addAuditCommands(p, c)
+	addMemberCommands(p, c)
+	addStatusCommand(p, c)
 	addKeyCommands(p, c)
 	return p
 }
--- a/cmd/cyclamenctl/script_test.go
+++ b/cmd/cyclamenctl/script_test.go
@@ -28,6 +28,10 @@
 				{Host: "b1", FailureDomain: "b", Revision: 0},
 				{Host: "a1", FailureDomain: "a", Revision: 1, Since: now},
 			}}
+			backend.Replicas = administrator.Members{Term: 3, Members: []administrator.Member{
+				{Replica: 12, Host: "b1", FailureDomain: "b", Voter: true},
+				{Replica: 11, Host: "a1", FailureDomain: "a", Voter: true, Leader: true},
+			}}
 			tokens := []configurer.OperatorToken{
 				{Operator: "els", TokenHash: configurer.HashKey("els-token")},
 				{Operator: "janis", TokenHash: configurer.HashKey("janis-token")},
--- a/reducer/audit.go
+++ b/reducer/audit.go
@@ -29,8 +29,8 @@
 	// MaxRecordedValueBytes each value before and after.
 	MaxRecordedChanges    = 64
 	MaxRecordedValueBytes = 1024
-	// MaxProblemBytes bounds the reason of a refusal.
-	MaxProblemBytes = 4096
+	// MaxTextBytes bounds each text of a record.
+	MaxTextBytes = 4096
 )
 
 // AuditRecord tells who changed what, when and why.
@@ -38,7 +38,10 @@
 	// Number rises by one with every record.
 	Number uint64 `json:"number"`
 	// Action is the kind of change, as in "addException".
-	Action   string              `json:"action"`
+	Action string `json:"action"`
+	// Detail tells what an action other than a change of configuration is taken
+	// on.
+	Detail   string              `json:"detail,omitempty"`
 	ChangeID identifier.ChangeID `json:"changeId"`
 	Operator identifier.Operator `json:"operator"`
 	At       time.Time           `json:"at"`
@@ -80,6 +83,11 @@
 	return fmt.Appendf(nil, `"%d bytes, sha256 %x"`, len(value), sha256.Sum256(value))
 }
 
+// shortenText cuts a text of an operator or check to what a record keeps.
+func shortenText(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), MaxTextBytes)], "")
+}
+
 // audit is the bounded audit trail.
 type audit struct {
 	last     uint64
@@ -92,7 +100,8 @@
 	a := &s.audit
 	a.last++
 	r.Number = a.last
-	r.Problem = strings.ToValidUTF8(r.Problem[:min(len(r.Problem), MaxProblemBytes)], "")
+	r.ChangeID = identifier.ChangeID(shortenText(string(r.ChangeID)))
+	r.Reason, r.Detail, r.Problem = shortenText(r.Reason), shortenText(r.Detail), shortenText(r.Problem)
 	if r.IsRefused() {
 		a.refused.add(r, MaxRefusedRecords, MaxRefusedBytes)
 	} else {
@@ -101,6 +110,15 @@
 	return WriteAudit{Record: r}
 }
 
+// recordAction keeps the record of an action that is about to be taken.
+func (s *State) recordAction(ev RecordAction) []Effect {
+	record := s.writeAudit(AuditRecord{
+		Action: ev.Action, Detail: ev.Detail, ChangeID: ev.ChangeID, Operator: ev.Operator, At: ev.At,
+		Reason: ev.Reason, Base: s.configuration.revision, Revision: s.configuration.revision,
+	})
+	return []Effect{record, Answer{ChangeID: ev.ChangeID, Outcome: Accepted{Revision: s.configuration.revision}}}
+}
+
 // recordRefusal keeps the record of a change that was refused before it was
 // proposed.
 func (s *State) recordRefusal(ev RecordRefusal) []Effect {
--- a/reducer/audit_test.go
+++ b/reducer/audit_test.go
@@ -21,6 +21,7 @@
 			Exception: json.RawMessage(`{"name":"night","path":"limits/bodyBytes","value":2}`)},
 		RemoveException{ChangeID: "c-3", Base: 1, Operator: "els", Reason: "too late", At: testStart.Add(2), Name: "night"},
 		RemoveException{ChangeID: "c-4", Base: 2, Operator: "els", Reason: "call closed", At: testStart.Add(3), Name: "night"},
+		RecordAction{Action: "removeMember", Detail: "replica 7", ChangeID: "c-6", Operator: "els", Reason: "disk lost", At: testStart.Add(5)},
 		RecordRefusal{Action: "addException", ChangeID: "c-5", Base: 3, Operator: "els", Problem: "no reason", At: testStart.Add(4)},
 	}
 	for i, ev := range events {
@@ -36,13 +37,15 @@
 		{Number: 4, Action: "removeException", ChangeID: "c-4", Operator: "els", At: testStart.Add(3), Reason: "call closed", Base: 2, Revision: 3,
 			Changes: []configurer.FieldChange{{Path: "exceptions/night", Before: exception}}},
 	}
+	wantAccepted = append(wantAccepted, AuditRecord{Number: 5, Action: "removeMember", Detail: "replica 7", ChangeID: "c-6", Operator: "els",
+		At: testStart.Add(5), Reason: "disk lost", Base: 3, Revision: 3})
 	if diff := cmp.Diff(wantAccepted, v.Accepted); diff != "" {
 		t.Errorf("accepted (-want +got):\n%s", diff)
 	}
 	wantRefused := []AuditRecord{
 		{Number: 3, Action: "removeException", ChangeID: "c-3", Operator: "els", At: testStart.Add(2), Reason: "too late", Base: 1, Revision: 2,
 			Problem: "the change was made against revision 1 and the present one is 2: look at revision 2 and make the change again with --base 2"},
-		{Number: 5, Action: "addException", ChangeID: "c-5", Operator: "els", At: testStart.Add(4), Base: 3, Revision: 3, Problem: "no reason"},
+		{Number: 6, Action: "addException", ChangeID: "c-5", Operator: "els", At: testStart.Add(4), Base: 3, Revision: 3, Problem: "no reason"},
 	}
 	if diff := cmp.Diff(wantRefused, v.Refused); diff != "" {
 		t.Errorf("refused (-want +got):\n%s", diff)
--- a/reducer/codec.go
+++ b/reducer/codec.go
@@ -18,6 +18,7 @@
 	typeChangeConfiguration = "changeConfiguration"
 	typeAddException        = "addException"
 	typeRemoveException     = "removeException"
+	typeRecordAction        = "recordAction"
 	typeRecordRefusal       = "recordRefusal"
 	typeAccepted            = "accepted"
 	typeConflict            = "conflict"
@@ -47,6 +48,8 @@
 		return encode(typeAddException, ev)
 	case RemoveException:
 		return encode(typeRemoveException, ev)
+	case RecordAction:
+		return encode(typeRecordAction, ev)
 	case RecordRefusal:
 		return encode(typeRecordRefusal, ev)
 	default:
@@ -67,6 +70,8 @@
 		return decode[AddException](e)
 	case typeRemoveException:
 		return decode[RemoveException](e)
+	case typeRecordAction:
+		return decode[RecordAction](e)
 	case typeRecordRefusal:
 		return decode[RecordRefusal](e)
 	default:
--- a/reducer/configuration.go
+++ b/reducer/configuration.go
@@ -64,6 +64,9 @@
 // change accepts p if it was made against the present revision.
 func (s *State) change(p change) []Effect {
 	c := &s.configuration
+	if refused, bad := p.inspect(); bad {
+		return s.refuseChange(p, refused)
+	}
 	if earlier, ok := c.byChange[p.id]; ok {
 		return s.answerAgain(p, earlier)
 	}
@@ -93,6 +96,12 @@
 		Problem: fmt.Sprintf("change id %q was used for another change", p.id),
 		Remedy:  "send this change under a new change id",
 	}
+	return s.refuseChange(p, outcome)
+}
+
+// refuseChange records and answers a refusal that need not be remembered, since
+// every resend is refused alike.
+func (s *State) refuseChange(p change, outcome Refused) []Effect {
 	record := p.record()
 	record.Revision = s.configuration.revision
 	record.Problem = outcome.Problem
@@ -102,9 +111,6 @@
 // judge decides about a change that was not seen before, and returns the
 // document that it leads to if it is accepted.
 func (c *configuration) judge(p change) (json.RawMessage, Outcome) {
-	if refused, bad := p.inspect(); bad {
-		return nil, refused
-	}
 	if p.base != c.revision {
 		return nil, Conflict{Base: p.base, Present: c.revision}
 	}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -49,6 +49,19 @@
 	At   time.Time `json:"at"`
 }
 
+// RecordAction puts an operator's action that changes no configuration on the
+// audit trail, before it is taken.
+type RecordAction struct {
+	// Action is the kind of action, as in "removeMember".
+	Action string `json:"action"`
+	// Detail tells what the action is taken on.
+	Detail   string              `json:"detail"`
+	ChangeID identifier.ChangeID `json:"changeId"`
+	Operator identifier.Operator `json:"operator"`
+	Reason   string              `json:"reason,omitempty"`
+	At       time.Time           `json:"at"`
+}
+
 // RecordRefusal puts a change that was refused before it was proposed on the
 // audit trail.
 type RecordRefusal struct {
@@ -66,4 +79,5 @@
 func (ChangeConfiguration) isEvent() {}
 func (AddException) isEvent()        {}
 func (RemoveException) isEvent()     {}
+func (RecordAction) isEvent()        {}
 func (RecordRefusal) isEvent()       {}
--- a/reducer/reduce.go
+++ b/reducer/reduce.go
@@ -19,6 +19,8 @@
 		return s.change(additionOfException(ev))
 	case RemoveException:
 		return s.change(removalOfException(ev))
+	case RecordAction:
+		return s.recordAction(ev)
 	case RecordRefusal:
 		return s.recordRefusal(ev)
 	default:
