claimer: the claims' clock never runs ahead of time

Need: a claim that expires early lets an action run twice. A leader that was frozen, or whose answers were lost, could count time again that its successor or its own next step counts too.

Steps now carry term and number, and a repetition or a deposed leader's step changes nothing. Ruled out: bounding a step at two intervals, which still counts up to two seconds twice at each change of leader.

--- a/claimer/codec.go
+++ b/claimer/codec.go
@@ -39,7 +39,7 @@
 	case abandon:
 		return &claimwire.Event{Event: &claimwire.Event_Abandon{Abandon: &claimwire.Abandon{Name: ev.name[:], Token: ev.token[:]}}}, nil
 	case Advance:
-		return &claimwire.Event{Event: &claimwire.Event_Advance{Advance: &claimwire.Advance{ElapsedNs: int64(ev.Elapsed)}}}, nil
+		return &claimwire.Event{Event: &claimwire.Event_Advance{Advance: wireAdvance(ev)}}, nil
 	case SetBounds:
 		return &claimwire.Event{Event: &claimwire.Event_SetBounds{SetBounds: &claimwire.SetBounds{
 			Claims: int64(ev.Claims), ReceiptBytes: ev.ReceiptBytes,
@@ -68,7 +68,7 @@
 		n, token, err := decodeHold(e.Abandon.Name, e.Abandon.Token)
 		return abandon{name: n, token: token}, err
 	case *claimwire.Event_Advance:
-		return Advance{Elapsed: time.Duration(e.Advance.ElapsedNs)}, nil
+		return decodeAdvance(e.Advance), nil
 	case *claimwire.Event_SetBounds:
 		return SetBounds{Claims: int(e.SetBounds.Claims), ReceiptBytes: e.SetBounds.ReceiptBytes}, nil
 	default:
@@ -76,6 +76,16 @@
 	}
 }
 
+// wireAdvance returns the message of ev.
+func wireAdvance(ev Advance) *claimwire.Advance {
+	return &claimwire.Advance{Term: uint64(ev.Term), Step: ev.Step, ElapsedNs: int64(ev.Elapsed)}
+}
+
+// decodeAdvance reads a step of the clock.
+func decodeAdvance(m *claimwire.Advance) Advance {
+	return Advance{Term: identifier.Term(m.GetTerm()), Step: m.GetStep(), Elapsed: time.Duration(m.GetElapsedNs())}
+}
+
 // decodeAcquire reads and checks a claim.
 func decodeAcquire(m *claimwire.Acquire) (Event, error) {
 	n, token, err := decodeHold(m.Name, m.Token)
--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -25,9 +25,9 @@
 // # Time
 //
 // The table has a clock of its own, the sum of the Advance entries that the
-// group's leader proposes from its monotonic clock. A wall clock that jumps on
-// one host therefore lets no claim expire early; time in which no leader
-// advances the clock only keeps claims longer. A claim expires once its horizon
+// Advancer of the group's leader proposes from its monotonic clock. A wall
+// clock that jumps on one host therefore lets no claim expire early; time in
+// which no leader advances the clock only keeps claims longer. A claim expires once its horizon
 // has passed on that clock and all older claims have expired: never early.
 //
 // # Bounds
--- a/claimer/event.go
+++ b/claimer/event.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -55,10 +56,22 @@
 	token Token
 }
 
-// Advance moves the table's clock. The group's leader proposes it with the time
-// on its monotonic clock since the last one that it saw applied, or since it
-// began to lead.
-type Advance struct{ Elapsed time.Duration }
+// Advance moves the table's clock. The group's leader proposes it. One that is
+// not later than the last, by term and step, is a repetition or comes from a
+// deposed leader, and changes nothing.
+type Advance struct {
+	// Term is that of the leader, and Step numbers its steps from 1.
+	Term identifier.Term
+	Step uint64
+	// Elapsed is the time since the leader's step before, on its monotonic
+	// clock.
+	Elapsed time.Duration
+}
+
+// isAfter reports whether ev is later than other.
+func (ev Advance) isAfter(other Advance) bool {
+	return cmp.Or(cmp.Compare(ev.Term, other.Term), cmp.Compare(ev.Step, other.Step)) > 0
+}
 
 // SetBounds changes the table's bounds. What is held beyond them stays.
 type SetBounds struct {
--- a/claimer/fuzz_test.go
+++ b/claimer/fuzz_test.go
@@ -11,7 +11,7 @@
 	for _, ev := range []Event{
 		acquireOf(&c), settle{name: c.name(), token: c.Token, receipt: testReceipt(1)},
 		release{name: c.name(), token: c.Token}, abandon{name: c.name(), token: c.Token},
-		Advance{Elapsed: time.Second}, SetBounds{Claims: 1, ReceiptBytes: 1},
+		Advance{Term: 2, Step: 3, Elapsed: time.Second}, SetBounds{Claims: 1, ReceiptBytes: 1},
 	} {
 		b, err := EncodeEvent(ev)
 		if err != nil {
--- a/claimer/snapshot.go
+++ b/claimer/snapshot.go
@@ -19,7 +19,7 @@
 	var b bytes.Buffer
 	head := &claimwire.Table{
 		NowNs: int64(t.now), BoundClaims: int64(t.bounds.Claims), BoundReceiptBytes: t.bounds.ReceiptBytes,
-		Records: int64(len(t.order) - t.released),
+		Records: int64(len(t.order) - t.released), Last: wireAdvance(t.last),
 	}
 	mustWrite(&b, head)
 	for _, r := range t.order {
@@ -39,6 +39,7 @@
 	}
 	restored := Table{
 		now:    time.Duration(head.NowNs),
+		last:   decodeAdvance(head.Last),
 		bounds: SetBounds{Claims: int(head.BoundClaims), ReceiptBytes: head.BoundReceiptBytes},
 	}
 	for n := range head.Records {
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -20,7 +20,9 @@
 // goroutine owns it.
 type Table struct {
 	// now is the table's own clock.
-	now    time.Duration
+	now time.Duration
+	// last is the newest step of the clock.
+	last   Advance
 	bounds SetBounds
 	held   map[name]*record
 	// order holds the records from the oldest to the newest, and those that
@@ -76,7 +78,10 @@
 	case abandon:
 		return t.abandon(ev)
 	case Advance:
-		t.advance(ev.Elapsed)
+		if ev.isAfter(t.last) {
+			t.last = ev
+			t.advance(ev.Elapsed)
+		}
 		return noted{}
 	case SetBounds:
 		t.bounds = ev
--- a/claimer/table_test.go
+++ b/claimer/table_test.go
@@ -49,6 +49,11 @@
 	return a
 }
 
+// wait moves the table's clock.
+func wait(t interface{ Fatal(...any) }, table *Table, d time.Duration) {
+	send(t, table, Advance{Term: 1, Step: table.last.Step + 1, Elapsed: d})
+}
+
 // restarted returns the table that the snapshot of table holds.
 func restarted(t interface{ Fatal(...any) }, table *Table) *Table {
 	var r Table
@@ -115,7 +120,7 @@
 				send(t, table, abandon{name: c.name(), token: c.Token})
 			case "advance":
 				step := time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second
-				send(t, table, Advance{Elapsed: step})
+				wait(t, table, step)
 				now += step
 			case "restart":
 				table = restarted(t, table)
@@ -154,23 +159,27 @@
 	}
 	for _, tt := range []struct {
 		name  string
+		after time.Duration
 		event Event
 		claim Claim
 		want  answer
 	}{
-		{"while it runs", Advance{}, second, InProgress{Request: "r-1"}},
-		{"another action", Advance{}, other, Reused{}},
-		{"its answer lost on the way", Advance{}, first, Granted{}},
-		{"after it should have ended", Advance{Elapsed: 2 * time.Second}, second, Lost{}},
-		{"after a late receipt", settle{name: first.name(), token: first.Token, receipt: testReceipt(1)}, second, Settled{Receipt: testReceipt(1)}},
-		{"after another receipt", settle{name: first.name(), token: first.Token, receipt: testReceipt(2)}, second, Settled{Receipt: testReceipt(1)}},
-		{"at the horizon", Advance{Elapsed: 8 * time.Second}, second, Settled{Receipt: testReceipt(1)}},
-		{"after the horizon", Advance{Elapsed: time.Nanosecond}, second, Granted{}},
-		{"released by the first claim", release{name: first.name(), token: first.Token}, first, InProgress{Request: "r-2"}},
-		{"abandoned", abandon{name: second.name(), token: second.Token}, first, Lost{}},
-		{"released after it was abandoned", release{name: second.name(), token: second.Token}, first, Lost{}},
+		{"while it runs", 0, nil, second, InProgress{Request: "r-1"}},
+		{"another action", 0, nil, other, Reused{}},
+		{"its answer lost on the way", 0, nil, first, Granted{}},
+		{"after it should have ended", 2 * time.Second, nil, second, Lost{}},
+		{"after a late receipt", 0, settle{name: first.name(), token: first.Token, receipt: testReceipt(1)}, second, Settled{Receipt: testReceipt(1)}},
+		{"after another receipt", 0, settle{name: first.name(), token: first.Token, receipt: testReceipt(2)}, second, Settled{Receipt: testReceipt(1)}},
+		{"at the horizon", 8 * time.Second, nil, second, Settled{Receipt: testReceipt(1)}},
+		{"after the horizon", time.Nanosecond, nil, second, Granted{}},
+		{"released by the first claim", 0, release{name: first.name(), token: first.Token}, first, InProgress{Request: "r-2"}},
+		{"abandoned", 0, abandon{name: second.name(), token: second.Token}, first, Lost{}},
+		{"released after it was abandoned", 0, release{name: second.name(), token: second.Token}, first, Lost{}},
 	} {
-		send(t, &table, tt.event)
+		wait(t, &table, tt.after)
+		if tt.event != nil {
+			send(t, &table, tt.event)
+		}
 		if diff := cmp.Diff(tt.want, send(t, &table, acquireOf(&tt.claim))); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", tt.name, diff)
 		}
@@ -195,7 +204,7 @@
 			t.Errorf("claim of customer %d: %T, want %T", n, got, want)
 		}
 	}
-	send(t, &table, Advance{Elapsed: testHorizon + 1})
+	wait(t, &table, testHorizon+1)
 	if got := claim("large", 2); got != (Granted{}) {
 		t.Errorf("claim once the others have expired: %T", got)
 	}
