configurer: a follower puts revisions and lapsing exceptions in force

Need: an exception ends without a new revision, so that a host must look at its clock. Hosts so far used the defaults alone. The follower takes accepted documents through LoadFleet, ignores a revision that is not newer, and publishes the effective configuration again when an exception lapses.

--- a/configurer/doc.go
+++ b/configurer/doc.go
@@ -20,4 +20,10 @@
 //	}
 //	fleet, err := configurer.DecodeFleet(document)
 //	effective, err := fleet.Effective(clock.Now())
+//
+//	f := configurer.NewFollower(clock, func(revision identifier.Revision, effective *configurer.Fleet) {
+//		... // put it in force
+//	})
+//	go f.Run(ctx)
+//	err = f.Take(revision, document) // once accepted
 package configurer
--- /dev/null
+++ b/configurer/follower_test.go
@@ -0,0 +1,61 @@
+package configurer
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/timer"
+)
+
+// inForce is one published configuration.
+type inForce struct {
+	Revision identifier.Revision
+	Rate     float64
+}
+
+func TestFollowerPutsRevisionsAndLapsesInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var mu sync.Mutex // guards got
+		var got []inForce
+		f := NewFollower(timer.System{}, func(revision identifier.Revision, effective *Fleet) {
+			mu.Lock()
+			defer mu.Unlock()
+			got = append(got, inForce{revision, effective.Defaults.Customers[0].RequestsPerSecond})
+		})
+		go f.Run(ctx)
+		fleet := readFleet(t)
+		fleet.Exceptions[0].Ends = time.Now().Add(time.Hour).Format(time.RFC3339)
+		take := func(revision identifier.Revision) {
+			if err := f.Take(revision, fleet.Encode()); err != nil {
+				t.Error(err)
+			}
+		}
+		take(2)
+		time.Sleep(time.Hour - 2*time.Second)
+		synctest.Wait()
+		mu.Lock()
+		before := len(got)
+		mu.Unlock()
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		take(1)
+		fleet.Defaults.Customers[0].RequestsPerSecond = 30
+		take(3)
+		if err := f.Take(4, []byte(`{"defaults":{}}`)); err == nil {
+			t.Error("a faulty document was taken")
+		}
+		cancel()
+		synctest.Wait()
+		want := []inForce{{2, 60}, {2, 20}, {3, 30}}
+		if diff := cmp.Diff(want, got); diff != "" || before != 1 {
+			t.Errorf("%d published before the end; in force (-want +got):\n%s", before, diff)
+		}
+	})
+}
