--- a/cmd/cyclamenctl/doc.go
+++ b/cmd/cyclamenctl/doc.go
@@ -8,6 +8,13 @@
 //	cyclamenctl config set --base 7 --reason "larger queue" fleet.json
 //	cyclamenctl config status
 //
+// For shell completion in bash:
+//
+//	_cyclamenctl() {
+//		COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}"))
+//	}
+//	complete -F _cyclamenctl cyclamenctl
+//
 // Every command has --help. The exit code is 0 on success, 1 where the command
 // failed, 2 for a wrong command line and 3 where a change conflicts with a
 // newer revision.
--- a/reducer/machine.go
+++ b/reducer/machine.go
@@ -1,13 +1,47 @@
 package reducer
 
 import (
+	"fmt"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
 )
 
-var undecodedEntries = metrics.NewCounter("cyclamen_control_undecoded_entries_total")
+var (
+	undecodedEntries = metrics.NewCounter("cyclamen_control_undecoded_entries_total")
+	acceptedEvents   = outcomeCounter("accepted")
+	conflictedEvents = outcomeCounter("conflict")
+	refusedEvents    = outcomeCounter("refused")
+	resentEvents     = outcomeCounter("resent")
+)
+
+// outcomeCounter returns the counter of one kind of outcome.
+func outcomeCounter(outcome string) *metrics.Counter {
+	return metrics.NewCounter(fmt.Sprintf("cyclamen_control_outcomes_total{outcome=%q}", outcome))
+}
+
+// countOutcome counts o by its kind; a resend counts as that alone.
+func countOutcome(o Outcome) {
+	switch {
+	case o == markResent(o):
+		resentEvents.Inc()
+	case o.Err() == nil:
+		acceptedEvents.Inc()
+	default:
+		countRefusal(o)
+	}
+}
+
+// countRefusal counts an outcome that changed nothing.
+func countRefusal(o Outcome) {
+	if _, ok := o.(Conflict); ok {
+		conflictedEvents.Inc()
+		return
+	}
+	refusedEvents.Inc()
+}
 
 // Machine adapts a State to a replicated log: it decodes each committed entry,
 // reduces it and encodes the outcome. Its zero value is ready to use. One
@@ -33,7 +67,9 @@
 	if m.Perform != nil {
 		m.Perform(index, effects)
 	}
-	return mustEncodeOutcome(outcomeOf(effects))
+	outcome := outcomeOf(effects)
+	countOutcome(outcome)
+	return mustEncodeOutcome(outcome)
 }
 
 // Snapshot returns the state as bytes.
