reducer, administrator: readings without the audit trail

Head gives the configuration alone; the administrator uses it wherever the backend offers it (HeadBackend).

Trial on a scratch copy: a head without its time failed TestHeadHoldsTheConfigurationAlone.

--- a/administrator/backend.go
+++ b/administrator/backend.go
@@ -18,6 +18,15 @@
 	HostRevisions(ctx context.Context) []HostRevision
 }
 
+// HeadBackend is a Backend that can read the present configuration without the
+// audit trail, which may be a hundred times as large. Where a host asks the
+// keepers for the state, each change and most reads then cost little.
+type HeadBackend interface {
+	Backend
+	// Head returns a linearizable reading without Accepted and Refused.
+	Head(ctx context.Context) (reducer.View, error)
+}
+
 // MemberBackend is a Backend that also shows and changes the members of the
 // control log's group.
 type MemberBackend interface {
--- a/administrator/change.go
+++ b/administrator/change.go
@@ -35,7 +35,7 @@
 
 // propose returns the outcome of an accepted change, or why there is none.
 func (h *handler) propose(r *http.Request, p proposal) (reducer.Outcome, error) {
-	v, err := h.backend.View(r.Context())
+	v, err := h.head(r.Context())
 	if err != nil {
 		return nil, err
 	}
--- a/administrator/config.go
+++ b/administrator/config.go
@@ -10,7 +10,7 @@
 
 // getConfig answers with the present document.
 func (h *handler) getConfig(w http.ResponseWriter, r *http.Request) {
-	v, err := h.backend.View(r.Context())
+	v, err := h.head(r.Context())
 	if err != nil {
 		refuse(w, err)
 		return
@@ -37,7 +37,7 @@
 
 // getStatus tells which hosts run which revision.
 func (h *handler) getStatus(w http.ResponseWriter, r *http.Request) {
-	v, err := h.backend.View(r.Context())
+	v, err := h.head(r.Context())
 	if err != nil {
 		refuse(w, err)
 		return
--- a/administrator/exceptions.go
+++ b/administrator/exceptions.go
@@ -13,7 +13,7 @@
 
 // getExceptions lists the exceptions and whether they hold.
 func (h *handler) getExceptions(w http.ResponseWriter, r *http.Request) {
-	v, err := h.backend.View(r.Context())
+	v, err := h.head(r.Context())
 	if err != nil {
 		refuse(w, err)
 		return
--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -1,12 +1,14 @@
 package administrator
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
 
 	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/timer"
 )
 
@@ -41,3 +43,11 @@
 	})
 	return r
 }
+
+// head returns a reading that may lack the audit trail.
+func (h *handler) head(ctx context.Context) (reducer.View, error) {
+	if b, ok := h.backend.(HeadBackend); ok {
+		return b.Head(ctx)
+	}
+	return h.backend.View(ctx)
+}
--- a/administrator/memory.go
+++ b/administrator/memory.go
@@ -44,6 +44,15 @@
 	return b.machine.View(), nil
 }
 
+// Head returns the present configuration.
+func (b *MemoryBackend) Head(context.Context) (reducer.View, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var s reducer.State
+	err := s.Restore(b.machine.Head())
+	return s.View(), err
+}
+
 // HostRevisions returns a copy of Hosts.
 func (b *MemoryBackend) HostRevisions(context.Context) []HostRevision { return slices.Clone(b.Hosts) }
 
--- a/administrator/overview.go
+++ b/administrator/overview.go
@@ -35,7 +35,7 @@
 
 // getOverview shows the fleet at one glance.
 func (h *handler) getOverview(w http.ResponseWriter, r *http.Request) {
-	v, err := h.backend.View(r.Context())
+	v, err := h.head(r.Context())
 	if err != nil {
 		refuse(w, err)
 		return
--- a/reducer/audit_test.go
+++ b/reducer/audit_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/identifier"
@@ -96,3 +97,17 @@
 		t.Errorf("%d accepted and %d refused records, want 1 and %d", len(v.Accepted), len(v.Refused), MaxRefusedRecords)
 	}
 }
+
+func TestHeadHoldsTheConfigurationAlone(t *testing.T) {
+	var s, head State
+	Reduce(&s, changeNumber(1, 0))
+	Reduce(&s, changeNumber(2, 0))
+	if err := head.Restore(s.Head()); err != nil {
+		t.Fatal(err)
+	}
+	want := s.View()
+	want.Accepted, want.Refused = nil, nil
+	if diff := cmp.Diff(want, head.View(), cmpopts.EquateEmpty()); diff != "" {
+		t.Errorf("head (-want +got):\n%s", diff)
+	}
+}
--- a/reducer/machine.go
+++ b/reducer/machine.go
@@ -75,6 +75,9 @@
 // Snapshot returns the state as bytes.
 func (m *Machine) Snapshot() []byte { return m.state.Snapshot() }
 
+// Head returns a snapshot of the present configuration alone.
+func (m *Machine) Head() []byte { return m.state.Head() }
+
 // Restore replaces the state and publishes the configuration it holds.
 func (m *Machine) Restore(b []byte) error {
 	if err := m.state.Restore(b); err != nil {
--- a/reducer/snapshot.go
+++ b/reducer/snapshot.go
@@ -56,6 +56,20 @@
 			ChangeID: a.change, Digest: hex.EncodeToString(a.digest[:]), Outcome: mustEncodeOutcome(a.outcome),
 		})
 	}
+	return w.encode()
+}
+
+// Head returns a snapshot of the present configuration alone, without the audit
+// trail and the remembered answers. A State restored from it serves reads; a
+// replica must not be.
+func (s *State) Head() []byte {
+	c := &s.configuration
+	w := wireState{Format: snapshotFormat, Revision: c.revision, Document: c.document, Since: c.since, LastAudit: s.audit.last}
+	return w.encode()
+}
+
+// encode returns w as JSON.
+func (w *wireState) encode() []byte {
 	b, err := json.Marshal(w)
 	if err != nil {
 		// Every field has a marshalable type.
