claimer: a claim that was given back cannot come late

Need: a claim whose answer is lost is refused as not run and given back in the background. If its entry was committed only after the release, the key stayed claimed by a call that had ended, and answered "running", then "unknown", until its horizon, though nothing ran.

--- a/claimer/bounds.go
+++ b/claimer/bounds.go
@@ -72,6 +72,7 @@
 // passed. A claim behind one with a longer horizon is kept as long as that one.
 func (t *Table) advance(elapsed time.Duration) {
 	t.now += min(max(elapsed, 0), MaxAdvance)
+	t.spent.expire(t.now)
 	n := 0
 	for ; n < len(t.order); n++ {
 		r := t.order[n]
--- a/claimer/replicated.go
+++ b/claimer/replicated.go
@@ -94,6 +94,8 @@
 	case full:
 		return nil, refuser.NotRun(refuser.Overloaded, "the claim table has no room for this customer",
 			"come back after the time in Retry-After, or have limits.claimHorizon shortened").After(time.Minute)
+	case notHeld:
+		return nil, refuser.NotRun(refuser.Conflict, "the claim was given back before it was made", "send the request again with the same key")
 	case malformed:
 		return nil, refuser.NotRun(refuser.Malformed, a.problem, "correct the request or the configuration")
 	default:
--- a/claimer/snapshot.go
+++ b/claimer/snapshot.go
@@ -21,6 +21,9 @@
 		NowNs: int64(t.now), BoundClaims: int64(t.bounds.Claims), BoundReceiptBytes: t.bounds.ReceiptBytes,
 		Records: int64(len(t.order) - t.released), Last: wireAdvance(t.last),
 	}
+	for _, s := range t.spent.order {
+		head.Spent = append(head.Spent, &claimwire.SpentToken{Token: s.token[:], UntilNs: int64(s.until)})
+	}
 	mustWrite(&b, head)
 	for _, r := range t.order {
 		if r.state != stateReleased {
@@ -42,6 +45,12 @@
 		last:   decodeAdvance(head.Last),
 		bounds: SetBounds{Claims: int(head.BoundClaims), ReceiptBytes: head.BoundReceiptBytes},
 	}
+	for _, s := range head.Spent {
+		if len(s.Token) != idBytes {
+			return fmt.Errorf("snapshot of claims: %w", idError("spent token", s.Token))
+		}
+		restored.spent.add(Token(s.Token), time.Duration(s.UntilNs))
+	}
 	for n := range head.Records {
 		var m claimwire.Record
 		if err := protodelim.UnmarshalFrom(r, &m); err != nil {
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -32,6 +32,7 @@
 	// customers counts what each customer holds.
 	customers    map[identifier.Customer]*tally
 	receiptBytes int64
+	spent        spentTokens
 }
 
 // tally counts the claims of one customer.
@@ -99,6 +100,9 @@
 	if r, ok := t.held[ev.name]; ok {
 		return r.answer(ev, t.now)
 	}
+	if t.spent.has(ev.token) {
+		return notHeld{}
+	}
 	if t.isFull(ev.customer) {
 		return full{}
 	}
@@ -147,10 +151,15 @@
 	return noted{}
 }
 
-// release forgets a claim of which nothing was sent.
+// release forgets a claim of which nothing was sent, also one whose entry is
+// still to come.
 func (t *Table) release(ev release) answer {
 	r, ok := t.heldUnder(ev.name, ev.token)
-	if !ok || r.state != stateRunning {
+	if ok && r.state != stateRunning {
+		return notHeld{}
+	}
+	t.spent.add(ev.token, t.now+spentFor)
+	if !ok {
 		return notHeld{}
 	}
 	t.forget(r)
