configurer: a claim horizon that exceeds every deadline

Need: claims refuse a horizon over 30 days, and one that the request may run as long as. Such a configuration was accepted and would have refused every claim. Both are faults now, in defaults and through exceptions on either side.

--- a/claimer/event.go
+++ b/claimer/event.go
@@ -6,13 +6,14 @@
 	"fmt"
 	"time"
 
+	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/identifier"
 )
 
 // Bounds of events.
 const (
 	// MaxHorizon bounds how long a key is remembered.
-	MaxHorizon = 30 * 24 * time.Hour
+	MaxHorizon = configurer.MaxClaimHorizon
 	// MaxAdvance bounds one step of the table's clock. A leader proposes a step
 	// every AdvanceInterval; one that was held up for longer loses the rest, so
 	// that claims are kept longer.
--- a/configurer/inspectexceptions.go
+++ b/configurer/inspectexceptions.go
@@ -122,6 +122,7 @@
 	switch element := t.element.Addr().Interface().(type) {
 	case *Service:
 		element.inspect(&in, "")
+		d.inspectHorizon(&in, "limits.claimHorizon")
 	case *BackendServer:
 		element.inspect(&in, "", d)
 	case *Customer:
@@ -129,6 +130,7 @@
 		d.inspectKeys(&in, "customers")
 	case *Limits:
 		element.inspect(&in, "")
+		d.inspectHorizon(&in, "limits.claimHorizon")
 	}
 	return in.faults
 }
--- a/configurer/inspectfleet.go
+++ b/configurer/inspectfleet.go
@@ -5,10 +5,14 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"cyclamenhub.org/identifier"
 )
 
+// MaxClaimHorizon bounds how long an idempotency key is remembered.
+const MaxClaimHorizon = 30 * 24 * time.Hour
+
 // methods lists the HTTP methods that a route may have.
 var methods = []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
@@ -28,6 +32,18 @@
 		func(c *Customer, at string) { c.inspect(in, at) })
 	d.inspectKeys(in, path+".customers")
 	d.Limits.inspect(in, path+".limits")
+	d.inspectHorizon(in, path+".limits.claimHorizon")
+}
+
+// inspectHorizon records services whose calls may run for as long as their
+// claims are held.
+func (d *Defaults) inspectHorizon(in *inspector, path string) {
+	for _, s := range d.Services {
+		if d.Limits.ClaimHorizon > 0 && s.Deadline >= d.Limits.ClaimHorizon && len(s.NonIdempotentRoutes) > 0 {
+			in.add(path, fmt.Sprintf("does not exceed the deadline of service %q", s.Name),
+				"write a horizon longer than every deadline and every time after which callers may still retry")
+		}
+	}
 }
 
 // inspectList records the faults of each element and the names that stand
@@ -137,6 +153,9 @@
 	if l.QueuedRequests <= 0 {
 		in.add(path+".queuedRequests", "is missing or not positive", "write the longest queue, as in 1000")
 	}
+	if l.ClaimHorizon > Duration(MaxClaimHorizon) {
+		in.add(path+".claimHorizon", "is too long", fmt.Sprintf("write at most %q", Duration(MaxClaimHorizon)))
+	}
 	if l.ClaimHorizon <= 0 {
 		in.add(path+".claimHorizon", "is missing or not positive", `write how long a key is remembered, as in "24h"`)
 	}
