replicator: a majority log as a pure step machine

Need: an accepted change must survive the loss of a host and no two controllers may lead at once; there is no outside store and no ready-made library.

Ruled out: reads under the lease (they would rest on clock rates; a round to a quorum costs one round trip), joint consensus (replacing one replica at a time needs no more), counting rounds of heartbeats in a table (the answer echoes the leader's stamp instead, which serves lease, check-quorum and reads).

--- /dev/null
+++ b/replicator/snapshot.go
@@ -0,0 +1,49 @@
+package replicator
+
+import "cyclamenhub.org/identifier"
+
+// compact stores a snapshot of what is applied and drops the log behind it,
+// but for TrailingEntries (Raft, section 7).
+func (r *Replica) compact(data []byte) {
+	t, ok := r.log.termAt(r.commit)
+	if !ok || r.commit <= r.snapshot.Index {
+		return
+	}
+	r.snapshot = Position{r.commit, t}
+	if trailing := identifier.LogIndex(r.cfg.TrailingEntries); r.commit > trailing {
+		r.log.compact(max(r.commit-trailing, r.log.base.Index))
+	}
+	r.saveCheckpoint(Snapshot{Position: r.snapshot, Members: r.configs.at(r.commit), Data: data})
+	r.configs.forget(r.commit)
+}
+
+// saveCheckpoint stores the snapshot and the whole log.
+func (r *Replica) saveCheckpoint(s Snapshot) {
+	r.emit(SaveCheckpoint{Seq: r.saves.next(r.log.last().Index), Stored: Stored{
+		State: r.state, Snapshot: s, Base: r.log.base,
+		Entries: r.log.between(r.log.base.Index+1, r.log.last().Index),
+	}})
+}
+
+// onInstallSnapshot replaces the log by a leader's snapshot, unless the log
+// already holds its position.
+func (r *Replica) onInstallSnapshot(from identifier.ReplicaID, m InstallSnapshot) {
+	if !r.follow(from, m.Term) {
+		r.send(from, AppendAnswer{Term: r.state.Term, Rejected: true, Stamp: m.Stamp})
+		return
+	}
+	s := m.Snapshot
+	switch {
+	case s.Index <= r.commit:
+	case r.log.has(s.Position):
+		r.commitTo(s.Index)
+	default:
+		r.log = entryLog{base: s.Position}
+		r.saves.truncate(1)
+		r.configs.reset(s.Index, s.Members)
+		r.snapshot, r.commit = s.Position, s.Index
+		r.saveCheckpoint(s)
+		r.emit(Restore{s})
+	}
+	r.promise(from, AppendAnswer{Term: m.Term, Match: r.commit, Stamp: m.Stamp})
+}
--- /dev/null
+++ b/replicator/status.go
@@ -0,0 +1,46 @@
+package replicator
+
+import "cyclamenhub.org/identifier"
+
+// Status is what a replica tells of itself.
+type Status struct {
+	ID      identifier.ReplicaID
+	Role    Role
+	Term    identifier.Term
+	Leader  identifier.ReplicaID
+	Members Members
+	Commit  identifier.LogIndex
+	Last    Position
+	// Base and Snapshot tell what the log was compacted to.
+	Base, Snapshot Position
+	// Match is what a leader knows each other member to have stored.
+	Match map[identifier.ReplicaID]identifier.LogIndex
+	// SteppedAside tells that the storage failed.
+	SteppedAside bool
+}
+
+// Status returns a copy of what is worth telling.
+func (r *Replica) Status() Status {
+	s := Status{
+		ID: r.cfg.ID, Role: r.role, Term: r.state.Term, Leader: r.leader,
+		Members: r.members(), Commit: r.commit, Last: r.log.last(),
+		Base: r.log.base, Snapshot: r.snapshot, SteppedAside: r.aside,
+	}
+	if r.role == Leader {
+		s.Match = make(map[identifier.ReplicaID]identifier.LogIndex, len(r.lead.peers))
+		for id, p := range r.lead.peers {
+			s.Match[id] = p.match
+		}
+	}
+	return s
+}
+
+// Role returns the present role.
+func (r *Replica) Role() Role { return r.role }
+
+// Commit returns the index of the last committed entry, which is also the last
+// applied one.
+func (r *Replica) Commit() identifier.LogIndex { return r.commit }
+
+// UnsnapshottedEntries returns how many applied entries no snapshot covers.
+func (r *Replica) UnsnapshottedEntries() int { return int(r.commit - r.snapshot.Index) }
