--- a/dispatcher/generation.go
+++ b/dispatcher/generation.go
@@ -31,6 +31,13 @@
 	}}
 }
 
+// beginStream sends the head of a stream, once.
+func (t *task) beginStream() {
+	if !t.begun {
+		t.begin(streamHead())
+	}
+}
+
 // stream runs a generation that the caller reads event by event.
 func (t *task) stream(Stream) *refuser.Refusal {
 	refusal := t.run(func(a *attempt) result { return t.generateOnce(a, t.r.Body, true) })
@@ -41,7 +48,7 @@
 		t.deliver(t.held)
 		return nil
 	}
-	t.begin(streamHead())
+	t.beginStream()
 	t.write([]byte(doneEvent))
 	t.flush()
 	return nil
@@ -133,7 +140,6 @@
 	for {
 		data, err := events.next()
 		if err == nil && bytes.Equal(data, doneMarker) {
-			t.budget.deposit(t.d.opt.Tables.Load().Limits().RetryShare)
 			return whole{}
 		}
 		if err == nil {
@@ -176,10 +182,8 @@
 	if !toCaller {
 		return nil
 	}
-	t.begin(streamHead())
-	t.line = appendEventHead(t.line[:0], n)
-	t.line = append(t.line, payload...)
-	t.line = append(t.line, eventEnd...)
+	t.beginStream()
+	t.line = appendEvent(t.line[:0], n, payload)
 	t.write(t.line)
 	return nil
 }
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -1,8 +1,8 @@
 package server
 
 import (
-	"errors"
 	"net/http"
+	"path"
 	"strings"
 
 	"github.com/go-chi/chi/v5"
@@ -52,7 +52,13 @@
 		s.follow(w, r, c, identifier.RequestID(id), n)
 		return
 	}
-	q, refusal := s.generation(w, r, c, chat)
+	body, refusal := s.readBody(w, r)
+	if refusal != nil {
+		s.refuse(w, refusal)
+		return
+	}
+	defer s.release(body)
+	q, refusal := s.generation(r, c, body.bytes, chat)
 	if refusal != nil {
 		s.refuse(w, refusal)
 		return
@@ -61,11 +67,7 @@
 }
 
 // generation reads a generation request.
-func (s *Server) generation(w http.ResponseWriter, r *http.Request, c *configurer.Customer, chat bool) (*dispatcher.Request, *refuser.Refusal) {
-	body, refusal := s.readBody(w, r)
-	if refusal != nil {
-		return nil, refusal
-	}
+func (s *Server) generation(r *http.Request, c *configurer.Customer, body []byte, chat bool) (*dispatcher.Request, *refuser.Refusal) {
 	g, refusal := decodeGeneration(body, chat)
 	if refusal != nil {
 		return nil, refusal
@@ -80,6 +82,7 @@
 	}
 	q.Path, q.Body, q.Route = r.URL.Path, body, identifier.Route("POST "+r.URL.Path)
 	q.Header = http.Header{"Content-Type": {"application/json"}}
+	q.MaxTokens = max(g.MaxTokens, g.MaxCompletionTokens)
 	q.Prompt = g.Prompt
 	if chat {
 		q.Prompt = g.Messages
@@ -97,7 +100,13 @@
 
 // call passes a call of a plain service through.
 func (s *Server) call(w http.ResponseWriter, r *http.Request, c *configurer.Customer) {
-	q, refusal := s.plainCall(w, r, c)
+	body, refusal := s.readBody(w, r)
+	if refusal != nil {
+		s.refuse(w, refusal)
+		return
+	}
+	defer s.release(body)
+	q, refusal := s.plainCall(r, c, body.bytes)
 	if refusal != nil {
 		s.refuse(w, refusal)
 		return
@@ -106,28 +115,29 @@
 }
 
 // plainCall reads a call of a plain service.
-func (s *Server) plainCall(w http.ResponseWriter, r *http.Request, c *configurer.Customer) (*dispatcher.Request, *refuser.Refusal) {
+func (s *Server) plainCall(r *http.Request, c *configurer.Customer, body []byte) (*dispatcher.Request, *refuser.Refusal) {
 	name := chi.URLParam(r, "service")
 	service, ok := s.opt.Tables.Load().Service(identifier.Service(name))
 	if !ok || service.Kind != configurer.PlainService {
 		return nil, refuser.NotRun(refuser.NotFound, "there is no such plain service", "correct the name after /services/")
 	}
-	body, refusal := s.readBody(w, r)
-	if refusal != nil {
-		return nil, refusal
-	}
 	q, refusal := s.newRequest(r, c, service)
 	if refusal != nil {
 		return nil, refusal
 	}
 	prefix := "/services/" + name
 	q.Path = strings.TrimPrefix(r.URL.EscapedPath(), prefix)
-	q.Route = identifier.Route(r.Method + " " + strings.TrimPrefix(r.URL.Path, prefix))
+	if strings.HasPrefix(q.Path, "//") {
+		return nil, malformed("the path begins with two slashes", "write one slash after the service")
+	}
+	q.Route = identifier.Route(r.Method + " " + path.Clean(strings.TrimPrefix(r.URL.Path, prefix)))
 	if r.URL.RawQuery != "" {
 		q.Path += "?" + r.URL.RawQuery
 	}
 	q.Body, q.Header = body, callHeader(r.Header)
-	q.Kind = dispatcher.Call{NonIdempotent: service.IsNonIdempotent(q.Route)}
+	// A caller that names a key asks for at most once, also where the route is
+	// not listed.
+	q.Kind = dispatcher.Call{NonIdempotent: q.Key != "" || s.opt.Tables.Load().IsNonIdempotent(service.Name, q.Route)}
 	return q, nil
 }
 
@@ -200,7 +210,7 @@
 		s.follow(w, r, c, id, n)
 		return
 	}
-	status, ok := s.opt.Dispatcher.Lookup(c.Name, id)
+	_, status, ok := s.find(r, c, id)
 	if !ok {
 		s.refuse(w, notKnown())
 		return
@@ -212,28 +222,50 @@
 	return refuser.MayHaveRun(refuser.NotFound, "no request with that id is known", "check the id; finished requests are forgotten after a while")
 }
 
-// storedAnswer sends the answer of a finished request once more.
+// storedAnswer sends the whole answer of a request, once more or once it is
+// there.
 func (s *Server) storedAnswer(w http.ResponseWriter, r *http.Request, c *configurer.Customer) {
-	a, ok := s.opt.Dispatcher.Stored(c.Name, identifier.RequestID(chi.URLParam(r, "id")))
+	remote, _, ok := s.find(r, c, identifier.RequestID(chi.URLParam(r, "id")))
 	if !ok {
 		s.refuse(w, notKnown())
 		return
 	}
-	out := &sink{w: w, clock: s.opt.Clock}
-	if out.Begin(a.Head) == nil {
-		_ = out.Write(a.Body)
+	refusal, err := dispatcher.SendAnswer(r.Context(), remote, &sink{w: w, clock: s.opt.Clock})
+	switch {
+	case refusal != nil:
+		s.refuse(w, refusal)
+	case err != nil:
+		s.refuse(w, notKnown())
+	}
+}
+
+// find returns a customer's request, wherever in the fleet it is.
+func (s *Server) find(r *http.Request, c *configurer.Customer, id identifier.RequestID) (dispatcher.Remote, dispatcher.Status, bool) {
+	remote, status, ok := s.opt.Dispatcher.Find(c.Name, id)
+	if ok && status.State != dispatcher.Moved {
+		return remote, status, true
+	}
+	if s.opt.Finder == nil {
+		return remote, status, ok
 	}
+	return s.opt.Finder.Find(r.Context(), c.Name, id)
 }
 
 // follow picks a stream up again after event n.
 func (s *Server) follow(w http.ResponseWriter, r *http.Request, c *configurer.Customer, id identifier.RequestID, n int) {
 	w.Header().Set(RequestHeader, string(id))
-	out := &sink{w: w, clock: s.opt.Clock}
-	refusal, err := s.opt.Dispatcher.Follow(r.Context(), c.Name, id, n, out)
-	if err != nil && !errors.Is(err, r.Context().Err()) {
+	remote, _, ok := s.find(r, c, id)
+	if !ok {
+		s.refuse(w, notKnown())
 		return
 	}
-	if refusal != nil {
+	out := &sink{w: w, clock: s.opt.Clock}
+	refusal, err := dispatcher.Follow(r.Context(), remote, n, out)
+	switch {
+	case refusal != nil:
 		s.finish(out, refusal)
+	case err != nil:
+		// The caller sees a stream without its terminal marker and comes again.
+		panic(http.ErrAbortHandler)
 	}
 }
