--- /dev/null
+++ b/keeper/cluster_test.go
@@ -0,0 +1,192 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/timer"
+)
+
+// machine is a state machine that keeps its entries as lines.
+type machine struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (m *machine) Apply(_ identifier.LogIndex, entry []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lines = append(m.lines, string(entry))
+	return fmt.Appendf(nil, "%s is %d", entry, len(m.lines))
+}
+
+func (m *machine) Snapshot() []byte { return []byte(strings.Join(m.all(), "\n")) }
+
+func (m *machine) Restore(b []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lines = nil
+	if len(b) > 0 {
+		m.lines = strings.Split(string(b), "\n")
+	}
+	return nil
+}
+
+// all returns a copy of the lines.
+func (m *machine) all() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string(nil), m.lines...)
+}
+
+// cluster is a group of keepers in one process.
+type cluster struct {
+	t       testing.TB
+	hosts   []identifier.Host
+	folders map[identifier.Host]string
+	options func(*Options)
+
+	mu       sync.Mutex
+	keepers  map[identifier.Host]*Keeper
+	machines map[identifier.Host]*machine
+	cut      map[identifier.Host]bool
+}
+
+// newCluster starts n keepers.
+func newCluster(t testing.TB, n int, options func(*Options)) *cluster {
+	c := &cluster{
+		t: t, options: options, folders: make(map[identifier.Host]string),
+		keepers: make(map[identifier.Host]*Keeper), machines: make(map[identifier.Host]*machine),
+		cut: make(map[identifier.Host]bool),
+	}
+	for i := range n {
+		h := identifier.Host(fmt.Sprintf("k%d", i+1))
+		c.hosts = append(c.hosts, h)
+		c.folders[h] = t.TempDir()
+	}
+	for _, h := range c.hosts {
+		c.start(h)
+	}
+	return c
+}
+
+// start opens the keeper of a host.
+func (c *cluster) start(h identifier.Host) *Keeper {
+	c.t.Helper()
+	m := &machine{}
+	opts := Options{
+		Host: h, Hosts: c.hosts, DataFolder: c.folders[h], StateMachine: m,
+		Transport: link{c, h}, Clock: timer.System{}, Log: slog.New(slog.DiscardHandler),
+	}
+	if c.options != nil {
+		c.options(&opts)
+	}
+	k, err := Open(opts)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepers[h], c.machines[h] = k, m
+	return k
+}
+
+// close stops every keeper.
+func (c *cluster) close() {
+	for _, h := range c.hosts {
+		_ = c.keeper(h).Close()
+	}
+}
+
+// keeper returns the present keeper of a host.
+func (c *cluster) keeper(h identifier.Host) *Keeper {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.keepers[h]
+}
+
+// isolate cuts a host off from the others, or joins it again.
+func (c *cluster) isolate(h identifier.Host, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[h] = cut
+}
+
+// leader waits until some keeper holds the lease and returns it with its host.
+func (c *cluster) leader() (identifier.Host, *Keeper) {
+	c.t.Helper()
+	for range 10000 {
+		for _, h := range c.hosts {
+			if _, err := c.keeper(h).Lease(); err == nil {
+				return h, c.keeper(h)
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatal("nobody leads")
+	return "", nil
+}
+
+// await waits until a condition holds.
+func (c *cluster) await(what string, ok func() bool) {
+	c.t.Helper()
+	for range 10000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatalf("never happened: %s", what)
+}
+
+// propose proposes an entry that must succeed.
+func (c *cluster) propose(k *Keeper, entry string) string {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	b, err := k.Propose(ctx, []byte(entry))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return string(b)
+}
+
+// link is the transport of one host. It passes messages through their
+// protobuf form.
+type link struct {
+	c    *cluster
+	from identifier.Host
+}
+
+// Send delivers e unless one of both hosts is cut off.
+func (l link) Send(to identifier.Host, e Envelope) {
+	l.c.mu.Lock()
+	k := l.c.keepers[to]
+	cut := l.c.cut[to] || l.c.cut[l.from]
+	l.c.mu.Unlock()
+	if k == nil || cut {
+		return
+	}
+	e, err := decodeEnvelope(encodeEnvelope(e))
+	if err != nil {
+		l.c.t.Errorf("from %s to %s: %v", l.from, to, err)
+		return
+	}
+	k.Receive(e)
+}
+
+// bubble runs f with a cluster under fake time.
+func bubble(t *testing.T, n int, options func(*Options), f func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, n, options)
+		defer c.close()
+		f(t, c)
+	})
+}
--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,253 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/recorder"
+	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/replicator"
+	"cyclamenhub.org/timer"
+)
+
+func TestEveryKeeperTakesProposalsAndReads(t *testing.T) {
+	for _, n := range []int{1, 3, 5} {
+		bubble(t, n, nil, func(t *testing.T, c *cluster) {
+			for i, h := range c.hosts {
+				got := c.propose(c.keeper(h), fmt.Sprint("from ", h))
+				if diff := cmp.Diff(fmt.Sprintf("from %s is %d", h, i+1), got); diff != "" {
+					t.Error(diff)
+				}
+			}
+			for _, h := range c.hosts {
+				if err := c.keeper(h).Read(t.Context()); err != nil {
+					t.Errorf("read at %s: %v", h, err)
+				}
+				if diff := cmp.Diff(n, len(c.machines[h].all())); diff != "" {
+					t.Errorf("entries at %s after a read: %s", h, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestCrowdSharesSyncs proposes from many goroutines at once and counts syncs.
+func TestCrowdSharesSyncs(t *testing.T) {
+	const crowd = 200
+	count := &countingStorage{}
+	bubble(t, 1, func(o *Options) {
+		o.wrapStorage = func(s storage) storage { count.storage = s; return count }
+	}, func(t *testing.T, c *cluster) {
+		_, k := c.leader()
+		before := count.saves()
+		var wg sync.WaitGroup
+		for i := range crowd {
+			wg.Go(func() { c.propose(k, fmt.Sprint(i)) })
+		}
+		wg.Wait()
+		if n := count.saves() - before; n > crowd/4 {
+			t.Errorf("%d proposals took %d syncs", crowd, n)
+		}
+	})
+}
+
+// countingStorage counts the calls of Save and lets them fail.
+type countingStorage struct {
+	storage
+	mu   sync.Mutex
+	n    int
+	fail error
+}
+
+func (s *countingStorage) Save(effects []replicator.Effect) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.n++
+	if s.fail != nil {
+		return s.fail
+	}
+	return s.storage.Save(effects)
+}
+
+func (s *countingStorage) saves() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.n
+}
+
+// TestFailingDiskStepsAside fills the leader's disk and expects that it says
+// so, that the others go on, and that nothing acknowledged is lost.
+func TestFailingDiskStepsAside(t *testing.T) {
+	stores := make(map[identifier.Host]*countingStorage)
+	bubble(t, 3, func(o *Options) {
+		o.wrapStorage = func(s storage) storage {
+			stores[o.Host] = &countingStorage{storage: s}
+			return stores[o.Host]
+		}
+	}, func(t *testing.T, c *cluster) {
+		h, k := c.leader()
+		c.propose(k, "before")
+		stores[h].mu.Lock()
+		stores[h].fail = &recorder.DiskError{Operation: "sync the log", Err: syscall.ENOSPC}
+		stores[h].mu.Unlock()
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := k.Propose(ctx, []byte("during"))
+		if err != nil && refuser.From(err).IsNotRun() {
+			t.Errorf("a proposal that the others may have: %v, want not to be told not run", err)
+		}
+		c.await("the replica steps aside", func() bool { return k.Status().SteppedAside })
+		if err := k.Status().Failure; !errors.Is(err, syscall.ENOSPC) {
+			t.Errorf("failure in the status: %v", err)
+		}
+		if _, err := k.Propose(ctx, []byte("after")); err == nil || !refuser.From(err).IsNotRun() {
+			t.Errorf("a proposal at the replica that stepped aside: %v, want a refusal that was not run", err)
+		}
+		if err := k.Read(ctx); err == nil {
+			t.Error("the replica that stepped aside answers a read")
+		}
+
+		next, other := c.leader()
+		c.propose(other, "later")
+		lines := c.machines[next].all()
+		if lines[0] != "before" || lines[len(lines)-1] != "later" {
+			t.Errorf("entries at the next leader: %q", lines)
+		}
+	})
+}
+
+// TestFrozenLeaderGivesNoAnswer lets the clock pass the lease while the leader
+// hears nothing and looks at the very moment of sending.
+func TestFrozenLeaderGivesNoAnswer(t *testing.T) {
+	clocks := make(map[identifier.Host]*timer.Manual)
+	bubble(t, 1, func(o *Options) {
+		clocks[o.Host] = timer.NewManual(time.Unix(1, 0))
+		o.Clock = clocks[o.Host]
+	}, func(t *testing.T, c *cluster) {
+		h, k := c.leader()
+		lease, err := k.Lease()
+		if err != nil {
+			t.Fatal(err)
+		}
+		// As after a SIGSTOP: the clock went on, and the loop has not yet run.
+		clocks[h].Advance(replicator.DefaultElectionTimeout)
+		if err := lease.Check(); !errors.As(err, new(*LeaseError)) {
+			t.Errorf("an order past the lease: %v, want a LeaseError", err)
+		}
+		if err := k.checkFresh(); err == nil {
+			t.Error("a reading is delivered past the lease")
+		}
+	})
+}
+
+// TestCutOffLeaderFallsSilent cuts the leader off and expects that its lease
+// has ended before another one begins, and that its proposals are not
+// answered.
+func TestCutOffLeaderFallsSilent(t *testing.T) {
+	bubble(t, 3, nil, func(t *testing.T, c *cluster) {
+		h, k := c.leader()
+		lease, err := k.Lease()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.isolate(h, true)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		failed := make(chan error)
+		go func() { _, err := k.Propose(ctx, []byte("cut off")); failed <- err }()
+		for lease.Check() == nil {
+			for _, other := range c.hosts {
+				if _, err := c.keeper(other).Lease(); other != h && err == nil {
+					t.Fatalf("%s and %s hold the lease at once", h, other)
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+		next, other := c.leader()
+		if err := lease.Check(); err == nil || next == h {
+			t.Errorf("lease of the cut-off leader: %v, new leader %s", err, next)
+		}
+		c.propose(other, "new leader")
+		if err := <-failed; err == nil {
+			t.Error("the cut-off leader answers a proposal")
+		}
+		late, done := context.WithTimeout(t.Context(), 5*time.Second)
+		defer done()
+		if err := k.Read(late); err == nil {
+			t.Error("the cut-off leader answers a read")
+		}
+		c.isolate(h, false)
+		c.await("the old leader catches up", func() bool {
+			return cmp.Equal([]string{"new leader"}, c.machines[h].all())
+		})
+	})
+}
+
+// TestLostDiskIsRepaired empties a folder and expects a learner under a fresh
+// identity that becomes a voter, then loses another host.
+func TestLostDiskIsRepaired(t *testing.T) {
+	small := func(o *Options) { o.SnapshotEntries, o.Replica.TrailingEntries = 20, 5 }
+	bubble(t, 3, small, func(t *testing.T, c *cluster) {
+		h, k := c.leader()
+		for i := range 100 {
+			c.propose(k, fmt.Sprint(i))
+		}
+		lost := c.hosts[0]
+		if lost == h {
+			lost = c.hosts[1]
+		}
+		old := c.keeper(lost).Status().ID
+		_ = c.keeper(lost).Close()
+		if err := os.RemoveAll(c.folders[lost]); err != nil {
+			t.Fatal(err)
+		}
+		fresh := c.start(lost).Status().ID
+		c.await("the repair", func() bool {
+			m := k.Status().Members
+			_, stays := m.Find(old)
+			return !stays && m.IsVoter(fresh) && m.Voters() == 3
+		})
+
+		_ = k.Close()
+		c.leader()
+		c.propose(c.keeper(lost), "after the second loss")
+		if err := c.keeper(lost).Read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(101, len(c.machines[lost].all())); diff != "" {
+			t.Errorf("entries at the repaired keeper (-want +got): %s", diff)
+		}
+	})
+}
+
+// TestRestartKeepsEverything closes and opens a group of one.
+func TestRestartKeepsEverything(t *testing.T) {
+	small := func(o *Options) { o.SnapshotEntries, o.Replica.TrailingEntries = 30, 5 }
+	bubble(t, 1, small, func(t *testing.T, c *cluster) {
+		h, k := c.leader()
+		for i := range 100 {
+			c.propose(k, fmt.Sprint(i))
+		}
+		_ = k.Close()
+		if _, err := k.Propose(t.Context(), nil); err == nil || !refuser.From(err).IsNotRun() {
+			t.Errorf("a proposal at a closed keeper: %v", err)
+		}
+		k = c.start(h)
+		if err := k.Read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(100, len(c.machines[h].all())); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "cyclamenhub.org/identifier"
+import (
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
 
 // Status is what a replica tells of itself.
 type Status struct {
@@ -35,6 +39,9 @@
 	return s
 }
 
+// Members returns the members in force.
+func (r *Replica) Members() Members { return r.members() }
+
 // Role returns the present role.
 func (r *Replica) Role() Role { return r.role }
 
@@ -44,3 +51,12 @@
 
 // UnsnapshottedEntries returns how many applied entries no snapshot covers.
 func (r *Replica) UnsnapshottedEntries() int { return int(r.commit - r.snapshot.Index) }
+
+// HeardAt returns when this replica, if it leads, sent the last message that
+// the member id has answered, or else the time of its election.
+func (r *Replica) HeardAt(id identifier.ReplicaID) time.Time {
+	if p := r.lead.peers[id]; p != nil {
+		return r.sentAt(p.heard)
+	}
+	return r.lead.since
+}
