--- a/replicator/rules_test.go
+++ b/replicator/rules_test.go
@@ -164,3 +164,19 @@
 		t.Errorf("learners committed up to %d and backed a lease until %v", r.Commit(), r.LeaseUntil())
 	}
 }
+
+// TestOwnVoteCountsOnceStored has a sole voter stand for election.
+func TestOwnVoteCountsOnceStored(t *testing.T) {
+	m := NewMembers(Member{ID: 1, Voter: true})
+	r := New(Config{ID: 1}, Stored{Snapshot: Snapshot{Position: FoundingPosition, Members: m}, Base: FoundingPosition}, start)
+	r.Step(start, Receive{2, PreVoteAnswer{Term: 5}}) // saves the higher term
+	r.Step(start, Tick{})
+	r.Step(start, Synced{1})
+	if r.Role() != Candidate {
+		t.Fatalf("the sole voter is a %v before its vote is stored, want a candidate", r.Role())
+	}
+	r.Step(start, Synced{2})
+	if r.Role() != Leader {
+		t.Fatalf("the sole voter is a %v once its vote is stored, want the leader", r.Role())
+	}
+}
