--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -63,7 +63,7 @@
 		return c, nil
 	}
 	c.machine = &reducer.Machine{Perform: c.perform}
-	c.peers = keeper.NewPeers(m, c.addressOf, func(e keeper.Envelope) { c.keeper.Receive(e) })
+	c.peers = keeper.NewPeers(m, c.addressOf)
 	k, err := keeper.Open(keeper.Options{
 		Host: cfg.Host, Hosts: cfg.Keepers, DataFolder: cfg.DataFolder,
 		StateMachine: c, Transport: c.peers, Clock: opts.Clock, Log: opts.Log,
@@ -72,6 +72,7 @@
 		return nil, err
 	}
 	c.keeper = k
+	c.peers.Attach(k)
 	m.Handle(proposeMethod, c.handlePropose)
 	m.Handle(viewMethod, c.handleView)
 	return c, nil
--- a/keeper/cluster_test.go
+++ b/keeper/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/timer"
 )
 
@@ -54,12 +56,13 @@
 	options func(*Options)
 
 	mu       sync.Mutex
+	peers    map[identifier.Host]*Peers // only with loopback
 	keepers  map[identifier.Host]*Keeper
 	machines map[identifier.Host]*machine
 	cut      map[identifier.Host]bool
 }
 
-// newCluster starts n keepers.
+// newCluster returns n keepers that do not run yet.
 func newCluster(t testing.TB, n int, options func(*Options)) *cluster {
 	c := &cluster{
 		t: t, options: options, folders: make(map[identifier.Host]string),
@@ -71,12 +74,40 @@
 		c.hosts = append(c.hosts, h)
 		c.folders[h] = t.TempDir()
 	}
+	return c
+}
+
+// startAll starts every keeper.
+func (c *cluster) startAll() *cluster {
 	for _, h := range c.hosts {
 		c.start(h)
 	}
 	return c
 }
 
+// loopback starts n keepers that reach each other through messengers on
+// loopback.
+func loopback(t testing.TB, n int, options func(*Options)) *cluster {
+	c := newCluster(t, n, options)
+	c.peers = make(map[identifier.Host]*Peers)
+	addresses := make(map[identifier.Host]string)
+	for _, h := range c.hosts {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses[h] = ln.Addr().String()
+		m := messenger.New(messenger.Options{Host: h})
+		p := NewPeers(m, func(h identifier.Host) (string, bool) { return addresses[h], true })
+		c.peers[h] = p
+		go func() { _ = m.Serve(ln) }()
+		t.Cleanup(func() { p.Close(); m.Close(); _ = ln.Close() })
+	}
+	c.startAll()
+	t.Cleanup(c.close)
+	return c
+}
+
 // start opens the keeper of a host.
 func (c *cluster) start(h identifier.Host) *Keeper {
 	c.t.Helper()
@@ -85,6 +116,9 @@
 		Host: h, Hosts: c.hosts, DataFolder: c.folders[h], StateMachine: m,
 		Transport: link{c, h}, Clock: timer.System{}, Log: slog.New(slog.DiscardHandler),
 	}
+	if p := c.peers[h]; p != nil {
+		opts.Transport = p
+	}
 	if c.options != nil {
 		c.options(&opts)
 	}
@@ -95,6 +129,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keepers[h], c.machines[h] = k, m
+	if p := c.peers[h]; p != nil {
+		p.Attach(k)
+	}
 	return k
 }
 
@@ -185,7 +222,7 @@
 // bubble runs f with a cluster under fake time.
 func bubble(t *testing.T, n int, options func(*Options), f func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, n, options)
+		c := newCluster(t, n, options).startAll()
 		defer c.close()
 		f(t, c)
 	})
--- a/keeper/codec.go
+++ b/keeper/codec.go
@@ -19,7 +19,9 @@
 	case Announce:
 		w.Message = &wire.ReplicationEnvelope_Announce{Announce: &wire.ReplicationAnnounce{Founded: p.Founded, Answer: p.Answer}}
 	case Forward:
-		w.Message = &wire.ReplicationEnvelope_Forward{Forward: &wire.ReplicationForward{Id: p.ID, Data: p.Data}}
+		w.Message = &wire.ReplicationEnvelope_Forward{Forward: &wire.ReplicationForward{
+			Id: p.ID, Data: p.Data, Change: encodeChange(p.Change),
+		}}
 	case ForwardAnswer:
 		w.Message = &wire.ReplicationEnvelope_ForwardAnswer{ForwardAnswer: &wire.ReplicationForwardAnswer{Id: p.ID, Result: p.Result, Refusal: p.Refusal}}
 	}
@@ -95,7 +97,10 @@
 	case *wire.ReplicationEnvelope_Announce:
 		return Announce{Founded: m.Announce.GetFounded(), Answer: m.Announce.GetAnswer()}, nil
 	case *wire.ReplicationEnvelope_Forward:
-		return Forward{ID: m.Forward.GetId(), Data: m.Forward.GetData()}, nil
+		f := Forward{ID: m.Forward.GetId(), Data: m.Forward.GetData()}
+		var err error
+		f.Change, err = decodeChange(m.Forward.GetChange())
+		return f, err
 	case *wire.ReplicationEnvelope_ForwardAnswer:
 		a := m.ForwardAnswer
 		return ForwardAnswer{ID: a.GetId(), Result: a.GetResult(), Refusal: a.GetRefusal()}, nil
@@ -105,6 +110,39 @@
 	}
 }
 
+// encodeChange returns the protobuf form of c, or nil for none.
+func encodeChange(c replicator.Change) *wire.ReplicationChange {
+	switch c := c.(type) {
+	case replicator.AddLearner:
+		return &wire.ReplicationChange{Kind: wire.ReplicationChange_ADD_LEARNER, Replica: uint64(c.ID), Host: string(c.Host)}
+	case replicator.Promote:
+		return &wire.ReplicationChange{Kind: wire.ReplicationChange_PROMOTE, Replica: uint64(c.ID)}
+	case replicator.Remove:
+		return &wire.ReplicationChange{Kind: wire.ReplicationChange_REMOVE, Replica: uint64(c.ID)}
+	default:
+		return nil
+	}
+}
+
+// decodeChange returns and checks the change in w, or nil if there is none.
+func decodeChange(w *wire.ReplicationChange) (replicator.Change, error) {
+	if w == nil {
+		return nil, nil
+	}
+	id := identifier.ReplicaID(w.GetReplica())
+	switch w.GetKind() {
+	case wire.ReplicationChange_ADD_LEARNER:
+		h := identifier.Host(w.GetHost())
+		return replicator.AddLearner{ID: id, Host: h}, h.Check()
+	case wire.ReplicationChange_PROMOTE:
+		return replicator.Promote{ID: id}, nil
+	case wire.ReplicationChange_REMOVE:
+		return replicator.Remove{ID: id}, nil
+	default:
+		return nil, fmt.Errorf("a change of members is of an unknown kind: run the same release on all hosts")
+	}
+}
+
 // decodeMessage returns the replicator's message in w.
 func decodeMessage(w *wire.ReplicationEnvelope) (replicator.Message, error) {
 	switch m := w.GetMessage().(type) {
--- a/keeper/envelope.go
+++ b/keeper/envelope.go
@@ -28,10 +28,12 @@
 	Answer bool
 }
 
-// Forward passes a proposal on to the leader.
+// Forward passes a proposal on to the leader, or a change of members if Change
+// is set.
 type Forward struct {
-	ID   uint64
-	Data []byte
+	ID     uint64
+	Data   []byte
+	Change replicator.Change
 }
 
 // ForwardAnswer carries the outcome of a Forward.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -136,7 +136,7 @@
 }
 
 // ChangeMembers makes one change of members and returns once it is committed.
-// Only the leader takes changes.
+// Its error is like that of Propose; a Conflict tells what to mend first.
 func (k *Keeper) ChangeMembers(ctx context.Context, c replicator.Change) error {
 	_, err := k.await(ctx, &proposal{ctx: ctx, change: c})
 	return err
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -251,3 +252,53 @@
 		}
 	})
 }
+
+// TestEveryKeeperTakesChangesOfMembers removes every follower at itself, and
+// expects a conflict for a change that cannot be made.
+func TestEveryKeeperTakesChangesOfMembers(t *testing.T) {
+	bubble(t, 3, nil, func(t *testing.T, c *cluster) {
+		h, lead := c.leader()
+		for _, other := range c.hosts {
+			if other == h {
+				continue
+			}
+			k := c.keeper(other)
+			err := k.ChangeMembers(t.Context(), replicator.Promote{ID: 99})
+			var f *refuser.Refusal
+			if !errors.As(err, &f) || f.Kind() != refuser.Conflict || !f.IsNotRun() {
+				t.Errorf("promotion of a stranger: %v, want a conflict", err)
+			}
+			if err := k.ChangeMembers(t.Context(), replicator.Remove{ID: k.Status().ID}); err != nil {
+				t.Errorf("removal of %s at itself: %v", other, err)
+			}
+		}
+		if diff := cmp.Diff(1, lead.Status().Members.Voters()); diff != "" {
+			t.Errorf("voters left (-want +got): %s", diff)
+		}
+	})
+}
+
+// TestLargeSnapshotGoesInParts repairs a keeper with a state that is too large
+// for one call, over connections on loopback.
+func TestLargeSnapshotGoesInParts(t *testing.T) {
+	c := loopback(t, 3, func(o *Options) { o.SnapshotEntries, o.Replica.TrailingEntries = 60, 5 })
+	h, k := c.leader()
+	large := strings.Repeat("x", 900<<10)
+	for range 20 {
+		c.propose(k, large)
+	}
+	lost := c.hosts[0]
+	if lost == h {
+		lost = c.hosts[1]
+	}
+	_ = c.keeper(lost).Close()
+	for i := range 60 {
+		c.propose(k, fmt.Sprint(i))
+	}
+	if err := os.RemoveAll(c.folders[lost]); err != nil {
+		t.Fatal(err)
+	}
+	c.start(lost)
+	want := c.machines[h].all()
+	c.await("the snapshot arrives", func() bool { return cmp.Equal(want, c.machines[lost].all()) })
+}
--- a/keeper/loop.go
+++ b/keeper/loop.go
@@ -128,13 +128,17 @@
 // forward passes p on to the leader. What was forwarded once is not forwarded
 // again.
 func (k *Keeper) forward(p *proposal) {
-	if p.change != nil || p.asker != 0 || len(k.waiters.forwarded) >= k.opts.MaxWaiting {
+	if p.asker != 0 {
 		k.answer(p, outcome{err: errNoLeader()})
 		return
 	}
+	if len(k.waiters.forwarded) >= k.opts.MaxWaiting {
+		k.answer(p, outcome{err: errQueueFull()})
+		return
+	}
 	id := k.waiters.id()
 	k.waiters.forwarded[id] = p
-	k.send(k.role.Leader, Forward{ID: id, Data: p.data})
+	k.send(k.role.Leader, Forward{ID: id, Data: p.data, Change: p.change})
 }
 
 // read takes r and as many others as wait, so that they share a round.
--- a/keeper/measure_test.go
+++ b/keeper/measure_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"runtime"
 	"sync"
@@ -16,42 +15,11 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cyclamenhub.org/identifier"
-	"cyclamenhub.org/messenger"
 )
 
 // measureVariable lets the measurements run, which decide no test.
 const measureVariable = "CYCLAMEN_MEASURE"
 
-// loopback gives each keeper of a cluster a messenger of its own on loopback.
-func loopback(t testing.TB, n int, single bool) *cluster {
-	addresses := make(map[identifier.Host]string)
-	listeners := make(map[identifier.Host]net.Listener)
-	for i := range n {
-		h := identifier.Host(fmt.Sprintf("k%d", i+1))
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		addresses[h], listeners[h] = ln.Addr().String(), ln
-	}
-	var c *cluster
-	ready := make(chan struct{})
-	c = newCluster(t, n, func(o *Options) {
-		m := messenger.New(messenger.Options{Host: o.Host})
-		host := o.Host
-		p := NewPeers(m, func(h identifier.Host) (string, bool) { return addresses[h], true }, func(e Envelope) {
-			<-ready
-			c.keeper(host).Receive(e)
-		})
-		o.Transport, o.singleCommit = p, single
-		go func() { _ = m.Serve(listeners[host]) }()
-		t.Cleanup(func() { p.Close(); m.Close(); listeners[host].Close() })
-	})
-	close(ready)
-	t.Cleanup(c.close)
-	return c
-}
-
 // TestMeasureCommits prints the latency of one proposal at a time and the rate
 // of a crowd, with syncs on.
 func TestMeasureCommits(t *testing.T) {
@@ -63,7 +31,7 @@
 	for _, n := range []int{1, 3, 5} {
 		for _, single := range []bool{false, true} {
 			t.Run(fmt.Sprintf("replicas=%d/groupCommit=%v", n, !single), func(t *testing.T) {
-				c := loopback(t, n, single)
+				c := loopback(t, n, func(o *Options) { o.singleCommit = single })
 				_, k := c.leader()
 				h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 				for range sequential {
@@ -104,7 +72,7 @@
 	}
 	for _, n := range []int{2000, 20000, 100000} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			c := newCluster(t, 1, func(o *Options) { o.StateMachine = &counter{} })
+			c := newCluster(t, 1, func(o *Options) { o.StateMachine = &counter{} }).startAll()
 			h, k := c.leader()
 			var wg sync.WaitGroup
 			for range 100 {
@@ -145,7 +113,7 @@
 	const period = 10 * time.Second
 	for _, n := range []int{1, 3, 5, 7} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			c := loopback(t, n, false)
+			c := loopback(t, n, nil)
 			c.leader()
 			time.Sleep(time.Second)
 			written := metrics.GetOrCreateCounter("cyclamen_messenger_bytes_written_total")
--- a/keeper/peers.go
+++ b/keeper/peers.go
@@ -28,25 +28,26 @@
 	callTimeout = 2 * time.Second
 )
 
-// Peers is the Transport over a messenger.
+// Peers is the Transport over a messenger, for any number of groups.
 type Peers struct {
 	messenger *messenger.Messenger
 	address   func(identifier.Host) (string, bool)
-	receive   func(Envelope)
-
-	mu     sync.Mutex
-	queues map[identifier.Host]chan *wire.ReplicationEnvelope
-	ctx    context.Context
-	stop   context.CancelFunc
-	wg     sync.WaitGroup
-	lost   *metrics.Counter
+
+	mu      sync.Mutex
+	keepers map[identifier.GroupID]*Keeper
+	parts   assembler
+	queues  map[identifier.Host]chan *wire.ReplicationEnvelope
+	ctx     context.Context
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+	lost    *metrics.Counter
 }
 
-// NewPeers returns a transport that finds hosts by address and hands what
-// arrives to receive. It must be made before m serves.
-func NewPeers(m *messenger.Messenger, address func(identifier.Host) (string, bool), receive func(Envelope)) *Peers {
+// NewPeers returns a transport that finds hosts by address. It must be made
+// before m serves.
+func NewPeers(m *messenger.Messenger, address func(identifier.Host) (string, bool)) *Peers {
 	p := &Peers{
-		messenger: m, address: address, receive: receive,
+		messenger: m, address: address, keepers: make(map[identifier.GroupID]*Keeper),
 		queues: make(map[identifier.Host]chan *wire.ReplicationEnvelope),
 		lost:   metrics.GetOrCreateCounter("cyclamen_keeper_messages_unsent_total"),
 	}
@@ -55,6 +56,13 @@
 	return p
 }
 
+// Attach hands k what arrives for its group from now on.
+func (p *Peers) Attach(k *Keeper) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keepers[k.opts.Group] = k
+}
+
 // Close ends sending.
 func (p *Peers) Close() {
 	p.mu.Lock()
@@ -70,25 +78,44 @@
 		return nil, err
 	}
 	for _, w := range batch.GetEnvelopes() {
-		e, err := decodeEnvelope(w)
-		if err != nil {
+		if err := p.deliver(w); err != nil {
 			return nil, err
 		}
-		p.receive(e)
 	}
 	return &wire.Empty{}, nil
 }
 
+// deliver hands a message, or the last part of one, to its keeper.
+func (p *Peers) deliver(w *wire.ReplicationEnvelope) error {
+	p.mu.Lock()
+	k := p.keepers[identifier.GroupID(w.GetGroup())]
+	if k != nil && w.GetPart() != nil {
+		w = p.parts.add(w)
+	}
+	p.mu.Unlock()
+	if k == nil || w == nil {
+		return nil
+	}
+	e, err := decodeEnvelope(w)
+	if err != nil {
+		return err
+	}
+	k.Receive(e)
+	return nil
+}
+
 // Send queues e for its host, or loses it.
 func (p *Peers) Send(to identifier.Host, e Envelope) {
 	q := p.queue(to)
 	if q == nil {
 		return
 	}
-	select {
-	case q <- encodeEnvelope(e):
-	default:
-		p.lost.Inc()
+	for _, w := range split(encodeEnvelope(e)) {
+		select {
+		case q <- w:
+		default:
+			p.lost.Inc()
+		}
 	}
 }
 
--- a/keeper/perform.go
+++ b/keeper/perform.go
@@ -148,7 +148,7 @@
 
 // onForward proposes another replica's entry.
 func (k *Keeper) onForward(e Envelope, f Forward) {
-	p := &proposal{data: f.Data, asker: e.From, askerID: f.ID}
+	p := &proposal{data: f.Data, change: f.Change, asker: e.From, askerID: f.ID}
 	p.state.Store(sent)
 	switch {
 	case k.role.Role != replicator.Leader:
--- a/keeper/waiters.go
+++ b/keeper/waiters.go
@@ -147,7 +147,7 @@
 // hold keeps a proposal that is surely in no log until a leader is known.
 func (k *Keeper) hold(p *proposal) {
 	switch {
-	case p.asker != 0 || p.change != nil:
+	case p.asker != 0:
 		k.answer(p, outcome{err: errNoLeader()})
 	case len(k.waiters.held) >= k.opts.MaxWaiting:
 		k.answer(p, outcome{err: errQueueFull()})
--- a/replicator/config.go
+++ b/replicator/config.go
@@ -22,6 +22,10 @@
 	// the difference between the clock rates of two hosts.
 	ClockMargin time.Duration
 
+	// SnapshotTimeout is how long a snapshot may be under way to a member
+	// before it is sent again.
+	SnapshotTimeout time.Duration
+
 	// MaxEntryBytes bounds one entry.
 	MaxEntryBytes int
 	// MaxUncommittedEntries and MaxUncommittedBytes bound what a leader takes
@@ -45,6 +49,7 @@
 	DefaultElectionTimeout       = time.Second
 	DefaultHeartbeat             = 100 * time.Millisecond
 	DefaultClockMargin           = 100 * time.Millisecond
+	DefaultSnapshotTimeout       = 10 * time.Second
 	DefaultMaxEntryBytes         = 1 << 20
 	DefaultMaxUncommittedEntries = 8192
 	DefaultMaxUncommittedBytes   = 8 << 20
@@ -59,6 +64,7 @@
 	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
 	setDefault(&c.Heartbeat, DefaultHeartbeat)
 	setDefault(&c.ClockMargin, DefaultClockMargin)
+	setDefault(&c.SnapshotTimeout, DefaultSnapshotTimeout)
 	setDefault(&c.MaxEntryBytes, DefaultMaxEntryBytes)
 	setDefault(&c.MaxUncommittedEntries, DefaultMaxUncommittedEntries)
 	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -58,7 +58,7 @@
 // newGroup returns n voters that share a founding snapshot.
 func newGroup(t failer, n int, rates ...float64) *group {
 	g := &group{
-		t: t, cfg: Config{ElectionTimeout: testTimeout, TrailingEntries: 3, MaxInflightEntries: 8},
+		t: t, cfg: Config{ElectionTimeout: testTimeout, SnapshotTimeout: testTimeout, TrailingEntries: 3, MaxInflightEntries: 8},
 		leaders: make(map[identifier.Term]identifier.ReplicaID), hashes: make(map[identifier.LogIndex]string),
 		reads: make(map[uint64]identifier.LogIndex),
 	}
--- a/replicator/replicate.go
+++ b/replicator/replicate.go
@@ -46,7 +46,7 @@
 	}
 	t, ok := r.log.termAt(p.next - 1)
 	if !ok {
-		p.snapshotUntil = r.now.Add(r.cfg.ElectionTimeout)
+		p.snapshotUntil = r.now.Add(r.cfg.SnapshotTimeout)
 		r.emit(SendSnapshot{To: to, Term: r.state.Term, Stamp: r.nextStamp()})
 		return
 	}
