--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -149,6 +149,7 @@
 	p.cutAll()
 	done := make(chan error)
 	go func() { done <- call() }()
+	awaitSwallowed(t, p.conns[0])
 	var err error
 	for waiting := true; waiting; {
 		select {
@@ -163,9 +164,6 @@
 	if !errors.As(err, &unreachable) {
 		t.Fatalf("call on a silent session gives %v, want an UnreachableError", err)
 	}
-	if p.conns[0].swallowed.Load() == 0 {
-		t.Fatal("the connection did not go silent")
-	}
 	if err := call(); err != nil {
 		t.Errorf("call after a silent session: %v", err)
 	}
@@ -217,6 +215,18 @@
 // awaitLimit bounds the wait for an observed condition.
 const awaitLimit = time.Minute
 
+// awaitSwallowed returns once a cut connection has swallowed bytes, which shows
+// that it went silent.
+func awaitSwallowed(t *testing.T, c *cuttable) {
+	t.Helper()
+	for limit := time.Now().Add(awaitLimit); c.swallowed.Load() == 0; {
+		if time.Now().After(limit) {
+			t.Fatal("the connection did not go silent")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // awaitHeard returns once the client's session has read a byte at time now.
 func awaitHeard(t *testing.T, m *Messenger, now time.Time) {
 	t.Helper()
