--- /dev/null
+++ b/internal/scenario/site_test.go
@@ -0,0 +1,346 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/faker"
+)
+
+const (
+	siteKey   = "foodbank-key"
+	siteToken = "operator-token"
+)
+
+// site is a number of entry hosts and fakes in processes of their own.
+type site struct {
+	t         *testing.T
+	folder    string
+	ips       []string
+	fleet     configurer.Fleet
+	settings  []configurer.Settings
+	processes map[string]*process
+}
+
+// newSite returns a site whose hosts h0, h1, … stand in failure domains a and b
+// in turn. Its fakes are added before it starts.
+func newSite(t *testing.T, hosts int) *site {
+	t.Helper()
+	s := &site{t: t, folder: t.TempDir(), processes: make(map[string]*process)}
+	for _, v := range addressVars() {
+		_, ip, _ := strings.Cut(v, "=")
+		s.ips = append(s.ips, ip)
+	}
+	s.fleet.Defaults = configurer.Defaults{
+		Services: []configurer.Service{
+			{Name: "drafting", Kind: configurer.ModelService, Version: "v1", Deadline: configurer.Duration(awaitLimit), FirstTokenTarget: configurer.Duration(500 * time.Millisecond)},
+			{Name: "cases", Kind: configurer.PlainService, Version: "v1", Deadline: configurer.Duration(awaitLimit), FirstTokenTarget: configurer.Duration(500 * time.Millisecond), NonIdempotentRoutes: []identifier.Route{"POST /filings"}},
+		},
+		Customers: []configurer.Customer{{Name: "foodbank", KeyHashes: []configurer.KeyHash{configurer.HashKey(siteKey)}}},
+		Limits:    configurer.Limits{BodyBytes: 1 << 20, QueuedRequests: 1000, RetryShare: 0.1, ClaimHorizon: configurer.Duration(time.Hour)},
+	}
+	var all []configurer.HostAddress
+	for i := range hosts {
+		all = append(all, configurer.HostAddress{Name: hostName(i), FailureDomain: domainOf(i), Address: s.ips[i] + ":7000"})
+	}
+	for i := range hosts {
+		s.settings = append(s.settings, s.settingsOf(i, all))
+	}
+	return s
+}
+
+func hostName(i int) identifier.Host { return identifier.Host(fmt.Sprint("h", i)) }
+
+func domainOf(i int) identifier.FailureDomain { return identifier.FailureDomain("ab"[i%2 : i%2+1]) }
+
+func (s *site) settingsOf(i int, all []configurer.HostAddress) configurer.Settings {
+	cfg := configurer.Settings{
+		Host: hostName(i), FailureDomain: domainOf(i), Hosts: all, Keepers: []identifier.Host{hostName(0)},
+		Callers: configurer.CallerSettings{Listen: s.ips[i] + ":8080"},
+		Operators: configurer.OperatorSettings{Listen: s.ips[i] + ":8081", Tokens: []configurer.OperatorToken{
+			{Operator: "ana", TokenHash: configurer.HashKey(siteToken)},
+		}},
+	}
+	if i == 0 {
+		cfg.DataFolder, cfg.InitialFleet = filepath.Join(s.folder, "data"), filepath.Join(s.folder, "fleet.json")
+	}
+	return cfg
+}
+
+// fake adds a fake backend server and starts it. reached is where hosts reach
+// it; empty means directly.
+func (s *site) fake(i int, kind configurer.ServiceKind, reached string) string {
+	s.t.Helper()
+	service, name := identifier.Service("drafting"), fmt.Sprint("engine", i)
+	if kind == configurer.PlainService {
+		service, name = "cases", fmt.Sprint("cases", i)
+	}
+	address := fmt.Sprintf("%s:%d", s.ips[len(s.ips)-1], 9000+i)
+	if reached == "" {
+		reached = address
+	}
+	s.fleet.Defaults.BackendServers = append(s.fleet.Defaults.BackendServers, configurer.BackendServer{
+		Name: identifier.BackendServer(name), Service: service, Version: "v1", FailureDomain: domainOf(i), Address: reached, Concurrency: 64,
+	})
+	s.start(name, "fakeserver", "--listen", address, "--kind", string(kind), "--name", name, "--step", "5ms")
+	s.await(name+" serves", func() bool {
+		_, err := s.get("http://" + address + "/control/faults")
+		return err == nil
+	})
+	return address
+}
+
+// run starts the hosts and waits until they are ready.
+func (s *site) run() {
+	s.t.Helper()
+	s.write("fleet.json", s.fleet.Encode())
+	for i, cfg := range s.settings {
+		b, err := json.Marshal(cfg)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		name := string(cfg.Host)
+		s.write(name+".json", b)
+		s.start(name, "cyclamend", "run", "--settings", filepath.Join(s.folder, name+".json"))
+		s.await(name+" is ready", func() bool {
+			_, err := s.get(s.caller(i) + "/readyz")
+			return err == nil
+		})
+	}
+}
+
+// caller returns the address that callers of host i use.
+func (s *site) caller(i int) string { return "http://" + s.settings[i].Callers.Listen }
+
+func (s *site) write(name string, b []byte) {
+	s.t.Helper()
+	if err := os.WriteFile(filepath.Join(s.folder, name), b, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// start starts a process that ends with the test.
+func (s *site) start(name, program string, args ...string) {
+	s.t.Helper()
+	p := &process{cmd: exec.Command(filepath.Join(binFolder, program), args...), done: make(chan struct{})}
+	p.cmd.Dir, p.cmd.Stdout, p.cmd.Stderr = s.folder, p, p
+	if err := p.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	s.processes[name] = p
+	s.t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		if s.t.Failed() {
+			s.t.Logf("[%s]\n%s", name, p.output())
+		}
+	})
+}
+
+// kill ends a process in the middle of what it does.
+func (s *site) kill(name string) {
+	s.t.Helper()
+	p := s.processes[name]
+	if err := p.cmd.Process.Kill(); err != nil {
+		s.t.Fatal(err)
+	}
+	<-p.done
+}
+
+// terminate asks a process to stop and waits until it has.
+func (s *site) terminate(name string) {
+	s.t.Helper()
+	p := s.processes[name]
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		s.t.Fatal(err)
+	}
+	select {
+	case <-p.done:
+	case <-time.After(awaitLimit):
+		s.t.Fatalf("%s has not ended", name)
+	}
+	if p.err != nil {
+		s.t.Errorf("%s ended with %v", name, p.err)
+	}
+}
+
+// await waits until a condition is seen.
+func (s *site) await(what string, seen func() bool) {
+	s.t.Helper()
+	for limit := time.Now().Add(awaitLimit); time.Now().Before(limit); time.Sleep(awaitInterval) {
+		if seen() {
+			return
+		}
+	}
+	s.t.Fatalf("never seen: %s", what)
+}
+
+// get returns the body of a call that is answered with status 200.
+func (s *site) get(url string) (string, error) {
+	res, err := http.Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", res.StatusCode, b)
+	}
+	return string(b), err
+}
+
+// inject brings a fault about at a fake.
+func (s *site) inject(address string, x faker.Fault) {
+	s.t.Helper()
+	b, err := json.Marshal(x)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	res, err := http.Post("http://"+address+"/control/faults", "application/json", bytes.NewReader(b))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	res.Body.Close()
+}
+
+// hits returns how often a fault came about at a fake.
+func (s *site) hits(address string, k faker.FaultKind) int {
+	s.t.Helper()
+	b, err := s.get("http://" + address + "/control/faults")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	hits := make(map[faker.FaultKind]int)
+	if err := json.Unmarshal([]byte(b), &hits); err != nil {
+		s.t.Fatal(err)
+	}
+	return hits[k]
+}
+
+// stats returns what a fake engine did.
+func (s *site) stats(address string) faker.EngineStats {
+	s.t.Helper()
+	var st faker.EngineStats
+	b, err := s.get("http://" + address + "/control/stats")
+	if err == nil {
+		err = json.Unmarshal([]byte(b), &st)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return st
+}
+
+// metric returns the value of a metric of host i, as text.
+func (s *site) metric(i int, name string) string {
+	s.t.Helper()
+	b, err := s.get(s.caller(i) + "/metrics")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for line := range strings.Lines(b) {
+		if v, ok := strings.CutPrefix(line, name+" "); ok {
+			return strings.TrimSpace(v)
+		}
+	}
+	return ""
+}
+
+// call sends a request of the customer.
+func (s *site) call(ctx context.Context, method, url, body string, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if header != nil {
+		req.Header = header.Clone()
+	}
+	req.Header.Set("Authorization", "Bearer "+siteKey)
+	return http.DefaultClient.Do(req)
+}
+
+// reader is a caller that reads one stream, over as many connections as it
+// takes.
+type reader struct {
+	s      *site
+	id     string
+	prompt string
+	tokens int
+
+	mu   sync.Mutex
+	text strings.Builder
+	last int
+	done bool
+}
+
+// events returns how many events came so far.
+func (r *reader) events() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last
+}
+
+// read reads from host i until the connection ends, from where it left off.
+func (r *reader) read(i int) error {
+	h := http.Header{"Cyclamen-Request-Id": {r.id}}
+	if n := r.events(); n > 0 {
+		h.Set("Last-Event-ID", fmt.Sprint(n))
+	}
+	body, err := json.Marshal(map[string]any{"model": "drafting", "prompt": r.prompt, "max_tokens": r.tokens, "stream": true})
+	if err != nil {
+		return err
+	}
+	res, err := r.s.call(context.Background(), http.MethodPost, r.s.caller(i)+"/v1/completions", string(body), h)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(res.Body)
+		return fmt.Errorf("status %d: %s", res.StatusCode, b)
+	}
+	return r.take(res.Body)
+}
+
+// take reads events until the stream ends.
+func (r *reader) take(body io.Reader) error {
+	scan := newEventScanner(body)
+	for scan.next() {
+		r.mu.Lock()
+		if scan.data == "[DONE]" {
+			r.done = true
+		} else if scan.id == r.last+1 {
+			r.last++
+			r.text.WriteString(scan.text())
+		}
+		r.mu.Unlock()
+	}
+	return scan.err
+}
+
+// check checks that the caller has the whole text of an unbroken stream.
+func (r *reader) check() {
+	r.s.t.Helper()
+	want := faker.Text(r.prompt, r.tokens)
+	if got := r.text.String(); got != want || !r.done || r.last != r.tokens {
+		r.s.t.Errorf("%s: %d of %d events, done %v, %d of %d bytes", r.id, r.last, r.tokens, r.done, len(got), len(want))
+	}
+}
