--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"crypto/sha256"
 	"errors"
 	"io"
 	"net/http"
@@ -36,72 +35,6 @@
 	return nil
 }
 
-// claimed runs a non-idempotent call under its caller's key.
-func (t *task) claimed() *refuser.Refusal {
-	c := Claim{
-		Customer: t.r.Customer, Key: t.r.Key, Service: t.r.Service.Name, Route: t.r.Route,
-		Digest: sha256.Sum256(t.r.Body), Request: t.r.ID,
-	}
-	claimer := t.d.opt.Claimer
-	verdict, err := claimer.Claim(t.ctx, c)
-	if err != nil {
-		return t.unclaimed(err)
-	}
-	if _, ok := verdict.(Granted); !ok {
-		return t.settled(verdict)
-	}
-	refusal := t.run(t.callOnce)
-	switch {
-	case refusal == nil:
-		return t.receipt(c)
-	case refusal.IsNotRun():
-		// A claim that stays behind refuses the key until it expires, which is
-		// safe; the refusal at hand is true either way.
-		_ = claimer.Release(t.ctx, c)
-	default:
-		_ = claimer.Abandon(t.ctx, c)
-	}
-	return refusal
-}
-
-// unclaimed refuses a call whose claim could not be made.
-func (t *task) unclaimed(err error) *refuser.Refusal {
-	var f *refuser.Refusal
-	if errors.As(err, &f) && f.IsNotRun() {
-		return f
-	}
-	return t.ledger.refuse(refuser.NoMajority, "the key could not be claimed",
-		"come back after the time in Retry-After, with the same key").After(comeBackAfter)
-}
-
-// receipt stores the answer before it leaves.
-func (t *task) receipt(c Claim) *refuser.Refusal {
-	r := Receipt{Status: t.held.Status, Header: t.held.Header, Body: t.held.Body}
-	if err := t.d.opt.Claimer.Settle(t.ctx, c, r); err != nil {
-		t.d.opt.Log.Warn("receipt not stored", "request", string(t.r.ID), "error", err)
-	}
-	t.deliver(t.held)
-	return nil
-}
-
-// settled answers a call whose key was claimed before.
-func (t *task) settled(v Verdict) *refuser.Refusal {
-	switch v := v.(type) {
-	case Settled:
-		t.deliver(&Answer{Head: Head{Status: v.Receipt.Status, Header: v.Receipt.Header}, Body: v.Receipt.Body})
-		return nil
-	case InProgress:
-		return refuser.MayHaveRun(refuser.Running, "the action is running under request "+string(v.Request),
-			"ask again with the same key after the time in Retry-After").After(comeBackAfter)
-	case Reused:
-		return refuser.NotRun(refuser.KeyReused, "the idempotency key belongs to a different action",
-			"use a new key for a new action")
-	default:
-		return refuser.MayHaveRun(refuser.Unknown, "the action may have run and has no receipt",
-			"look at the service whether it ran before sending it under a new key")
-	}
-}
-
 // callOnce performs one attempt of a call.
 func (t *task) callOnce(a *attempt) result {
 	res, failure := a.exchange(t.r.Body, connector.Limits{FirstByte: a.firstByte(), Silence: a.betweenBytes()})
--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -6,7 +6,7 @@
 type counters struct {
 	attempts, retries, resumes, recomputedBytes *metrics.Counter
 	crossed, truncated, late, broken            *metrics.Counter
-	events, withheld, silent, unsent            *metrics.Counter
+	events, withheld, silent, unsent, unsettled *metrics.Counter
 }
 
 func newCounters(s *metrics.Set) counters {
@@ -19,6 +19,7 @@
 		withheld:        s.GetOrCreateCounter("cyclamen_retries_withheld_total"),
 		resumes:         s.GetOrCreateCounter("cyclamen_resumes_total"),
 		recomputedBytes: s.GetOrCreateCounter("cyclamen_resumed_text_bytes_total"),
+		unsettled:       s.GetOrCreateCounter("cyclamen_claims_unsettled_total"),
 		events:          s.GetOrCreateCounter("cyclamen_stream_events_total"),
 		unsent:          s.GetOrCreateCounter("cyclamen_attempts_unsent_total"),
 		crossed:         dropped("crossed"),
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cyclamenhub.org/admitter"
+	"cyclamenhub.org/claimer"
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
@@ -20,9 +21,6 @@
 // defaultReconnectGrace is how long a request goes on without its caller.
 const defaultReconnectGrace = 10 * time.Second
 
-// maxMemoryClaims bounds the claims of the in-memory claimer.
-const maxMemoryClaims = 100_000
-
 // Options configure a Dispatcher. Only Tables is required.
 type Options struct {
 	Tables *atomic.Pointer[Table]
@@ -39,8 +37,9 @@
 	// Version draws the version that a new request goes to; nil means the
 	// version of its service.
 	Version func(r *Request) identifier.Version
-	// Claimer grants idempotency keys; nil means a MemoryClaimer.
-	Claimer Claimer
+	// Claimer grants idempotency keys; nil means a claimer.MemoryClaimer, which
+	// forgets its claims with the process.
+	Claimer claimer.Claimer
 	// Pool holds the connections; nil means a pool of its own.
 	Pool *connector.Pool
 	// Metrics receives the counters; nil means a set of its own.
@@ -67,7 +66,7 @@
 		o.Version = func(r *Request) identifier.Version { return r.Service.Version }
 	}
 	if o.Claimer == nil {
-		o.Claimer = NewMemoryClaimer(maxMemoryClaims)
+		o.Claimer = claimer.NewMemoryClaimer(o.Clock, 0)
 	}
 	if o.Pool == nil {
 		o.Pool = connector.NewPool(connector.Options{Clock: o.Clock, Metrics: o.Metrics})
--- a/dispatcher/routed.go
+++ b/dispatcher/routed.go
@@ -38,7 +38,7 @@
 	t := c.publish(q.Table)
 	choice, err := c.router.Choose(router.Request{
 		Service: q.Request.Service.Name, Version: q.Version,
-		PrefixBlocks: q.Request.prefix(), PromptTokens: q.Request.promptTokens(), OutputTokens: q.Request.MaxTokens,
+		PrefixBlocks: q.Request.prefix(), PromptTokens: q.Request.promptTokens(),
 		FirstTokenTarget: q.Request.Service.FirstTokenTarget.Std(), Exclude: q.Excluded, Avoid: q.Avoid,
 	})
 	if err != nil {
