--- a/drainer/plan.go
+++ b/drainer/plan.go
@@ -115,6 +115,8 @@
 	leaving  bool
 	stopping bool
 	handing  map[identifier.RequestID]bool
+	// queue holds what is to be handed over next, as of the last Tick.
+	queue    []identifier.RequestID
 	told     map[identifier.RequestID]bool
 	lastTick time.Time
 }
@@ -139,7 +141,7 @@
 		return p.hostStops()
 	case HandoverEnded:
 		delete(p.handing, e.Request)
-		return nil
+		return p.fill()
 	case Tick:
 		return p.tick(e)
 	default:
@@ -244,18 +246,30 @@
 	list := slices.Clone(e.Active)
 	sortByLoss(list)
 	var effects []Effect
+	p.queue = p.queue[:0]
 	for _, a := range list {
 		switch {
 		case a.NonIdempotent:
 			effects = append(effects, p.tellUnknown(a.ID, e.Now)...)
-		case !a.Handed && !p.handing[a.ID] && len(p.handing) < maxHandovers:
-			if p.handing == nil {
-				p.handing = make(map[identifier.RequestID]bool)
-			}
-			p.handing[a.ID] = true
-			effects = append(effects, HandOver{a.ID})
+		case !a.Handed && !p.handing[a.ID]:
+			p.queue = append(p.queue, a.ID)
+		}
+	}
+	return append(effects, p.fill()...)
+}
+
+// fill begins as many handovers as the bound allows.
+func (p *Plan) fill() []Effect {
+	n := min(maxHandovers-len(p.handing), len(p.queue))
+	effects := make([]Effect, 0, n)
+	for _, id := range p.queue[:n] {
+		if p.handing == nil {
+			p.handing = make(map[identifier.RequestID]bool)
 		}
+		p.handing[id] = true
+		effects = append(effects, HandOver{id})
 	}
+	p.queue = p.queue[n:]
 	return effects
 }
 
--- a/drainer/plan_test.go
+++ b/drainer/plan_test.go
@@ -108,7 +108,9 @@
 		}
 		a.Handed = !rapid.Bool().Draw(t, "failed") || rapid.Bool().Draw(t, "failedAgain")
 		f.active[a.ID] = a
-		p.Reduce(HandoverEnded{Request: a.ID, Failed: !a.Handed})
+		for _, x := range p.Reduce(HandoverEnded{Request: a.ID, Failed: !a.Handed}) {
+			f.perform(t, p, x, told)
+		}
 	case TellUnknown:
 		told[x.Request]++
 	default:
