dispatcher: what an attempt says of its server and version

Outcomes tell an error of the server from silence, a refused or broken connection and a reclaim, so that the router and the test of a new version can weigh them. Options.Draw replaces the plain version function: each drawn version is told of exactly once, and a request without progress draws anew. The first token is now the first event of a stream, not its header.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -48,11 +48,13 @@
 	t.enter(a)
 	r := a.perform(exec)
 	t.enter(nil)
-	if _, ok := r.(whole); !ok && errors.Is(context.Cause(a.ctx), errMoving) {
+	if !isWhole(r) && errors.Is(context.Cause(a.ctx), errMoving) {
 		r = moved{}
 	}
 	if _, ok := r.(silent); !ok {
-		t.finishPick(a.outcome(r))
+		o := a.outcome(r)
+		t.finishPick(o)
+		t.endDraw(o, a.server.Name)
 	}
 	a.count(r)
 	return r
@@ -112,18 +114,44 @@
 
 // outcome tells what r says about the server.
 func (a *attempt) outcome(r result) Outcome {
-	if a.ctx.Err() != nil {
+	cause := context.Cause(a.ctx)
+	switch {
+	case isWhole(r):
+		return Succeeded
+	case errors.Is(cause, errCallerLeft):
 		return Neutral
+	case errors.Is(cause, errMoving), a.t.d.isLeaving(a.server.Name):
+		return Reclaimed
 	}
-	switch r.(type) {
-	case whole:
-		return Succeeded
+	switch r := r.(type) {
 	case silent:
 		return Neutral
 	case unsent:
 		return Unreached
+	case lost:
+		return outcomeOf(r.err)
+	case cutOff:
+		return outcomeOf(r.err)
+	default:
+		return Erred
+	}
+}
+
+func isWhole(r result) bool {
+	_, ok := r.(whole)
+	return ok
+}
+
+// outcomeOf tells what the error of an incomplete answer says about the server.
+func outcomeOf(err error) Outcome {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		return Unanswered
+	case errors.Is(err, errCrossed), errors.Is(err, errNoLength), errors.Is(err, errNoMarker), errors.Is(err, errEngineSays),
+		errors.Is(err, errAnswerTooLarge), errors.Is(err, errEventTooLarge), errors.Is(err, errNotAnEvent), errors.Is(err, errNotResumed):
+		return Erred
 	default:
-		return Blamed
+		return Broken
 	}
 }
 
@@ -143,7 +171,7 @@
 	case err == nil:
 	case errors.Is(err, errCrossed):
 		n.crossed.Inc()
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errNoLength):
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errNoLength), errors.Is(err, errNoMarker):
 		n.truncated.Inc()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		n.late.Inc()
@@ -162,8 +190,6 @@
 	if err != nil {
 		return nil, failed(err)
 	}
-	a.pick.FirstToken()
-	a.t.noteFirstByte()
 	if echo := res.Header.Get(AttemptHeader); echo != "" && echo != string(a.id) {
 		return nil, lost{err: errCrossed}
 	}
@@ -177,11 +203,12 @@
 	}
 }
 
-// noteFirstByte notes when the first byte of an answer came.
-func (t *task) noteFirstByte() {
+// noteFirstToken notes when the first token, or the answer of a call, came.
+func (t *task) noteFirstToken() {
 	if t.firstToken == 0 {
 		t.firstToken = t.d.opt.Clock.Now().Sub(t.sentAt)
 	}
+	t.pick.FirstToken()
 }
 
 // failed returns the result that an error of an exchange stands for.
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -41,6 +41,7 @@
 	if failure != nil {
 		return failure
 	}
+	t.noteFirstToken()
 	body, err := readWhole(res)
 	if err != nil {
 		return lost{err: err}
--- a/dispatcher/chooser.go
+++ b/dispatcher/chooser.go
@@ -15,18 +15,24 @@
 	Avoid identifier.FailureDomain
 }
 
-// Outcome is how an attempt on a server ended.
+// Outcome is how an attempt ended, as far as it speaks of the server and its
+// version.
 type Outcome int
 
 // The outcomes.
 const (
 	// Succeeded is a whole answer.
 	Succeeded Outcome = iota
-	// Blamed is a failure that speaks against the server.
-	Blamed
-	// Unreached is a server that took no connection or stayed silent on a fresh
-	// one.
+	// Erred is an error status, or an answer that was broken or another's.
+	Erred
+	// Unanswered is a fresh connection without a byte within its limit.
+	Unanswered
+	// Unreached is a server that took no connection.
 	Unreached
+	// Broken is a connection that broke with the request at work.
+	Broken
+	// Reclaimed is an attempt that was cut short because its server leaves.
+	Reclaimed
 	// Neutral says nothing about the server.
 	Neutral
 )
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -34,9 +34,9 @@
 	// Admitter accepts requests; nil means one of its own. The dispatcher keeps
 	// it in step with the table.
 	Admitter *admitter.Admitter
-	// Version draws the version that a new request goes to; nil means the
-	// version of its service.
-	Version func(r *Request) identifier.Version
+	// Draw draws the version that a request goes to; nil means the version of
+	// its service.
+	Draw DrawFunc
 	// Claimer grants idempotency keys; nil means a claimer.MemoryClaimer, which
 	// forgets its claims with the process.
 	Claimer claimer.Claimer
@@ -62,8 +62,8 @@
 	if o.Chooser == nil {
 		o.Chooser = NewRouted(router.New(router.Config{Clock: o.Clock, Metrics: o.Metrics, FailureDomain: o.FailureDomain}))
 	}
-	if o.Version == nil {
-		o.Version = func(r *Request) identifier.Version { return r.Service.Version }
+	if o.Draw == nil {
+		o.Draw = func(r *Request, _ Load, _ bool) Draw { return fixedDraw(r.Service.Version) }
 	}
 	if o.Claimer == nil {
 		o.Claimer = claimer.NewMemoryClaimer(o.Clock, 0)
@@ -86,6 +86,9 @@
 	// adopted counts the running requests that other hosts accepted.
 	adopted atomic.Int64
 
+	// leaving holds the servers that are known to leave, by name.
+	leaving sync.Map
+
 	admissionOnce sync.Once
 	admit         *admission
 
@@ -182,9 +185,20 @@
 
 // SetLeaving tells the choice of backend servers whether one takes no new work.
 func (d *Dispatcher) SetLeaving(b identifier.BackendServer, leaving bool) {
+	if leaving {
+		d.leaving.Store(b, true)
+	} else {
+		d.leaving.Delete(b)
+	}
 	d.opt.Chooser.SetLeaving(b, leaving)
 }
 
+// isLeaving reports whether a server is known to leave.
+func (d *Dispatcher) isLeaving(b identifier.BackendServer) bool {
+	_, ok := d.leaving.Load(b)
+	return ok
+}
+
 // Lookup returns what is known of a customer's request.
 func (d *Dispatcher) Lookup(customer identifier.Customer, id identifier.RequestID) (Status, bool) {
 	c, ok := d.records.find(customer, id)
--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -54,7 +54,7 @@
 		e.long = append(e.long, line...)
 	}
 	if errors.Is(err, io.EOF) {
-		return nil, io.ErrUnexpectedEOF
+		return nil, errNoMarker
 	}
 	return e.long, err
 }
--- a/dispatcher/generation.go
+++ b/dispatcher/generation.go
@@ -148,6 +148,9 @@
 		if err != nil {
 			return t.brokenStream(err, s, before)
 		}
+		if s.p.count() == before+1 {
+			t.noteFirstToken()
+		}
 		if toCaller && !events.pending() {
 			t.flush()
 		}
--- a/dispatcher/routed.go
+++ b/dispatcher/routed.go
@@ -125,11 +125,13 @@
 	switch o {
 	case Succeeded:
 		p.choice.Release(router.Succeeded)
-	case Blamed:
+	case Erred:
 		p.choice.Release(router.Failed)
-	case Unreached:
+	case Unanswered:
+		p.choice.Release(router.Silent)
+	case Unreached, Broken:
 		p.choice.Release(router.Refused)
-	case Neutral:
+	case Reclaimed, Neutral:
 		p.choice.Release(router.Cancelled)
 	}
 }
--- a/dispatcher/scanner.go
+++ b/dispatcher/scanner.go
@@ -13,6 +13,8 @@
 var (
 	errCrossed    = errors.New("an event belongs to another answer")
 	errEngineSays = errors.New("the model engine reports an error")
+	errNotAnEvent = errors.New("an event cannot be read")
+	errNoMarker   = errors.New("the stream ended without its terminal marker")
 )
 
 // scanner takes the events of one attempt into the progress of its request.
@@ -58,7 +60,7 @@
 func (s *scanner) decode(data []byte) ([]byte, error) {
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
-		return nil, fmt.Errorf("event: %w", err)
+		return nil, fmt.Errorf("%w: %w", errNotAnEvent, err)
 	}
 	if !isNull(c.Error) {
 		return nil, errEngineSays
--- a/dispatcher/silence_test.go
+++ b/dispatcher/silence_test.go
@@ -28,7 +28,7 @@
 }
 
 func (p *verdictPick) Finished(o dispatcher.Outcome) {
-	if o == dispatcher.Blamed || o == dispatcher.Unreached {
+	if o != dispatcher.Succeeded && o != dispatcher.Neutral {
 		p.v.blamed[p.Server().Name]++
 	}
 	p.Pick.Finished(o)
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -61,10 +61,13 @@
 	// adopted tells that another host accepted the request.
 	adopted bool
 
-	reuse    connector.Reuse
-	pick     Pick
-	server   configurer.BackendServer
-	version  identifier.Version
+	reuse   connector.Reuse
+	pick    Pick
+	server  configurer.BackendServer
+	version identifier.Version
+	// draw is nil once its ending was told; drawn tells that there was one.
+	draw     Draw
+	drawn    bool
 	excluded []identifier.BackendServer
 	avoid    identifier.FailureDomain
 	pauses   int
@@ -120,6 +123,7 @@
 	if t.ledger.nonIdempotent {
 		t.reuse = connector.Fresh
 	}
+	defer t.endDraw(Neutral, "")
 	defer t.finishPick(Neutral)
 	same := false
 	for {
@@ -239,7 +243,7 @@
 	for {
 		table := t.d.opt.Tables.Load()
 		if t.version == "" {
-			t.version = t.d.opt.Version(t.r)
+			t.drawVersion()
 		}
 		p, ok := t.d.opt.Chooser.Choose(Query{
 			Table: table, Request: t.r, Version: t.version, Excluded: t.excluded, Avoid: t.avoid,
