connector, server: tests of connections and of callers that do not read

Trials, each failing: no write deadline for a caller's answer (the engine still works after a minute), no look at an idle connection before it is used (a closed one is used again).

--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,229 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cyclamenhub.org/connector"
+)
+
+// scripted is a server on loopback that answers every connection by a script.
+func scripted(t *testing.T, script func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// readRequest reads one request.
+func readRequest(r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+func newRequest(address string) *http.Request {
+	return &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: address, Header: http.Header{},
+		Body: io.NopCloser(strings.NewReader("hello")), ContentLength: 5,
+	}
+}
+
+// exchange makes one exchange on a connection of the pool and reads the body.
+func exchange(t *testing.T, p *connector.Pool, address string) (*connector.Response, string, error) {
+	t.Helper()
+	c, err := p.Open(context.Background(), address, connector.Pooled)
+	if err != nil {
+		return nil, "", err
+	}
+	res, err := c.Exchange(context.Background(), newRequest(address), connector.Limits{
+		Deadline: time.Now().Add(time.Minute), FirstByte: 30 * time.Second, Silence: 30 * time.Second,
+	})
+	if err != nil {
+		c.Close()
+		return nil, "", err
+	}
+	b, err := io.ReadAll(res.Body)
+	p.Release(c)
+	return res, string(b), err
+}
+
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	address := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		fmt.Fprint(c, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	res, body, err := exchange(t, connector.NewPool(connector.Options{}), address)
+	if err != nil || res.Status != http.StatusOK || body != "ok" || !res.Bounded {
+		t.Errorf("response %+v, body %q, error %v", res, body, err)
+	}
+}
+
+func TestHeaderIsBounded(t *testing.T) {
+	address := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n")
+		for {
+			if _, err := fmt.Fprintf(c, "X-Long: %s\r\n", strings.Repeat("x", 1000)); err != nil {
+				return
+			}
+		}
+	})
+	_, _, err := exchange(t, connector.NewPool(connector.Options{}), address)
+	if !errors.Is(err, connector.ErrHeaderTooLarge) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestUnboundedBodyIsTold(t *testing.T) {
+	address := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\npart")
+	})
+	res, body, err := exchange(t, connector.NewPool(connector.Options{}), address)
+	if err != nil || body != "part" || res.Bounded {
+		t.Errorf("response %+v, body %q, error %v", res, body, err)
+	}
+}
+
+// TestClosedConnectionIsNotReused checks that a connection that its server
+// closed while it was idle is seen before anything is sent on it.
+func TestClosedConnectionIsNotReused(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	address := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_ = c.Close()
+		closed <- struct{}{}
+	})
+	set := metrics.NewSet()
+	p := connector.NewPool(connector.Options{Metrics: set})
+	for range 2 {
+		if _, body, err := exchange(t, p, address); err != nil || body != "ok" {
+			t.Fatalf("body %q, error %v", body, err)
+		}
+		<-closed
+		awaitClosed(t, p, address, set)
+	}
+	if n := set.GetOrCreateCounter("cyclamen_connections_reused_total").Get(); n != 0 {
+		t.Errorf("a closed connection was used again %d times", n)
+	}
+}
+
+// awaitClosed waits until the pool has seen that its connection was closed.
+func awaitClosed(t *testing.T, p *connector.Pool, address string, set *metrics.Set) {
+	t.Helper()
+	discarded := set.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="closed"}`)
+	before := discarded.Get()
+	for range 1000 {
+		c, err := p.Open(context.Background(), address, connector.Pooled)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+		if discarded.Get() > before {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestErrorsTellWhetherSent checks what is known after each kind of failure.
+func TestErrorsTellWhetherSent(t *testing.T) {
+	silent := scripted(t, func(_ net.Conn, r *bufio.Reader) { readRequest(r) })
+	p := connector.NewPool(connector.Options{})
+	forbidden := errors.New("forbidden")
+	tests := []struct {
+		name   string
+		limits connector.Limits
+		sent   bool
+		stage  connector.Stage
+	}{
+		{"no answer", connector.Limits{Deadline: time.Now().Add(time.Minute)}, true, connector.FirstByte},
+		{"forbidden", connector.Limits{Deadline: time.Now().Add(time.Minute), Sending: func() error { return forbidden }}, false, connector.Sending},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, err := p.Open(context.Background(), silent, connector.Fresh)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_, err = c.Exchange(context.Background(), newRequest(silent), tt.limits)
+			var e *connector.Error
+			if !errors.As(err, &e) || e.Sent != tt.sent || e.Stage != tt.stage || e.Reused {
+				t.Errorf("got %+v", err)
+			}
+		})
+	}
+	t.Run("refused", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = l.Close()
+		_, err = p.Open(context.Background(), l.Addr().String(), connector.Fresh)
+		var e *connector.Error
+		if !errors.As(err, &e) || e.Sent || e.Stage != connector.Dialing {
+			t.Errorf("got %+v", err)
+		}
+	})
+}
+
+// TestCancelEndsExchange checks that a cancelled exchange returns at once and
+// its connection is not used again.
+func TestCancelEndsExchange(t *testing.T) {
+	got := make(chan struct{})
+	address := scripted(t, func(_ net.Conn, r *bufio.Reader) {
+		if readRequest(r) {
+			close(got)
+		}
+		_, _ = r.ReadByte()
+	})
+	p := connector.NewPool(connector.Options{})
+	c, err := p.Open(context.Background(), address, connector.Fresh)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-got
+		cancel()
+	}()
+	if _, err := c.Exchange(ctx, newRequest(address), connector.Limits{}); err == nil {
+		t.Error("got an answer")
+	}
+	p.Release(c)
+	if c, err := p.Open(context.Background(), address, connector.Pooled); err != nil || c.Reused() {
+		t.Errorf("error %v, or a cancelled connection was kept", err)
+	}
+}
--- a/server/slow_test.go
+++ b/server/slow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -79,38 +80,84 @@
 	return string(b), after
 }
 
+// bubble is a server before one engine, on a network in memory.
+type bubble struct {
+	t       *testing.T
+	network *faker.Network
+	engine  *faker.Engine
+	server  *server.Server
+	close   func()
+}
+
+func newBubble(t *testing.T) *bubble {
+	t.Helper()
+	b := &bubble{t: t, network: faker.NewNetwork(), engine: faker.NewEngine(faker.EngineConfig{StepTime: 100 * time.Millisecond})}
+	stop := b.network.Serve("w0", b.engine)
+	var tables atomic.Pointer[dispatcher.Table]
+	tables.Store(dispatcher.NewTable(&configurer.Fleet{Defaults: configurer.Defaults{
+		Services:       []configurer.Service{{Name: "m", Kind: configurer.ModelService, Version: "v1", Deadline: configurer.Duration(10 * time.Minute)}},
+		BackendServers: []configurer.BackendServer{{Name: "w0", Service: "m", Version: "v1", Address: "w0", Concurrency: 1}},
+		Customers:      []configurer.Customer{{Name: "foodbank", KeyHashes: []configurer.KeyHash{configurer.HashKey(testKey)}}},
+		Limits:         configurer.Limits{BodyBytes: 1 << 16, QueuedRequests: 1},
+	}}))
+	pool := connector.NewPool(connector.Options{Dial: b.network.Dial})
+	b.server = server.New(server.Options{Dispatcher: dispatcher.New(dispatcher.Options{Tables: &tables, Pool: pool}), Tables: &tables, ReadinessLag: -1})
+	l := b.network.Listen("x")
+	go func() { _ = b.server.Serve(l) }()
+	b.close = func() {
+		if err := b.server.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+		pool.Close()
+		stop()
+	}
+	return b
+}
+
+// ask asks for a stream of n tokens on a new connection.
+func (b *bubble) ask(n int) net.Conn {
+	b.t.Helper()
+	c, err := b.network.Dial(context.Background(), "x")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	body := fmt.Sprintf(`{"model":"m","prompt":"long","max_tokens":%d,"stream":true}`, n)
+	if _, err := fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body); err != nil {
+		b.t.Fatal(err)
+	}
+	return c
+}
+
 // TestLongAnswerOutlivesReadTimeout checks that the time limits of a request's
 // arrival do not end its answer.
 func TestLongAnswerOutlivesReadTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := faker.NewNetwork()
-		stop := network.Serve("w0", faker.NewEngine(faker.EngineConfig{StepTime: 100 * time.Millisecond}))
-		defer stop()
-		var tables atomic.Pointer[dispatcher.Table]
-		tables.Store(dispatcher.NewTable(&configurer.Fleet{Defaults: configurer.Defaults{
-			Services:       []configurer.Service{{Name: "m", Kind: configurer.ModelService, Version: "v1", Deadline: configurer.Duration(time.Minute)}},
-			BackendServers: []configurer.BackendServer{{Name: "w0", Service: "m", Version: "v1", Address: "w0", Concurrency: 1}},
-			Customers:      []configurer.Customer{{Name: "foodbank", KeyHashes: []configurer.KeyHash{configurer.HashKey(testKey)}}},
-			Limits:         configurer.Limits{BodyBytes: 1 << 16, QueuedRequests: 1},
-		}}))
-		pool := connector.NewPool(connector.Options{Dial: network.Dial})
-		defer pool.Close()
-		s := server.New(server.Options{Dispatcher: dispatcher.New(dispatcher.Options{Tables: &tables, Pool: pool}), Tables: &tables, ReadinessLag: -1})
-		l := network.Listen("x")
-		go func() { _ = s.Serve(l) }()
-		c, err := network.Dial(context.Background(), "x")
-		if err != nil {
-			t.Fatal(err)
-		}
-		body := `{"model":"m","prompt":"long","max_tokens":300,"stream":true}`
-		go fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
-		b, err := io.ReadAll(c)
-		if n := strings.Count(string(b), "id: "); err != nil || n != 300 || !strings.Contains(string(b), "[DONE]") {
+		b := newBubble(t)
+		defer b.close()
+		c := b.ask(300)
+		got, err := io.ReadAll(c)
+		if n := strings.Count(string(got), "id: "); err != nil || n != 300 || !strings.Contains(string(got), "[DONE]") {
 			t.Errorf("%d events, error %v", n, err)
 		}
 		_ = c.Close()
-		if err := s.Stop(context.Background()); err != nil {
-			t.Error(err)
+	})
+}
+
+// TestCallerThatDoesNotReadIsLeft checks that a caller that takes nothing of its
+// answer holds the engine for bounded time.
+func TestCallerThatDoesNotReadIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBubble(t)
+		defer b.close()
+		c := b.ask(1000)
+		time.Sleep(time.Second)
+		if b.engine.Stats().Running != 1 {
+			t.Fatal("the stream is not under way")
+		}
+		time.Sleep(time.Minute)
+		if b.engine.Stats().Running != 0 {
+			t.Error("the engine still works for a caller that does not read")
 		}
+		_ = c.Close()
 	})
 }
