--- a/drainer/notices.go
+++ b/drainer/notices.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/refuser"
 )
 
 // maxNoticeBytes bounds the body of a notice.
@@ -17,21 +19,70 @@
 	// BackendServer is the server that leaves, or empty for this host.
 	BackendServer identifier.BackendServer `json:"backendServer,omitempty"`
 	// In is the time that is left, as in "20s".
-	In configurer.Duration `json:"in"`
+	In configurer.Duration `json:"in,omitempty"`
 	// Cancelled takes an earlier notice of the backend server back.
 	Cancelled bool `json:"cancelled,omitempty"`
 }
 
-// ServeHTTP takes a notice in. It checks nobody's right to send one: mount it
-// behind the operators' tokens.
-func (d *Drainer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var n Notice
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxNoticeBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&n); err != nil || !n.Cancelled && n.In <= 0 {
-		http.Error(w, `send {"backendServer": NAME, "in": "20s"}, or leave the name out for this host`, http.StatusBadRequest)
-		return
+// Check reports whether n is well formed.
+func (n *Notice) Check() *refuser.Refusal {
+	switch {
+	case n.Cancelled && n.BackendServer == "":
+		return refuser.NotRun(refuser.Malformed, "only the notice of a backend server can be taken back", `name it in "backendServer"`)
+	case !n.Cancelled && n.In <= 0:
+		return refuser.NotRun(refuser.Malformed, "the time that is left is missing or not positive", `write "in", as in "20s"`)
+	default:
+		return nil
+	}
+}
+
+// NoticeHandler takes notices in that carry the token of an operator or of the
+// platform.
+func (d *Drainer) NoticeHandler(tokens []configurer.OperatorToken) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !allowed(r, tokens) {
+			refuse(w, refuser.NotRun(refuser.Unauthenticated, "the token is missing or unknown", "send 'Authorization: Bearer TOKEN' with a token of the settings"))
+			return
+		}
+		var n Notice
+		dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxNoticeBytes))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&n); err != nil {
+			refuse(w, refuser.NotRun(refuser.Malformed, "the notice cannot be read: "+err.Error(), `send {"backendServer": NAME, "in": "20s"}, or leave the name out for this host`))
+			return
+		}
+		if refusal := n.Check(); refusal != nil {
+			refuse(w, refusal)
+			return
+		}
+		d.Notify(n)
+		w.WriteHeader(http.StatusAccepted)
+	})
+}
+
+// allowed reports whether r carries one of the tokens.
+func allowed(r *http.Request, tokens []configurer.OperatorToken) bool {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return false
+	}
+	found := false
+	for _, t := range tokens {
+		found = t.TokenHash.Matches(token) || found
 	}
+	return found
+}
+
+// refuse sends a refusal.
+func refuse(w http.ResponseWriter, f *refuser.Refusal) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(f.Status())
+	// The caller may have gone.
+	_ = json.NewEncoder(w).Encode(f)
+}
+
+// Notify takes a notice in.
+func (d *Drainer) Notify(n Notice) {
 	left := time.Duration(n.In)
 	switch {
 	case n.BackendServer == "":
@@ -41,5 +92,4 @@
 	default:
 		d.ServerLeaves(n.BackendServer, left)
 	}
-	w.WriteHeader(http.StatusAccepted)
 }
