router: shares with evidence, and overflow along one order

Cause of the growth of recomputation with the number of routers: each of many routers sees few requests, took one earlier sight of a prefix for a share that needs several servers, and sent what was above the bound to any server at all. A share now counts less its standard deviation, and a set above the bound is widened in its own order, the same on all hosts, while it is narrower than a quarter of the set around it.

The harness gains tables for overload, bad signals, cost and price.

--- a/internal/loadbench/tables.go
+++ b/internal/loadbench/tables.go
@@ -14,6 +14,10 @@
 var tables = map[string]func(w io.Writer, seed uint64){
 	"policies": policiesTable,
 	"scale":    scaleTable,
+	"overload": overloadTable,
+	"signals":  signalsTable,
+	"cost":     costTable,
+	"price":    priceTable,
 }
 
 // WriteTable runs what a table needs and prints it. The name "list" prints the
--- a/router/group.go
+++ b/router/group.go
@@ -25,9 +25,10 @@
 
 // byPrefix narrows the group down level by level and considers two random
 // servers of the narrowest set that has one below the bound, and the server
-// that is thought to hold most of the prefix. A set that is above the bound
-// gives way to the one around it, whose servers hold the prefix but for the
-// last level.
+// that is thought to hold most of the prefix. A set that is above the bound is
+// widened along its own order, which all hosts share, so that few servers hold
+// what overflows; then the sets around it are tried, whose servers hold the
+// prefix but for the last level.
 func (d *decision) byPrefix(g *group, consider func(*member, reason, int)) {
 	scratch := d.r.scratch.Get().(*[]ranked)
 	defer d.r.scratch.Put(scratch)
@@ -35,6 +36,9 @@
 	*scratch = s.set
 	var sizes, warm [maxLevels + 1]int
 	n := len(s.set)
+	if n == 0 {
+		return
+	}
 	sizes[0] = n
 	for i := range d.levels {
 		l := &d.path[i]
@@ -48,13 +52,28 @@
 		}
 	}
 	d.byHint(&s, consider)
-	for i := d.levels; i >= 0; i-- {
-		if d.twoOf(&s, sizes[i], warm[i], consider) {
-			return
+	if d.twoOf(&s, sizes[d.levels], warm[d.levels], consider) {
+		return
+	}
+	for i := d.levels; i > 0; i-- {
+		for k := sizes[i]; k*narrow < sizes[i-1]; k *= widen {
+			g.rank(d.path[i-1].key, s.set[:sizes[i-1]], k)
+			if d.twoOf(&s, k, warm[i-1], consider) {
+				return
+			}
 		}
 	}
+	d.twoOf(&s, n, 0, consider)
 }
 
+// A set that is above the bound is widened by a factor while it is narrower
+// than a part of the set around it. A wider one gives way at once: with stale
+// loads, hosts that all overflow to the same few servers overload them in turn.
+const (
+	widen  = 2
+	narrow = 4
+)
+
 // byHint considers the server that is thought to hold most of the prefix.
 func (d *decision) byHint(s *standing, consider func(*member, reason, int)) {
 	if d.hinted == 0 {
--- a/router/share.go
+++ b/router/share.go
@@ -1,6 +1,9 @@
 package router
 
-import "sync/atomic"
+import (
+	"math"
+	"sync/atomic"
+)
 
 // Sizes of the share sketch.
 const (
@@ -30,8 +33,10 @@
 	}
 }
 
-// add counts a prefix of the request and returns its share of the recent ones,
-// itself not counted: the first request of a prefix has the share 0.
+// add counts a prefix of the request and returns the share of the recent
+// requests that it surely has: what was counted before, less its standard
+// deviation. A prefix that was seen once among few requests is no evidence that
+// it needs more than one server, and every copy of it has to be computed.
 func (s *shareSketch) add(b Block) float64 {
 	h := mix(uint64(b))
 	count := min(
@@ -39,10 +44,11 @@
 		s.cells[1][(h>>32)%sketchColumns].Add(1),
 	)
 	total := s.total.Load()
-	if total <= 1 {
+	if total <= 1 || count <= 1 {
 		return 0
 	}
-	return float64(count-1) / float64(total)
+	before := float64(count - 1)
+	return (before - math.Sqrt(before)) / float64(total)
 }
 
 // count returns about how many recent requests a share is.
--- a/router/view.go
+++ b/router/view.go
@@ -76,10 +76,8 @@
 		v.servers[c.BackendServer] = s
 		c.Concurrency = max(c.Concurrency, 1)
 		key := poolKey{c.Service, c.Version}
-		p, ok := v.pools[key]
-		if !ok {
-			p = &pool{stats: r.statsOf(key)}
-			v.pools[key] = p
+		if _, ok := v.pools[key]; !ok {
+			v.pools[key] = &pool{stats: r.statsOf(key)}
 		}
 		members[key] = append(members[key], member{Candidate: c, s: s})
 	}
