roller: draw, evidence, sequential test and staged rollouts, with a bench

A bad version must be taken back after few requests, on any route or load band, and a failure that the old version shares must not condemn a good one. Comparing error rates over time can't tell the two apart in a reclaim wave. The test therefore conditions on the failures: of those, a good candidate gets just the share that was drawn for it, whatever caused them.

Ruled out: a threshold on the summed rate (the bench plays it as the five-step canary), and two-sample tests on rates, which need the rate to stand still.

--- /dev/null
+++ b/internal/rolloutbench/canary.go
@@ -0,0 +1,82 @@
+package rolloutbench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/roller"
+)
+
+// The fixed canary: five steps of equal length, and a revert where the
+// candidate's error rate since the rollout began exceeds a threshold.
+var canarySteps = []float64{0.05, 0.2, 0.4, 0.7, 1}
+
+const (
+	canaryErrorRate   = 0.05
+	canaryMinRequests = 20
+	canaryInterval    = 10 * time.Second
+)
+
+// canary is the baseline policy. It counts every request that had no answer as
+// an error, sums over routes and bands, and ends at its last step.
+type canary struct {
+	s        *Scenario
+	q        *queue
+	rng      *rand.Rand
+	step     int
+	requests int
+	errors   int
+	out      outcome
+}
+
+func newCanary(s *Scenario, q *queue) *canary {
+	return &canary{s: s, q: q, rng: rand.New(rand.NewPCG(s.Seed, 3)), step: -1}
+}
+
+func (c *canary) begin(now time.Time) {
+	c.step = 0
+	c.q.add(now.Add(canaryInterval), c.check)
+}
+
+func (c *canary) share() float64 {
+	if c.step < 0 || !c.out.reverted.IsZero() {
+		return 0
+	}
+	return canarySteps[c.step]
+}
+
+func (c *canary) draw(host int, _ identifier.RequestID, route int, _ roller.Band) drawn {
+	return drawn{host: host, route: route, candidate: c.rng.Float64() < c.share()}
+}
+
+func (c *canary) observe(_ time.Time, d drawn, o roller.Outcome, _ time.Duration) {
+	if !d.candidate {
+		return
+	}
+	c.requests++
+	if o != roller.Succeeded {
+		c.errors++
+	}
+}
+
+func (c *canary) outcome() outcome { return c.out }
+
+// check reverts, or goes to the step that is due.
+func (c *canary) check(now time.Time) {
+	if c.requests >= canaryMinRequests && float64(c.errors) > canaryErrorRate*float64(c.requests) {
+		c.out.reverted = now
+		return
+	}
+	last := len(canarySteps) - 1
+	due := min(int(float64(now.Sub(start))/float64(c.s.Deadline)*float64(last+1)), last)
+	c.step = max(c.step, due)
+	if c.step == last && c.out.moved.IsZero() {
+		c.out.moved = now
+	}
+	if now.After(c.s.deadline()) {
+		c.out.done = now
+		return
+	}
+	c.q.add(now.Add(canaryInterval), c.check)
+}
--- /dev/null
+++ b/internal/rolloutbench/table.go
@@ -0,0 +1,137 @@
+package rolloutbench
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Row counts the results of one kind under one policy at one rate.
+type Row struct {
+	Policy Policy
+	Kind   Kind
+	// Rate is 0 for all rates together.
+	Rate Rate
+	Runs int
+	// OnTime counts runs whose traffic had moved by the deadline.
+	OnTime int
+	// Kept counts runs that ended with the candidate in place.
+	Kept     int
+	Reverted int
+	Before   Exposure
+	After    Exposure
+	// WorstShare is the largest part that the candidate got, in one run, of all
+	// requests from the start to the last one sent to it.
+	WorstShare float64
+	// delays holds the times from the first evidence to the last draw.
+	delays      []time.Duration
+	Late, Own   int
+	MaxInFlight int
+}
+
+// Tabulate counts results.
+func Tabulate(p Policy, k Kind, rate Rate, rs []Result) Row {
+	row := Row{Policy: p, Kind: k, Rate: rate}
+	for i := range rs {
+		if rate == 0 || rs[i].Scenario.Rate == rate {
+			row.add(&rs[i])
+		}
+	}
+	slices.Sort(row.delays)
+	return row
+}
+
+func (row *Row) add(r *Result) {
+	row.Runs++
+	switch {
+	case !r.Reverted.IsZero():
+		row.Reverted++
+	case !r.Done.IsZero():
+		row.Kept++
+	}
+	if r.Reverted.IsZero() && !r.Moved.IsZero() && !r.Moved.After(r.Scenario.deadline()) {
+		row.OnTime++
+	}
+	row.Before.sum(r.Before)
+	row.After.sum(r.After)
+	row.WorstShare = max(row.WorstShare, r.Share())
+	if !r.FirstEvidence.IsZero() && !r.Reverted.IsZero() {
+		row.delays = append(row.delays, max(r.LastDraw.Sub(r.FirstEvidence), 0))
+	}
+	row.Late += r.Late
+	row.Own += r.Own
+	row.MaxInFlight = max(row.MaxInFlight, r.MaxInFlight)
+}
+
+// Share returns the candidate's part of all requests from the start to the last
+// one sent to it.
+func (r *Result) Share() float64 {
+	e := r.Before
+	e.sum(r.After)
+	return e.Share()
+}
+
+func (e *Exposure) sum(o Exposure) {
+	e.All += o.All
+	e.Candidate += o.Candidate
+}
+
+// Delay returns a quantile of the time from the first evidence to the last
+// request sent to the candidate, over the reverted runs.
+func (row *Row) Delay(q float64) time.Duration {
+	if len(row.delays) == 0 {
+		return 0
+	}
+	i := min(int(q*float64(len(row.delays))), len(row.delays)-1)
+	return row.delays[i]
+}
+
+// WriteTable writes rows as a Markdown table.
+func WriteTable(w io.Writer, rows []Row) error {
+	slices.SortStableFunc(rows, func(a, b Row) int { return cmp.Compare(a.Policy, b.Policy) })
+	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(tw, "| policy\t| candidate\t| rate/s\t| runs\t| reverted\t| moved by deadline\t| kept\t"+
+		"| share before\t| share after\t| worst share\t| evidence to last, median\t| 95%\t| longest\t| late\t| own\t| in flight\t|")
+	fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	for i := range rows {
+		rows[i].write(tw)
+	}
+	return tw.Flush()
+}
+
+func (row *Row) write(w io.Writer) {
+	rate := "all"
+	if row.Rate > 0 {
+		rate = fmt.Sprint(float64(row.Rate))
+	}
+	fmt.Fprintf(w, "| %s\t| %s\t| %s\t| %d\t| %d\t| %d\t| %d\t", row.Policy, row.Kind, rate,
+		row.Runs, row.Reverted, row.OnTime, row.Kept)
+	fmt.Fprintf(w, "| %s\t| %s\t| %s\t", percent(row.Before.Share()), percent(row.After.Share()), percent(row.WorstShare))
+	fmt.Fprintf(w, "| %s\t| %s\t| %s\t", seconds(row.Delay(0.5)), seconds(row.Delay(0.95)), seconds(row.Delay(1)))
+	fmt.Fprintf(w, "| %d\t| %d\t| %d\t|\n", row.Late, row.Own, row.MaxInFlight)
+}
+
+func percent(x float64) string { return fmt.Sprintf("%.2f%%", 100*x) }
+
+func seconds(d time.Duration) string { return fmt.Sprintf("%.0f s", d.Seconds()) }
+
+// String describes a run on one line.
+func (r *Result) String() string {
+	s := r.Scenario
+	return fmt.Sprintf("seed %d rate %v hosts %d deadline %v lag %v failing %.2f slowing %.2f route %d waves %d cuts %d: "+
+		"moved %v done %v reverted %v first evidence %v last draw %v share %.4f late %d own %d cause %q",
+		s.Seed, s.Rate, s.Hosts, s.Deadline, s.ReportLag, s.failing, s.slowing, s.badRoute, len(s.waves), len(s.cuts),
+		offset(r.Moved), offset(r.Done), offset(r.Reverted), offset(r.FirstEvidence), offset(r.LastDraw),
+		r.Share(), r.Late, r.Own, r.Cause)
+}
+
+// offset returns a time since the start of the rollout, or 0 for none.
+func offset(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(start).Round(time.Second / 10)
+}
--- /dev/null
+++ b/roller/controller.go
@@ -0,0 +1,122 @@
+package roller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// Controller proposes the events of the running rollouts. It holds the evidence
+// of the hosts, which no log needs to carry: a new leader has it again after
+// one report of each host.
+type Controller struct {
+	book     *Book
+	routes   int
+	evidence map[evidenceKey]*Evidence
+	// changed holds the evidence that grew since the tests last ran.
+	changed map[evidenceKey]bool
+	// reported holds what hosts condemned by themselves.
+	reported map[identifier.RolloutID][]Source
+}
+
+// evidenceKey names the evidence of one rollout, or of a service between two.
+type evidenceKey struct {
+	service identifier.Service
+	rollout identifier.RolloutID
+}
+
+// NewController returns a controller for the rollouts in b, which it only
+// reads. Routes is the number of routes that are judged one by one.
+func NewController(b *Book, routes int) *Controller {
+	return &Controller{
+		book: b, routes: routes,
+		evidence: make(map[evidenceKey]*Evidence),
+		changed:  make(map[evidenceKey]bool),
+		reported: make(map[identifier.RolloutID][]Source),
+	}
+}
+
+// Merge takes a host's report in.
+func (c *Controller) Merge(r Report) {
+	k := evidenceKey{service: r.Service, rollout: r.Rollout}
+	c.of(k).Merge(r.Source, r.Cells)
+	c.changed[k] = true
+	if len(r.Verdicts) > 0 && !slices.Contains(c.reported[r.Rollout], r.Source) {
+		c.reported[r.Rollout] = append(c.reported[r.Rollout], r.Source)
+	}
+}
+
+// of returns the evidence under k, adding an empty one where there is none.
+func (c *Controller) of(k evidenceKey) *Evidence {
+	e := c.evidence[k]
+	if e == nil {
+		e = NewEvidence()
+		c.evidence[k] = e
+	}
+	return e
+}
+
+// Baseline returns the thresholds that the evidence gathered between rollouts
+// gives for a service.
+func (c *Controller) Baseline(s identifier.Service) []Threshold {
+	return Thresholds(c.of(evidenceKey{service: s}).Sum())
+}
+
+// Decide returns the events that are due.
+func (c *Controller) Decide(now time.Time) []Event {
+	var out []Event
+	for _, id := range slices.Sorted(maps.Keys(c.book.Records)) {
+		if r := c.book.Records[id]; !r.Phase.Ended() {
+			out = append(out, c.decide(r, now)...)
+		}
+	}
+	return out
+}
+
+// decide returns the events that are due for one rollout.
+func (c *Controller) decide(r *Record, now time.Time) []Event {
+	k := evidenceKey{service: r.Start.Service, rollout: r.Start.ID}
+	if e, ok := c.condemn(r, k, now); ok {
+		return []Event{e}
+	}
+	if r.Phase == Watched {
+		if now.Before(r.MovedAt.Add(r.Start.Watch)) {
+			return nil
+		}
+		return []Event{WatchEnded{ID: r.Start.ID, At: now, Summary: Summarize(c.of(k).Sum())}}
+	}
+	if l := scheduledLevel(&r.Start, now); l > r.Level {
+		return []Event{StageReached{ID: r.Start.ID, Level: l, At: now}}
+	}
+	return nil
+}
+
+// condemn runs the tests on the counters of all hosts together, and on those of
+// each host that reached a verdict alone.
+func (c *Controller) condemn(r *Record, k evidenceKey, now time.Time) (Event, bool) {
+	if !c.changed[k] {
+		return nil, false
+	}
+	delete(c.changed, k)
+	e := c.of(k)
+	out := VerdictReached{ID: k.rollout, At: now, Summary: Summarize(e.Sum())}
+	if vs := Examine(e.Sum(), c.routes, logLimitMerged()); len(vs) > 0 {
+		out.Verdict = vs[0]
+		return out, true
+	}
+	for _, s := range c.reported[k.rollout] {
+		if vs := Examine(e.sources[s], c.routes, logLimitLocal(r.Start.Hosts)); len(vs) > 0 {
+			out.Verdict, out.Reporter = vs[0], s.Host
+			return out, true
+		}
+	}
+	return nil, false
+}
+
+// Requests returns how many requests of a service were counted between
+// rollouts.
+func (c *Controller) Requests(s identifier.Service) uint64 {
+	return c.of(evidenceKey{service: s}).Sum().Total(Control).Requests
+}
--- /dev/null
+++ b/roller/counters.go
@@ -0,0 +1,97 @@
+package roller
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// numShards is the number of copies of the counters that traffic goroutines
+// spread over.
+const numShards = 8
+
+// liveTally is a Tally that traffic goroutines write.
+type liveTally struct{ requests, failed, slow atomic.Uint64 }
+
+// liveCell is a Cell that traffic goroutines write.
+type liveCell struct {
+	tallies     [numArms][numLevels]liveTally
+	unreachable [numArms]atomic.Uint64
+	reclaimed   [numArms]atomic.Uint64
+	latency     [numArms][numBuckets]atomic.Uint64
+}
+
+// read adds the counters to c.
+func (lc *liveCell) read(c *Cell) {
+	for a := range numArms {
+		for l := range numLevels {
+			t, live := &c.Tallies[a][l], &lc.tallies[a][l]
+			t.Requests += live.requests.Load()
+			t.Failed += live.failed.Load()
+			t.Slow += live.slow.Load()
+		}
+		for b := range numBuckets {
+			c.Latency[a][b] += lc.latency[a][b].Load()
+		}
+		c.Unreachable[a] += lc.unreachable[a].Load()
+		c.Reclaimed[a] += lc.reclaimed[a].Load()
+	}
+}
+
+// cellSlot holds one cell's counters, made when its first request ends.
+type cellSlot struct {
+	key       CellKey
+	threshold time.Duration
+	shards    [numShards]atomic.Pointer[liveCell]
+}
+
+// shard returns the counters of one shard.
+func (s *cellSlot) shard(i uint8) *liveCell {
+	p := &s.shards[i]
+	if c := p.Load(); c != nil {
+		return c
+	}
+	p.CompareAndSwap(nil, &liveCell{})
+	return p.Load()
+}
+
+// read sums the shards up, and reports whether there are any.
+func (s *cellSlot) read() (*Cell, bool) {
+	var out *Cell
+	for i := range s.shards {
+		c := s.shards[i].Load()
+		if c == nil {
+			continue
+		}
+		if out == nil {
+			out = &Cell{}
+		}
+		c.read(out)
+	}
+	return out, out != nil
+}
+
+// observe counts one ended request.
+func (s *cellSlot) observe(t Ticket, o Outcome, latency time.Duration) {
+	c := s.shard(t.shard)
+	tally := &c.tallies[t.arm][t.level]
+	switch o {
+	case Succeeded:
+		tally.requests.Add(1)
+		c.latency[t.arm][bucketOf(latency)].Add(1)
+		if s.isSlow(o, latency) {
+			tally.slow.Add(1)
+		}
+	case Failed:
+		tally.requests.Add(1)
+		tally.failed.Add(1)
+	case Unreachable:
+		c.unreachable[t.arm].Add(1)
+	case Reclaimed:
+		c.reclaimed[t.arm].Add(1)
+	}
+}
+
+// isSlow reports whether an outcome counts as a slow answer.
+func (s *cellSlot) isSlow(o Outcome, latency time.Duration) bool {
+	return o == Succeeded && s.threshold > 0 && latency > s.threshold
+}
--- /dev/null
+++ b/roller/directive.go
@@ -0,0 +1,83 @@
+package roller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// Directive tells the entry hosts how to draw the versions of one service. A
+// host obeys the highest sequence number that it has seen.
+type Directive struct {
+	Service identifier.Service   `json:"service"`
+	Rollout identifier.RolloutID `json:"rollout"`
+	// Sequence rises with every directive of the service.
+	Sequence  uint64             `json:"sequence"`
+	Control   identifier.Version `json:"control"`
+	Candidate identifier.Version `json:"candidate"`
+	Level     Level              `json:"level"`
+	// InFlight bounds the requests on the candidate that each host has in
+	// flight; 0 means no bound.
+	InFlight int `json:"inFlight,omitempty"`
+	// Hosts is the number of entry hosts when the rollout began.
+	Hosts int `json:"hosts"`
+	// Thresholds are the latencies above which an answer counts as slow.
+	Thresholds []Threshold `json:"thresholds,omitempty"`
+}
+
+// Threshold is the latency above which an answer counts as slow in one cell.
+type Threshold struct {
+	CellKey
+	Latency time.Duration `json:"latency"`
+}
+
+// slowQuantile is the quantile of the control's latency above which an answer
+// counts as slow.
+const slowQuantile = 0.95
+
+// minThresholdCount is the number of answers that a threshold needs.
+const minThresholdCount = 40
+
+// Thresholds returns the control's slowQuantile in each cell that has answers
+// enough, from the evidence gathered before the draw: fixed before the events
+// it judges, it keeps the test valid.
+func Thresholds(cs Cells) []Threshold {
+	var out []Threshold
+	for k, c := range cs {
+		if d, ok := quantile(&c.Latency[Control], slowQuantile); ok {
+			out = append(out, Threshold{CellKey: k, Latency: d})
+		}
+	}
+	sortThresholds(out)
+	return out
+}
+
+// sortThresholds puts the thresholds in the order of their cells.
+func sortThresholds(ts []Threshold) {
+	slices.SortFunc(ts, func(a, b Threshold) int {
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Band, b.Band))
+	})
+}
+
+// quantile returns the upper bound of the bucket that holds quantile q, and
+// whether the histogram has enough answers to tell.
+func quantile(h *[numBuckets]uint64, q float64) (time.Duration, bool) {
+	var n uint64
+	for _, c := range h {
+		n += c
+	}
+	if n < minThresholdCount {
+		return 0, false
+	}
+	rank := uint64(float64(n) * q)
+	var seen uint64
+	for i, c := range h {
+		seen += c
+		if seen > rank {
+			return bucketEnd(i), true
+		}
+	}
+	return bucketEnd(numBuckets - 1), true
+}
--- /dev/null
+++ b/roller/evidence.go
@@ -0,0 +1,190 @@
+package roller
+
+import (
+	"maps"
+	"slices"
+
+	"cyclamenhub.org/identifier"
+)
+
+// OtherRoute stands for all routes that are not listed in the settings.
+const OtherRoute identifier.Route = ""
+
+// CellKey names one cell of evidence: a route in a load band.
+type CellKey struct {
+	Route identifier.Route `json:"route"`
+	Band  Band             `json:"band"`
+}
+
+// Tally counts requests of one arm that were drawn at one level.
+type Tally struct {
+	// Requests counts those that ended in Succeeded or Failed.
+	Requests uint64 `json:"requests,omitempty"`
+	// Failed counts those that ended in Failed.
+	Failed uint64 `json:"failed,omitempty"`
+	// Slow counts the successes that took longer than the cell's threshold.
+	Slow uint64 `json:"slow,omitempty"`
+}
+
+// Cell is the evidence of one route in one load band. Every field is a counter
+// that only grows.
+type Cell struct {
+	Tallies     [numArms][numLevels]Tally
+	Unreachable [numArms]uint64
+	Reclaimed   [numArms]uint64
+	// Latency is a histogram of the successes.
+	Latency [numArms][numBuckets]uint64
+}
+
+// join raises each counter of c to that of o: the join of two states of one
+// growing counter.
+func (c *Cell) join(o *Cell) {
+	c.combine(o, func(a, b uint64) uint64 { return max(a, b) })
+}
+
+// add sums the counters of disjoint sets of requests.
+func (c *Cell) add(o *Cell) {
+	c.combine(o, func(a, b uint64) uint64 { return a + b })
+}
+
+func (c *Cell) combine(o *Cell, f func(a, b uint64) uint64) {
+	for a := range numArms {
+		for l := range numLevels {
+			t, u := &c.Tallies[a][l], &o.Tallies[a][l]
+			t.Requests = f(t.Requests, u.Requests)
+			t.Failed = f(t.Failed, u.Failed)
+			t.Slow = f(t.Slow, u.Slow)
+		}
+		for b := range numBuckets {
+			c.Latency[a][b] = f(c.Latency[a][b], o.Latency[a][b])
+		}
+		c.Unreachable[a] = f(c.Unreachable[a], o.Unreachable[a])
+		c.Reclaimed[a] = f(c.Reclaimed[a], o.Reclaimed[a])
+	}
+}
+
+// Cells is the evidence of one host or of many.
+type Cells map[CellKey]*Cell
+
+// cell returns the cell of k, adding an empty one where there is none.
+func (cs Cells) cell(k CellKey) *Cell {
+	c := cs[k]
+	if c == nil {
+		c = &Cell{}
+		cs[k] = c
+	}
+	return c
+}
+
+// Join raises each counter of cs to that of o.
+func (cs Cells) Join(o Cells) {
+	for k, c := range o {
+		cs.cell(k).join(c)
+	}
+}
+
+// Add adds the counters of o, which must be of other requests.
+func (cs Cells) Add(o Cells) {
+	for k, c := range o {
+		cs.cell(k).add(c)
+	}
+}
+
+// Clone returns a deep copy.
+func (cs Cells) Clone() Cells {
+	out := make(Cells, len(cs))
+	out.Add(cs)
+	return out
+}
+
+// Total returns the sum of all tallies of an arm.
+func (cs Cells) Total(a Arm) Tally {
+	var sum Tally
+	for _, c := range cs {
+		for _, t := range c.Tallies[a] {
+			sum.Requests += t.Requests
+			sum.Failed += t.Failed
+			sum.Slow += t.Slow
+		}
+	}
+	return sum
+}
+
+// Epoch numbers the starts of a host's process; each start begins new counters.
+type Epoch uint64
+
+// Source names what counted a report: one run of one host's process.
+type Source struct {
+	Host  identifier.Host `json:"host"`
+	Epoch Epoch           `json:"epoch"`
+}
+
+// Report is what one host has counted for one rollout since its process began.
+// An empty rollout id stands for the time outside any rollout.
+type Report struct {
+	Source
+	Service identifier.Service
+	Rollout identifier.RolloutID
+	Cells   Cells
+	// Verdicts are those that the host reached alone and acts on.
+	Verdicts []Verdict
+}
+
+// Evidence holds the counters of one rollout from all hosts. It is a
+// state-based replicated counter (Shapiro, Preguiça, Baquero and Zawirski,
+// "Conflict-free replicated data types", 2011): Merge is commutative,
+// associative and idempotent.
+type Evidence struct {
+	sources map[Source]Cells
+	sum     Cells
+}
+
+// NewEvidence returns evidence without any counters.
+func NewEvidence() *Evidence {
+	return &Evidence{sources: make(map[Source]Cells), sum: make(Cells)}
+}
+
+// Merge takes the counters of one source in.
+func (e *Evidence) Merge(s Source, cs Cells) {
+	mine := e.sources[s]
+	if mine == nil {
+		mine = make(Cells, len(cs))
+		e.sources[s] = mine
+	}
+	for k, c := range cs {
+		e.mergeCell(mine, k, c)
+	}
+}
+
+// mergeCell joins c into one source's cell and brings the sum up to date, by
+// adding what the source's counters grew by.
+func (e *Evidence) mergeCell(mine Cells, k CellKey, c *Cell) {
+	cell, sum := mine.cell(k), e.sum.cell(k)
+	sum.combine(cell, func(a, b uint64) uint64 { return a - b })
+	cell.join(c)
+	sum.add(cell)
+}
+
+// MergeAll takes in all that o holds.
+func (e *Evidence) MergeAll(o *Evidence) {
+	for s, cs := range o.sources {
+		e.Merge(s, cs)
+	}
+}
+
+// Sum returns the counters of all sources together. The caller must not change
+// them.
+func (e *Evidence) Sum() Cells { return e.sum }
+
+// Sources lists who counted, in order.
+func (e *Evidence) Sources() []Source {
+	return slices.SortedFunc(maps.Keys(e.sources), func(a, b Source) int {
+		if a.Host != b.Host {
+			if a.Host < b.Host {
+				return -1
+			}
+			return 1
+		}
+		return int(a.Epoch) - int(b.Epoch)
+	})
+}
--- /dev/null
+++ b/roller/schedule.go
@@ -0,0 +1,43 @@
+package roller
+
+import "time"
+
+// The schedule of a rollout.
+const (
+	// firstStageRate is the rate of requests on the candidate that the first
+	// stage aims at, per second.
+	firstStageRate = 0.25
+	// scheduleShare is the part of the time to the deadline after which all
+	// traffic has moved; the rest is for what goes wrong.
+	scheduleShare = 0.85
+)
+
+// The bounds of the first stage's level: 0.1% and 10%.
+const (
+	lowestFirstLevel  Level = 1
+	highestFirstLevel Level = 7
+)
+
+// FirstLevel returns the level of the first stage for a service that gets rate
+// requests a second: low enough that a bad version gets few requests, and high
+// enough that it shows.
+func FirstLevel(rate float64) Level {
+	l := lowestFirstLevel
+	for l < highestFirstLevel && rate*float64((l+1).Share()) <= firstStageRate {
+		l++
+	}
+	return l
+}
+
+// scheduledLevel returns the level that a rollout should have reached by now:
+// the stages are spread evenly over the time that the deadline allows.
+func scheduledLevel(s *StartRollout, now time.Time) Level {
+	span := float64(s.Deadline.Sub(s.At)) * scheduleShare
+	steps := float64(TopLevel - s.FirstLevel)
+	passed := float64(now.Sub(s.At)) / span * steps
+	return s.FirstLevel + Level(min(max(passed, 0), steps))
+}
+
+// keepAliveInterval is how often a host hears from the controller although
+// nothing changed.
+const keepAliveInterval = 5 * time.Second
--- /dev/null
+++ b/roller/trial.go
@@ -0,0 +1,77 @@
+package roller
+
+import (
+	"sync/atomic"
+
+	"cyclamenhub.org/identifier"
+)
+
+// trial holds a host's counters for one rollout, or for the time between two.
+type trial struct {
+	rollout  identifier.RolloutID
+	control  identifier.Version
+	other    identifier.Version
+	routes   map[identifier.Route]int
+	slots    []cellSlot
+	inFlight atomic.Int64
+	// signs counts failures and slow answers, so that nothing is examined
+	// while none came.
+	signs atomic.Uint64
+}
+
+// newTrial returns a trial with empty counters. Routes are those that get cells
+// of their own.
+func newTrial(d *Directive, routes []identifier.Route) *trial {
+	t := &trial{
+		rollout: d.Rollout, control: d.Control, other: d.Candidate,
+		routes: make(map[identifier.Route]int, len(routes)+1),
+		slots:  make([]cellSlot, 0, (len(routes)+1)*numBands),
+	}
+	for _, r := range append([]identifier.Route{OtherRoute}, routes...) {
+		if _, ok := t.routes[r]; ok {
+			continue
+		}
+		t.routes[r] = len(t.slots)
+		for b := range Band(numBands) {
+			t.slots = append(t.slots, cellSlot{key: CellKey{Route: r, Band: b}})
+		}
+	}
+	for _, th := range d.Thresholds {
+		if i, ok := t.routes[th.Route]; ok && th.Band < numBands {
+			t.slots[i+int(th.Band)].threshold = th.Latency
+		}
+	}
+	return t
+}
+
+// slotOf returns the index of the cell that counts a request.
+func (t *trial) slotOf(r identifier.Route, b Band) int {
+	return t.routes[t.known(r)] + int(min(b, numBands-1))
+}
+
+// known returns r, or OtherRoute where r has no cells of its own.
+func (t *trial) known(r identifier.Route) identifier.Route {
+	if _, ok := t.routes[r]; ok {
+		return r
+	}
+	return OtherRoute
+}
+
+// version returns the version of an arm.
+func (t *trial) version(a Arm) identifier.Version {
+	if a == Candidate {
+		return t.other
+	}
+	return t.control
+}
+
+// cells reads all counters.
+func (t *trial) cells() Cells {
+	out := make(Cells)
+	for i := range t.slots {
+		if c, ok := t.slots[i].read(); ok {
+			out[t.slots[i].key] = c
+		}
+	}
+	return out
+}
