roller: compare anew when a moved version gets worse

Cause: once the candidate has every request there is no control, so the test learns nothing, and a version that turns bad during the watch period was kept. A cumulative sum on the candidate's own events now raises an alarm, and the controller lowers the share until the comparison has condemned or cleared the candidate, or its time is over. Comparisons take turns between 20% and 50%.

--- a/roller/controller.go
+++ b/roller/controller.go
@@ -18,7 +18,8 @@
 	// changed holds the evidence that grew since the tests last ran.
 	changed map[evidenceKey]bool
 	// reported holds what hosts condemned by themselves.
-	reported map[identifier.RolloutID][]Source
+	reported   map[identifier.RolloutID][]Source
+	suspicions suspicions
 }
 
 // evidenceKey names the evidence of one rollout, or of a service between two.
@@ -34,7 +35,7 @@
 		book: b, routes: routes,
 		evidence: make(map[evidenceKey]*Evidence),
 		changed:  make(map[evidenceKey]bool),
-		reported: make(map[identifier.RolloutID][]Source),
+		reported: make(map[identifier.RolloutID][]Source), suspicions: make(suspicions),
 	}
 }
 
@@ -43,11 +44,25 @@
 	k := evidenceKey{service: r.Service, rollout: r.Rollout}
 	c.of(k).Merge(r.Source, r.Cells)
 	c.changed[k] = true
+	c.raise(k, r.Cells)
 	if len(r.Verdicts) > 0 && !slices.Contains(c.reported[r.Rollout], r.Source) {
 		c.reported[r.Rollout] = append(c.reported[r.Rollout], r.Source)
 	}
 }
 
+// raise shows the cells that a report touched to the rollout's alarm.
+func (c *Controller) raise(k evidenceKey, touched Cells) {
+	if k.rollout == "" {
+		return
+	}
+	p, sum := c.suspicions.of(k.rollout), c.of(k).Sum()
+	for key := range touched {
+		if by, ok := p.alarm.add(key, sum[key]); ok {
+			p.raised, p.by = true, by
+		}
+	}
+}
+
 // of returns the evidence under k, adding an empty one where there is none.
 func (c *Controller) of(k evidenceKey) *Evidence {
 	e := c.evidence[k]
@@ -81,18 +96,43 @@
 	if e, ok := c.condemn(r, k, now); ok {
 		return []Event{e}
 	}
-	if r.Phase == Watched {
-		if now.Before(r.MovedAt.Add(r.Start.Watch)) {
-			return nil
-		}
+	p := c.suspicions.of(r.Start.ID)
+	p.settle(c.of(k).Sum(), now)
+	if r.Phase == Watched && watchIsOver(r, p, now) {
 		return []Event{WatchEnded{ID: r.Start.ID, At: now, Summary: Summarize(c.of(k).Sum())}}
 	}
-	if l := scheduledLevel(&r.Start, now); l > r.Level {
+	if l := wantedLevel(r, p, now); l != r.Level {
 		return []Event{StageReached{ID: r.Start.ID, Level: l, At: now}}
 	}
 	return nil
 }
 
+// watchIsOver reports whether the old version may go. A comparison that goes on
+// prolongs the watch period, at most twofold.
+func watchIsOver(r *Record, p *suspicion, now time.Time) bool {
+	if p.comparison.isOn(now) && now.Before(r.MovedAt.Add(2*r.Start.Watch)) {
+		return false
+	}
+	return !now.Before(r.MovedAt.Add(r.Start.Watch))
+}
+
+// wantedLevel returns the level that is due: that of the schedule, or a lower
+// one while a comparison goes on. The last call before the deadline ends a
+// comparison that condemned nothing.
+func wantedLevel(r *Record, p *suspicion, now time.Time) Level {
+	scheduled := TopLevel
+	if r.Phase == Staged {
+		scheduled = scheduledLevel(&r.Start, now)
+		if !now.Before(r.Start.Deadline.Add(-lastCall)) {
+			p.comparison.stop()
+		}
+	}
+	if p.comparison.isOn(now) {
+		return min(scheduled, max(r.Level, r.Start.FirstLevel), p.comparison.level)
+	}
+	return scheduled
+}
+
 // condemn runs the tests on the counters of all hosts together, and on those of
 // each host that reached a verdict alone.
 func (c *Controller) condemn(r *Record, k evidenceKey, now time.Time) (Event, bool) {
--- a/roller/tester.go
+++ b/roller/tester.go
@@ -100,6 +100,15 @@
 	return logMean(sums[:])
 }
 
+// logRatio returns the log likelihood ratio of one alternative.
+func (g *growthTable) logRatio(ev *Events, alternative int) float64 {
+	sum := 0.0
+	for l, d := range ev {
+		sum += float64(d.Candidate)*g[l][alternative].candidate + float64(d.Control)*g[l][alternative].control
+	}
+	return sum
+}
+
 // logMean returns ln(mean(exp(xs))) without overflow.
 func logMean(xs []float64) float64 {
 	top := math.Inf(-1)
--- a/roller/verdict.go
+++ b/roller/verdict.go
@@ -125,11 +125,7 @@
 }
 
 func examineScope(scope Scope, sign Sign, ev *Events, logWeight, limit float64) (Verdict, bool) {
-	g := failureGrowth
-	if sign == SlowAnswers {
-		g = slowGrowth
-	}
-	e := g.LogEvidence(ev) + logWeight
+	e := growthOf(sign).LogEvidence(ev) + logWeight
 	if e < limit {
 		return Verdict{}, false
 	}
@@ -141,6 +137,22 @@
 	return v, true
 }
 
+// growthOf returns the table of a sign's tolerance.
+func growthOf(s Sign) *growthTable {
+	if s == SlowAnswers {
+		return slowGrowth
+	}
+	return failureGrowth
+}
+
+// eventsOf sums the events of one sign and scope up.
+func eventsOf(cs Cells, of suspect) Events {
+	if sum := scopeSums(cs)[of.scope]; sum != nil {
+		return *sum[of.sign]
+	}
+	return Events{}
+}
+
 // scopeWeight returns the part of the false alarm rate that a scope gets.
 func scopeWeight(s Scope, routes int) float64 {
 	switch {
