roller: a host gives its share up in the controller's silence; properties

Need: a cut-off host must hold or lower its share, never raise it, and a version that was taken back elsewhere must not stay in use there for as long as the cut lasts.

A bound that two goroutines may pass by one stayed green where only one draws, so that a test with several was added.

--- a/internal/rolloutbench/fleet.go
+++ b/internal/rolloutbench/fleet.go
@@ -146,6 +146,7 @@
 
 // report sends a host's counters to the controller.
 func (f *fleet) report(m *member, now time.Time) {
+	m.Tick(now)
 	if m.Signs() == m.signs && now.Sub(m.reported) < idleReportInterval || f.s.cutOff(m.index, now) {
 		return
 	}
--- a/roller/judge.go
+++ b/roller/judge.go
@@ -18,8 +18,11 @@
 	table   atomic.Pointer[drawTable]
 
 	directive Directive
-	heard     time.Time
-	verdicts  []Verdict
+	// heard is when a directive last came, new or repeated.
+	heard time.Time
+	// ceiling bounds the level while the controller is silent.
+	ceiling  Level
+	verdicts []Verdict
 	// examined is the number of signs when the tests last ran.
 	examined uint64
 }
@@ -27,7 +30,7 @@
 // NewJudge returns a judge that draws the present version for every request.
 // Routes are those that are judged one by one; all others are taken together.
 func NewJudge(s Source, service identifier.Service, present identifier.Version, routes []identifier.Route) *Judge {
-	j := &Judge{source: s, service: service, routes: routes}
+	j := &Judge{source: s, service: service, routes: routes, ceiling: TopLevel}
 	j.directive = Directive{Service: service, Control: present}
 	j.table.Store(&drawTable{trial: newTrial(&j.directive, routes)})
 	return j
@@ -96,15 +99,29 @@
 	}
 	j.heard = now
 	if d.Sequence == j.directive.Sequence {
+		j.lower(now)
 		return
 	}
 	if d.Rollout != j.directive.Rollout || d.Control != j.directive.Control {
 		j.verdicts, j.examined = nil, 0
 	}
-	j.directive = d
+	j.directive, j.ceiling = d, TopLevel
 	j.publish()
 }
 
+// Tick lowers the share of a host that the controller has been silent to, and
+// gives it back once it is heard again.
+func (j *Judge) Tick(now time.Time) { j.lower(now) }
+
+// lower sets the ceiling that the controller's silence asks for.
+func (j *Judge) lower(now time.Time) {
+	c := ceilingAfter(now.Sub(j.heard), j.directive.Level)
+	if c != j.ceiling {
+		j.ceiling = c
+		j.publish()
+	}
+}
+
 // Evaluate runs the tests on this host's own counters, acts on what they say
 // before it returns, and returns the verdicts that are new.
 func (j *Judge) Evaluate() []Verdict {
@@ -153,7 +170,7 @@
 	if tr.rollout != j.directive.Rollout || tr.control != j.directive.Control {
 		tr = newTrial(&j.directive, j.routes)
 	}
-	t := &drawTable{trial: tr, level: j.directive.Level, inFlight: int64(j.directive.InFlight)}
+	t := &drawTable{trial: tr, level: min(j.directive.Level, j.ceiling), inFlight: int64(j.directive.InFlight)}
 	for _, v := range j.verdicts {
 		t.stop(v.Scope)
 	}
--- a/roller/judge_test.go
+++ b/roller/judge_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cyclamenhub.org/identifier"
 )
 
@@ -71,3 +75,42 @@
 		t.Error("the candidate got no request after a place was free")
 	}
 }
+
+// A host that hears nothing holds its share for a while and then gives it up in
+// steps; a repeated directive brings it back.
+func TestSilentControllerLowersShare(t *testing.T) {
+	j := newTestJudge(TopLevel, 0)
+	d := j.directive
+	var got []Level
+	for _, after := range []time.Duration{silenceLimit / 2, silenceLimit, silenceLimit + silenceStep, time.Hour} {
+		j.Tick(testTime.Add(after))
+		got = append(got, j.table.Load().level)
+	}
+	j.Apply(d, testTime.Add(time.Hour))
+	got = append(got, j.table.Load().level)
+	if diff := cmp.Diff([]Level{TopLevel, TopLevel - 1, TopLevel - 2, NoLevel, TopLevel}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// The bound on requests in flight holds for goroutines that race for the last
+// place.
+func TestInFlightBoundHoldsInARace(t *testing.T) {
+	const bound, goroutines, draws = 5, 8, 500
+	j := newTestJudge(LevelOf(0.5), bound)
+	var got atomic.Int64
+	var wg sync.WaitGroup
+	for g := range goroutines {
+		wg.Go(func() {
+			for i := range draws {
+				if tk := j.Draw(identifier.RequestID(fmt.Sprint(g, "-", i)), testRoute, LightLoad); tk.Arm() == Candidate {
+					got.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if got.Load() != bound {
+		t.Errorf("%d requests in flight on the candidate, want %d", got.Load(), bound)
+	}
+}
--- /dev/null
+++ b/roller/property_test.go
@@ -0,0 +1,284 @@
+package roller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/identifier"
+)
+
+// drawCells draws the counters of one source.
+func drawCells(t *rapid.T, label string) Cells {
+	cs := make(Cells)
+	for range rapid.IntRange(0, 4).Draw(t, label+" cells") {
+		k := CellKey{
+			Route: rapid.SampledFrom([]identifier.Route{OtherRoute, testRoute, otherRoute}).Draw(t, "route"),
+			Band:  Band(rapid.IntRange(0, numBands-1).Draw(t, "band")),
+		}
+		c := cs.cell(k)
+		for range rapid.IntRange(0, 3).Draw(t, "tallies") {
+			a, l := rapid.IntRange(0, numArms-1).Draw(t, "arm"), rapid.IntRange(0, numLevels-1).Draw(t, "level")
+			n := rapid.Uint64Range(0, 100).Draw(t, "n")
+			c.Tallies[a][l] = Tally{Requests: n, Failed: n / 2, Slow: n / 3}
+			c.Latency[a][int(n)%numBuckets] = n
+		}
+	}
+	return cs
+}
+
+// delivery is one report on its way.
+type delivery struct {
+	source Source
+	cells  Cells
+}
+
+// Reports of growing counters give the same evidence in any order, repeated or
+// merged in parts.
+func TestEvidenceMergesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sent []delivery
+		for i := range rapid.IntRange(1, 6).Draw(t, "reports") {
+			s := Source{Host: identifier.Host(fmt.Sprint("h", rapid.IntRange(0, 2).Draw(t, "host"))), Epoch: Epoch(rapid.IntRange(1, 2).Draw(t, "epoch"))}
+			sent = append(sent, delivery{source: s, cells: drawCells(t, fmt.Sprint(i))})
+		}
+		want := NewEvidence()
+		for _, d := range sent {
+			want.Merge(d.source, d.cells)
+		}
+		left, right := NewEvidence(), NewEvidence()
+		for _, d := range rapid.Permutation(append(slices.Clone(sent), sent...)).Draw(t, "deliveries") {
+			if rapid.Bool().Draw(t, "left") {
+				left.Merge(d.source, d.cells)
+			} else {
+				right.Merge(d.source, d.cells)
+			}
+		}
+		left.MergeAll(right)
+		if diff := cmp.Diff(want, left, cmp.AllowUnexported(Evidence{})); diff != "" {
+			t.Fatalf("evidence differs (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Whatever comes in whatever order: a host never draws the candidate after its
+// own verdict on all requests, never above the level it was last told while it
+// hears nothing, and never beyond the bound on requests in flight.
+func TestJudgeBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newJudgeHarness(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"draw": h.draw, "observe": h.observe, "evaluate": h.evaluate, "directive": h.apply, "silence": h.silence, "": h.check,
+		})
+	})
+}
+
+// judgeHarness plays one judge.
+type judgeHarness struct {
+	j        *Judge
+	now      time.Time
+	sequence uint64
+	sent     int
+	open     []Ticket
+	// stopped is set by a verdict on all requests, stoppedRoutes by one on a
+	// route.
+	stopped       bool
+	stoppedRoutes map[identifier.Route]bool
+	// limit is the highest level that the host may draw at.
+	limit    Level
+	inFlight int
+}
+
+func newJudgeHarness(t *rapid.T) *judgeHarness {
+	h := &judgeHarness{now: testTime, sequence: 1, inFlight: rapid.IntRange(1, 8).Draw(t, "in flight")}
+	h.stoppedRoutes = make(map[identifier.Route]bool)
+	h.limit = Level(rapid.IntRange(0, int(TopLevel)-1).Draw(t, "level"))
+	h.j = newTestJudge(h.limit, h.inFlight)
+	return h
+}
+
+// draw sends a burst of requests; the candidate fails them, so that verdicts
+// come about.
+func (h *judgeHarness) draw(t *rapid.T) {
+	r := rapid.SampledFrom([]identifier.Route{testRoute, otherRoute, "GET /unlisted"}).Draw(t, "route")
+	for range rapid.IntRange(1, 200).Draw(t, "burst") {
+		h.sent++
+		tk := h.j.Draw(identifier.RequestID(fmt.Sprint(h.sent)), r, LightLoad)
+		if tk.level > h.limit {
+			t.Fatalf("drawn at level %d, limit %d", tk.level, h.limit)
+		}
+		if tk.Arm() == Candidate {
+			if h.stopped || h.stoppedRoutes[h.j.table.Load().trial.known(r)] {
+				t.Fatalf("drawn for the candidate on %q after the host's own verdict", r)
+			}
+			h.open = append(h.open, tk)
+			continue
+		}
+		h.j.Observe(tk, Succeeded, time.Second)
+	}
+}
+
+func (h *judgeHarness) observe(*rapid.T) {
+	for _, tk := range h.open {
+		h.j.Observe(tk, Failed, time.Millisecond)
+	}
+	h.open = nil
+}
+
+func (h *judgeHarness) evaluate(*rapid.T) {
+	for _, v := range h.j.Evaluate() {
+		if v.Scope.AllRoutes {
+			h.stopped = true
+		} else {
+			h.stoppedRoutes[v.Scope.Route] = true
+		}
+	}
+}
+
+// apply delivers a directive, new or old.
+func (h *judgeHarness) apply(t *rapid.T) {
+	d := h.j.directive
+	d.Sequence = rapid.Uint64Range(0, h.sequence+1).Draw(t, "sequence")
+	d.Level = Level(rapid.IntRange(0, int(TopLevel)-1).Draw(t, "level"))
+	if d.Sequence == h.sequence {
+		d.Level = h.j.directive.Level
+	}
+	h.j.Apply(d, h.now)
+	if d.Sequence >= h.sequence {
+		h.sequence, h.limit = d.Sequence, d.Level
+	}
+}
+
+// silence lets time pass without a word of the controller: the limit may fall
+// but never rise.
+func (h *judgeHarness) silence(t *rapid.T) {
+	before := h.j.table.Load().level
+	h.now = h.now.Add(time.Duration(rapid.Int64Range(0, int64(2*time.Minute)).Draw(t, "silence")))
+	h.j.Tick(h.now)
+	after := h.j.table.Load().level
+	if after > before {
+		t.Fatalf("level rose from %d to %d in the controller's silence", before, after)
+	}
+	h.limit = after
+}
+
+func (h *judgeHarness) check(t *rapid.T) {
+	if len(h.open) > h.inFlight {
+		t.Fatalf("%d requests in flight on the candidate, bound %d", len(h.open), h.inFlight)
+	}
+}
+
+// A rollout that has ended stays as it is, and ends in one way only.
+func TestBookVerdictsAreFinal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Book
+		ended := map[identifier.RolloutID]Record{}
+		notices := map[identifier.RolloutID][]Phase{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "events") {
+			effects, err := b.Apply(drawEvent(t, testTime.Add(time.Duration(i)*time.Minute)))
+			for _, e := range effects {
+				if n, ok := e.(Notify); ok {
+					notices[n.Notice.Rollout] = append(notices[n.Notice.Rollout], n.Notice.Phase)
+				}
+			}
+			if err != nil && len(effects) != 1 {
+				t.Fatalf("a refused event had the effects %v, want an audit record alone", effects)
+			}
+			checkEnded(t, &b, ended)
+		}
+		for id, ps := range notices {
+			if slices.Contains(ps, Done) && slices.Contains(ps, Reverted) {
+				t.Fatalf("rollout %s: notices %v", id, ps)
+			}
+		}
+	})
+}
+
+// Before its first stage is over a rollout keeps its first level, it has all
+// traffic no earlier than its schedule says, and always by its deadline.
+func TestControllerKeepsToSchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Book
+		c := NewController(&b, 1)
+		length := time.Duration(rapid.Int64Range(int64(10*time.Minute), int64(24*time.Hour)).Draw(t, "length"))
+		first := FirstLevel(rapid.Float64Range(0, 30000).Draw(t, "rate"))
+		mustApply(t, &b, StartRollout{
+			ID: "m", Service: "s", From: "v1", To: "v2", At: testTime, Deadline: testTime.Add(length),
+			Watch: 48 * time.Hour, FirstLevel: first, Hosts: 4,
+		})
+		for b.Records["m"].Phase == Staged {
+			now := testTime.Add(time.Duration(rapid.Float64Range(0, 1).Draw(t, "when") * float64(length)))
+			c.suspicions.of("m").raised = rapid.Bool().Draw(t, "alarm")
+			for _, e := range c.Decide(now) {
+				mustApply(t, &b, e)
+			}
+			passed := float64(now.Sub(testTime)) / float64(length)
+			if l := b.Records["m"].Level; passed < 0.85/float64(TopLevel) && l > first {
+				t.Fatalf("level %d after %v of the time, want the first level %d", l, passed, first)
+			}
+			if passed < 0.85 && b.Records["m"].Phase != Staged {
+				t.Fatalf("all traffic moved after %v of the time", passed)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "stop") == 0 {
+				break
+			}
+		}
+		for _, e := range c.Decide(testTime.Add(length)) {
+			mustApply(t, &b, e)
+		}
+		if p := b.Records["m"].Phase; p != Watched {
+			t.Fatalf("the rollout is %s at its deadline", p)
+		}
+	})
+}
+
+func mustApply(t *rapid.T, b *Book, e Event) {
+	if _, err := b.Apply(e); err != nil {
+		t.Fatalf("%T: %v", e, err)
+	}
+}
+
+// checkEnded fails where an ended record changed, and notes those that are new.
+func checkEnded(t *rapid.T, b *Book, ended map[identifier.RolloutID]Record) {
+	running := map[identifier.Service]identifier.RolloutID{}
+	for id, r := range b.Records {
+		if was, ok := ended[id]; ok {
+			if diff := cmp.Diff(was, *r); diff != "" {
+				t.Fatalf("ended rollout %s changed:\n%s", id, diff)
+			}
+			continue
+		}
+		if r.Phase.Ended() {
+			ended[id] = *r
+			continue
+		}
+		if other, ok := running[r.Start.Service]; ok {
+			t.Fatalf("rollouts %s and %s move one service at a time", id, other)
+		}
+		running[r.Start.Service] = id
+	}
+}
+
+// drawEvent draws any event about one of a few rollouts.
+func drawEvent(t *rapid.T, at time.Time) Event {
+	id := identifier.RolloutID(fmt.Sprint("m", rapid.IntRange(0, 3).Draw(t, "id")))
+	switch rapid.IntRange(0, 4).Draw(t, "event") {
+	case 0:
+		return StartRollout{
+			ID: id, Service: identifier.Service(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service")),
+			From: "v1", To: "v2", At: at, Deadline: at.Add(time.Hour), Watch: time.Hour, FirstLevel: 3,
+		}
+	case 1:
+		return StageReached{ID: id, Level: Level(rapid.IntRange(0, int(TopLevel)).Draw(t, "level")), At: at}
+	case 2:
+		return VerdictReached{ID: id, At: at}
+	case 3:
+		return RevertRollout{ID: id, Operator: "els", Reason: "no", At: at}
+	default:
+		return WatchEnded{ID: id, At: at}
+	}
+}
--- a/roller/schedule.go
+++ b/roller/schedule.go
@@ -38,10 +38,6 @@
 	return s.FirstLevel + Level(min(max(passed, 0), steps))
 }
 
-// keepAliveInterval is how often a host hears from the controller although
-// nothing changed.
-const keepAliveInterval = 5 * time.Second
-
 // lastCall is how long before its deadline a rollout that was not condemned
 // moves all traffic.
 const lastCall = time.Minute
