roller: tell a crashing version from a reclaimed host

Cause: lost connections were never evidence, since a reclaim wave brings many, and so a version that crashes at each request was never condemned. A request that was drawn after the loss of its server and then lost on the same server shows that the server had come back; that is put down to the version. The first loss of a server, with all requests that were at work then, stays put down to its host.

--- a/internal/rolloutbench/canary.go
+++ b/internal/rolloutbench/canary.go
@@ -50,12 +50,12 @@
 	return drawn{host: host, route: route, candidate: c.rng.Float64() < c.share()}
 }
 
-func (c *canary) observe(_ time.Time, d drawn, o roller.Outcome, _ time.Duration) {
+func (c *canary) observe(_ time.Time, d drawn, e roller.Ending) {
 	if !d.candidate {
 		return
 	}
 	c.requests++
-	if o != roller.Succeeded {
+	if e.Outcome != roller.Succeeded {
 		c.errors++
 	}
 }
--- a/internal/rolloutbench/fake.go
+++ b/internal/rolloutbench/fake.go
@@ -1,10 +1,12 @@
 package rolloutbench
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/roller"
 )
 
@@ -27,6 +29,9 @@
 	waveFails             = 0.3
 	// waveNoticed is the part of the lost attempts that a notice announced.
 	waveNoticed = 0.7
+	// waveBreaks is how long a wave breaks connections at work; later ones are
+	// not made.
+	waveBreaks = 2 * time.Second
 )
 
 // call is one request as the fake versions see it.
@@ -42,12 +47,45 @@
 
 // result is how a call ended.
 type result struct {
-	outcome roller.Outcome
-	latency time.Duration
+	roller.Ending
 	// bad is set where the candidate's own fault decided it.
 	bad bool
 }
 
+// ended returns a result that no fault of the candidate's decided.
+func ended(o roller.Outcome, latency time.Duration, b identifier.BackendServer) result {
+	return result{Ending: roller.Ending{Outcome: o, Latency: latency, Server: b}}
+}
+
+// fault returns a result that the candidate's own fault decided.
+func fault(o roller.Outcome, latency time.Duration, b identifier.BackendServer) result {
+	r := ended(o, latency, b)
+	r.bad = true
+	return r
+}
+
+// server names the server that answers: each version has one per failure
+// domain, which keeps its name when it restarts.
+func (c *call) server() identifier.BackendServer {
+	return serverNames[arm(c.candidate)][c.host%numDomains]
+}
+
+// server names a server that the wave took away for good; its replacement has
+// another name.
+func (w span) server(c *call) identifier.BackendServer {
+	return identifier.BackendServer(fmt.Sprint(c.server(), "-", w.from.Unix()))
+}
+
+// serverNames holds the servers of each arm by failure domain.
+var serverNames = [2][numDomains]identifier.BackendServer{{"a1", "b1", "c1", "d1"}, {"a2", "b2", "c2", "d2"}}
+
+func arm(candidate bool) roller.Arm {
+	if candidate {
+		return roller.Candidate
+	}
+	return roller.Control
+}
+
 // answer draws how a call ends.
 func (s *Scenario) answer(c *call, rng *rand.Rand) result {
 	if r, ok := s.waveAnswer(c, rng); ok {
@@ -55,9 +93,9 @@
 	}
 	latency := soundLatency(c.band, rng)
 	if c.candidate && s.isBadFor(c) {
-		return s.badAnswer(latency, rng)
+		return s.badAnswer(c, latency, rng)
 	}
-	return s.soundAnswer(latency, rng)
+	return s.soundAnswer(c, latency, rng)
 }
 
 // waveAnswer draws how a call ends that a reclaim wave hits.
@@ -72,13 +110,16 @@
 		}
 		if rng.Float64() < lost {
 			o := roller.Unreachable
+			if c.at.Sub(w.from) < waveBreaks {
+				o = roller.Lost
+			}
 			if rng.Float64() < waveNoticed {
 				o = roller.Reclaimed
 			}
-			return result{outcome: o, latency: failureLatency}, true
+			return ended(o, failureLatency, w.server(c)), true
 		}
 		if rng.Float64() < waveFails {
-			return result{outcome: roller.Failed, latency: failureLatency}, true
+			return ended(roller.Failed, failureLatency, c.server()), true
 		}
 	}
 	return result{}, false
@@ -87,7 +128,7 @@
 // isBadFor reports whether the candidate's fault shows in a call.
 func (s *Scenario) isBadFor(c *call) bool {
 	switch s.Kind {
-	case FailsAtOnce, SlowsDown, Hangs:
+	case FailsAtOnce, SlowsDown, Hangs, Crashes:
 		return true
 	case BadAfterHour:
 		return c.at.Sub(start) >= badAfter
@@ -105,25 +146,29 @@
 }
 
 // badAnswer draws how a call ends that the candidate's fault touches.
-func (s *Scenario) badAnswer(latency time.Duration, rng *rand.Rand) result {
+func (s *Scenario) badAnswer(c *call, latency time.Duration, rng *rand.Rand) result {
 	if s.Kind == SlowsDown {
-		return result{outcome: roller.Succeeded, latency: time.Duration(s.slowing * float64(latency)), bad: true}
+		return fault(roller.Succeeded, time.Duration(s.slowing*float64(latency)), c.server())
 	}
 	if rng.Float64() >= s.failing {
-		return s.soundAnswer(latency, rng)
+		return s.soundAnswer(c, latency, rng)
 	}
-	if s.Kind == Hangs {
-		return result{outcome: roller.Failed, latency: answerLimit, bad: true}
+	switch s.Kind {
+	case Hangs:
+		return fault(roller.Failed, answerLimit, c.server())
+	case Crashes:
+		return fault(roller.Lost, failureLatency, c.server())
+	default:
+		return fault(roller.Failed, failureLatency, c.server())
 	}
-	return result{outcome: roller.Failed, latency: failureLatency, bad: true}
 }
 
 // soundAnswer draws how a call ends on a version without a fault.
-func (s *Scenario) soundAnswer(latency time.Duration, rng *rand.Rand) result {
+func (s *Scenario) soundAnswer(c *call, latency time.Duration, rng *rand.Rand) result {
 	if rng.Float64() < s.background {
-		return result{outcome: roller.Failed, latency: failureLatency}
+		return ended(roller.Failed, failureLatency, c.server())
 	}
-	return result{outcome: roller.Succeeded, latency: latency}
+	return ended(roller.Succeeded, latency, c.server())
 }
 
 // soundLatency draws the latency of a version without a fault.
--- a/internal/rolloutbench/fleet.go
+++ b/internal/rolloutbench/fleet.go
@@ -163,9 +163,9 @@
 	return drawn{host: host, route: route, candidate: t.Arm() == roller.Candidate, ticket: t}
 }
 
-func (f *fleet) observe(now time.Time, d drawn, o roller.Outcome, latency time.Duration) {
+func (f *fleet) observe(now time.Time, d drawn, e roller.Ending) {
 	m := f.judges[d.host]
-	m.Observe(d.ticket, o, latency)
+	m.Observe(d.ticket, e)
 	if !m.evaluate && f.out.reverted.IsZero() {
 		m.evaluate = true
 		f.q.add(now.Add(evaluateInterval), func(now time.Time) { f.evaluate(m, now) })
--- a/internal/rolloutbench/policy.go
+++ b/internal/rolloutbench/policy.go
@@ -14,7 +14,7 @@
 	// draw returns where a request goes.
 	draw(host int, id identifier.RequestID, route int, b roller.Band) drawn
 	// observe hears how a drawn request ended.
-	observe(now time.Time, d drawn, o roller.Outcome, latency time.Duration)
+	observe(now time.Time, d drawn, e roller.Ending)
 	// share returns the share of requests that the candidate would get if no
 	// host were cut off.
 	share() float64
--- a/internal/rolloutbench/run.go
+++ b/internal/rolloutbench/run.go
@@ -121,7 +121,7 @@
 	c.candidate = d.candidate
 	r.count(now, d)
 	ans := r.s.answer(&c, r.rng)
-	r.q.add(now.Add(ans.latency), func(now time.Time) { r.end(now, d, ans) })
+	r.q.add(now.Add(ans.Latency), func(now time.Time) { r.end(now, d, ans) })
 }
 
 // pickRoute draws a route by the routes' shares.
@@ -144,7 +144,7 @@
 	if ans.bad && r.res.FirstEvidence.IsZero() {
 		r.res.FirstEvidence = now
 	}
-	r.p.observe(now, d, ans.outcome, ans.latency)
+	r.p.observe(now, d, ans.Ending)
 }
 
 // count adds a drawn request to the result.
--- a/internal/rolloutbench/run_test.go
+++ b/internal/rolloutbench/run_test.go
@@ -20,7 +20,7 @@
 }
 
 func TestBadVersionsAreReverted(t *testing.T) {
-	for _, k := range []Kind{FailsAtOnce, BadAtShare, Hangs} {
+	for _, k := range []Kind{FailsAtOnce, BadAtShare, Hangs, Crashes} {
 		playSeeds(t, k, func(r *Result) {
 			if r.FirstEvidence.IsZero() {
 				t.Errorf("%s: the fault never showed", r)
--- a/internal/rolloutbench/scenario.go
+++ b/internal/rolloutbench/scenario.go
@@ -20,13 +20,14 @@
 	BadOnRoute   Kind = "bad on one route"
 	BadAtShare   Kind = "bad at larger share"
 	Hangs        Kind = "hangs"
+	Crashes      Kind = "crashes"
 	ReclaimWaves Kind = "good, reclaim waves"
 )
 
 // Kinds lists all kinds in the order of the table.
 func Kinds() []Kind {
 	return []Kind{
-		Good, ReclaimWaves, FailsAtOnce, SlowsDown, BadAfterHour, BadUnderLoad, BadOnRoute, BadAtShare, Hangs,
+		Good, ReclaimWaves, FailsAtOnce, SlowsDown, BadAfterHour, BadUnderLoad, BadOnRoute, BadAtShare, Hangs, Crashes,
 	}
 }
 
--- a/roller/counters.go
+++ b/roller/counters.go
@@ -84,7 +84,7 @@
 	case Failed:
 		tally.requests.Add(1)
 		tally.failed.Add(1)
-	case Unreachable:
+	case Unreachable, Lost:
 		c.unreachable[t.arm].Add(1)
 	case Reclaimed:
 		c.reclaimed[t.arm].Add(1)
--- a/roller/doc.go
+++ b/roller/doc.go
@@ -30,7 +30,7 @@
 //	j := roller.NewJudge(source, service, presentVersion, routes)
 //	t := j.Draw(requestID, route, band)      // any goroutine
 //	... send the request to a server of t.Version() ...
-//	j.Observe(t, roller.Succeeded, latency)  // exactly once per ticket
+//	j.Observe(t, roller.Ending{...})         // exactly once per ticket
 //
 //	verdicts := j.Evaluate()                 // control goroutine, often
 //	send(j.Report())                         // control goroutine, each second
--- a/roller/draw.go
+++ b/roller/draw.go
@@ -14,6 +14,8 @@
 	arm   Arm
 	level Level
 	shard uint8
+	// losses is the number of losses before the draw.
+	losses uint64
 }
 
 // Version returns the version to send the request to.
--- a/roller/judge.go
+++ b/roller/judge.go
@@ -41,7 +41,7 @@
 func (j *Judge) Draw(id identifier.RequestID, r identifier.Route, b Band) Ticket {
 	t := j.table.Load()
 	hash := position(t.trial.rollout, id)
-	out := Ticket{trial: t.trial, slot: uint16(t.trial.slotOf(r, b)), shard: shardOf(hash)}
+	out := Ticket{trial: t.trial, slot: uint16(t.trial.slotOf(r, b)), shard: shardOf(hash), losses: t.trial.losses.count.Load()}
 	out.level = t.levelFor(r)
 	if out.level == NoLevel {
 		return out
@@ -56,6 +56,15 @@
 	return out
 }
 
+// DrawRetry draws for a further attempt at a request. Its outcome tells
+// nothing, since attempts at one request may fail for one reason: only the
+// first one is evidence.
+func (j *Judge) DrawRetry(id identifier.RequestID, r identifier.Route, b Band) Ticket {
+	t := j.Draw(id, r, b)
+	t.level = NoLevel
+	return t
+}
+
 // admit draws the candidate, unless another goroutine took the last place in
 // flight meanwhile.
 func (t *drawTable) admit(out Ticket) Ticket {
@@ -76,20 +85,15 @@
 	return uint8(uint64(hash*fineDigits) % numShards)
 }
 
-// Observe counts how a drawn request ended. Latency is the time to the first
-// token, or to the whole answer of a plain service.
-func (j *Judge) Observe(t Ticket, o Outcome, latency time.Duration) {
+// Observe counts how a drawn request ended.
+func (j *Judge) Observe(t Ticket, e Ending) {
 	if t.trial == nil {
 		return
 	}
 	if t.arm == Candidate {
 		t.trial.inFlight.Add(-1)
 	}
-	slot := &t.trial.slots[t.slot]
-	slot.observe(t, o, latency)
-	if o == Failed || slot.isSlow(o, latency) {
-		t.trial.signs.Add(1)
-	}
+	t.trial.observe(t, e)
 }
 
 // Apply obeys a directive from the controller, unless a later one was seen.
--- a/roller/judge_test.go
+++ b/roller/judge_test.go
@@ -40,7 +40,7 @@
 			got++
 			o = Failed
 		}
-		j.Observe(t, o, time.Second)
+		j.Observe(t, Ending{Outcome: o, Latency: time.Second})
 	}
 	return got
 }
@@ -70,7 +70,7 @@
 	if len(open) != bound {
 		t.Fatalf("%d requests in flight on the candidate, want %d", len(open), bound)
 	}
-	j.Observe(open[0], Succeeded, time.Second)
+	j.Observe(open[0], Ending{Outcome: Succeeded, Latency: time.Second})
 	if n := play(j, testRoute, 100, 100); n == 0 {
 		t.Error("the candidate got no request after a place was free")
 	}
--- a/roller/outcome.go
+++ b/roller/outcome.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"cyclamenhub.org/identifier"
 )
 
 // Outcome tells how a request ended.
@@ -15,13 +17,27 @@
 	// Failed is an answer that the version itself got wrong: an error status, a
 	// broken body, or none within the limit while the connection was sound.
 	Failed
-	// Unreachable is a connection that was refused or lost with no notice. It
-	// speaks of the host or the network, and is counted apart.
+	// Unreachable is a connection that was not made, or that had been lost
+	// before the request. It speaks of the host or the network.
 	Unreachable
+	// Lost is a connection that broke with the request at work and no notice.
+	// It counts as Failed where the server had been lost before and had come
+	// back, and else as Unreachable.
+	Lost
 	// Reclaimed is an attempt on a server whose host was being taken away.
 	Reclaimed
 )
 
+// Ending tells how a drawn request ended.
+type Ending struct {
+	Outcome Outcome
+	// Latency is the time to the first token, or to the whole answer of a plain
+	// service.
+	Latency time.Duration
+	// Server is the one that gave the outcome; empty where none did.
+	Server identifier.BackendServer
+}
+
 // Arm tells the two versions of a rollout apart.
 type Arm uint8
 
--- a/roller/property_test.go
+++ b/roller/property_test.go
@@ -118,13 +118,13 @@
 			h.open = append(h.open, tk)
 			continue
 		}
-		h.j.Observe(tk, Succeeded, time.Second)
+		h.j.Observe(tk, Ending{Outcome: Succeeded, Latency: time.Second})
 	}
 }
 
 func (h *judgeHarness) observe(*rapid.T) {
 	for _, tk := range h.open {
-		h.j.Observe(tk, Failed, time.Millisecond)
+		h.j.Observe(tk, Ending{Outcome: Failed, Latency: time.Millisecond})
 	}
 	h.open = nil
 }
--- a/roller/trial.go
+++ b/roller/trial.go
@@ -14,6 +14,7 @@
 	routes   map[identifier.Route]int
 	slots    []cellSlot
 	inFlight atomic.Int64
+	losses   losses
 	// signs counts failures and slow answers, so that nothing is examined
 	// while none came.
 	signs atomic.Uint64
@@ -65,6 +66,21 @@
 	return t.control
 }
 
+// observe counts how a drawn request ended.
+func (t *trial) observe(tk Ticket, e Ending) {
+	if e.Outcome == Lost {
+		e.Outcome = Unreachable
+		if t.losses.lost(e.Server, tk.losses) {
+			e.Outcome = Failed
+		}
+	}
+	slot := &t.slots[tk.slot]
+	slot.observe(tk, e.Outcome, e.Latency)
+	if e.Outcome == Failed || slot.isSlow(e.Outcome, e.Latency) {
+		t.signs.Add(1)
+	}
+}
+
 // cells reads all counters.
 func (t *trial) cells() Cells {
 	out := make(Cells)
