roller: low stages last longest

Cause: the stages were of equal length and the first aimed at one request in four seconds, so that a fault which took several minutes to show met shares of 2% and more. The step reached now grows with the square of the time passed, and the first stage aims at one request in ten seconds.

Not tried: one request in twenty seconds; a fault on a route with a tenth of the requests would be seen only in the later stages.

--- a/cmd/rolloutbench/main.go
+++ b/cmd/rolloutbench/main.go
@@ -16,6 +16,7 @@
 	Runs    int      `long:"runs" default:"201" description:"seeded runs of each kind"`
 	Workers int      `long:"workers" default:"3" description:"runs at the same time"`
 	Seed    uint64   `long:"seed" default:"0" description:"first seed"`
+	Hosts   int      `long:"hosts" description:"entry hosts of each run; drawn from the seed if absent"`
 	Policy  []string `long:"policy" description:"policy to measure; all if absent"`
 	Kind    []string `long:"kind" description:"kind of candidate to measure; all if absent"`
 	Verbose bool     `long:"verbose" description:"print each run"`
@@ -54,7 +55,11 @@
 	g.SetLimit(o.Workers)
 	for i := range rs {
 		g.Go(func() error {
-			rs[i] = rolloutbench.Run(rolloutbench.NewScenario(k, o.Seed+uint64(i)), p)
+			s := rolloutbench.NewScenario(k, o.Seed+uint64(i))
+			if o.Hosts > 0 {
+				s.Hosts = o.Hosts
+			}
+			rs[i] = rolloutbench.Run(s, p)
 			return nil
 		})
 	}
--- a/roller/schedule.go
+++ b/roller/schedule.go
@@ -6,7 +6,7 @@
 const (
 	// firstStageRate is the rate of requests on the candidate that the first
 	// stage aims at, per second.
-	firstStageRate = 0.25
+	firstStageRate = 0.1
 	// scheduleShare is the part of the time to the deadline after which all
 	// traffic has moved; the rest is for what goes wrong.
 	scheduleShare = 0.85
@@ -29,13 +29,15 @@
 	return l
 }
 
-// scheduledLevel returns the level that a rollout should have reached by now:
-// the stages are spread evenly over the time that the deadline allows.
+// scheduledLevel returns the level that a rollout should have reached by now.
+// The step reached grows with the square of the time passed: the low levels
+// last longest, since there a bad version does least harm, and the later
+// stages, which get more requests, need less time for as much evidence.
 func scheduledLevel(s *StartRollout, now time.Time) Level {
 	span := float64(s.Deadline.Sub(s.At)) * scheduleShare
+	passed := min(max(float64(now.Sub(s.At))/span, 0), 1)
 	steps := float64(TopLevel - s.FirstLevel)
-	passed := float64(now.Sub(s.At)) / span * steps
-	return s.FirstLevel + Level(min(max(passed, 0), steps))
+	return s.FirstLevel + Level(steps*passed*passed)
 }
 
 // lastCall is how long before its deadline a rollout that was not condemned
