--- a/roller/directive.go
+++ b/roller/directive.go
@@ -1,7 +1,6 @@
 package roller
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -56,9 +55,7 @@
 
 // sortThresholds puts the thresholds in the order of their cells.
 func sortThresholds(ts []Threshold) {
-	slices.SortFunc(ts, func(a, b Threshold) int {
-		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Band, b.Band))
-	})
+	slices.SortFunc(ts, func(a, b Threshold) int { return compareKeys(a.CellKey, b.CellKey) })
 }
 
 // quantile returns the upper bound of the bucket that holds quantile q, and
--- a/roller/evidence.go
+++ b/roller/evidence.go
@@ -1,6 +1,7 @@
 package roller
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -16,6 +17,11 @@
 	Band  Band             `json:"band"`
 }
 
+// compareKeys orders cells by route and band.
+func compareKeys(a, b CellKey) int {
+	return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Band, b.Band))
+}
+
 // Tally counts requests of one arm that were drawn at one level.
 type Tally struct {
 	// Requests counts those that ended in Succeeded or Failed.
@@ -179,12 +185,6 @@
 // Sources lists who counted, in order.
 func (e *Evidence) Sources() []Source {
 	return slices.SortedFunc(maps.Keys(e.sources), func(a, b Source) int {
-		if a.Host != b.Host {
-			if a.Host < b.Host {
-				return -1
-			}
-			return 1
-		}
-		return int(a.Epoch) - int(b.Epoch)
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Epoch, b.Epoch))
 	})
 }
--- a/roller/verdict.go
+++ b/roller/verdict.go
@@ -1,6 +1,7 @@
 package roller
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -115,13 +116,7 @@
 
 // compareVerdicts puts the strongest verdict first.
 func compareVerdicts(a, b Verdict) int {
-	if a.LogEvidence != b.LogEvidence {
-		if a.LogEvidence > b.LogEvidence {
-			return -1
-		}
-		return 1
-	}
-	return strings.Compare(a.String(), b.String())
+	return cmp.Or(cmp.Compare(b.LogEvidence, a.LogEvidence), cmp.Compare(a.String(), b.String()))
 }
 
 func examineScope(scope Scope, sign Sign, ev *Events, logWeight, limit float64) (Verdict, bool) {
