roller: reports within a budget of bytes, and what the evidence costs

Need: a node may spend 25 KB/s on control, and 340 hosts that each report 24 cells once a second would send the controller 1.4 MB/s. Reports leave the histograms of latency out while a rollout runs, since no test reads them then, and come as seldom as keeps all of them under 10 KB/s; a report with a verdict does not wait.

--- a/internal/rolloutbench/fleet.go
+++ b/internal/rolloutbench/fleet.go
@@ -47,6 +47,15 @@
 	signs    uint64
 	evaluate bool
 	reported time.Time
+	// interval is the time from the last report to the next.
+	interval time.Duration
+}
+
+// due reports whether the host's next report is due: after its interval where
+// something may speak against a version, and now and then in any case.
+func (m *member) due(now time.Time) bool {
+	waited := now.Sub(m.reported)
+	return waited >= idleReportInterval || m.Signs() != m.signs && waited >= m.interval
 }
 
 func newFleet(s *Scenario, q *queue) *fleet {
@@ -147,11 +156,12 @@
 // report sends a host's counters to the controller.
 func (f *fleet) report(m *member, now time.Time) {
 	m.Tick(now)
-	if m.Signs() == m.signs && now.Sub(m.reported) < idleReportInterval || f.s.cutOff(m.index, now) {
+	if f.s.cutOff(m.index, now) || !m.due(now) {
 		return
 	}
 	m.signs, m.reported = m.Signs(), now
 	r := m.Report()
+	m.interval = roller.ReportInterval(f.s.Hosts, len(r.Encode()))
 	f.q.add(now.Add(f.s.ReportLag), func(now time.Time) {
 		f.controller.Merge(r)
 		f.decide(now)
@@ -184,7 +194,7 @@
 			f.out.stopped[m.index] = now
 		}
 	}
-	m.signs = 0
+	m.signs, m.interval = 0, 0
 	f.report(m, now)
 }
 
--- /dev/null
+++ b/roller/bench_test.go
@@ -0,0 +1,134 @@
+package roller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+	"unsafe"
+
+	"cyclamenhub.org/identifier"
+)
+
+// benchRoutes lists the routes of the benchmarks.
+func benchRoutes(n int) []identifier.Route {
+	out := make([]identifier.Route, n)
+	for i := range out {
+		out[i] = identifier.Route(fmt.Sprintf("POST /route-%d", i))
+	}
+	return out
+}
+
+// busyJudge returns a judge whose every cell has counters.
+func busyJudge(host, routes int) *Judge {
+	rs := benchRoutes(routes)
+	j := NewJudge(Source{Host: identifier.Host(fmt.Sprintf("host-%03d", host)), Epoch: 1}, "brief-model", "v1", rs)
+	j.Apply(Directive{
+		Service: "brief-model", Rollout: "move-1", Sequence: 1, Control: "v1", Candidate: "v2",
+		Level: LevelOf(0.1), Hosts: 340,
+	}, testTime)
+	rng := rand.New(rand.NewPCG(uint64(host), 4))
+	for i := range 3000 * routes {
+		t := j.Draw(identifier.RequestID(strconv.Itoa(i)), rs[i%routes], Band(rng.IntN(numBands)))
+		o := Succeeded
+		if rng.IntN(100) == 0 {
+			o = Failed
+		}
+		j.Observe(t, Ending{Outcome: o, Latency: time.Duration(rng.ExpFloat64() * float64(time.Second))})
+	}
+	return j
+}
+
+// BenchmarkDrawAndObserve is what a rollout adds to each request, with all
+// processors at it.
+func BenchmarkDrawAndObserve(b *testing.B) {
+	j := busyJudge(1, 8)
+	rs := benchRoutes(8)
+	ids := make([]identifier.RequestID, 1<<12)
+	for i := range ids {
+		ids[i] = identifier.NewRequestID()
+	}
+	var sequence atomic.Uint64
+	b.RunParallel(func(pb *testing.PB) {
+		n := sequence.Add(1) * 997
+		for pb.Next() {
+			n++
+			t := j.Draw(ids[n%uint64(len(ids))], rs[n%8], LightLoad)
+			j.Observe(t, Ending{Outcome: Succeeded, Latency: time.Duration(n%1000) * time.Millisecond})
+		}
+	})
+}
+
+// BenchmarkEvaluate is one run of a host's own tests.
+func BenchmarkEvaluate(b *testing.B) {
+	j := busyJudge(1, 8)
+	for b.Loop() {
+		j.examined = 0
+		j.Evaluate()
+	}
+}
+
+// BenchmarkReport is one report, and tells its size and that of the counters it
+// is made from.
+func BenchmarkReport(b *testing.B) {
+	for _, routes := range []int{1, 3, 8} {
+		b.Run(fmt.Sprint(routes, " routes"), func(b *testing.B) {
+			j := busyJudge(1, routes)
+			var size int
+			for b.Loop() {
+				r := j.Report()
+				size = len(r.Encode())
+			}
+			b.ReportMetric(float64(size), "B/report")
+			b.ReportMetric(float64(liveBytes(j)), "B/counters")
+		})
+	}
+}
+
+// liveBytes returns the size of a judge's counters.
+func liveBytes(j *Judge) int {
+	n := 0
+	slots := j.table.Load().trial.slots
+	for i := range slots {
+		n += int(unsafe.Sizeof(slots[i]))
+		for s := range slots[i].shards {
+			if slots[i].shards[s].Load() != nil {
+				n += int(unsafe.Sizeof(liveCell{}))
+			}
+		}
+	}
+	return n
+}
+
+// BenchmarkMerge is the decoding and merging of one report, and the tests on
+// the sum, at a controller that knows all hosts.
+func BenchmarkMerge(b *testing.B) {
+	for _, hosts := range []int{9, 340} {
+		b.Run(fmt.Sprint(hosts, " hosts"), func(b *testing.B) {
+			var book Book
+			if _, err := book.Apply(StartRollout{
+				ID: "move-1", Service: "brief-model", From: "v1", To: "v2", At: testTime,
+				Deadline: testTime.Add(time.Hour), Watch: time.Hour, FirstLevel: 3, Hosts: hosts,
+			}); err != nil {
+				b.Fatal(err)
+			}
+			c := NewController(&book, 8)
+			var reports [][]byte
+			for h := range hosts {
+				r := busyJudge(h, 8).Report()
+				reports = append(reports, r.Encode())
+			}
+			for i := 0; b.Loop(); i++ {
+				r, err := DecodeReport(reports[i%hosts])
+				if err != nil {
+					b.Fatal(err)
+				}
+				c.Merge(r)
+				c.Decide(testTime)
+			}
+			b.ReportMetric(float64(hosts*len(c.of(evidenceKey{"brief-model", "move-1"}).Sum())*int(unsafe.Sizeof(Cell{}))), "B/evidence")
+		})
+	}
+}
--- a/roller/counters.go
+++ b/roller/counters.go
@@ -20,8 +20,8 @@
 	latency     [numArms][numBuckets]atomic.Uint64
 }
 
-// read adds the counters to c.
-func (lc *liveCell) read(c *Cell) {
+// read adds the counters to c; those of the latency only where asked.
+func (lc *liveCell) read(c *Cell, latency bool) {
 	for a := range numArms {
 		for l := range numLevels {
 			t, live := &c.Tallies[a][l], &lc.tallies[a][l]
@@ -29,14 +29,22 @@
 			t.Failed += live.failed.Load()
 			t.Slow += live.slow.Load()
 		}
-		for b := range numBuckets {
-			c.Latency[a][b] += lc.latency[a][b].Load()
+		if latency {
+			lc.readLatency(c, Arm(a))
 		}
 		c.Unreachable[a] += lc.unreachable[a].Load()
 		c.Reclaimed[a] += lc.reclaimed[a].Load()
 	}
 }
 
+// readLatency adds the histogram of one arm to c.
+func (lc *liveCell) readLatency(c *Cell, a Arm) {
+	h := c.histogram(a)
+	for b := range numBuckets {
+		h[b] += lc.latency[a][b].Load()
+	}
+}
+
 // cellSlot holds one cell's counters, made when its first request ends.
 type cellSlot struct {
 	key       CellKey
@@ -55,7 +63,7 @@
 }
 
 // read sums the shards up, and reports whether there are any.
-func (s *cellSlot) read() (*Cell, bool) {
+func (s *cellSlot) read(latency bool) (*Cell, bool) {
 	var out *Cell
 	for i := range s.shards {
 		c := s.shards[i].Load()
@@ -65,7 +73,7 @@
 		if out == nil {
 			out = &Cell{}
 		}
-		c.read(out)
+		c.read(out, latency)
 	}
 	return out, out != nil
 }
--- a/roller/directive.go
+++ b/roller/directive.go
@@ -45,7 +45,7 @@
 func Thresholds(cs Cells) []Threshold {
 	var out []Threshold
 	for k, c := range cs {
-		if d, ok := quantile(&c.Latency[Control], slowQuantile); ok {
+		if d, ok := quantile(c.Latency[Control], slowQuantile); ok {
 			out = append(out, Threshold{CellKey: k, Latency: d})
 		}
 	}
@@ -60,7 +60,10 @@
 
 // quantile returns the upper bound of the bucket that holds quantile q, and
 // whether the histogram has enough answers to tell.
-func quantile(h *[numBuckets]uint64, q float64) (time.Duration, bool) {
+func quantile(h *Histogram, q float64) (time.Duration, bool) {
+	if h == nil {
+		return 0, false
+	}
 	var n uint64
 	for _, c := range h {
 		n += c
--- a/roller/evidence.go
+++ b/roller/evidence.go
@@ -38,10 +38,13 @@
 	Tallies     [numArms][numLevels]Tally
 	Unreachable [numArms]uint64
 	Reclaimed   [numArms]uint64
-	// Latency is a histogram of the successes.
-	Latency [numArms][numBuckets]uint64
+	// Latency is a histogram of the successes, or nil where it was not sent.
+	Latency [numArms]*Histogram
 }
 
+// Histogram counts answers by latency, in quarters of an octave above 1 ms.
+type Histogram [numBuckets]uint64
+
 // join raises each counter of c to that of o: the join of two states of one
 // growing counter.
 func (c *Cell) join(o *Cell) {
@@ -61,14 +64,32 @@
 			t.Failed = f(t.Failed, u.Failed)
 			t.Slow = f(t.Slow, u.Slow)
 		}
-		for b := range numBuckets {
-			c.Latency[a][b] = f(c.Latency[a][b], o.Latency[a][b])
-		}
+		c.combineLatency(Arm(a), o, f)
 		c.Unreachable[a] = f(c.Unreachable[a], o.Unreachable[a])
 		c.Reclaimed[a] = f(c.Reclaimed[a], o.Reclaimed[a])
 	}
 }
 
+// combineLatency combines the histograms of one arm.
+func (c *Cell) combineLatency(a Arm, o *Cell, f func(a, b uint64) uint64) {
+	if o.Latency[a] == nil {
+		return
+	}
+	h := c.histogram(a)
+	for i, n := range o.Latency[a] {
+		h[i] = f(h[i], n)
+	}
+}
+
+// histogram returns the histogram of an arm, adding an empty one where there is
+// none.
+func (c *Cell) histogram(a Arm) *Histogram {
+	if c.Latency[a] == nil {
+		c.Latency[a] = &Histogram{}
+	}
+	return c.Latency[a]
+}
+
 // Cells is the evidence of one host or of many.
 type Cells map[CellKey]*Cell
 
--- a/roller/judge.go
+++ b/roller/judge.go
@@ -162,7 +162,7 @@
 	return false
 }
 
-// Report returns all counters of the present rollout and the verdicts reached.
+// Report returns the counters of the present rollout and the verdicts reached.
 func (j *Judge) Report() Report {
 	t := j.table.Load().trial
 	return Report{Source: j.source, Service: j.service, Rollout: t.rollout, Cells: t.cells(), Verdicts: j.verdicts}
--- a/roller/property_test.go
+++ b/roller/property_test.go
@@ -25,7 +25,9 @@
 			a, l := rapid.IntRange(0, numArms-1).Draw(t, "arm"), rapid.IntRange(0, numLevels-1).Draw(t, "level")
 			n := rapid.Uint64Range(0, 100).Draw(t, "n")
 			c.Tallies[a][l] = Tally{Requests: n, Failed: n / 2, Slow: n / 3}
-			c.Latency[a][int(n)%numBuckets] = n
+			if n > 0 {
+				c.histogram(Arm(a))[int(n)%numBuckets] = n
+			}
 		}
 	}
 	return cs
--- a/roller/silence.go
+++ b/roller/silence.go
@@ -25,3 +25,22 @@
 	steps := 1 + int((silence-silenceLimit)/silenceStep)
 	return Level(max(int(last)-steps, int(NoLevel)))
 }
+
+// The pace of the reports.
+const (
+	// minReportInterval is the time between two reports of a host in a small
+	// fleet.
+	minReportInterval = time.Second
+	// reportBudget bounds what all hosts together report on one service, in
+	// bytes a second: less than half of the 25 KB/s that a node may spend on
+	// control.
+	reportBudget = 10 << 10
+)
+
+// ReportInterval returns the time between two reports of a host, for a number
+// of hosts and the size of its last report. A report that carries a new verdict
+// does not wait for it.
+func ReportInterval(hosts, reportBytes int) time.Duration {
+	all := time.Duration(hosts) * time.Duration(reportBytes) * time.Second
+	return max(minReportInterval, all/reportBudget)
+}
--- a/roller/trial.go
+++ b/roller/trial.go
@@ -13,13 +13,19 @@
 	other    identifier.Version
 	routes   map[identifier.Route]int
 	slots    []cellSlot
-	inFlight atomic.Int64
 	losses   losses
+	_        cacheLine
+	inFlight atomic.Int64
+	_        cacheLine
 	// signs counts failures and slow answers, so that nothing is examined
 	// while none came.
 	signs atomic.Uint64
 }
 
+// cacheLine keeps counters that are written often apart from what every request
+// reads.
+type cacheLine [64]byte
+
 // newTrial returns a trial with empty counters. Routes are those that get cells
 // of their own.
 func newTrial(d *Directive, routes []identifier.Route) *trial {
@@ -81,11 +87,12 @@
 	}
 }
 
-// cells reads all counters.
+// cells reads the counters. The histograms of latency are among them between
+// rollouts only, when the thresholds of the next one are worked out from them.
 func (t *trial) cells() Cells {
 	out := make(Cells)
 	for i := range t.slots {
-		if c, ok := t.slots[i].read(); ok {
+		if c, ok := t.slots[i].read(t.rollout == ""); ok {
 			out[t.slots[i].key] = c
 		}
 	}
--- a/roller/wire.go
+++ b/roller/wire.go
@@ -115,9 +115,22 @@
 		}
 		next(&c.Unreachable[a])
 		next(&c.Reclaimed[a])
-		for b := range numBuckets {
-			next(&c.Latency[a][b])
-		}
+		c.eachLatency(Arm(a), next)
+	}
+}
+
+// eachLatency calls next with every counter of an arm's histogram. A missing
+// one is taken as empty, and stays missing unless a counter is set.
+func (c *Cell) eachLatency(a Arm, next func(v *uint64)) {
+	h := c.Latency[a]
+	if h == nil {
+		h = &Histogram{}
+	}
+	for b := range h {
+		next(&h[b])
+	}
+	if *h != (Histogram{}) {
+		c.Latency[a] = h
 	}
 }
 
