roller: judges of a host, directives of ended rollouts, bounds

A host that starts learns from the last directive of each service which version is in force, whether the fleet document or the directive comes first; a document that names a third version goes first. Books and controllers forget what is over, within bounds.

--- a/internal/rolloutbench/fleet.go
+++ b/internal/rolloutbench/fleet.go
@@ -85,11 +85,11 @@
 }
 
 func (f *fleet) begin(now time.Time) {
-	rate := float64(f.controller.Requests(service)) / f.s.warmUp().Seconds()
+	rate := float64(f.controller.Requests(service, present)) / f.s.warmUp().Seconds()
 	f.apply(roller.StartRollout{
 		ID: rolloutID, Service: service, From: present, To: next, At: now,
 		Deadline: f.s.deadline(), Watch: watch, FirstLevel: roller.FirstLevel(rate),
-		InFlight: inFlightPerHost, Hosts: f.s.Hosts, Thresholds: f.controller.Baseline(service),
+		InFlight: inFlightPerHost, Hosts: f.s.Hosts, Thresholds: f.controller.Baseline(service, present),
 	}, now)
 	f.q.add(now.Add(decideInterval), f.tick)
 }
--- a/roller/bench_test.go
+++ b/roller/bench_test.go
@@ -128,7 +128,7 @@
 				c.Merge(r)
 				c.Decide(testTime)
 			}
-			b.ReportMetric(float64(hosts*len(c.of(evidenceKey{"brief-model", "move-1"}).Sum())*int(unsafe.Sizeof(Cell{}))), "B/evidence")
+			b.ReportMetric(float64(hosts*len(c.of(evidenceKey{"brief-model", "move-1", "v1"}).Sum())*int(unsafe.Sizeof(Cell{}))), "B/evidence")
 		})
 	}
 }
--- a/roller/book.go
+++ b/roller/book.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"cyclamenhub.org/identifier"
@@ -51,6 +53,22 @@
 	return nil, false
 }
 
+// Directives returns the last directive of each service, in the order of their
+// names.
+func (b *Book) Directives() []Directive {
+	last := make(map[identifier.Service]*Record)
+	for _, r := range b.Records {
+		if l := last[r.Start.Service]; l == nil || r.Sequence > l.Sequence {
+			last[r.Start.Service] = r
+		}
+	}
+	out := make([]Directive, 0, len(last))
+	for _, s := range slices.Sorted(maps.Keys(last)) {
+		out = append(out, last[s].directive())
+	}
+	return out
+}
+
 // audited says who made a change, when and why.
 type audited struct {
 	at       time.Time
@@ -67,11 +85,36 @@
 	if b.Records == nil {
 		b.Records = make(map[identifier.RolloutID]*Record)
 	}
+	b.forget()
 	r := &Record{Start: e, Phase: Staged, Level: e.FirstLevel}
 	b.Records[e.ID] = r
 	return []Effect{b.publish(r), recordAudit(r, "startRollout", who, NoLevel)}, nil
 }
 
+// MaxRecords bounds the rollouts that a book remembers.
+const MaxRecords = 512
+
+// forget drops the oldest ended rollout of a full book. The last one of each
+// service stays, since its directive is in force.
+func (b *Book) forget() {
+	if len(b.Records) < MaxRecords {
+		return
+	}
+	last := make(map[identifier.Service]uint64)
+	for _, r := range b.Records {
+		last[r.Start.Service] = max(last[r.Start.Service], r.Sequence)
+	}
+	var oldest *Record
+	for _, r := range b.Records {
+		if r.Sequence < last[r.Start.Service] && (oldest == nil || r.Sequence < oldest.Sequence) {
+			oldest = r
+		}
+	}
+	if oldest != nil {
+		delete(b.Records, oldest.Start.ID)
+	}
+}
+
 // checkStart returns why a rollout can't begin.
 func (b *Book) checkStart(e StartRollout) error {
 	if r, ok := b.Records[e.ID]; ok {
@@ -137,7 +180,8 @@
 // publish numbers and returns the directive of a rollout.
 func (b *Book) publish(r *Record) Effect {
 	b.Sequence++
-	return PublishDirective{Directive: r.directive(b.Sequence)}
+	r.Sequence = b.Sequence
+	return PublishDirective{Directive: r.directive()}
 }
 
 // recordAudit returns the audit of an accepted change.
--- /dev/null
+++ b/roller/book_test.go
@@ -0,0 +1,68 @@
+package roller
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// story is a move that is done, one that a verdict takes back, and events that
+// are refused.
+func story() []Event {
+	at := func(minutes int) time.Time { return testTime.Add(time.Duration(minutes) * time.Minute) }
+	start := StartRollout{
+		ID: "m1", Service: "drafting", From: "v1", To: "v2", At: at(0), Deadline: at(60), Watch: time.Hour,
+		FirstLevel: 3, InFlight: 16, Hosts: 8, Operator: "els", Reason: "shorter drafts",
+	}
+	second := start
+	second.ID, second.At, second.Deadline, second.From, second.To = "m2", at(120), at(180), "v2", "v3"
+	return []Event{
+		start,
+		second,
+		StageReached{ID: "m1", Level: TopLevel, At: at(50)},
+		WatchEnded{ID: "m1", Summary: Summary{Candidate: Tally{Requests: 900, Failed: 3}}, At: at(110)},
+		RevertRollout{ID: "m1", Operator: "els", Reason: "too late", At: at(111)},
+		second,
+		VerdictReached{ID: "m2", Verdict: Verdict{Scope: Scope{Route: "POST /drafts", AllBands: true}, LogEvidence: 9, Candidate: 5}, At: at(125)},
+		StageReached{ID: "m2", Level: 4, At: at(126)},
+		RevertRollout{ID: "m3", At: at(127)},
+	}
+}
+
+func TestBookTellsTheStory(t *testing.T) {
+	var b Book
+	var out strings.Builder
+	for _, e := range story() {
+		effects, err := b.Apply(e)
+		fmt.Fprintf(&out, "%T: %v\n", e, err)
+		for _, f := range effects {
+			j, err := json.Marshal(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(&out, "  %T %s\n", f, j)
+		}
+	}
+	const golden = "testdata/story.golden"
+	if *update {
+		if err := errors.Join(os.MkdirAll("testdata", 0o755), os.WriteFile(golden, []byte(out.String()), 0o644)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), out.String()); diff != "" {
+		t.Errorf("(-golden +now):\n%s", diff)
+	}
+}
--- a/roller/controller.go
+++ b/roller/controller.go
@@ -22,10 +22,17 @@
 	suspicions suspicions
 }
 
-// evidenceKey names the evidence of one rollout, or of a service between two.
+// evidenceKey names the evidence of one rollout, or of a service's present
+// version outside any.
 type evidenceKey struct {
 	service identifier.Service
 	rollout identifier.RolloutID
+	control identifier.Version
+}
+
+// keyOf returns the key of a rollout's evidence.
+func keyOf(r *Record) evidenceKey {
+	return evidenceKey{service: r.Start.Service, rollout: r.Start.ID, control: r.Start.From}
 }
 
 // NewController returns a controller for the rollouts in b, which it only
@@ -41,7 +48,7 @@
 
 // Merge takes a host's report in.
 func (c *Controller) Merge(r Report) {
-	k := evidenceKey{service: r.Service, rollout: r.Rollout}
+	k := evidenceKey{service: r.Service, rollout: r.Rollout, control: r.Control}
 	c.of(k).Merge(r.Source, r.Cells)
 	c.changed[k] = true
 	c.raise(k, r.Cells)
@@ -74,13 +81,14 @@
 }
 
 // Baseline returns the thresholds that the evidence gathered between rollouts
-// gives for a service.
-func (c *Controller) Baseline(s identifier.Service) []Threshold {
-	return Thresholds(c.of(evidenceKey{service: s}).Sum())
+// gives for a version of a service.
+func (c *Controller) Baseline(s identifier.Service, present identifier.Version) []Threshold {
+	return Thresholds(c.of(evidenceKey{service: s, control: present}).Sum())
 }
 
 // Decide returns the events that are due.
 func (c *Controller) Decide(now time.Time) []Event {
+	c.forget()
 	var out []Event
 	for _, id := range slices.Sorted(maps.Keys(c.book.Records)) {
 		if r := c.book.Records[id]; !r.Phase.Ended() {
@@ -90,9 +98,21 @@
 	return out
 }
 
+// forget drops what is known of rollouts that have ended.
+func (c *Controller) forget() {
+	for k := range c.evidence {
+		if r, ok := c.book.Records[k.rollout]; k.rollout != "" && (!ok || r.Phase.Ended()) {
+			delete(c.evidence, k)
+			delete(c.changed, k)
+			delete(c.reported, k.rollout)
+			delete(c.suspicions, k.rollout)
+		}
+	}
+}
+
 // decide returns the events that are due for one rollout.
 func (c *Controller) decide(r *Record, now time.Time) []Event {
-	k := evidenceKey{service: r.Start.Service, rollout: r.Start.ID}
+	k := keyOf(r)
 	if e, ok := c.condemn(r, k, now); ok {
 		return []Event{e}
 	}
@@ -155,8 +175,8 @@
 	return nil, false
 }
 
-// Requests returns how many requests of a service were counted between
-// rollouts.
-func (c *Controller) Requests(s identifier.Service) uint64 {
-	return c.of(evidenceKey{service: s}).Sum().Total(Control).Requests
+// Requests returns how many requests of a version of a service were counted
+// between rollouts.
+func (c *Controller) Requests(s identifier.Service, present identifier.Version) uint64 {
+	return c.of(evidenceKey{service: s, control: present}).Sum().Total(Control).Requests
 }
--- a/roller/directive.go
+++ b/roller/directive.go
@@ -11,12 +11,15 @@
 // host obeys the highest sequence number that it has seen.
 type Directive struct {
 	Service identifier.Service   `json:"service"`
-	Rollout identifier.RolloutID `json:"rollout"`
+	Rollout identifier.RolloutID `json:"rollout,omitempty"`
 	// Sequence rises with every directive of the service.
 	Sequence  uint64             `json:"sequence"`
 	Control   identifier.Version `json:"control"`
-	Candidate identifier.Version `json:"candidate"`
-	Level     Level              `json:"level"`
+	Candidate identifier.Version `json:"candidate,omitempty"`
+	// Replaces is set once a rollout is done: hosts whose configuration still
+	// names that version use Control instead.
+	Replaces identifier.Version `json:"replaces,omitempty"`
+	Level    Level              `json:"level"`
 	// InFlight bounds the requests on the candidate that each host has in
 	// flight; 0 means no bound.
 	InFlight int `json:"inFlight,omitempty"`
--- a/roller/draw.go
+++ b/roller/draw.go
@@ -29,6 +29,26 @@
 // Arm returns which of the two versions of a rollout that is.
 func (t Ticket) Arm() Arm { return t.arm }
 
+// End counts how the request ended.
+func (t Ticket) End(e Ending) {
+	if t.trial == nil {
+		return
+	}
+	if t.arm == Candidate {
+		t.trial.inFlight.Add(-1)
+	}
+	t.trial.observe(t, e)
+}
+
+// Control returns the version that the request would have gone to without a
+// rollout.
+func (t Ticket) Control() identifier.Version {
+	if t.trial == nil {
+		return ""
+	}
+	return t.trial.control
+}
+
 // drawTable is what traffic goroutines read to draw a version. It is never
 // changed once published.
 type drawTable struct {
--- a/roller/evidence.go
+++ b/roller/evidence.go
@@ -152,6 +152,8 @@
 	Source
 	Service identifier.Service
 	Rollout identifier.RolloutID
+	// Control is the present version then.
+	Control identifier.Version
 	Cells   Cells
 	// Verdicts are those that the host reached alone and acts on.
 	Verdicts []Verdict
--- a/roller/judge.go
+++ b/roller/judge.go
@@ -17,7 +17,11 @@
 	routes  []identifier.Route
 	table   atomic.Pointer[drawTable]
 
-	directive Directive
+	// configured is the version that the fleet document names.
+	configured identifier.Version
+	directive  Directive
+	// idle holds the counters from outside any rollout, by version.
+	idle map[identifier.Version]*trial
 	// heard is when a directive last came, new or repeated.
 	heard time.Time
 	// ceiling bounds the level while the controller is silent.
@@ -27,15 +31,39 @@
 	examined uint64
 }
 
+// maxIdleVersions bounds the versions whose counters from outside any rollout
+// are kept.
+const maxIdleVersions = 4
+
 // NewJudge returns a judge that draws the present version for every request.
 // Routes are those that are judged one by one; all others are taken together.
 func NewJudge(s Source, service identifier.Service, present identifier.Version, routes []identifier.Route) *Judge {
-	j := &Judge{source: s, service: service, routes: routes, ceiling: TopLevel}
-	j.directive = Directive{Service: service, Control: present}
-	j.table.Store(&drawTable{trial: newTrial(&j.directive, routes)})
+	j := &Judge{
+		source: s, service: service, routes: routes, configured: present, ceiling: TopLevel,
+		directive: Directive{Service: service}, idle: make(map[identifier.Version]*trial),
+	}
+	j.publish()
 	return j
 }
 
+// Configure tells the version that the fleet document names. It counts where no
+// rollout moves the service or has moved it away from just that version.
+func (j *Judge) Configure(present identifier.Version) {
+	if present != j.configured {
+		j.configured = present
+		j.publish()
+	}
+}
+
+// control returns the present version.
+func (j *Judge) control() identifier.Version {
+	d := &j.directive
+	if d.Rollout != "" || d.Replaces != "" && d.Replaces == j.configured {
+		return d.Control
+	}
+	return j.configured
+}
+
 // Draw returns which version a request goes to. The same request id gets the
 // same version as long as the share does not fall.
 func (j *Judge) Draw(id identifier.RequestID, r identifier.Route, b Band) Ticket {
@@ -86,15 +114,7 @@
 }
 
 // Observe counts how a drawn request ended.
-func (j *Judge) Observe(t Ticket, e Ending) {
-	if t.trial == nil {
-		return
-	}
-	if t.arm == Candidate {
-		t.trial.inFlight.Add(-1)
-	}
-	t.trial.observe(t, e)
-}
+func (j *Judge) Observe(t Ticket, e Ending) { t.End(e) }
 
 // Apply obeys a directive from the controller, unless a later one was seen.
 func (j *Judge) Apply(d Directive, now time.Time) {
@@ -106,13 +126,21 @@
 		j.lower(now)
 		return
 	}
-	if d.Rollout != j.directive.Rollout || d.Control != j.directive.Control {
+	if d.Rollout != j.directive.Rollout {
 		j.verdicts, j.examined = nil, 0
 	}
 	j.directive, j.ceiling = d, TopLevel
 	j.publish()
 }
 
+// Heard tells that the controller was heard from and had no other directive
+// than the last one.
+func (j *Judge) Heard(at time.Time) {
+	if at.After(j.heard) {
+		j.heard = at
+	}
+}
+
 // Tick lowers the share of a host that the controller has been silent to, and
 // gives it back once it is heard again.
 func (j *Judge) Tick(now time.Time) { j.lower(now) }
@@ -165,22 +193,43 @@
 // Report returns the counters of the present rollout and the verdicts reached.
 func (j *Judge) Report() Report {
 	t := j.table.Load().trial
-	return Report{Source: j.source, Service: j.service, Rollout: t.rollout, Cells: t.cells(), Verdicts: j.verdicts}
+	return Report{
+		Source: j.source, Service: j.service, Rollout: t.rollout, Control: t.control,
+		Cells: t.cells(), Verdicts: j.verdicts,
+	}
 }
 
 // publish makes a new draw table for the directive and the verdicts.
 func (j *Judge) publish() {
-	tr := j.table.Load().trial
-	if tr.rollout != j.directive.Rollout || tr.control != j.directive.Control {
-		tr = newTrial(&j.directive, j.routes)
-	}
-	t := &drawTable{trial: tr, level: min(j.directive.Level, j.ceiling), inFlight: int64(j.directive.InFlight)}
+	t := &drawTable{trial: j.trial(), level: min(j.directive.Level, j.ceiling), inFlight: int64(j.directive.InFlight)}
 	for _, v := range j.verdicts {
 		t.stop(v.Scope)
 	}
 	j.table.Store(t)
 }
 
+// trial returns the counters that go with the directive: those at work, those
+// of an earlier time without a rollout, or new ones.
+func (j *Judge) trial() *trial {
+	d := j.directive
+	d.Control = j.control()
+	if t := j.table.Load(); t != nil && t.trial.rollout == d.Rollout && t.trial.control == d.Control {
+		return t.trial
+	}
+	if d.Rollout != "" {
+		return newTrial(&d, j.routes)
+	}
+	t := j.idle[d.Control]
+	if t == nil {
+		if len(j.idle) >= maxIdleVersions {
+			clear(j.idle)
+		}
+		t = newTrial(&d, j.routes)
+		j.idle[d.Control] = t
+	}
+	return t
+}
+
 // stop ends the draw for a scope: for its route, or altogether where the scope
 // spans all routes.
 func (t *drawTable) stop(s Scope) {
--- /dev/null
+++ b/roller/judges_test.go
@@ -0,0 +1,66 @@
+package roller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cyclamenhub.org/identifier"
+)
+
+// drawn returns the version that a request to the service goes to.
+func drawn(js *Judges) identifier.Version {
+	t := js.Draw("drafting", "r-1", testRoute, LightLoad, false)
+	t.End(Ending{})
+	return t.Version()
+}
+
+// Which version is drawn follows from the fleet document and from the rollouts
+// that have ended, also after a restart in either order.
+func TestJudgesFollowDocumentAndRollouts(t *testing.T) {
+	done := EncodeDirectives([]Directive{{Service: "drafting", Sequence: 9, Control: "v2", Replaces: "v1"}})
+	js := NewJudges(Source{Host: "a1", Epoch: 1})
+	var got []identifier.Version
+	step := func(f func()) {
+		f()
+		got = append(got, drawn(js))
+	}
+	obey := func() {
+		if err := js.Obey(done, testTime); err != nil {
+			t.Fatal(err)
+		}
+	}
+	step(func() {})
+	step(func() { js.Configure("drafting", "v1", nil) })
+	step(obey)
+	step(func() { js.Configure("drafting", "v2", nil) })
+	step(func() { js.Configure("drafting", "v3", nil) })
+	js = NewJudges(Source{Host: "a1", Epoch: 2})
+	step(obey)
+	step(func() { js.Configure("drafting", "v1", nil) })
+	want := []identifier.Version{"", "v1", "v2", "v2", "v3", "", "v2"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A host that condemns a version reports at once; else a report waits for its
+// interval.
+func TestJudgesReportVerdictsAtOnce(t *testing.T) {
+	js := NewJudges(Source{Host: "a1", Epoch: 1})
+	js.Configure("drafting", "v1", []identifier.Route{testRoute})
+	now := testTime
+	if n := len(js.Tick(now, now)); n != 1 {
+		t.Fatalf("%d reports at the start, want 1", n)
+	}
+	d := Directive{Service: "drafting", Rollout: "m", Sequence: 1, Control: "v1", Candidate: "v2", Level: LevelOf(0.1), Hosts: 1}
+	if err := js.Obey(EncodeDirectives([]Directive{d}), now); err != nil {
+		t.Fatal(err)
+	}
+	play((*js.read.Load())["drafting"], testRoute, 0, 500)
+	rs := js.Tick(now.Add(time.Millisecond), now)
+	if len(rs) != 1 || len(rs[0].Verdicts) == 0 {
+		t.Errorf("reports %v, want one with a verdict", rs)
+	}
+}
--- a/roller/record.go
+++ b/roller/record.go
@@ -29,6 +29,8 @@
 	Start StartRollout `json:"start"`
 	Phase Phase        `json:"phase"`
 	Level Level        `json:"level"`
+	// Sequence numbers the record's last directive.
+	Sequence uint64 `json:"sequence"`
 	// MovedAt is when the last stage was first reached.
 	MovedAt time.Time `json:"movedAt,omitzero"`
 	EndedAt time.Time `json:"endedAt,omitzero"`
@@ -55,11 +57,15 @@
 }
 
 // directive returns what the hosts must obey while the record is as it is.
-func (r *Record) directive(sequence uint64) Directive {
-	d := Directive{Service: r.Start.Service, Sequence: sequence, Control: r.Start.From}
-	if r.Phase == Done {
-		d.Control = r.Start.To
+func (r *Record) directive() Directive {
+	d := Directive{Service: r.Start.Service, Sequence: r.Sequence, Control: r.Start.From}
+	switch r.Phase {
+	case Done:
+		d.Control, d.Replaces = r.Start.To, r.Start.From
 		return d
+	case Reverted:
+		return d
+	case Staged, Watched:
 	}
 	d.Rollout, d.Candidate, d.Level = r.Start.ID, r.Start.To, r.Level
 	d.Hosts, d.Thresholds = r.Start.Hosts, r.Start.Thresholds
--- a/roller/silence.go
+++ b/roller/silence.go
@@ -31,6 +31,9 @@
 	// minReportInterval is the time between two reports of a host in a small
 	// fleet.
 	minReportInterval = time.Second
+	// idleReportInterval is the time between reports while nothing speaks
+	// against any version.
+	idleReportInterval = 30 * time.Second
 	// reportBudget bounds what all hosts together report on one service, in
 	// bytes a second: less than half of the 25 KB/s that a node may spend on
 	// control.
--- a/roller/wire.go
+++ b/roller/wire.go
@@ -33,6 +33,7 @@
 	fieldRollout  protowire.Number = 4
 	fieldCell     protowire.Number = 5
 	fieldCondemns protowire.Number = 6
+	fieldControl  protowire.Number = 7
 
 	fieldRoute    protowire.Number = 1
 	fieldBand     protowire.Number = 2
@@ -49,6 +50,7 @@
 	b = appendVarint(b, fieldEpoch, uint64(r.Epoch))
 	b = appendString(b, fieldService, string(r.Service))
 	b = appendString(b, fieldRollout, string(r.Rollout))
+	b = appendString(b, fieldControl, string(r.Control))
 	b = appendVarint(b, fieldCondemns, uint64(len(r.Verdicts)))
 	for _, k := range r.Cells.keys() {
 		b = protowire.AppendTag(b, fieldCell, protowire.BytesType)
@@ -150,6 +152,8 @@
 			r.Service = identifier.Service(s)
 		case fieldRollout:
 			r.Rollout = identifier.RolloutID(s)
+		case fieldControl:
+			r.Control = identifier.Version(s)
 		case fieldCondemns:
 			r.Verdicts = make([]Verdict, min(v, 1))
 		case fieldCell:
--- a/roller/wire_test.go
+++ b/roller/wire_test.go
@@ -12,7 +12,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		want := Report{
 			Source: Source{Host: "a1", Epoch: Epoch(rapid.Uint64().Draw(t, "epoch"))}, Service: "schrijfhulp",
-			Rollout: "move-1", Cells: drawCells(t, "sent"),
+			Rollout: "move-1", Control: "v1", Cells: drawCells(t, "sent"),
 		}
 		if rapid.Bool().Draw(t, "condemns") {
 			want.Verdicts = make([]Verdict, 1)
