--- a/roller/directive.go
+++ b/roller/directive.go
@@ -1,6 +1,7 @@
 package roller
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -29,6 +30,17 @@
 	Thresholds []Threshold `json:"thresholds,omitempty"`
 }
 
+// check refuses a directive that no controller gives.
+func (d *Directive) check() error {
+	if err := d.Service.Check(); err != nil {
+		return fmt.Errorf("rollout directive: %w", err)
+	}
+	if d.Rollout != "" && (d.Candidate == "" || d.Candidate == d.Control) {
+		return fmt.Errorf("rollout directive %d names no two versions: run one version of cyclamend on all hosts", d.Sequence)
+	}
+	return nil
+}
+
 // Threshold is the latency above which an answer counts as slow in one cell.
 type Threshold struct {
 	CellKey
--- a/roller/effect.go
+++ b/roller/effect.go
@@ -53,7 +53,7 @@
 	Reason string `json:"reason,omitempty"`
 	// Refused is the error of a refused change.
 	Refused string `json:"refused,omitempty"`
-	// Before and After are the levels around the change.
+	// Before and After are the shares around the change.
 	Before Level `json:"before"`
 	After  Level `json:"after"`
 }
--- a/roller/judges.go
+++ b/roller/judges.go
@@ -78,6 +78,11 @@
 	if err := json.Unmarshal(document, &ds); err != nil {
 		return fmt.Errorf("rollout directives: %w: run one version of cyclamend on all hosts", err)
 	}
+	for _, d := range ds {
+		if err := d.check(); err != nil {
+			return err
+		}
+	}
 	js.mu.Lock()
 	defer js.mu.Unlock()
 	for _, d := range ds {
--- a/roller/level.go
+++ b/roller/level.go
@@ -1,6 +1,11 @@
 package roller
 
-import "cyclamenhub.org/identifier"
+import (
+	"encoding/json"
+	"fmt"
+
+	"cyclamenhub.org/identifier"
+)
 
 // Level is an index into the fixed list of shares that a candidate can have.
 // Evidence is kept per level, since the test needs the share at which each
@@ -38,3 +43,18 @@
 	}
 	return l
 }
+
+// MarshalJSON writes the share.
+func (l Level) MarshalJSON() ([]byte, error) { return json.Marshal(l.Share()) }
+
+// UnmarshalJSON reads a share that belongs to a level.
+func (l *Level) UnmarshalJSON(b []byte) error {
+	var s identifier.Share
+	if err := json.Unmarshal(b, &s); err != nil {
+		return err
+	}
+	if *l = LevelOf(s); l.Share() != s {
+		return fmt.Errorf("share %v belongs to no stage: run one version of cyclamend on all hosts", s)
+	}
+	return nil
+}
