--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"cyclamenhub.org/admitter"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/identifier"
@@ -32,7 +35,8 @@
 	record *Record
 	sink   Sink
 	ledger ledger
-	budget *budget
+	// grant is nil for a request that another host accepted.
+	grant *admitter.Grant
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
@@ -43,7 +47,22 @@
 	detached atomic.Bool
 	begun    bool
 
+	// mu guards the fields that Move and Freeze share with the running
+	// goroutine.
+	mu          sync.Mutex
+	stopAttempt context.CancelCauseFunc
+	stopPause   context.CancelFunc
+	at          identifier.BackendServer
+	parking     bool
+	handed      bool
+	parked      chan *Handover
+	verdict     chan Remote
+	over        chan struct{}
+	// adopted tells that another host accepted the request.
+	adopted bool
+
 	reuse    connector.Reuse
+	pick     Pick
 	server   configurer.BackendServer
 	version  identifier.Version
 	excluded []identifier.BackendServer
@@ -52,6 +71,9 @@
 	held     *Answer
 	kept     *Answer
 	line     []byte
+	// firstToken is the time from the first send to the first byte.
+	firstToken time.Duration
+	sentAt     time.Time
 }
 
 // answer runs the request.
@@ -83,9 +105,9 @@
 // abandon ends the request unless a caller follows it.
 func (t *task) abandon() {
 	t.record.mu.Lock()
-	followed := t.record.followers > 0
+	idle := t.d.opt.Clock.Now().Sub(t.record.seen)
 	t.record.mu.Unlock()
-	if followed {
+	if t.ctx.Err() == nil && idle < t.d.opt.ReconnectGrace {
 		time.AfterFunc(t.d.opt.ReconnectGrace, t.abandon)
 		return
 	}
@@ -98,15 +120,32 @@
 	if t.ledger.nonIdempotent {
 		t.reuse = connector.Fresh
 	}
+	defer t.finishPick(Neutral)
 	same := false
 	for {
+		if t.parkAsked() {
+			t.finishPick(Neutral)
+			if r := t.park(); r != nil {
+				if refusal, done := t.relay(r); done {
+					return refusal
+				}
+			}
+			same = false
+			continue
+		}
 		if !same {
 			if refusal := t.choose(); refusal != nil {
 				return refusal
 			}
+			if t.server.Name == "" {
+				continue
+			}
 		}
 		r := t.attempt(exec)
 		s := t.ledger.next(r)
+		if _, ok := r.(moved); ok && t.parkAsked() {
+			continue
+		}
 		if _, done := s.(deliver); !done && t.ctx.Err() != nil {
 			return t.ended()
 		}
@@ -120,7 +159,7 @@
 		case tryOther:
 			same = false
 			t.leave()
-			if s.charged && !t.budget.withdraw() {
+			if s.charged && !t.mayRetry() {
 				return t.withhold(r)
 			}
 		}
@@ -128,15 +167,46 @@
 	}
 }
 
+// finishPick ends the present choice of a server, if there is one.
+func (t *task) finishPick(o Outcome) {
+	if t.pick != nil {
+		t.pick.Finished(o)
+		t.pick = nil
+	}
+}
+
 // leave excludes the present server from the next choice.
 func (t *task) leave() {
 	t.excluded = append(t.excluded, t.server.Name)
 	t.avoid = t.server.FailureDomain
+	if t.record.progress.count() == 0 {
+		t.version = ""
+	}
 	if !t.ledger.nonIdempotent {
 		t.reuse = connector.Pooled
 	}
 }
 
+// mayRetry takes one retry from the budget.
+func (t *task) mayRetry() bool { return t.grant == nil || t.grant.Retry() == nil }
+
+// giveBack ends the grant.
+func (t *task) giveBack(refusal *refuser.Refusal) {
+	if t.grant == nil {
+		return
+	}
+	o := admitter.Outcome{
+		Result: admitter.Succeeded, FirstToken: t.firstToken, Generated: identifier.Tokens(t.record.progress.count()),
+	}
+	switch {
+	case errors.Is(context.Cause(t.ctx), errCallerLeft):
+		o.Result = admitter.Abandoned
+	case refusal != nil, t.held != nil && t.held.Status >= http.StatusInternalServerError:
+		o.Result = admitter.Failed
+	}
+	t.grant.Done(o)
+}
+
 // withhold ends a request whose retry the budget does not allow.
 func (t *task) withhold(r result) *refuser.Refusal {
 	t.d.counters.withheld.Inc()
@@ -162,15 +232,20 @@
 }
 
 // choose picks the server of the next attempt. Where all were tried it waits a
-// little and starts over.
+// little and starts over. It leaves the server unset where the request is to be
+// frozen.
 func (t *task) choose() *refuser.Refusal {
+	t.server = configurer.BackendServer{}
 	for {
 		table := t.d.opt.Tables.Load()
-		b, ok := t.d.opt.Chooser.Choose(Query{
+		if t.version == "" {
+			t.version = t.d.opt.Version(t.r)
+		}
+		p, ok := t.d.opt.Chooser.Choose(Query{
 			Table: table, Request: t.r, Version: t.version, Excluded: t.excluded, Avoid: t.avoid,
 		})
 		if ok {
-			t.server = b
+			t.pick, t.server = p, p.Server()
 			return nil
 		}
 		if len(t.excluded) == 0 {
@@ -181,6 +256,9 @@
 		if !t.pause() {
 			return t.ended()
 		}
+		if t.parkAsked() {
+			return nil
+		}
 	}
 }
 
@@ -188,14 +266,16 @@
 func (t *task) pause() bool {
 	d := min(firstPause<<min(t.pauses, 10), maxPause)
 	t.pauses++
-	w := time.NewTimer(d)
-	defer w.Stop()
-	select {
-	case <-w.C:
-		return true
-	case <-t.ctx.Done():
-		return false
+	ctx, stop := context.WithTimeout(t.ctx, d)
+	defer stop()
+	t.mu.Lock()
+	t.stopPause = stop
+	if t.parking {
+		stop()
 	}
+	t.mu.Unlock()
+	<-ctx.Done()
+	return t.ctx.Err() == nil
 }
 
 // begin sends the head to the caller, once.
