--- /dev/null
+++ b/roller/schedule.go
@@ -0,0 +1,45 @@
+package roller
+
+import "time"
+
+// The schedule of a rollout.
+const (
+	// firstStageRate is the rate of requests on the candidate that the first
+	// stage aims at, per second.
+	firstStageRate = 0.1
+	// scheduleShare is the part of the time to the deadline after which all
+	// traffic has moved; the rest is for what goes wrong.
+	scheduleShare = 0.85
+)
+
+// The bounds of the first stage's level: 0.1% and 10%.
+const (
+	lowestFirstLevel  Level = 1
+	highestFirstLevel Level = 7
+)
+
+// FirstLevel returns the level of the first stage for a service that gets rate
+// requests a second: low enough that a bad version gets few requests, and high
+// enough that it shows.
+func FirstLevel(rate float64) Level {
+	l := lowestFirstLevel
+	for l < highestFirstLevel && rate*float64((l+1).Share()) <= firstStageRate {
+		l++
+	}
+	return l
+}
+
+// scheduledLevel returns the level that a rollout should have reached by now.
+// The step reached grows with the square of the time passed: the low levels
+// last longest, since there a bad version does least harm, and the later
+// stages, which get more requests, need less time for as much evidence.
+func scheduledLevel(s *StartRollout, now time.Time) Level {
+	span := float64(s.Deadline.Sub(s.At)) * scheduleShare
+	passed := min(max(float64(now.Sub(s.At))/span, 0), 1)
+	steps := float64(TopLevel - s.FirstLevel)
+	return s.FirstLevel + Level(steps*passed*passed)
+}
+
+// lastCall is how long before its deadline a rollout that was not condemned
+// moves all traffic.
+const lastCall = time.Minute
