configurer: betweenTokensTarget may be left out, as its tag says

The check that demanded it of model services was wrong: the field is marked optional, all that read it take 0 for no bound, and documents that were good before were refused.

--- a/configurer/fleet.go
+++ b/configurer/fleet.go
@@ -51,7 +51,8 @@
 	// FirstTokenTarget bounds the time to the first token, or to the answer of
 	// a plain service, for 95 in 100 requests.
 	FirstTokenTarget Duration `json:"firstTokenTarget"`
-	// BetweenTokensTarget bounds the time between tokens for 95 in 100.
+	// BetweenTokensTarget bounds the time between tokens for 95 in 100; 0 means
+	// no bound.
 	BetweenTokensTarget Duration `json:"betweenTokensTarget,omitempty"`
 	// Deadline is that of a request that names none.
 	Deadline Duration `json:"deadline"`
--- a/configurer/inspectfleet.go
+++ b/configurer/inspectfleet.go
@@ -93,8 +93,8 @@
 	if s.FirstTokenTarget <= 0 {
 		in.add(path+".firstTokenTarget", "is missing or not positive", `write a duration, as in "740ms"`)
 	}
-	if s.BetweenTokensTarget < 0 || s.Kind == ModelService && s.BetweenTokensTarget == 0 {
-		in.add(path+".betweenTokensTarget", "is missing or not positive", `write a duration, as in "30ms"`)
+	if s.BetweenTokensTarget < 0 {
+		in.add(path+".betweenTokensTarget", "is negative", `write a duration, as in "30ms", or leave it out`)
 	}
 	if s.Deadline <= 0 {
 		in.add(path+".deadline", "is missing or not positive", `write a duration, as in "30s"`)
