--- a/distributor/topics.go
+++ b/distributor/topics.go
@@ -41,21 +41,20 @@
 	return &topics{byName: make(map[TopicName]*heldTopic), changed: make(chan struct{})}
 }
 
-// offer takes t unless the present revision is as new, and reports whether it
-// did.
-func (s *topics) offer(t Topic) bool {
+// offer takes t unless the present revision is as new.
+func (s *topics) offer(t Topic) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held, ok := s.byName[t.Name]
 	if !ok {
 		if len(s.byName) >= MaxTopics {
-			return false
+			return
 		}
 		held = &heldTopic{Topic: Topic{Name: t.Name}}
 		s.byName[t.Name] = held
 	}
 	if t.Revision <= held.Revision {
-		return false
+		return
 	}
 	if held.Revision > 0 {
 		held.history.add(newDelta(held.Topic, t))
@@ -63,7 +62,6 @@
 	held.Topic = t
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return true
 }
 
 // newer returns the topics that are newer than those in have, and a channel
--- a/internal/scenario/site_test.go
+++ b/internal/scenario/site_test.go
@@ -47,7 +47,7 @@
 	}
 	s.fleet.Defaults = configurer.Defaults{
 		Services: []configurer.Service{
-			{Name: "drafting", Kind: configurer.ModelService, Version: "v1", Deadline: configurer.Duration(awaitLimit), FirstTokenTarget: configurer.Duration(500 * time.Millisecond)},
+			{Name: "drafting", Kind: configurer.ModelService, Version: "v1", Deadline: configurer.Duration(awaitLimit), FirstTokenTarget: configurer.Duration(500 * time.Millisecond), BetweenTokensTarget: configurer.Duration(30 * time.Millisecond)},
 			{Name: "cases", Kind: configurer.PlainService, Version: "v1", Deadline: configurer.Duration(awaitLimit), FirstTokenTarget: configurer.Duration(500 * time.Millisecond), NonIdempotentRoutes: []identifier.Route{"POST /filings"}},
 		},
 		Customers: []configurer.Customer{{Name: "foodbank", KeyHashes: []configurer.KeyHash{configurer.HashKey(siteKey)}}},
