--- a/reducer/doc.go
+++ b/reducer/doc.go
@@ -5,7 +5,7 @@
 // deterministic and does no I/O: the time, ids and operator come with the
 // event. Every replica of the control log feeds its committed entries to a
 // Machine in log order and so reaches the same state. Each concern has its own
-// file: configuration.go, membership.go, audit.go.
+// file: configuration.go, rollouts.go, audit.go.
 //
 // A change of configuration names the revision it was made against. Of several
 // changes against one revision exactly one is accepted; the others get a
