rollouts in the request path, the control log and the operators' tool

The dispatcher draws the version of a first attempt from the host's judges and tells them how it ended; a further attempt goes to the present version, so that a caller who met a bad version gets an answer from the good one. The reducer carries rollout events, with their audit; the directives travel as a distributed topic, reports go to all keepers, and the leading one decides. cyclamenctl rollout start, status, revert and list; an order sent again under its id changes nothing.

Callers' own faults (4xx) count as failures: they fall to both versions alike, and a version that refuses sound requests shows.

The last call comes a twentieth of the time before a deadline that is near.

Scenario in separate processes (go test ./internal/scenario -run TestScenarios/rollout): a version that fails every call is taken back while traffic flows, none of 300 later requests meets it, and a good one is done.

--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -35,6 +35,10 @@
 		r.Post("/exceptions", h.addException)
 		r.Post("/exceptions/{name}/remove", h.removeException)
 		r.Get("/audit", h.getAudit)
+		r.Get("/rollouts", h.getRollouts)
+		r.Post("/rollouts", h.startRollout)
+		r.Get("/rollouts/{id}", h.getRollout)
+		r.Post("/rollouts/{id}/revert", h.revertRollout)
 	})
 	return r
 }
--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -67,6 +67,7 @@
 	addConfigCommands(p, c)
 	addExceptionCommands(p, c)
 	addAuditCommands(p, c)
+	addRolloutCommands(p, c)
 	addKeyCommands(p, c)
 	return p
 }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -53,6 +53,7 @@
 	}
 	if _, ok := r.(silent); !ok {
 		t.finishPick(a.outcome(r))
+		t.endDraw(a.rolloutOutcome(r))
 	}
 	a.count(r)
 	return r
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/roller"
 	"cyclamenhub.org/router"
 	"cyclamenhub.org/timer"
 )
@@ -39,6 +40,9 @@
 	// Version draws the version that a new request goes to; nil means the
 	// version of its service.
 	Version func(r *Request) identifier.Version
+	// Judges draw versions while rollouts move services; they go before Version.
+	// Nil means that there are no rollouts.
+	Judges *roller.Judges
 	// Claimer grants idempotency keys; nil means a MemoryClaimer.
 	Claimer Claimer
 	// Pool holds the connections; nil means a pool of its own.
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -13,6 +13,7 @@
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/roller"
 )
 
 const (
@@ -74,6 +75,8 @@
 	// firstToken is the time from the first send to the first byte.
 	firstToken time.Duration
 	sentAt     time.Time
+	// draw is the request's part in a rollout.
+	draw rolloutDraw
 }
 
 // answer runs the request.
@@ -121,6 +124,7 @@
 		t.reuse = connector.Fresh
 	}
 	defer t.finishPick(Neutral)
+	defer t.endDraw(roller.Withdrawn)
 	same := false
 	for {
 		if t.parkAsked() {
@@ -239,7 +243,7 @@
 	for {
 		table := t.d.opt.Tables.Load()
 		if t.version == "" {
-			t.version = t.d.opt.Version(t.r)
+			t.version = t.drawVersion()
 		}
 		p, ok := t.d.opt.Chooser.Choose(Query{
 			Table: table, Request: t.r, Version: t.version, Excluded: t.excluded, Avoid: t.avoid,
@@ -248,6 +252,9 @@
 			t.pick, t.server = p, p.Server()
 			return nil
 		}
+		if t.leaveCandidate() {
+			continue
+		}
 		if len(t.excluded) == 0 {
 			return t.ledger.refuse(refuser.NoBackendServer, "no backend server takes this request now",
 				"come back after the time in Retry-After").After(comeBackAfter)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/roller"
 	"cyclamenhub.org/timer"
 )
 
@@ -48,15 +50,20 @@
 	mu      sync.Mutex // guards machine
 	machine *reducer.Machine
 	keeper  *keeper.Keeper // nil where this host is no keeper
+	// rollouts decides about the rollouts; guarded by mu.
+	rollouts *roller.Controller
+	clock    timer.Clock
+	log      *slog.Logger
 }
 
 // newControl opens the control log where this host is a keeper.
-func newControl(cfg *configurer.Settings, m *messenger.Messenger, d *distributor.Distributor) (*control, error) {
-	c := &control{cfg: cfg, messenger: m, dist: d}
+func newControl(cfg *configurer.Settings, m *messenger.Messenger, d *distributor.Distributor, clock timer.Clock, log *slog.Logger) (*control, error) {
+	c := &control{cfg: cfg, messenger: m, dist: d, clock: clock, log: log}
 	if !cfg.IsKeeper() {
 		return c, nil
 	}
 	c.machine = &reducer.Machine{Perform: c.perform}
+	c.rollouts = roller.NewController(c.machine.Rollouts(), rolloutRoutes)
 	k, err := keeper.Open(keeper.Options{DataFolder: cfg.DataFolder, StateMachine: c})
 	if err != nil {
 		return nil, err
@@ -64,6 +71,7 @@
 	c.keeper = k
 	m.Handle(proposeMethod, c.handlePropose)
 	m.Handle(viewMethod, c.handleView)
+	m.Handle(rolloutReportMethod, c.handleReport)
 	return c, nil
 }
 
@@ -77,10 +85,15 @@
 // perform carries out the effects of an entry.
 func (c *control) perform(_ identifier.LogIndex, effects []reducer.Effect) {
 	for _, e := range effects {
-		if p, ok := e.(reducer.PublishConfiguration); ok {
+		switch e := e.(type) {
+		case reducer.PublishConfiguration:
 			// Committed documents have been checked; one that this release can't
 			// read stays out of force here, as the reports show.
-			_ = c.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: p.Revision, Body: p.Document})
+			_ = c.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: e.Revision, Body: e.Document})
+		case reducer.PublishRollouts:
+			_ = c.dist.Offer(distributor.Topic{Name: rolloutTopic, Revision: identifier.Revision(e.Sequence), Body: e.Document})
+		case reducer.NotifyRollout:
+			noteRollout(c.log, e.Notice)
 		}
 	}
 }
@@ -92,7 +105,7 @@
 		return nil, err
 	}
 	if c.keeper != nil {
-		b, err = c.keeper.Propose(ctx, b)
+		b, err = c.proposeHere(ctx, b)
 	} else {
 		var resp wire.ProposeResponse
 		err = c.ask(ctx, proposeMethod, &wire.ProposeRequest{Event: b}, &resp)
@@ -104,6 +117,15 @@
 	return reducer.DecodeOutcome(b)
 }
 
+// proposeHere puts an entry into the control log kept here.
+func (c *control) proposeHere(ctx context.Context, entry []byte) ([]byte, error) {
+	entry, err := c.prepare(entry, c.clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	return c.keeper.Propose(ctx, entry)
+}
+
 // View returns a linearizable reading of the control state.
 func (c *control) View(ctx context.Context) (reducer.View, error) {
 	if c.keeper != nil {
@@ -165,7 +187,7 @@
 	if err := call.Decode(&req); err != nil {
 		return nil, err
 	}
-	b, err := c.keeper.Propose(ctx, req.Event)
+	b, err := c.proposeHere(ctx, req.Event)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/roller"
 	"cyclamenhub.org/server"
 	"cyclamenhub.org/timer"
 )
@@ -47,6 +48,7 @@
 	messenger *messenger.Messenger
 	dist      *distributor.Distributor
 	control   *control
+	judges    *roller.Judges
 	tables    atomic.Pointer[dispatcher.Table]
 	callers   *server.Server
 
@@ -64,13 +66,14 @@
 	}
 	d := &Daemon{cfg: cfg, log: opts.Log, clock: opts.Clock}
 	d.messenger = messenger.New(messenger.Options{Host: cfg.Host, Clock: opts.Clock})
+	d.judges = newJudges(cfg, opts.Clock.Now())
 	upstreams := upstreamsOf(cfg)
 	d.dist = distributor.New(distributor.Options{
 		Self: cfg.Self(), Upstreams: func() []string { return upstreams },
 		Call: d.messenger.Call, OnNews: d.takeTopic, Clock: opts.Clock,
 	})
 	d.dist.Register(d.messenger)
-	c, err := newControl(cfg, d.messenger, d.dist)
+	c, err := newControl(cfg, d.messenger, d.dist, d.clock, d.log)
 	if err != nil {
 		return nil, err
 	}
@@ -89,7 +92,7 @@
 	s := server.New(server.Options{
 		Dispatcher: dispatcher.New(dispatcher.Options{
 			Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
-			Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain,
+			Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain, Judges: d.judges,
 		}),
 		Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
 	})
@@ -150,6 +153,8 @@
 	d.dist.Start(ctx)
 	wg.Go(func() { d.control.confirm(background) })
 	wg.Go(func() { d.dist.Run(background) })
+	wg.Go(func() { d.control.runRollouts(background, d.clock.Now) })
+	wg.Go(func() { d.runJudges(background) })
 	d.log.Info("serving", "host", d.cfg.Host, "failureDomain", d.cfg.FailureDomain,
 		"callers", d.CallerAddress(), "operators", d.OperatorAddress(), "revision", d.dist.Revision(distributor.FleetTopic))
 	return d.serveHTTP(ctx)
@@ -188,7 +193,11 @@
 
 // takeTopic puts a newer distributed document in force.
 func (d *Daemon) takeTopic(t distributor.Topic) error {
-	if t.Name != distributor.FleetTopic {
+	switch t.Name {
+	case distributor.FleetTopic:
+	case rolloutTopic:
+		return d.judges.Obey(t.Body, d.clock.Now())
+	default:
 		return nil
 	}
 	f, err := configurer.DecodeFleet(t.Body)
@@ -196,6 +205,7 @@
 		d.log.Error("configuration not in force", "revision", t.Revision, "error", err)
 		return err
 	}
+	configureJudges(d.judges, f, len(d.cfg.Hosts))
 	d.tables.Store(dispatcher.NewTable(f))
 	d.callers.SetReady(true)
 	d.log.Info("configuration in force", "revision", t.Revision)
--- /dev/null
+++ b/internal/daemon/rollouts.go
@@ -0,0 +1,229 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/distributor"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/reducer"
+	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/roller"
+)
+
+// rolloutTopic carries the directives of the rollouts.
+const rolloutTopic distributor.TopicName = "rollouts"
+
+// rolloutReportMethod takes the counters of a host at a keeper.
+const rolloutReportMethod messenger.Method = "rollout.report"
+
+const (
+	// judgeInterval is the time between two runs of a host's own tests.
+	judgeInterval = 100 * time.Millisecond
+	// decideInterval is the time between two decisions of the leading keeper.
+	decideInterval = 200 * time.Millisecond
+	// reportTimeout bounds one report and one proposal.
+	reportTimeout = 2 * time.Second
+)
+
+// generationRoutes are the routes of every model service.
+var generationRoutes = []identifier.Route{"POST /v1/chat/completions", "POST /v1/completions"}
+
+// rolloutRoutes is the number of routes among which the tests divide their
+// false alarms: the usual number of those that are judged one by one.
+const rolloutRoutes = 4
+
+var rolloutReportsFailed = metrics.NewCounter("cyclamen_rollout_reports_failed_total")
+
+// newJudges returns the judges of this run of the process.
+func newJudges(cfg *configurer.Settings, started time.Time) *roller.Judges {
+	return roller.NewJudges(roller.Source{Host: cfg.Host, Epoch: roller.Epoch(started.UnixNano())})
+}
+
+// configureJudges tells the judges what a fleet document says of the services.
+func configureJudges(js *roller.Judges, f *configurer.Fleet, hosts int) {
+	capacity := make(map[identifier.Service]int)
+	for _, b := range f.Defaults.BackendServers {
+		capacity[b.Service] += b.Concurrency
+	}
+	for _, s := range f.Defaults.Services {
+		routes := s.NonIdempotentRoutes
+		if s.Kind == configurer.ModelService {
+			routes = generationRoutes
+		}
+		js.Configure(s.Name, roller.ServiceConfig{
+			Version: s.Version, Routes: routes, Capacity: max(capacity[s.Name]/max(hosts, 1), 1),
+		})
+	}
+}
+
+// runJudges runs this host's tests and reports to the keepers until ctx ends.
+func (d *Daemon) runJudges(ctx context.Context) {
+	t := time.NewTicker(judgeInterval)
+	defer t.Stop()
+	for {
+		for _, r := range d.judges.Tick(d.clock.Now(), d.dist.Confirmed()) {
+			d.reportRollout(ctx, r)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// reportRollout sends one report to every keeper.
+func (d *Daemon) reportRollout(ctx context.Context, r roller.Report) {
+	req := &wire.RolloutReport{Report: r.Encode()}
+	for _, k := range d.cfg.Keepers {
+		if k == d.cfg.Host {
+			d.control.mergeReport(r)
+			continue
+		}
+		h, ok := d.cfg.HostNamed(k)
+		if !ok {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			if d.messenger.Call(ctx, h.Address, rolloutReportMethod, req, &wire.Empty{}) != nil {
+				rolloutReportsFailed.Inc()
+			}
+		}()
+	}
+}
+
+// handleReport takes the report of another host.
+func (c *control) handleReport(_ context.Context, call *messenger.Call) (proto.Message, error) {
+	var req wire.RolloutReport
+	if err := call.Decode(&req); err != nil {
+		return nil, err
+	}
+	r, err := roller.DecodeReport(req.Report)
+	if err != nil {
+		return nil, err
+	}
+	c.mergeReport(r)
+	return &wire.Empty{}, nil
+}
+
+// mergeReport takes a report in where this host is a keeper.
+func (c *control) mergeReport(r roller.Report) {
+	if c.keeper == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rollouts.Merge(r)
+}
+
+// runRollouts proposes the events that are due while this host leads, until ctx
+// ends.
+func (c *control) runRollouts(ctx context.Context, now func() time.Time) {
+	if c.keeper == nil {
+		return
+	}
+	t := time.NewTicker(decideInterval)
+	defer t.Stop()
+	for {
+		c.mu.Lock()
+		events := c.rollouts.Decide(now())
+		c.mu.Unlock()
+		for _, e := range events {
+			c.proposeRollout(ctx, e)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// proposeRollout puts an event of the controller's into the control log. What
+// fails is decided anew.
+func (c *control) proposeRollout(ctx context.Context, e roller.Event) {
+	if !c.leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	_, _ = c.Propose(ctx, reducer.ChangeRollout{Event: e})
+}
+
+// leads reports whether the keeper here leads. A keeper that can't tell is
+// alone.
+func (c *control) leads() bool {
+	l, ok := any(c.keeper).(interface{ Leads() bool })
+	return !ok || l.Leads()
+}
+
+// prepare fills in what only a keeper knows of a rollout that an operator
+// starts, and returns other entries as they are.
+func (c *control) prepare(entry []byte, now time.Time) ([]byte, error) {
+	ev, err := reducer.DecodeEvent(entry)
+	if err != nil {
+		return nil, err
+	}
+	change, ok := ev.(reducer.ChangeRollout)
+	if !ok {
+		return entry, nil
+	}
+	start, ok := change.Event.(roller.StartRollout)
+	if !ok {
+		return entry, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.fillStart(&start, now); err != nil {
+		return nil, err
+	}
+	return reducer.EncodeEvent(reducer.ChangeRollout{Event: start})
+}
+
+// fillStart fills a start in. The caller holds mu.
+func (c *control) fillStart(start *roller.StartRollout, now time.Time) error {
+	f, err := configurer.LoadFleet(c.machine.View().Document)
+	if err != nil {
+		return err
+	}
+	s, ok := f.Defaults.Service(start.Service)
+	if !ok {
+		return refuser.NotRun(refuser.NotFound, fmt.Sprintf("service %q is unknown", start.Service), "name one of the fleet document")
+	}
+	if !hasServers(f, start.Service, start.To) {
+		return refuser.NotRun(refuser.NoBackendServer, fmt.Sprintf("no backend server of %s has version %s", start.Service, start.To),
+			"load it and add its servers to the fleet document first")
+	}
+	start.From, start.Hosts, start.At = c.machine.Rollouts().Present(start.Service, s.Version), len(c.cfg.Hosts), now
+	c.rollouts.Prepare(start, now)
+	return nil
+}
+
+// hasServers reports whether a version of a service has backend servers.
+func hasServers(f *configurer.Fleet, s identifier.Service, v identifier.Version) bool {
+	for _, b := range f.Defaults.BackendServers {
+		if b.Service == s && b.Version == v {
+			return true
+		}
+	}
+	return false
+}
+
+// noteRollout logs and counts a notice.
+func noteRollout(log *slog.Logger, n roller.Notice) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("cyclamen_rollouts_total{phase=%q}", n.Phase)).Inc()
+	log.Info("rollout "+string(n.Phase), "rollout", n.Rollout, "service", n.Service, "from", n.From, "to", n.To,
+		"cause", n.Cause, "candidateRequests", n.Summary.Candidate.Requests, "candidateFailed", n.Summary.Candidate.Failed,
+		"controlRequests", n.Summary.Control.Requests, "controlFailed", n.Summary.Control.Failed)
+}
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -11,6 +11,8 @@
 //	await REGEXP PROGRAM ARGS... repeats a command until its output matches
 //	http [-s STATUS] [-h 'NAME: VALUE']... METHOD URL [BODY]
 //	                             makes a call, checks its status, prints the body
+//	traffic start|N URL KEY BODY sends requests, in the background or N of them
+//	traffic stop                 ends those in the background
 //
 // Every script has loopback addresses of its own in IP1 to IP9, so that scripts
 // run side by side and fixed ports do not meet.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -46,15 +46,17 @@
 			env.Vars = append(env.Vars, addressVars()...)
 			env.Setenv("PATH", binFolder+string(filepath.ListSeparator)+env.Getenv("PATH"))
 			env.Values[processesKey{}] = newProcesses()
+			env.Values[stopTrafficKey{}] = &trafficSwitch{}
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"expand": expand,
-			"start":  start,
-			"signal": signal,
-			"ended":  ended,
-			"await":  await,
-			"http":   httpCall,
+			"expand":  expand,
+			"start":   start,
+			"signal":  signal,
+			"ended":   ended,
+			"await":   await,
+			"http":    httpCall,
+			"traffic": traffic,
 		},
 	})
 }
--- a/reducer/codec.go
+++ b/reducer/codec.go
@@ -19,6 +19,7 @@
 	typeAddException        = "addException"
 	typeRemoveException     = "removeException"
 	typeRecordRefusal       = "recordRefusal"
+	typeChangeRollout       = "changeRollout"
 	typeAccepted            = "accepted"
 	typeConflict            = "conflict"
 	typeRefused             = "refused"
@@ -33,6 +34,8 @@
 		return typeAddException
 	case RemoveException:
 		return typeRemoveException
+	case ChangeRollout:
+		return typeChangeRollout
 	default:
 		return typeRecordRefusal
 	}
@@ -49,6 +52,8 @@
 		return encode(typeRemoveException, ev)
 	case RecordRefusal:
 		return encode(typeRecordRefusal, ev)
+	case ChangeRollout:
+		return encode(typeChangeRollout, ev)
 	default:
 		return nil, fmt.Errorf("event %T has no encoding: add it to the codec", ev)
 	}
@@ -69,6 +74,8 @@
 		return decode[RemoveException](e)
 	case typeRecordRefusal:
 		return decode[RecordRefusal](e)
+	case typeChangeRollout:
+		return decode[ChangeRollout](e)
 	default:
 		return nil, fmt.Errorf("log entry has the unknown type %q: upgrade this keeper", e.Type)
 	}
--- a/reducer/machine.go
+++ b/reducer/machine.go
@@ -5,6 +5,7 @@
 
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/roller"
 )
 
 var undecodedEntries = metrics.NewCounter("cyclamen_control_undecoded_entries_total")
@@ -48,9 +49,15 @@
 	if m.Perform != nil && v.Revision > 0 {
 		m.Perform(0, []Effect{PublishConfiguration{Revision: v.Revision, Document: v.Document}})
 	}
+	if m.Perform != nil && m.state.rollouts.Sequence > 0 {
+		m.Perform(0, []Effect{m.state.publishRollouts()})
+	}
 	return nil
 }
 
+// Rollouts returns the rollouts, which only the goroutine that owns m may read.
+func (m *Machine) Rollouts() *roller.Book { return &m.state.rollouts }
+
 // View returns a reading of the state.
 func (m *Machine) View() View { return m.state.View() }
 
--- a/reducer/reduce.go
+++ b/reducer/reduce.go
@@ -1,12 +1,17 @@
 package reducer
 
-import "fmt"
+import (
+	"fmt"
+
+	"cyclamenhub.org/roller"
+)
 
 // State is the replicated control state. Its zero value is the empty state
 // before the first change. One goroutine owns it; others read a View.
 type State struct {
 	configuration configuration
 	audit         audit
+	rollouts      roller.Book
 }
 
 // Reduce applies ev to s and returns what is to be done. The last effect is
@@ -21,6 +26,8 @@
 		return s.change(removalOfException(ev))
 	case RecordRefusal:
 		return s.recordRefusal(ev)
+	case ChangeRollout:
+		return s.changeRollout(ev)
 	default:
 		panic(fmt.Sprintf("event %T has no case in Reduce", ev))
 	}
--- a/reducer/snapshot.go
+++ b/reducer/snapshot.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/roller"
 )
 
 // snapshotFormat numbers the form of snapshots.
@@ -22,6 +23,7 @@
 	LastAudit uint64              `json:"lastAudit"`
 	Accepted  []AuditRecord       `json:"accepted,omitempty"`
 	Refused   []AuditRecord       `json:"refused,omitempty"`
+	Rollouts  roller.Book         `json:"rollouts"`
 }
 
 // wireAnswer is the JSON form of an answer.
@@ -49,7 +51,7 @@
 	c := &s.configuration
 	w := wireState{
 		Format: snapshotFormat, Revision: c.revision, Document: c.document, Since: c.since,
-		LastAudit: s.audit.last, Accepted: s.audit.accepted.records, Refused: s.audit.refused.records,
+		LastAudit: s.audit.last, Accepted: s.audit.accepted.records, Refused: s.audit.refused.records, Rollouts: s.rollouts,
 	}
 	for _, a := range c.answers {
 		w.Answers = append(w.Answers, wireAnswer{
@@ -76,6 +78,7 @@
 	restored := State{
 		configuration: configuration{revision: w.Revision, document: w.Document, since: w.Since},
 		audit:         audit{last: w.LastAudit},
+		rollouts:      w.Rollouts,
 	}
 	for _, r := range w.Accepted {
 		restored.audit.accepted.add(r, MaxAcceptedRecords, MaxAcceptedBytes)
--- a/reducer/view.go
+++ b/reducer/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/roller"
 )
 
 // View is a reading of the state that other goroutines may keep.
@@ -18,6 +19,8 @@
 	// Accepted and Refused hold the audit trail, oldest first.
 	Accepted []AuditRecord
 	Refused  []AuditRecord
+	// Rollouts lists the rollouts, newest first.
+	Rollouts []roller.Record
 }
 
 // View returns a reading of s. Only the goroutine that owns s may call it.
@@ -28,5 +31,6 @@
 		Since:    s.configuration.since,
 		Accepted: s.audit.accepted.view(),
 		Refused:  s.audit.refused.view(),
+		Rollouts: s.rollouts.List(),
 	}
 }
--- a/roller/book.go
+++ b/roller/book.go
@@ -1,6 +1,7 @@
 package roller
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -20,24 +21,26 @@
 
 // Apply changes the book by one event. An event that is refused changes
 // nothing, returns a typed error and leaves an audit record among the effects.
+// A start or revert that was sent again, or has nothing left to do, has neither
+// an error nor effects.
 func (b *Book) Apply(e Event) ([]Effect, error) {
 	switch e := e.(type) {
 	case StartRollout:
 		return b.start(e)
 	case StageReached:
-		return b.change(e.ID, "stageReached", audited{at: e.At}, func(r *Record) []Effect { return b.reach(r, e) })
+		return b.change(e.ID, actionStage, audited{at: e.At}, func(r *Record) []Effect { return b.reach(r, e) })
 	case VerdictReached:
-		return b.change(e.ID, "verdictReached", audited{at: e.At, reason: e.Verdict.String()}, func(r *Record) []Effect {
+		return b.change(e.ID, actionVerdict, audited{at: e.At, reason: e.Verdict.String()}, func(r *Record) []Effect {
 			r.Verdict = &e.Verdict
 			return b.revert(r, e.At, e.Verdict.String(), e.Summary)
 		})
 	case RevertRollout:
 		who := audited{at: e.At, operator: e.Operator, reason: e.Reason}
-		return b.change(e.ID, "revertRollout", who, func(r *Record) []Effect {
+		return b.change(e.ID, actionRevert, who, func(r *Record) []Effect {
 			return b.revert(r, e.At, fmt.Sprintf("operator %s: %s", e.Operator, e.Reason), r.Summary)
 		})
 	case WatchEnded:
-		return b.change(e.ID, "watchEnded", audited{at: e.At}, func(r *Record) []Effect { return b.finish(r, e) })
+		return b.change(e.ID, actionEnd, audited{at: e.At}, func(r *Record) []Effect { return b.finish(r, e) })
 	default:
 		panic(fmt.Sprintf("rollout event %T is not sealed", e))
 	}
@@ -69,6 +72,27 @@
 	return out
 }
 
+// Present returns the present version of a service of which the fleet document
+// names one.
+func (b *Book) Present(s identifier.Service, configured identifier.Version) identifier.Version {
+	for _, d := range b.Directives() {
+		if d.Service == s && d.Replaces == configured {
+			return d.Control
+		}
+	}
+	return configured
+}
+
+// List returns a copy of the records, those that changed last first.
+func (b *Book) List() []Record {
+	out := make([]Record, 0, len(b.Records))
+	for _, r := range b.Records {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(b.Sequence, a.Sequence) })
+	return out
+}
+
 // audited says who made a change, when and why.
 type audited struct {
 	at       time.Time
@@ -78,9 +102,12 @@
 
 // start adds a rollout at its first level.
 func (b *Book) start(e StartRollout) ([]Effect, error) {
+	if r, ok := b.Records[e.ID]; ok && r.Start.isResentAs(&e) {
+		return nil, nil
+	}
 	who := audited{at: e.At, operator: e.Operator, reason: e.Reason}
 	if err := b.checkStart(e); err != nil {
-		return refused(e.ID, "startRollout", who, err), err
+		return refused(e.ID, actionStart, who, err), err
 	}
 	if b.Records == nil {
 		b.Records = make(map[identifier.RolloutID]*Record)
@@ -88,7 +115,7 @@
 	b.forget()
 	r := &Record{Start: e, Phase: Staged, Level: e.FirstLevel}
 	b.Records[e.ID] = r
-	return []Effect{b.publish(r), recordAudit(r, "startRollout", who, NoLevel)}, nil
+	return []Effect{b.publish(r), recordAudit(r, actionStart, who, NoLevel)}, nil
 }
 
 // MaxRecords bounds the rollouts that a book remembers.
@@ -118,7 +145,7 @@
 // checkStart returns why a rollout can't begin.
 func (b *Book) checkStart(e StartRollout) error {
 	if r, ok := b.Records[e.ID]; ok {
-		return &TransitionError{Rollout: e.ID, Phase: r.Phase, Action: "startRollout"}
+		return &TransitionError{Rollout: e.ID, Phase: r.Phase, Action: actionStart}
 	}
 	if r, ok := b.Running(e.Service); ok {
 		return &BusyError{Service: e.Service, Running: r.Start.ID}
@@ -144,7 +171,10 @@
 		err := &UnknownError{Rollout: id}
 		return refused(id, action, who, err), err
 	}
-	if r.Phase.Ended() || action == "watchEnded" && r.Phase != Watched {
+	if r.Phase == Reverted && action == actionRevert {
+		return nil, nil
+	}
+	if r.Phase.Ended() || action == actionEnd && r.Phase != Watched {
 		err := &TransitionError{Rollout: id, Phase: r.Phase, Action: action}
 		return refused(id, action, who, err), err
 	}
--- a/roller/controller.go
+++ b/roller/controller.go
@@ -20,6 +20,7 @@
 	// reported holds what hosts condemned by themselves.
 	reported   map[identifier.RolloutID][]Source
 	suspicions suspicions
+	rates      map[evidenceKey]*rateMeter
 }
 
 // evidenceKey names the evidence of one rollout, or of a service's present
@@ -43,6 +44,7 @@
 		evidence: make(map[evidenceKey]*Evidence),
 		changed:  make(map[evidenceKey]bool),
 		reported: make(map[identifier.RolloutID][]Source), suspicions: make(suspicions),
+		rates: make(map[evidenceKey]*rateMeter),
 	}
 }
 
@@ -89,6 +91,7 @@
 // Decide returns the events that are due.
 func (c *Controller) Decide(now time.Time) []Event {
 	c.forget()
+	c.noteRates(now)
 	var out []Event
 	for _, id := range slices.Sorted(maps.Keys(c.book.Records)) {
 		if r := c.book.Records[id]; !r.Phase.Ended() {
@@ -98,6 +101,34 @@
 	return out
 }
 
+// noteRates takes a reading of the requests outside rollouts.
+func (c *Controller) noteRates(now time.Time) {
+	for k, e := range c.evidence {
+		if k.rollout != "" {
+			continue
+		}
+		m := c.rates[k]
+		if m == nil {
+			m = &rateMeter{}
+			c.rates[k] = m
+		}
+		m.note(now, e.Sum().Total(Control).Requests)
+	}
+}
+
+// Prepare fills in what the controller knows for a start that an operator asked
+// for: the first level and the thresholds.
+func (c *Controller) Prepare(e *StartRollout, now time.Time) {
+	k := evidenceKey{service: e.Service, control: e.From}
+	e.FirstLevel, e.InFlight = unknownRateLevel, defaultInFlight
+	if m := c.rates[k]; m != nil {
+		if rate, ok := m.rate(now, c.of(k).Sum().Total(Control).Requests); ok {
+			e.FirstLevel = FirstLevel(rate)
+		}
+	}
+	e.Thresholds = c.Baseline(e.Service, e.From)
+}
+
 // forget drops what is known of rollouts that have ended.
 func (c *Controller) forget() {
 	for k := range c.evidence {
@@ -143,7 +174,7 @@
 	scheduled := TopLevel
 	if r.Phase == Staged {
 		scheduled = scheduledLevel(&r.Start, now)
-		if !now.Before(r.Start.Deadline.Add(-lastCall)) {
+		if isLastCall(&r.Start, now) {
 			p.comparison.stop()
 		}
 	}
--- a/roller/counters.go
+++ b/roller/counters.go
@@ -96,6 +96,7 @@
 		c.unreachable[t.arm].Add(1)
 	case Reclaimed:
 		c.reclaimed[t.arm].Add(1)
+	case Withdrawn:
 	}
 }
 
--- a/roller/draw.go
+++ b/roller/draw.go
@@ -1,13 +1,15 @@
 package roller
 
 import (
+	"sync/atomic"
+
 	"github.com/cespare/xxhash/v2"
 
 	"cyclamenhub.org/identifier"
 )
 
-// Ticket says which version a request was drawn for. It must be handed to
-// Observe exactly once.
+// Ticket says which version a request was drawn for. Its End must be
+// called exactly once.
 type Ticket struct {
 	trial *trial
 	slot  uint16
@@ -16,6 +18,8 @@
 	shard uint8
 	// losses is the number of losses before the draw.
 	losses uint64
+	// load is the service's count of requests at work, where one is kept.
+	load *atomic.Int64
 }
 
 // Version returns the version to send the request to.
@@ -34,6 +38,9 @@
 	if t.trial == nil {
 		return
 	}
+	if t.load != nil {
+		t.load.Add(-1)
+	}
 	if t.arm == Candidate {
 		t.trial.inFlight.Add(-1)
 	}
--- a/roller/event.go
+++ b/roller/event.go
@@ -32,6 +32,13 @@
 	Reason     string              `json:"reason"`
 }
 
+// isResentAs reports whether o is the same start, sent again. The times may
+// differ, since they are set when it is proposed.
+func (e *StartRollout) isResentAs(o *StartRollout) bool {
+	return e.Service == o.Service && e.From == o.From && e.To == o.To &&
+		e.Operator == o.Operator && e.Reason == o.Reason && e.Watch == o.Watch
+}
+
 // StageReached changes the share of a running rollout.
 type StageReached struct {
 	ID    identifier.RolloutID `json:"id"`
--- a/roller/judge.go
+++ b/roller/judge.go
@@ -84,15 +84,6 @@
 	return out
 }
 
-// DrawRetry draws for a further attempt at a request. Its outcome tells
-// nothing, since attempts at one request may fail for one reason: only the
-// first one is evidence.
-func (j *Judge) DrawRetry(id identifier.RequestID, r identifier.Route, b Band) Ticket {
-	t := j.Draw(id, r, b)
-	t.level = NoLevel
-	return t
-}
-
 // admit draws the candidate, unless another goroutine took the last place in
 // flight meanwhile.
 func (t *drawTable) admit(out Ticket) Ticket {
--- a/roller/judges.go
+++ b/roller/judges.go
@@ -17,13 +17,21 @@
 // any goroutine too, and take one.
 type Judges struct {
 	source Source
-	read   atomic.Pointer[map[identifier.Service]*Judge]
+	read   atomic.Pointer[map[identifier.Service]*judged]
 
 	mu         sync.Mutex
 	directives map[identifier.Service]Directive
 	pace       map[identifier.Service]*pace
 }
 
+// judged is a service with its judge.
+type judged struct {
+	*Judge
+	// load counts the requests that were drawn and have not ended.
+	load     *atomic.Int64
+	capacity int
+}
+
 // pace is when a service's counters were last reported.
 type pace struct {
 	at    time.Time
@@ -34,42 +42,56 @@
 // NewJudges returns judges for no service yet.
 func NewJudges(s Source) *Judges {
 	js := &Judges{source: s, directives: make(map[identifier.Service]Directive), pace: make(map[identifier.Service]*pace)}
-	js.read.Store(&map[identifier.Service]*Judge{})
+	js.read.Store(&map[identifier.Service]*judged{})
 	return js
 }
 
-// Configure tells a service's present version and routes, as the fleet document
-// names them. The routes of a known service stay as they were first told.
-func (js *Judges) Configure(s identifier.Service, present identifier.Version, routes []identifier.Route) {
+// ServiceConfig is what the fleet document says of a service.
+type ServiceConfig struct {
+	// Version is the present version.
+	Version identifier.Version
+	// Routes are those that are judged one by one.
+	Routes []identifier.Route
+	// Capacity is how many requests this host's part of the service's servers
+	// runs side by side.
+	Capacity int
+}
+
+// Configure tells what the fleet document says of a service. The routes of a
+// known service stay as they were first told.
+func (js *Judges) Configure(s identifier.Service, cfg ServiceConfig) {
 	js.mu.Lock()
 	defer js.mu.Unlock()
-	if j, ok := (*js.read.Load())[s]; ok {
-		j.Configure(present)
-		return
-	}
-	j := NewJudge(js.source, s, present, routes)
-	if d, ok := js.directives[s]; ok {
-		j.Apply(d, time.Time{})
-	}
 	m := maps.Clone(*js.read.Load())
-	m[s] = j
+	if known, ok := m[s]; ok {
+		known.Configure(cfg.Version)
+		m[s] = &judged{Judge: known.Judge, load: known.load, capacity: cfg.Capacity}
+	} else {
+		j := NewJudge(js.source, s, cfg.Version, cfg.Routes)
+		if d, ok := js.directives[s]; ok {
+			j.Apply(d, time.Time{})
+		}
+		m[s] = &judged{Judge: j, load: new(atomic.Int64), capacity: cfg.Capacity}
+		js.pace[s] = &pace{}
+	}
 	js.read.Store(&m)
-	js.pace[s] = &pace{}
 }
 
-// Draw returns which version a request goes to. Retry tells that it is a
-// further attempt, see Judge.DrawRetry. For an unknown service the ticket names
-// no version.
-func (js *Judges) Draw(s identifier.Service, id identifier.RequestID, r identifier.Route, b Band, retry bool) Ticket {
+// Draw returns which version a request goes to. The service's load band on this
+// host follows from the requests that were drawn and have not ended. For an
+// unknown service the ticket names no version.
+//
+// Only the first attempt at a request is drawn, since attempts at one request
+// may fail for one reason. Further ones go to the ticket's Control version.
+func (js *Judges) Draw(s identifier.Service, id identifier.RequestID, r identifier.Route) Ticket {
 	j, ok := (*js.read.Load())[s]
-	switch {
-	case !ok:
+	if !ok {
 		return Ticket{}
-	case retry:
-		return j.DrawRetry(id, r, b)
-	default:
-		return j.Draw(id, r, b)
 	}
+	n := j.load.Add(1)
+	t := j.Draw(id, r, BandOf(int(n), j.capacity))
+	t.load = j.load
+	return t
 }
 
 // Obey applies the directives of a document that EncodeDirectives made.
@@ -115,8 +137,8 @@
 		j := (*js.read.Load())[s]
 		j.Heard(heard)
 		j.Tick(now)
-		if condemned := j.Evaluate() != nil; condemned || js.pace[s].isDue(j, now) {
-			due = append(due, js.pace[s].report(j, now))
+		if condemned := j.Evaluate() != nil; condemned || js.pace[s].isDue(j.Judge, now) {
+			due = append(due, js.pace[s].report(j.Judge, now))
 		}
 	}
 	return due
--- a/roller/judges_test.go
+++ b/roller/judges_test.go
@@ -11,7 +11,7 @@
 
 // drawn returns the version that a request to the service goes to.
 func drawn(js *Judges) identifier.Version {
-	t := js.Draw("drafting", "r-1", testRoute, LightLoad, false)
+	t := js.Draw("drafting", "r-1", testRoute)
 	t.End(Ending{})
 	return t.Version()
 }
@@ -32,13 +32,13 @@
 		}
 	}
 	step(func() {})
-	step(func() { js.Configure("drafting", "v1", nil) })
+	step(func() { js.Configure("drafting", ServiceConfig{Version: "v1"}) })
 	step(obey)
-	step(func() { js.Configure("drafting", "v2", nil) })
-	step(func() { js.Configure("drafting", "v3", nil) })
+	step(func() { js.Configure("drafting", ServiceConfig{Version: "v2"}) })
+	step(func() { js.Configure("drafting", ServiceConfig{Version: "v3"}) })
 	js = NewJudges(Source{Host: "a1", Epoch: 2})
 	step(obey)
-	step(func() { js.Configure("drafting", "v1", nil) })
+	step(func() { js.Configure("drafting", ServiceConfig{Version: "v1"}) })
 	want := []identifier.Version{"", "v1", "v2", "v2", "v3", "", "v2"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
@@ -49,7 +49,7 @@
 // interval.
 func TestJudgesReportVerdictsAtOnce(t *testing.T) {
 	js := NewJudges(Source{Host: "a1", Epoch: 1})
-	js.Configure("drafting", "v1", []identifier.Route{testRoute})
+	js.Configure("drafting", ServiceConfig{Version: "v1", Routes: []identifier.Route{testRoute}})
 	now := testTime
 	if n := len(js.Tick(now, now)); n != 1 {
 		t.Fatalf("%d reports at the start, want 1", n)
@@ -58,7 +58,7 @@
 	if err := js.Obey(EncodeDirectives([]Directive{d}), now); err != nil {
 		t.Fatal(err)
 	}
-	play((*js.read.Load())["drafting"], testRoute, 0, 500)
+	play((*js.read.Load())["drafting"].Judge, testRoute, 0, 500)
 	rs := js.Tick(now.Add(time.Millisecond), now)
 	if len(rs) != 1 || len(rs[0].Verdicts) == 0 {
 		t.Errorf("reports %v, want one with a verdict", rs)
--- a/roller/outcome.go
+++ b/roller/outcome.go
@@ -26,6 +26,9 @@
 	Lost
 	// Reclaimed is an attempt on a server whose host was being taken away.
 	Reclaimed
+	// Withdrawn is an attempt that ended for a reason of the caller's or of this
+	// host's own. It is not counted.
+	Withdrawn
 )
 
 // Ending tells how a drawn request ended.
--- a/roller/schedule.go
+++ b/roller/schedule.go
@@ -18,6 +18,14 @@
 	highestFirstLevel Level = 7
 )
 
+// unknownRateLevel is the first level while the rate of requests is not known:
+// 1%.
+const unknownRateLevel Level = 4
+
+// defaultInFlight bounds the requests on the candidate that each host has in
+// flight before the last stage.
+const defaultInFlight = 16
+
 // FirstLevel returns the level of the first stage for a service that gets rate
 // requests a second: low enough that a bad version gets few requests, and high
 // enough that it shows.
@@ -40,6 +48,15 @@
 	return s.FirstLevel + Level(steps*passed*passed)
 }
 
-// lastCall is how long before its deadline a rollout that was not condemned
-// moves all traffic.
-const lastCall = time.Minute
+// The last call before a deadline: a rollout that was not condemned moves all
+// traffic a minute before, or a twentieth of its time where that is less.
+const (
+	lastCall     = time.Minute
+	lastCallPart = 20
+)
+
+// isLastCall reports whether the last call has come.
+func isLastCall(s *StartRollout, now time.Time) bool {
+	early := min(lastCall, s.Deadline.Sub(s.At)/lastCallPart)
+	return !now.Before(s.Deadline.Add(-early))
+}
