--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -1,12 +1,14 @@
 package administrator
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
 
 	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/timer"
 )
 
@@ -39,6 +41,17 @@
 		r.Post("/rollouts", h.startRollout)
 		r.Get("/rollouts/{id}", h.getRollout)
 		r.Post("/rollouts/{id}/revert", h.revertRollout)
+		r.Get("/members", h.getMembers)
+		r.Post("/members", h.changeMembers)
+		r.Get("/status", h.getOverview)
 	})
 	return r
 }
+
+// head returns a reading that may lack the audit trail.
+func (h *handler) head(ctx context.Context) (reducer.View, error) {
+	if b, ok := h.backend.(HeadBackend); ok {
+		return b.Head(ctx)
+	}
+	return h.backend.View(ctx)
+}
--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -68,6 +68,8 @@
 	addExceptionCommands(p, c)
 	addAuditCommands(p, c)
 	addRolloutCommands(p, c)
+	addMemberCommands(p, c)
+	addStatusCommand(p, c)
 	addKeyCommands(p, c)
 	return p
 }
--- a/dispatcher/rollout.go
+++ b/dispatcher/rollout.go
@@ -7,7 +7,6 @@
 	"os"
 	"time"
 
-	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/roller"
 )
 
@@ -15,54 +14,21 @@
 // first token and so many more at the pace of the answer at hand.
 const nominalTokens = 64
 
-// rolloutDraw is a request's part in a rollout. Its zero value has none yet.
-type rolloutDraw struct {
-	ticket roller.Ticket
-	drawn  bool
-	open   bool
-}
-
-// drawVersion returns the version for the next attempt. Only the first one is
-// drawn; a further one goes to the present version.
-func (t *task) drawVersion() identifier.Version {
-	if t.d.opt.Judges == nil {
-		return t.d.opt.Version(t.r)
-	}
-	var v identifier.Version
-	if t.draw.drawn {
-		v = t.draw.ticket.Control()
-	} else {
-		t.draw = rolloutDraw{ticket: t.d.opt.Judges.Draw(t.r.Service.Name, t.r.ID, t.r.Route), drawn: true, open: true}
-		v = t.draw.ticket.Version()
-	}
-	if v == "" {
-		return t.d.opt.Version(t.r)
-	}
-	return v
-}
-
-// leaveCandidate goes back to the present version where no server of the
-// candidate takes the request, and reports whether it did.
-func (t *task) leaveCandidate() bool {
-	if t.draw.ticket.Arm() != roller.Candidate || t.version != t.draw.ticket.Version() || t.record.progress.count() > 0 {
+// redraw goes to another version where no server of the first one drawn takes
+// the request, and reports whether it did.
+func (t *task) redraw() bool {
+	if t.draw == nil || t.redrawn || t.record.progress.count() > 0 {
 		return false
 	}
-	t.endDraw(roller.Withdrawn)
-	t.version = t.draw.ticket.Control()
+	t.redrawn = true
+	t.endDraw(Ending{Outcome: Neutral, Evidence: roller.Withdrawn})
+	t.version = ""
 	return true
 }
 
-// endDraw counts how the drawn attempt ended, once.
-func (t *task) endDraw(o roller.Outcome) {
-	if !t.draw.open {
-		return
-	}
-	t.draw.open = false
-	t.draw.ticket.End(roller.Ending{Outcome: o, Latency: t.nominalTime(), Server: t.server.Name})
-}
-
 // nominalTime returns the time that an answer of nominalTokens takes at the
-// pace of this one, or the time to the first byte of any other answer.
+// pace of this one, or the time to the first byte of any other answer. It is 0
+// where no byte came.
 func (t *task) nominalTime() time.Duration {
 	n := t.record.progress.count()
 	if n < 2 {
@@ -72,8 +38,8 @@
 	return t.firstToken + generating/time.Duration(n-1)*nominalTokens
 }
 
-// rolloutOutcome tells what r says about the version of the attempt.
-func (a *attempt) rolloutOutcome(r result) roller.Outcome {
+// evidence tells what r says about the version of the attempt.
+func (a *attempt) evidence(r result) roller.Outcome {
 	if errors.Is(context.Cause(a.ctx), errCallerLeft) {
 		return roller.Withdrawn
 	}
--- a/dispatcher/routed.go
+++ b/dispatcher/routed.go
@@ -38,7 +38,7 @@
 	t := c.publish(q.Table)
 	choice, err := c.router.Choose(router.Request{
 		Service: q.Request.Service.Name, Version: q.Version,
-		PrefixBlocks: q.Request.prefix(), PromptTokens: q.Request.promptTokens(), OutputTokens: q.Request.MaxTokens,
+		PrefixBlocks: q.Request.prefix(), PromptTokens: q.Request.promptTokens(),
 		FirstTokenTarget: q.Request.Service.FirstTokenTarget.Std(), Exclude: q.Excluded, Avoid: q.Avoid,
 	})
 	if err != nil {
@@ -125,11 +125,13 @@
 	switch o {
 	case Succeeded:
 		p.choice.Release(router.Succeeded)
-	case Blamed:
+	case Erred:
 		p.choice.Release(router.Failed)
-	case Unreached:
+	case Unanswered:
+		p.choice.Release(router.Silent)
+	case Unreached, Broken:
 		p.choice.Release(router.Refused)
-	case Neutral:
+	case Reclaimed, Neutral:
 		p.choice.Release(router.Cancelled)
 	}
 }
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -62,10 +62,14 @@
 	// adopted tells that another host accepted the request.
 	adopted bool
 
-	reuse    connector.Reuse
-	pick     Pick
-	server   configurer.BackendServer
-	version  identifier.Version
+	reuse   connector.Reuse
+	pick    Pick
+	server  configurer.BackendServer
+	version identifier.Version
+	// draw is nil once its ending was told; drawn tells that there was one.
+	draw     Draw
+	drawn    bool
+	redrawn  bool
 	excluded []identifier.BackendServer
 	avoid    identifier.FailureDomain
 	pauses   int
@@ -75,8 +79,6 @@
 	// firstToken is the time from the first send to the first byte.
 	firstToken time.Duration
 	sentAt     time.Time
-	// draw is the request's part in a rollout.
-	draw rolloutDraw
 }
 
 // answer runs the request.
@@ -123,8 +125,8 @@
 	if t.ledger.nonIdempotent {
 		t.reuse = connector.Fresh
 	}
+	defer t.endDraw(Ending{Outcome: Neutral, Evidence: roller.Withdrawn})
 	defer t.finishPick(Neutral)
-	defer t.endDraw(roller.Withdrawn)
 	same := false
 	for {
 		if t.parkAsked() {
@@ -243,7 +245,7 @@
 	for {
 		table := t.d.opt.Tables.Load()
 		if t.version == "" {
-			t.version = t.drawVersion()
+			t.drawVersion()
 		}
 		p, ok := t.d.opt.Chooser.Choose(Query{
 			Table: table, Request: t.r, Version: t.version, Excluded: t.excluded, Avoid: t.avoid,
@@ -252,7 +254,7 @@
 			t.pick, t.server = p, p.Server()
 			return nil
 		}
-		if t.leaveCandidate() {
+		if t.redraw() {
 			continue
 		}
 		if len(t.excluded) == 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,7 +73,7 @@
 		Call: d.messenger.Call, OnNews: d.takeTopic, Clock: opts.Clock,
 	})
 	d.dist.Register(d.messenger)
-	c, err := newControl(cfg, d.messenger, d.dist, d.clock, d.log)
+	c, err := newControl(cfg, d.messenger, d.dist, opts)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +92,7 @@
 	s := server.New(server.Options{
 		Dispatcher: dispatcher.New(dispatcher.Options{
 			Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
-			Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain, Judges: d.judges,
+			Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain, Draw: d.drawVersion,
 		}),
 		Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
 	})
@@ -145,11 +145,16 @@
 	defer d.Close()
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
 
 	wg.Go(func() { _ = d.messenger.Serve(d.peerLn) })
-	if err := d.control.proposeInitial(ctx, d.clock); err != nil {
-		return err
-	}
+	wg.Go(func() {
+		// A host whose keepers have no majority serves what it has meanwhile.
+		if err := d.control.proposeInitial(ctx, d.clock); err != nil {
+			fail(err)
+		}
+	})
 	d.dist.Start(ctx)
 	wg.Go(func() { d.control.confirm(background) })
 	wg.Go(func() { d.dist.Run(background) })
@@ -173,11 +178,19 @@
 	d.log.Info("stopping", "host", d.cfg.Host)
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	err := errors.Join(d.callers.Stop(stopCtx), operators.Shutdown(stopCtx), g.Wait())
+	err := errors.Join(d.callers.Stop(stopCtx), operators.Shutdown(stopCtx), g.Wait(), failureOf(ctx))
 	d.log.Info("stopped", "host", d.cfg.Host)
 	return err
 }
 
+// failureOf returns why the daemon ends by itself, or nil if it was told to.
+func failureOf(ctx context.Context) error {
+	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
 // newOperatorServer returns a server with bounded patience.
 func newOperatorServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -205,7 +218,7 @@
 		d.log.Error("configuration not in force", "revision", t.Revision, "error", err)
 		return err
 	}
-	configureJudges(d.judges, f, len(d.cfg.Hosts))
+	configureJudges(d.judges, f)
 	d.tables.Store(dispatcher.NewTable(f))
 	d.callers.SetReady(true)
 	d.log.Info("configuration in force", "revision", t.Revision)
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
@@ -49,20 +51,39 @@
 }
 
 // configureJudges tells the judges what a fleet document says of the services.
-func configureJudges(js *roller.Judges, f *configurer.Fleet, hosts int) {
-	capacity := make(map[identifier.Service]int)
-	for _, b := range f.Defaults.BackendServers {
-		capacity[b.Service] += b.Concurrency
-	}
+func configureJudges(js *roller.Judges, f *configurer.Fleet) {
 	for _, s := range f.Defaults.Services {
 		routes := s.NonIdempotentRoutes
 		if s.Kind == configurer.ModelService {
 			routes = generationRoutes
 		}
-		js.Configure(s.Name, roller.ServiceConfig{
-			Version: s.Version, Routes: routes, Capacity: max(capacity[s.Name]/max(hosts, 1), 1),
-		})
+		js.Configure(s.Name, s.Version, routes)
+	}
+}
+
+// drawVersion draws the version of a request. Only its first attempt is drawn,
+// since attempts at one request may fail for one reason; further ones go to the
+// present version.
+func (d *Daemon) drawVersion(r *dispatcher.Request, l dispatcher.Load, again bool) dispatcher.Draw {
+	if again {
+		return drawnVersion{version: d.judges.Present(r.Service.Name, r.Service.Version)}
 	}
+	t := d.judges.Draw(r.Service.Name, r.ID, r.Route, roller.BandOf(l.InFlight, l.Capacity))
+	return drawnVersion{ticket: t, version: cmp.Or(t.Version(), r.Service.Version)}
+}
+
+// drawnVersion is a version that the judges drew.
+type drawnVersion struct {
+	ticket  roller.Ticket
+	version identifier.Version
+}
+
+// Version returns the version.
+func (v drawnVersion) Version() identifier.Version { return v.version }
+
+// Ended tells the judges.
+func (v drawnVersion) Ended(e dispatcher.Ending) {
+	v.ticket.End(roller.Ending{Outcome: e.Evidence, Latency: e.Latency, Server: e.Server})
 }
 
 // runJudges runs this host's tests and reports to the keepers until ctx ends.
@@ -161,11 +182,10 @@
 	_, _ = c.Propose(ctx, reducer.ChangeRollout{Event: e})
 }
 
-// leads reports whether the keeper here leads. A keeper that can't tell is
-// alone.
+// leads reports whether the keeper here leads.
 func (c *control) leads() bool {
-	l, ok := any(c.keeper).(interface{ Leads() bool })
-	return !ok || l.Leads()
+	_, err := c.keeper.Lease()
+	return err == nil
 }
 
 // prepare fills in what only a keeper knows of a rollout that an operator
--- a/reducer/codec.go
+++ b/reducer/codec.go
@@ -18,6 +18,7 @@
 	typeChangeConfiguration = "changeConfiguration"
 	typeAddException        = "addException"
 	typeRemoveException     = "removeException"
+	typeRecordAction        = "recordAction"
 	typeRecordRefusal       = "recordRefusal"
 	typeChangeRollout       = "changeRollout"
 	typeAccepted            = "accepted"
@@ -50,6 +51,8 @@
 		return encode(typeAddException, ev)
 	case RemoveException:
 		return encode(typeRemoveException, ev)
+	case RecordAction:
+		return encode(typeRecordAction, ev)
 	case RecordRefusal:
 		return encode(typeRecordRefusal, ev)
 	case ChangeRollout:
@@ -72,6 +75,8 @@
 		return decode[AddException](e)
 	case typeRemoveException:
 		return decode[RemoveException](e)
+	case typeRecordAction:
+		return decode[RecordAction](e)
 	case typeRecordRefusal:
 		return decode[RecordRefusal](e)
 	case typeChangeRollout:
--- a/roller/draw.go
+++ b/roller/draw.go
@@ -1,8 +1,6 @@
 package roller
 
 import (
-	"sync/atomic"
-
 	"github.com/cespare/xxhash/v2"
 
 	"cyclamenhub.org/identifier"
@@ -18,8 +16,6 @@
 	shard uint8
 	// losses is the number of losses before the draw.
 	losses uint64
-	// load is the service's count of requests at work, where one is kept.
-	load *atomic.Int64
 }
 
 // Version returns the version to send the request to.
@@ -38,24 +34,12 @@
 	if t.trial == nil {
 		return
 	}
-	if t.load != nil {
-		t.load.Add(-1)
-	}
 	if t.arm == Candidate {
 		t.trial.inFlight.Add(-1)
 	}
 	t.trial.observe(t, e)
 }
 
-// Control returns the version that the request would have gone to without a
-// rollout.
-func (t Ticket) Control() identifier.Version {
-	if t.trial == nil {
-		return ""
-	}
-	return t.trial.control
-}
-
 // drawTable is what traffic goroutines read to draw a version. It is never
 // changed once published.
 type drawTable struct {
