--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -13,6 +13,7 @@
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/roller"
 )
 
 const (
@@ -68,6 +69,7 @@
 	// draw is nil once its ending was told; drawn tells that there was one.
 	draw     Draw
 	drawn    bool
+	redrawn  bool
 	excluded []identifier.BackendServer
 	avoid    identifier.FailureDomain
 	pauses   int
@@ -123,7 +125,7 @@
 	if t.ledger.nonIdempotent {
 		t.reuse = connector.Fresh
 	}
-	defer t.endDraw(Neutral, "")
+	defer t.endDraw(Ending{Outcome: Neutral, Evidence: roller.Withdrawn})
 	defer t.finishPick(Neutral)
 	same := false
 	for {
@@ -252,6 +254,9 @@
 			t.pick, t.server = p, p.Server()
 			return nil
 		}
+		if t.redraw() {
+			continue
+		}
 		if len(t.excluded) == 0 {
 			return t.ledger.refuse(refuser.NoBackendServer, "no backend server takes this request now",
 				"come back after the time in Retry-After").After(comeBackAfter)
