--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -62,9 +62,6 @@
 	if o.Chooser == nil {
 		o.Chooser = NewRouted(router.New(router.Config{Clock: o.Clock, Metrics: o.Metrics, FailureDomain: o.FailureDomain}))
 	}
-	if o.Draw == nil {
-		o.Draw = func(r *Request, _ Load, _ bool) Draw { return fixedDraw(r.Service.Version) }
-	}
 	if o.Claimer == nil {
 		o.Claimer = claimer.NewMemoryClaimer(o.Clock, 0)
 	}
@@ -160,7 +157,6 @@
 	t := &task{
 		d: d, r: r, record: record, sink: sink,
 		ledger: ledger{nonIdempotent: r.nonIdempotent()}, grant: grant,
-		parked: make(chan *Handover, 1), verdict: make(chan Remote, 1), over: make(chan struct{}),
 	}
 	t.ctx, t.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	t.ctx, t.stopDeadline = context.WithDeadline(t.ctx, r.Deadline)
@@ -173,7 +169,7 @@
 
 // end forgets a running request.
 func (d *Dispatcher) end(t *task) {
-	close(t.over)
+	t.closeFreeze()
 	t.stopDetach()
 	t.stopDeadline()
 	t.cancel(nil)
--- a/dispatcher/draw.go
+++ b/dispatcher/draw.go
@@ -39,17 +39,12 @@
 	Server identifier.BackendServer
 }
 
-// fixedDraw is a version that nothing was drawn for.
-type fixedDraw identifier.Version
-
-// Version returns the version.
-func (v fixedDraw) Version() identifier.Version { return identifier.Version(v) }
-
-// Ended does nothing.
-func (fixedDraw) Ended(Ending) {}
-
 // drawVersion draws the version of the next attempts.
 func (t *task) drawVersion() {
+	if t.d.opt.Draw == nil {
+		t.version = t.r.Service.Version
+		return
+	}
 	var l Load
 	if t.grant != nil {
 		s := t.d.admission().admitter.Status(t.r.Service.Name)
--- /dev/null
+++ b/dispatcher/registry_test.go
@@ -0,0 +1,51 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/identifier"
+)
+
+// TestRegistryIsBounded checks that finished requests stay within their bounds,
+// the latest are found, and running ones are never forgotten.
+func TestRegistryIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newRegistry()
+		running := make(map[identifier.RequestID]*Record)
+		n := rapid.IntRange(1, 200).Draw(t, "requests")
+		for i := range n {
+			r := &Request{ID: identifier.RequestID(fmt.Sprint(i)), Customer: "c", Kind: Call{}}
+			c, refusal := g.open(r)
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			if _, refusal := g.open(r); refusal == nil {
+				t.Fatal("an id was taken two times")
+			}
+			running[r.ID] = c
+			if rapid.Bool().Draw(t, "stays") {
+				continue
+			}
+			c.settle(&Answer{Body: make([]byte, rapid.IntRange(0, maxFinishedBytes/20).Draw(t, "bytes"))}, nil)
+			g.close(c, true)
+			delete(running, r.ID)
+			if _, ok := g.find("c", r.ID); !ok {
+				t.Fatal("the latest finished request is not found")
+			}
+			if g.bytes > maxFinishedBytes || len(g.finished) > maxFinished || len(g.records) != len(running)+len(g.finished) {
+				t.Fatalf("%d bytes in %d finished of %d requests", g.bytes, len(g.finished), len(g.records))
+			}
+		}
+		for id := range running {
+			if _, ok := g.find("c", id); !ok {
+				t.Fatalf("running request %s is not found", id)
+			}
+			if _, ok := g.find("other", id); ok {
+				t.Fatal("another customer finds the request")
+			}
+		}
+	})
+}
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -55,9 +55,9 @@
 	at          identifier.BackendServer
 	parking     bool
 	handed      bool
-	parked      chan *Handover
-	verdict     chan Remote
-	over        chan struct{}
+	ended       bool
+	// freeze is nil until the first Freeze.
+	freeze *freeze
 	// adopted tells that another host accepted the request.
 	adopted bool
 
@@ -151,7 +151,7 @@
 			continue
 		}
 		if _, done := s.(deliver); !done && t.ctx.Err() != nil {
-			return t.ended()
+			return t.outOfTime()
 		}
 		switch s := s.(type) {
 		case deliver:
@@ -221,9 +221,9 @@
 		"come back after the time in Retry-After").After(comeBackAfter)
 }
 
-// ended returns the final answer of a request that ran out of time or lost its
+// outOfTime returns the final answer of a request that ran out of time or lost its
 // caller.
-func (t *task) ended() *refuser.Refusal {
+func (t *task) outOfTime() *refuser.Refusal {
 	if t.ledger.nonIdempotent && t.ledger.sent > 0 {
 		return t.ledger.refuse(refuser.Unknown, "no answer came in time, so that it may have run",
 			"look at the service whether it ran before sending it anew")
@@ -258,7 +258,7 @@
 		}
 		t.excluded = t.excluded[:0]
 		if !t.pause() {
-			return t.ended()
+			return t.outOfTime()
 		}
 		if t.parkAsked() {
 			return nil
--- a/internal/scenario/site_test.go
+++ b/internal/scenario/site_test.go
@@ -47,7 +47,7 @@
 	}
 	s.fleet.Defaults = configurer.Defaults{
 		Services: []configurer.Service{
-			{Name: "drafting", Kind: configurer.ModelService, Version: "v1", Deadline: configurer.Duration(awaitLimit), FirstTokenTarget: configurer.Duration(500 * time.Millisecond)},
+			{Name: "drafting", Kind: configurer.ModelService, Version: "v1", Deadline: configurer.Duration(awaitLimit), FirstTokenTarget: configurer.Duration(500 * time.Millisecond), BetweenTokensTarget: configurer.Duration(100 * time.Millisecond)},
 			{Name: "cases", Kind: configurer.PlainService, Version: "v1", Deadline: configurer.Duration(awaitLimit), FirstTokenTarget: configurer.Duration(500 * time.Millisecond), NonIdempotentRoutes: []identifier.Route{"POST /filings"}},
 		},
 		Customers: []configurer.Customer{{Name: "foodbank", KeyHashes: []configurer.KeyHash{configurer.HashKey(siteKey)}}},
@@ -117,6 +117,7 @@
 		s.write(name+".json", b)
 		s.start(name, "cyclamend", "run", "--settings", filepath.Join(s.folder, name+".json"))
 		s.await(name+" is ready", func() bool {
+			s.checkRuns(name)
 			_, err := s.get(s.caller(i) + "/readyz")
 			return err == nil
 		})
@@ -155,6 +156,16 @@
 	})
 }
 
+// checkRuns ends the test where a process has ended by itself.
+func (s *site) checkRuns(name string) {
+	s.t.Helper()
+	select {
+	case <-s.processes[name].done:
+		s.t.Fatalf("%s has ended: %v", name, s.processes[name].err)
+	default:
+	}
+}
+
 // kill ends a process in the middle of what it does.
 func (s *site) kill(name string) {
 	s.t.Helper()
@@ -289,6 +300,8 @@
 	text strings.Builder
 	last int
 	done bool
+	// err is why the last connection ended early.
+	err error
 }
 
 // events returns how many events came so far.
@@ -341,6 +354,6 @@
 	r.s.t.Helper()
 	want := faker.Text(r.prompt, r.tokens)
 	if got := r.text.String(); got != want || !r.done || r.last != r.tokens {
-		r.s.t.Errorf("%s: %d of %d events, done %v, %d of %d bytes", r.id, r.last, r.tokens, r.done, len(got), len(want))
+		r.s.t.Errorf("%s: %d of %d events, done %v, %d of %d bytes, last error %v", r.id, r.last, r.tokens, r.done, len(got), len(want), r.err)
 	}
 }
