--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -149,6 +149,7 @@
 	p.cutAll()
 	done := make(chan error)
 	go func() { done <- call() }()
+	awaitSwallowed(t, p.conns[0])
 	var err error
 	for waiting := true; waiting; {
 		select {
@@ -163,9 +164,6 @@
 	if !errors.As(err, &unreachable) {
 		t.Fatalf("call on a silent session gives %v, want an UnreachableError", err)
 	}
-	if p.conns[0].swallowed.Load() == 0 {
-		t.Fatal("the connection did not go silent")
-	}
 	if err := call(); err != nil {
 		t.Errorf("call after a silent session: %v", err)
 	}
@@ -177,13 +175,16 @@
 func TestSlowPeerKeepsItsSession(t *testing.T) {
 	const silences = 10
 	a := newAlarm()
-	release := make(chan struct{})
+	entered, release := make(chan struct{}), make(chan struct{})
 	client, p := pair(t, a, func(ctx context.Context, c *Call) (proto.Message, error) {
+		close(entered)
 		<-release
 		return echo(ctx, c)
 	})
-	done := make(chan error)
+	done := make(chan error, 1)
 	go func() { done <- client.Call(t.Context(), "server", testMethod, &wire.Empty{}, &wire.Frame{}) }()
+	<-entered
+	drain(t, client)
 	for range silences {
 		a.ring() // the ping goes out
 		awaitHeard(t, client, a.Now())
@@ -198,6 +199,34 @@
 	}
 }
 
+// drain returns once the client has read all that the server sent so far: the
+// answer to a ping comes after it.
+func drain(t *testing.T, m *Messenger) {
+	t.Helper()
+	s, err := m.session(t.Context(), "server")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.mux.Ping(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitLimit bounds the wait for an observed condition.
+const awaitLimit = time.Minute
+
+// awaitSwallowed returns once a cut connection has swallowed bytes, which shows
+// that it went silent.
+func awaitSwallowed(t *testing.T, c *cuttable) {
+	t.Helper()
+	for limit := time.Now().Add(awaitLimit); c.swallowed.Load() == 0; {
+		if time.Now().After(limit) {
+			t.Fatal("the connection did not go silent")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // awaitHeard returns once the client's session has read a byte at time now.
 func awaitHeard(t *testing.T, m *Messenger, now time.Time) {
 	t.Helper()
@@ -205,8 +234,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for !s.conn.heardSince(now.Add(-1)) {
-		if t.Context().Err() != nil {
+	for limit := time.Now().Add(awaitLimit); !s.conn.heardSince(now.Add(-1)); {
+		if time.Now().After(limit) {
 			t.Fatal("the ping was not answered")
 		}
 		time.Sleep(time.Millisecond)
--- /dev/null
+++ b/roller/judge_test.go
@@ -0,0 +1,116 @@
+package roller
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cyclamenhub.org/identifier"
+)
+
+const (
+	testRoute  identifier.Route = "POST /drafts"
+	otherRoute identifier.Route = "POST /filings"
+)
+
+var testTime = time.Date(2026, 3, 2, 18, 0, 0, 0, time.UTC)
+
+// newTestJudge returns a judge in a rollout at a level.
+func newTestJudge(l Level, inFlight int) *Judge {
+	j := NewJudge(Source{Host: "a1", Epoch: 1}, "schrijfhulp", "v1", []identifier.Route{testRoute, otherRoute})
+	j.Apply(Directive{
+		Service: "schrijfhulp", Rollout: "move-1", Sequence: 1, Control: "v1", Candidate: "v2",
+		Level: l, InFlight: inFlight, Hosts: 1,
+	}, testTime)
+	return j
+}
+
+// play sends n requests on a route; the candidate fails all of its own. It
+// returns how many the candidate got.
+func play(j *Judge, r identifier.Route, from, n int) int {
+	got := 0
+	for i := range n {
+		t := j.Draw(identifier.RequestID(fmt.Sprint("r-", from+i)), r, LightLoad)
+		o := Succeeded
+		if t.Arm() == Candidate {
+			got++
+			o = Failed
+		}
+		j.Observe(t, Ending{Outcome: o, Latency: time.Second})
+	}
+	return got
+}
+
+func TestJudgeStopsAtOwnVerdict(t *testing.T) {
+	j := newTestJudge(LevelOf(0.1), 0)
+	if play(j, testRoute, 0, 500) == 0 {
+		t.Fatal("the candidate got no request")
+	}
+	if j.Evaluate() == nil {
+		t.Fatal("no verdict on a candidate that fails every request")
+	}
+	if n := play(j, testRoute, 500, 2000); n != 0 {
+		t.Errorf("the candidate got %d requests after the host's own verdict", n)
+	}
+}
+
+func TestJudgeBoundsInFlight(t *testing.T) {
+	const bound = 3
+	j := newTestJudge(LevelOf(0.5), bound)
+	var open []Ticket
+	for i := range 100 {
+		if tk := j.Draw(identifier.RequestID(fmt.Sprint(i)), testRoute, LightLoad); tk.Arm() == Candidate {
+			open = append(open, tk)
+		}
+	}
+	if len(open) != bound {
+		t.Fatalf("%d requests in flight on the candidate, want %d", len(open), bound)
+	}
+	j.Observe(open[0], Ending{Outcome: Succeeded, Latency: time.Second})
+	if n := play(j, testRoute, 100, 100); n == 0 {
+		t.Error("the candidate got no request after a place was free")
+	}
+}
+
+// A host that hears nothing holds its share for a while and then gives it up in
+// steps; a repeated directive brings it back.
+func TestSilentControllerLowersShare(t *testing.T) {
+	j := newTestJudge(TopLevel, 0)
+	d := j.directive
+	var got []Level
+	for _, after := range []time.Duration{silenceLimit / 2, silenceLimit, silenceLimit + silenceStep, time.Hour} {
+		j.Tick(testTime.Add(after))
+		got = append(got, j.table.Load().level)
+	}
+	j.Apply(d, testTime.Add(time.Hour))
+	got = append(got, j.table.Load().level)
+	if diff := cmp.Diff([]Level{TopLevel, TopLevel - 1, TopLevel - 2, NoLevel, TopLevel}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// The bound on requests in flight holds for goroutines that race for the last
+// place.
+func TestInFlightBoundHoldsInARace(t *testing.T) {
+	const bound, goroutines, draws = 5, 8, 500
+	j := newTestJudge(LevelOf(0.5), bound)
+	var got atomic.Int64
+	var wg sync.WaitGroup
+	for g := range goroutines {
+		wg.Go(func() {
+			for i := range draws {
+				if tk := j.Draw(identifier.RequestID(fmt.Sprint(g, "-", i)), testRoute, LightLoad); tk.Arm() == Candidate {
+					got.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if got.Load() != bound {
+		t.Errorf("%d requests in flight on the candidate, want %d", got.Load(), bound)
+	}
+}
