drainer, server: a leaving host refuses new requests once it hands over

A request accepted shortly before the end of a notice could neither finish nor move, if it may run at most once, and would end as unknown. It is now refused as not run, so that its caller takes another host.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -36,8 +36,10 @@
 	Call       CallFunc
 	// SetReady tells the balancer whether to send requests here.
 	SetReady func(ready bool)
-	Clock    timer.Clock
-	Log      *slog.Logger
+	// RefuseNew ends the acceptance of new requests.
+	RefuseNew func()
+	Clock     timer.Clock
+	Log       *slog.Logger
 	// Metrics receives the counters; nil means a set of its own.
 	Metrics *metrics.Set
 }
@@ -74,6 +76,9 @@
 	if opt.SetReady == nil {
 		opt.SetReady = func(bool) {}
 	}
+	if opt.RefuseNew == nil {
+		opt.RefuseNew = func() {}
+	}
 	m := opt.Metrics
 	return &Drainer{
 		opt: opt, events: make(chan Event, maxEvents), done: make(chan struct{}), gone: make(map[identifier.Host]time.Time),
@@ -124,6 +129,8 @@
 	case BecomeUnready:
 		d.opt.Log.Info("host leaving", "host", string(d.opt.Self.Name))
 		d.opt.SetReady(false)
+	case RefuseNew:
+		d.opt.RefuseNew()
 	case Tell:
 		d.tellHosts(x)
 	case Move:
--- a/drainer/plan.go
+++ b/drainer/plan.go
@@ -65,7 +65,7 @@
 func (Tick) isEvent()          {}
 
 // Effect is something to be done. It is one of Avoid, Tell, BecomeUnready,
-// Move, HandOver and TellUnknown.
+// RefuseNew, Move, HandOver and TellUnknown.
 type Effect interface{ isEffect() }
 
 // Avoid tells whether a backend server gets new work.
@@ -84,6 +84,9 @@
 // BecomeUnready tells the balancer to send nothing more.
 type BecomeUnready struct{}
 
+// RefuseNew ends the acceptance of new requests.
+type RefuseNew struct{}
+
 // Move moves a request to another backend server.
 type Move struct{ Request identifier.RequestID }
 
@@ -96,6 +99,7 @@
 func (Avoid) isEffect()         {}
 func (Tell) isEffect()          {}
 func (BecomeUnready) isEffect() {}
+func (RefuseNew) isEffect()     {}
 func (Move) isEffect()          {}
 func (HandOver) isEffect()      {}
 func (TellUnknown) isEffect()   {}
@@ -119,6 +123,7 @@
 	queue    []identifier.RequestID
 	told     map[identifier.RequestID]bool
 	lastTick time.Time
+	refusing bool
 }
 
 // Leaving reports whether this host leaves or stops.
@@ -246,6 +251,10 @@
 	list := slices.Clone(e.Active)
 	sortByLoss(list)
 	var effects []Effect
+	if !p.refusing {
+		p.refusing = true
+		effects = append(effects, RefuseNew{})
+	}
 	p.queue = p.queue[:0]
 	for _, a := range list {
 		switch {
--- a/drainer/plan_test.go
+++ b/drainer/plan_test.go
@@ -15,6 +15,8 @@
 // fleet is a model of the requests that a plan moves.
 type fleet struct {
 	active map[identifier.RequestID]dispatcher.Active
+	// refused counts how often the acceptance of requests ended.
+	refused int
 }
 
 func (f *fleet) list() []dispatcher.Active {
@@ -90,6 +92,9 @@
 				f.perform(t, &p, x, told)
 			}
 		}
+		if f.refused != 1 {
+			t.Fatalf("the acceptance of requests ended %d times", f.refused)
+		}
 		for _, a := range f.active {
 			if a.NonIdempotent && told[a.ID] != 1 || !a.NonIdempotent && !a.Handed {
 				t.Fatalf("%+v was told of %d times", a, told[a.ID])
@@ -111,6 +116,8 @@
 		for _, x := range p.Reduce(HandoverEnded{Request: a.ID, Failed: !a.Handed}) {
 			f.perform(t, p, x, told)
 		}
+	case RefuseNew:
+		f.refused++
 	case TellUnknown:
 		told[x.Request]++
 	default:
--- a/server/stop.go
+++ b/server/stop.go
@@ -14,6 +14,12 @@
 	pollInterval = 20 * time.Millisecond
 )
 
+// RefuseNew refuses every request that comes from now on, as not run.
+func (s *Server) RefuseNew() {
+	s.leaving.Store(true)
+	s.stopping.Store(true)
+}
+
 // Stop ends the server gracefully. Readiness goes first; requests that come
 // before the balancer saw it are still taken; then new ones are refused as not
 // run, and Stop returns once every accepted request has its answer. Where ctx
@@ -24,7 +30,7 @@
 	if !sleep(ctx, s.opt.ReadinessLag) {
 		return ctx.Err()
 	}
-	s.stopping.Store(true)
+	s.RefuseNew()
 	if err := s.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("stopping: %w", err)
 	}
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cyclamenhub.org/internal/faker"
+	"cyclamenhub.org/refuser"
 )
 
 // TestStopCutsNothingOff checks that streams and filings under way when a stop
@@ -57,3 +58,18 @@
 		t.Error("the stopped server still answers")
 	}
 }
+
+// TestRefuseNew checks that new requests are refused as not run, with when to
+// come back, and on a connection that ends.
+func TestRefuseNew(t *testing.T) {
+	p := newPath(t, nil)
+	p.server.RefuseNew()
+	res := p.post("/services/dossier/filings", "{}")
+	f := refusalOf(t, res)
+	if f.Kind() != refuser.Stopping || !f.IsNotRun() || res.Header.Get("Retry-After") == "" || !res.Close {
+		t.Errorf("refusal %v, header %v", f, res.Header)
+	}
+	if len(p.plain.Executions()) != 0 {
+		t.Error("the filing ran")
+	}
+}
