router: bounds without reports, and late servers stand above them

Where no report came in the last 5 s, the free slots of a server are not known, and the rule that a server with free slots is never above its bound kept everything on warm servers. Such servers are bounded by the own requests alone. A server whose first tokens come later than estimated by half the target is above the bound whatever it reports.

--- a/router/choose.go
+++ b/router/choose.go
@@ -57,6 +57,8 @@
 	// hinted is the server thought to hold most of the prefix, hintDepth blocks.
 	hinted    uint32
 	hintDepth int
+	// limit is the first token that makes a group good enough, in seconds.
+	limit float64
 	// strict leaves out suspect servers and the avoided domain.
 	strict bool
 }
@@ -89,7 +91,7 @@
 	if target <= 0 {
 		target = d.r.cfg.FirstTokenTarget
 	}
-	limit := target.Seconds() * spillAt
+	d.limit = target.Seconds() * spillAt
 	var best finalist
 	groups := d.p.plain
 	if d.levels > 0 {
@@ -100,7 +102,7 @@
 		if !ok {
 			continue
 		}
-		if f.first <= limit {
+		if f.first <= d.limit {
 			return f, true
 		}
 		if best.m == nil || f.first < best.first {
--- a/router/event.go
+++ b/router/event.go
@@ -68,13 +68,11 @@
 	if s == nil {
 		return
 	}
-	p := &report{
+	s.report.Store(&report{
 		at:            r.cfg.Clock.Now(),
 		requests:      max(int64(e.Running+e.Waiting)-s.inFlight.Load(), 0),
 		waitingTokens: max(int64(e.WaitingTokens)-s.pending.Load(), 0),
-	}
-	s.report.Store(p)
-	s.others.Store(p.requests)
+	})
 }
 
 // observeCache corrects the guesses of what a server holds.
--- a/router/group.go
+++ b/router/group.go
@@ -17,7 +17,8 @@
 	}
 	if d.levels > 0 {
 		d.byPrefix(g, consider)
-	} else {
+	}
+	if best.m == nil {
 		d.byRandom(g, consider)
 	}
 	return best, best.m != nil
--- a/router/ranking.go
+++ b/router/ranking.go
@@ -8,6 +8,9 @@
 	m     *member
 	score float64
 	load  int64
+	// blind tells that no recent report says what other hosts send there, late
+	// that first tokens came much later than estimated.
+	blind, late bool
 }
 
 // standing is the eligible members of a group with their load.
@@ -26,9 +29,13 @@
 		if !d.eligible(m) {
 			continue
 		}
-		load := m.s.load()
-		s.set = append(s.set, ranked{m: m, load: load})
-		s.load += load
+		t := ranked{m: m, load: m.s.inFlight.Load(), blind: true, late: m.s.excess.value(d.now) > d.limit}
+		if p := m.s.fresh(d.now, d.r.cfg.ReportTTL); p != nil {
+			t.load += p.requests
+			t.blind = false
+		}
+		s.set = append(s.set, t)
+		s.load += t.load
 		s.capacity += float64(m.Concurrency)
 	}
 	return s
@@ -41,15 +48,22 @@
 
 // below reports whether a server's load, with this request, leaves slots free
 // or is at most bound times its part of the load of all, rounded up. It may not
-// wait for a slot while the mean server has one. Some server always is below,
-// since the least loaded stands at or below the mean.
-// Loads are those of all hosts: bounds on each host's own requests would round
-// up on every host, and most hosts have less than one request for a server.
+// wait for a slot while the mean server has one. Loads are those of all hosts:
+// bounds on each host's own requests would round up on every host, and most
+// hosts have less than one request for a server. Where no report tells of the
+// others, nobody knows of free slots, and the own requests are all there is.
+// A server whose first tokens come late is above whatever is said of it.
 func (s *standing) below(bound float64, t *ranked) bool {
+	if t.late {
+		return false
+	}
 	slots := float64(t.m.Concurrency)
 	mean := slots / s.capacity * float64(s.load+1)
 	limit := max(min(math.Ceil(bound*mean), slots), math.Ceil(mean))
-	return float64(t.load+1) <= max(limit, freePart*slots)
+	if !t.blind {
+		limit = max(limit, freePart*slots)
+	}
+	return float64(t.load+1) <= limit
 }
 
 // score is the weight of a server for a key. With servers of unequal size it is
--- a/router/router.go
+++ b/router/router.go
@@ -135,7 +135,6 @@
 	if s.incarnation.Swap(c.Incarnation) < c.Incarnation {
 		s.clear()
 		s.report.Store(nil)
-		s.others.Store(0)
 	}
 	return s
 }
--- a/router/server.go
+++ b/router/server.go
@@ -17,10 +17,9 @@
 	hash uint64
 
 	// inFlight counts this host's requests, pending their prompt tokens whose
-	// first token has not come; others counts the requests of other hosts by
-	// the last report.
-	inFlight, pending, others atomic.Int64
-	report                    atomic.Pointer[report]
+	// first token has not come.
+	inFlight, pending atomic.Int64
+	report            atomic.Pointer[report]
 	// incarnation is that of the latest table; gone is 1 + the one that was
 	// noticed to leave.
 	incarnation, gone atomic.Uint64
@@ -46,9 +45,6 @@
 	suspectDouble = 5
 )
 
-// load counts the server's requests of all hosts, as far as this one knows.
-func (s *server) load() int64 { return s.inFlight.Load() + s.others.Load() }
-
 // strike makes the server suspect, longer with every failure in a row.
 func (s *server) strike(now time.Time) {
 	n := min(s.strikes.Add(1)-1, suspectDouble)
