admitter: a bound on the wait, and a gentler limit

Interactive requests now wait at most half of the first-token target, and the concurrency limit aims at the other half.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -156,7 +156,7 @@
 	if d := c.wait(r, now); d > 0 {
 		return refuser.NotRun(refuser.RateLimited, "customer "+string(r.Customer)+" is above its rate", "come back after the time in Retry-After").After(max(d, minRetryAfter))
 	}
-	w.latest = l.latestStart(r)
+	w.latest = l.latestStart(r, now)
 	wait := l.queueWait(r, c.limits.Weight)
 	if !w.latest.IsZero() && now.Add(wait).After(w.latest) {
 		return tooNear(max(wait, minRetryAfter))
--- a/admitter/config.go
+++ b/admitter/config.go
@@ -54,11 +54,16 @@
 // ServiceLimits bound what this host sends to the backend servers of a service.
 type ServiceLimits struct {
 	Service identifier.Service
-	// FirstTokenTarget bounds the time to the first token for 95 in 100; 0
-	// means that the concurrency limit stands still.
+	// FirstTokenTarget bounds the time from arrival to the first token for 95
+	// in 100. What MaxWait leaves of it, at least half, is the target of the
+	// concurrency limit. 0 means that the limit stands still.
 	FirstTokenTarget time.Duration
 	// Concurrency is the most requests side by side; 0 means 64.
 	Concurrency int
+	// MaxWait bounds the wait of an interactive request for its start, whatever
+	// its deadline: one that waits longer is refused, so that those after it
+	// need not. 0 means half of FirstTokenTarget.
+	MaxWait time.Duration
 }
 
 // CustomerLimits are a customer's part of the fleet.
--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -10,6 +10,7 @@
 type lane struct {
 	service  identifier.Service
 	limit    limit
+	maxWait  time.Duration
 	queue    fairQueue
 	retries  retryBudget
 	inFlight int
@@ -22,9 +23,13 @@
 	if l.Concurrency <= 0 {
 		l.Concurrency = defaultConcurrency
 	}
+	if l.MaxWait <= 0 {
+		l.MaxWait = l.FirstTokenTarget / 2
+	}
 	return &lane{
 		service: l.Service,
-		limit:   newLimit(l.FirstTokenTarget, l.Concurrency),
+		maxWait: l.MaxWait,
+		limit:   newLimit(l.FirstTokenTarget-min(l.MaxWait, l.FirstTokenTarget/2), l.Concurrency),
 		queue:   fairQueue{batchShare: cfg.BatchShare},
 		retries: newRetryBudget(cfg.RetryShare),
 	}
@@ -52,12 +57,20 @@
 }
 
 // latestStart is the last moment at which r can start and still be answered by
-// its deadline, by the recent service time; zero means any.
-func (l *lane) latestStart(r *Request) time.Time {
-	if r.Deadline.IsZero() {
-		return time.Time{}
+// its deadline, by the recent service time, or within the longest wait; zero
+// means any.
+func (l *lane) latestStart(r *Request, now time.Time) time.Time {
+	var latest time.Time
+	if !r.Deadline.IsZero() {
+		latest = r.Deadline.Add(-l.took.duration())
+	}
+	if r.Priority != Interactive || l.maxWait <= 0 {
+		return latest
+	}
+	if w := now.Add(l.maxWait); latest.IsZero() || w.Before(latest) {
+		return w
 	}
-	return r.Deadline.Add(-l.took.duration())
+	return latest
 }
 
 // done takes in how a granted request ended.
--- a/admitter/limit.go
+++ b/admitter/limit.go
@@ -8,7 +8,7 @@
 	minLimit = 1
 	// lowerFactor is what the limit is multiplied by when too many first
 	// tokens came late.
-	lowerFactor = 0.85
+	lowerFactor = 0.95
 	// raiseStep is what a full window of timely first tokens adds, in requests.
 	raiseStep = 1
 	// lateShare is the part of a window that may be late: the target is for 95
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -167,11 +167,12 @@
 	}
 	var sum float64
 	for _, f := range c.active {
-		if f.customer == r.Customer {
+		switch {
+		case f.customer == r.Customer:
 			sum += f.tokens
-			continue
+		case f.start < start:
+			sum += min(f.tokens, (start-f.start)*f.weight+f.waiting[0].cost)
 		}
-		sum += min(f.tokens, max(start-f.start, 0)*f.weight+f.waiting[0].cost)
 	}
 	if r.Priority == Batch {
 		sum += q.classes[Interactive].tokens
--- a/admitter/settings.go
+++ b/admitter/settings.go
@@ -16,7 +16,7 @@
 	for _, s := range services {
 		fresh := newLane(s, &a.cfg)
 		if l, ok := a.lanes[s.Service]; ok {
-			l.limit.target = fresh.limit.target
+			l.limit.target, l.maxWait = fresh.limit.target, fresh.maxWait
 			l.limit.setCeiling(int(fresh.limit.ceiling))
 			fresh = l
 		}
--- a/internal/loadbench/bench.go
+++ b/internal/loadbench/bench.go
@@ -66,6 +66,7 @@
 	b.scheduleArrival()
 	b.scheduleReports()
 	b.scheduleCacheEvents()
+	b.scheduleExpiry()
 	b.after(s.Warmup, b.resetCounters)
 	end := start.Add(s.Warmup + s.Duration)
 	b.runUntil(end)
@@ -138,6 +139,22 @@
 	return since >= 0 && since < b.s.Duration
 }
 
+// expireEvery is how often the admitters refuse what has waited too long.
+const expireEvery = 100 * time.Millisecond
+
+// scheduleExpiry lets the admitters refuse what has waited too long.
+func (b *bench) scheduleExpiry() {
+	if b.s.Admission == nil {
+		return
+	}
+	b.after(expireEvery, func() {
+		b.scheduleExpiry()
+		for _, h := range b.hosts {
+			h.admitter.Expire()
+		}
+	})
+}
+
 // arrive hands a call to its host's admitter, or sends it at once.
 func (b *bench) arrive(h *host, c *call) {
 	b.count(c, func(n *Counts) { n.Offered++ })
--- a/internal/loadbench/stress.go
+++ b/internal/loadbench/stress.go
@@ -22,23 +22,41 @@
 	return s
 }
 
+// protection is what stands between callers and engines in a row of the
+// overload table.
+type protection struct {
+	name      string
+	admission *Admission
+	budget    bool
+}
+
+// protections are the rows for each rate. The unlimited admission has no queue,
+// so that the retry budget is seen alone.
+func protections(f *Fleet) []protection {
+	limited := &Admission{Concurrency: perHost(f), Queued: 200}
+	unlimited := &Admission{Concurrency: 1 << 20, Queued: 1}
+	return []protection{
+		{"all", limited, true},
+		{"no budget", limited, false},
+		{"budget only", unlimited, true},
+		{"none", nil, false},
+	}
+}
+
 // overloadTable raises the load past what the fleet can do.
 func overloadTable(w io.Writer, seed uint64) {
-	fmt.Fprintln(w, "rate\tadmission\tretry budget\tgoodput/s\tin time\tsmall in time\tlarge in time\trefused\tretries/attempt\tp95\t")
-	for _, rate := range []float64{8, 12, 16, 20, 24, 32, 48} {
-		for _, v := range []struct{ admission, budget bool }{{true, true}, {true, false}, {false, false}} {
-			s := underStress(seed, rate)
-			s.Retries.Budget = v.budget
-			if !v.admission {
-				s.Admission = nil
-			}
+	fmt.Fprintln(w, "rate\tprotection\tgoodput/s\tin time\tsmall in time\tlarge in time\trefused\tretries/attempt\tp95\t")
+	for _, rate := range []float64{8, 16, 20, 24, 32, 40, 48} {
+		s := underStress(seed, rate)
+		for _, v := range protections(&s.Fleet) {
+			s.Admission, s.Retries.Budget = v.admission, v.budget
 			r := Run(s)
 			refused := 0
 			for _, n := range r.Refused {
 				refused += n
 			}
-			fmt.Fprintf(w, "%g\t%v\t%v\t%.2f\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%.2f\t%s\t\n",
-				rate, v.admission, v.budget, r.Goodput(), 100*r.InTimeShare(), 100*r.partOf("small"), 100*r.partOf("large"),
+			fmt.Fprintf(w, "%g\t%s\t%.2f\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%.2f\t%s\t\n",
+				rate, v.name, r.Goodput(), 100*r.InTimeShare(), 100*r.partOf("small"), 100*r.partOf("large"),
 				100*float64(refused)/float64(r.Offered), float64(r.Retries)/float64(max(r.Attempts, 1)), ms(r.Quantile(95)))
 		}
 	}
