--- a/router/router_test.go
+++ b/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -191,3 +192,37 @@
 		})
 	})
 }
+
+// TestPropertyBoundedLoad checks that a prefix never brings a server above the
+// bound while reports tell the load of all, whatever the prefixes are.
+func TestPropertyBoundedLoad(t *testing.T) {
+	const slots = 4
+	rapid.Check(t, func(t *rapid.T) {
+		var servers []Candidate
+		for i := range rapid.IntRange(2, 8).Draw(t, "servers") {
+			servers = append(servers, candidate(fmt.Sprintf("w%d", i), "a", 1))
+		}
+		r, _ := newRouter(servers...)
+		load := make(map[identifier.BackendServer]int)
+		total := 0
+		for _, s := range servers {
+			others := rapid.IntRange(0, 10).Draw(t, "others")
+			r.Observe(LoadReport{BackendServer: s.BackendServer, Running: others})
+			load[s.BackendServer] = others
+			total += others
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "requests") {
+			c, err := r.Choose(request(rapid.SampledFrom([]string{"hot", "hot", "cold"}).Draw(t, "guide"), rapid.StringN(1, 2, -1).Draw(t, "own")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			load[c.BackendServer]++
+			total++
+			mean := float64(total) / float64(len(servers))
+			limit := max(int(math.Ceil(defaultBound*mean)), freePart*slots)
+			if load[c.BackendServer] > limit {
+				t.Fatalf("%s holds %d requests, want at most %d with %d on %d servers", c.BackendServer, load[c.BackendServer], limit, total, len(servers))
+			}
+		}
+	})
+}
