--- a/internal/loadbench/scale.go
+++ b/internal/loadbench/scale.go
@@ -28,6 +28,16 @@
 	}
 }
 
+// largeTable is one fleet of 4000 workers and 340 routers in 24 domains.
+func largeTable(w io.Writer, seed uint64) {
+	n := size{4000, 340, 24}
+	fmt.Fprintln(w, "workers\trouters\tdomains\tpolicy\trecomputed\tp50\tp95\tin time\tmost/mean at once\tmost/mean work\t")
+	s := atScale(seed, n, Prefix{})
+	s.Workload.Guides = guidesPerWorker * n.workers / n.domains
+	s.Warmup, s.Duration, s.Deadline = 30*time.Second, 20*time.Second, 10*time.Second
+	writeScale(w, n, s.Policy, Run(s))
+}
+
 // atScale is a run of a fleet of a size.
 func atScale(seed uint64, n size, p Policy) Scenario {
 	s := today(seed, p, Briefs(), ratePerWorker*float64(n.workers))
--- a/internal/loadbench/stress.go
+++ b/internal/loadbench/stress.go
@@ -136,7 +136,7 @@
 	// inTimeGoal is the part of the requests that must be in time.
 	inTimeGoal = 0.95
 	// maxCostRate is the highest rate tried, in requests a second.
-	maxCostRate = 17
+	maxCostRate = 22
 )
 
 // priceTable gives two domains out of four servers at a third of the price and shows where the work goes.
--- a/internal/loadbench/tables.go
+++ b/internal/loadbench/tables.go
@@ -14,6 +14,7 @@
 var tables = map[string]func(w io.Writer, seed uint64){
 	"policies": policiesTable,
 	"scale":    scaleTable,
+	"large":    largeTable,
 	"overload": overloadTable,
 	"signals":  signalsTable,
 	"cost":     costTable,
