--- a/keeper/disk.go
+++ b/keeper/disk.go
@@ -97,6 +97,8 @@
 	k.size = f.size
 	for _, e := range f.effects {
 		switch e := e.(type) {
+		case replicator.SaveCheckpoint:
+			k.floor = f.size
 		case replicator.Send:
 			k.send(e.To, Replication{e.Message})
 		case replicator.SendSnapshot:
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -40,12 +40,15 @@
 	events  []replicator.Event
 	pending job
 	busy    bool
-	size    int64
-	failure error
-	role    replicator.RoleChanged
-	waiters waiters
-	hosts   map[identifier.ReplicaID]identifier.Host
-	found   founding
+	// size is that of the log segment, now and (floor) right after the last
+	// snapshot, and snapshotBytes that of the state.
+	size, floor   int64
+	snapshotBytes int64
+	failure       error
+	role          replicator.RoleChanged
+	waiters       waiters
+	hosts         map[identifier.ReplicaID]identifier.Host
+	found         founding
 
 	lost    *metrics.Counter
 	applied *metrics.Counter
@@ -93,7 +96,7 @@
 		received: make(chan Envelope, maxReceived), ended: make(chan struct{}),
 		jobs: make(chan job, 1), done: make(chan finished, 1),
 		waiters: newWaiters(rand.Uint64()), hosts: make(map[identifier.ReplicaID]identifier.Host),
-		size:    rec.Size(),
+		size: rec.Size(), snapshotBytes: int64(len(found.Stored.Snapshot.Data)),
 		lost:    metrics.GetOrCreateCounter("cyclamen_keeper_messages_dropped_total" + label),
 		applied: metrics.GetOrCreateCounter("cyclamen_keeper_entries_applied_total" + label),
 		asides:  metrics.GetOrCreateCounter("cyclamen_keeper_stepped_aside_total" + label),
--- a/keeper/loop.go
+++ b/keeper/loop.go
@@ -209,12 +209,21 @@
 
 // compact takes a snapshot once the log has grown enough.
 func (k *Keeper) compact() {
-	if k.failure != nil || k.busy && k.pending.seq > 0 {
+	if k.failure != nil || k.busy && k.pending.seq > 0 || !k.isSnapshotDue() {
 		return
 	}
-	n := k.replica.UnsnapshottedEntries()
-	if n >= k.opts.SnapshotEntries || n > 0 && k.size >= k.opts.SnapshotBytes {
-		k.size = 0 // known again once the checkpoint is stored
-		k.step(replicator.Compact{Data: k.opts.StateMachine.Snapshot()})
+	data := k.opts.StateMachine.Snapshot()
+	k.snapshotBytes, k.floor = int64(len(data)), k.size
+	k.step(replicator.Compact{Data: data})
+}
+
+// isSnapshotDue reports whether the log has reached a limit of the options and
+// is as large as the last snapshot. The second part keeps what is written for
+// snapshots below what is written for entries, however large the state is.
+func (k *Keeper) isSnapshotDue() bool {
+	n, grown := k.replica.UnsnapshottedEntries(), k.size-k.floor
+	if n == 0 || grown < k.snapshotBytes {
+		return false
 	}
+	return n >= k.opts.SnapshotEntries || grown >= k.opts.SnapshotBytes
 }
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -43,7 +43,7 @@
 	// Replica configures the replicator. All hosts use the same.
 	Replica replicator.Config
 	// SnapshotEntries and SnapshotBytes are how much the log grows between two
-	// snapshots, whichever comes first.
+	// snapshots, whichever comes first, but no less than the state.
 	SnapshotEntries int
 	SnapshotBytes   int64
 	// MaxWaiting bounds the proposals, and apart from them the reads, that wait
@@ -59,7 +59,7 @@
 // Defaults of Options.
 const (
 	DefaultSnapshotEntries = 4096
-	DefaultSnapshotBytes   = 16 << 20
+	DefaultSnapshotBytes   = 4 << 20
 	DefaultMaxWaiting      = 4096
 )
 
--- a/replicator/config.go
+++ b/replicator/config.go
@@ -39,9 +39,10 @@
 	MaxMessageBytes int
 	// MaxReads bounds the reads that wait for a quorum.
 	MaxReads int
-	// TrailingEntries stay in the log behind a snapshot, so that a member that
-	// lags a little needs no snapshot.
+	// TrailingEntries stay in the log behind a snapshot, within TrailingBytes,
+	// so that a member that lags a little needs no snapshot.
 	TrailingEntries int
+	TrailingBytes   int
 }
 
 // Defaults of Config.
@@ -57,6 +58,7 @@
 	DefaultMaxMessageBytes       = 512 << 10
 	DefaultMaxReads              = 4096
 	DefaultTrailingEntries       = 256
+	DefaultTrailingBytes         = 1 << 20
 )
 
 // withDefaults returns a copy of c in which zero values are replaced.
@@ -72,6 +74,7 @@
 	setDefault(&c.MaxMessageBytes, DefaultMaxMessageBytes)
 	setDefault(&c.MaxReads, DefaultMaxReads)
 	setDefault(&c.TrailingEntries, DefaultTrailingEntries)
+	setDefault(&c.TrailingBytes, DefaultTrailingBytes)
 	return c
 }
 
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -10,13 +10,26 @@
 		return
 	}
 	r.snapshot = Position{r.commit, t}
-	if trailing := identifier.LogIndex(r.cfg.TrailingEntries); r.commit > trailing {
-		r.log.compact(max(r.commit-trailing, r.log.base.Index))
-	}
+	r.log.compact(r.trailingFrom())
 	r.saveCheckpoint(Snapshot{Position: r.snapshot, Members: r.configs.at(r.commit), Data: data})
 	r.configs.forget(r.commit)
 }
 
+// trailingFrom returns the index after which the log stays behind a snapshot of
+// what is committed.
+func (r *Replica) trailingFrom() identifier.LogIndex {
+	entries := r.log.between(r.log.base.Index+1, r.commit)
+	size, n := 0, 0
+	for n < min(len(entries), r.cfg.TrailingEntries) {
+		size += entries[len(entries)-n-1].size()
+		if size > r.cfg.TrailingBytes {
+			break
+		}
+		n++
+	}
+	return r.commit - identifier.LogIndex(n)
+}
+
 // saveCheckpoint stores the snapshot and the whole log.
 func (r *Replica) saveCheckpoint(s Snapshot) {
 	r.emit(SaveCheckpoint{Seq: r.saves.next(r.log.last().Index), Stored: Stored{
