--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -75,6 +75,8 @@
 	c.peers.Attach(k)
 	m.Handle(proposeMethod, c.handlePropose)
 	m.Handle(viewMethod, c.handleView)
+	m.Handle(membersMethod, c.handleMembers)
+	m.Handle(changeMembersMethod, c.handleChangeMembers)
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"cyclamenhub.org/administrator"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/keeper"
+	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/replicator"
+)
+
+var _ administrator.MemberBackend = (*control)(nil)
+
+// The methods about members that keepers answer.
+const (
+	membersMethod       messenger.Method = "control.members"
+	changeMembersMethod messenger.Method = "control.changeMembers"
+)
+
+// Members tells which replicas the control log has.
+func (c *control) Members(ctx context.Context) (administrator.Members, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var resp wire.MembersResponse
+	if c.keeper == nil {
+		if err := c.ask(ctx, membersMethod, &wire.Empty{}, &resp); err != nil {
+			return administrator.Members{}, err
+		}
+		return c.membersOf(&resp)
+	}
+	m, err := c.readMembers(ctx)
+	if err != nil {
+		return administrator.Members{}, err
+	}
+	return c.membersOf(m)
+}
+
+// readMembers reads the members here, as of now.
+func (c *control) readMembers(ctx context.Context) (*wire.MembersResponse, error) {
+	if err := c.keeper.Read(ctx); err != nil {
+		return nil, err
+	}
+	s := c.keeper.Status()
+	return &wire.MembersResponse{Term: uint64(s.Term), Leader: uint64(s.Leader), Members: s.Members.Encode()}, nil
+}
+
+// membersOf returns the operators' form of a keeper's answer.
+func (c *control) membersOf(resp *wire.MembersResponse) (administrator.Members, error) {
+	list, err := replicator.DecodeMembers(resp.GetMembers())
+	out := administrator.Members{Term: identifier.Term(resp.GetTerm())}
+	for _, m := range list {
+		h, _ := c.cfg.HostNamed(m.Host)
+		out.Members = append(out.Members, administrator.Member{
+			Replica: m.ID, Host: m.Host, FailureDomain: h.FailureDomain,
+			Voter: m.Voter, Leader: uint64(m.ID) == resp.GetLeader(),
+		})
+	}
+	return out, err
+}
+
+// ChangeMembers makes one change of membership.
+func (c *control) ChangeMembers(ctx context.Context, m administrator.MemberChange) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var change replicator.Change
+	switch m.Action {
+	case administrator.AddMember:
+		change = replicator.AddLearner{ID: m.Replica, Host: m.Host}
+	case administrator.PromoteMember:
+		change = replicator.Promote{ID: m.Replica}
+	case administrator.RemoveMember:
+		change = replicator.Remove{ID: m.Replica}
+	}
+	if c.keeper != nil {
+		return c.keeper.ChangeMembers(ctx, change)
+	}
+	return c.ask(ctx, changeMembersMethod, &wire.ChangeMembersRequest{Change: keeper.EncodeChange(change)}, &wire.Empty{})
+}
+
+// handleMembers answers another host's question for the members.
+func (c *control) handleMembers(ctx context.Context, _ *messenger.Call) (proto.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return c.readMembers(ctx)
+}
+
+// handleChangeMembers makes another host's change of members.
+func (c *control) handleChangeMembers(ctx context.Context, call *messenger.Call) (proto.Message, error) {
+	var req wire.ChangeMembersRequest
+	if err := call.Decode(&req); err != nil {
+		return nil, err
+	}
+	change, err := keeper.DecodeChange(req.GetChange())
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return &wire.Empty{}, c.keeper.ChangeMembers(ctx, change)
+}
--- a/keeper/codec.go
+++ b/keeper/codec.go
@@ -20,7 +20,7 @@
 		w.Message = &wire.ReplicationEnvelope_Announce{Announce: &wire.ReplicationAnnounce{Founded: p.Founded, Answer: p.Answer}}
 	case Forward:
 		w.Message = &wire.ReplicationEnvelope_Forward{Forward: &wire.ReplicationForward{
-			Id: p.ID, Data: p.Data, Change: encodeChange(p.Change),
+			Id: p.ID, Data: p.Data, Change: EncodeChange(p.Change),
 		}}
 	case ForwardAnswer:
 		w.Message = &wire.ReplicationEnvelope_ForwardAnswer{ForwardAnswer: &wire.ReplicationForwardAnswer{Id: p.ID, Result: p.Result, Refusal: p.Refusal}}
@@ -99,7 +99,7 @@
 	case *wire.ReplicationEnvelope_Forward:
 		f := Forward{ID: m.Forward.GetId(), Data: m.Forward.GetData()}
 		var err error
-		f.Change, err = decodeChange(m.Forward.GetChange())
+		f.Change, err = DecodeChange(m.Forward.GetChange())
 		return f, err
 	case *wire.ReplicationEnvelope_ForwardAnswer:
 		a := m.ForwardAnswer
@@ -110,8 +110,8 @@
 	}
 }
 
-// encodeChange returns the protobuf form of c, or nil for none.
-func encodeChange(c replicator.Change) *wire.ReplicationChange {
+// EncodeChange returns the protobuf form of c, or nil for none.
+func EncodeChange(c replicator.Change) *wire.ReplicationChange {
 	switch c := c.(type) {
 	case replicator.AddLearner:
 		return &wire.ReplicationChange{Kind: wire.ReplicationChange_ADD_LEARNER, Replica: uint64(c.ID), Host: string(c.Host)}
@@ -124,8 +124,8 @@
 	}
 }
 
-// decodeChange returns and checks the change in w, or nil if there is none.
-func decodeChange(w *wire.ReplicationChange) (replicator.Change, error) {
+// DecodeChange returns and checks what EncodeChange returned.
+func DecodeChange(w *wire.ReplicationChange) (replicator.Change, error) {
 	if w == nil {
 		return nil, nil
 	}
