--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -83,6 +83,8 @@
 	m.Handle(proposeMethod, c.handlePropose)
 	m.Handle(viewMethod, c.handleView)
 	m.Handle(rolloutReportMethod, c.handleReport)
+	m.Handle(membersMethod, c.handleMembers)
+	m.Handle(changeMembersMethod, c.handleChangeMembers)
 	return c, nil
 }
 
