--- a/internal/rolloutbench/run.go
+++ b/internal/rolloutbench/run.go
@@ -79,6 +79,9 @@
 // over reports whether nothing more can happen.
 func (r *runner) over(now time.Time) bool {
 	out := r.p.outcome()
+	if !out.done.IsZero() && now.Sub(start) > r.s.Deadline+watch {
+		return true
+	}
 	if out.reverted.IsZero() {
 		return false
 	}
--- a/internal/rolloutbench/scenario.go
+++ b/internal/rolloutbench/scenario.go
@@ -155,8 +155,8 @@
 	s.cuts = []span{{from: from, to: from.Add(long), domain: rng.IntN(numDomains)}}
 }
 
-// end is when the run is over.
-func (s *Scenario) end() time.Time { return start.Add(s.Deadline + watch + time.Minute) }
+// end is when the run is over at the latest: a watch period may last twofold.
+func (s *Scenario) end() time.Time { return start.Add(s.Deadline + 2*watch + time.Minute) }
 
 // warmUp is how long the fleet runs before the rollout begins.
 func (s *Scenario) warmUp() time.Duration {
