daemon: claims by a majority, exceptions in force, reports at the leader

Need: the claims of idempotency keys were held in one process's memory, so that another entry host ran the same action again; exceptions were accepted and not in force; and a host that is no keeper showed only its own domain's revisions.

Claim groups run beside the control log on the keepers, one by default and up to 64 by claimGroups in the settings.

--- a/configurer/inspectsettings.go
+++ b/configurer/inspectsettings.go
@@ -22,6 +22,9 @@
 	}
 	s.inspectHosts(in)
 	s.inspectKeepers(in)
+	if s.ClaimGroups < 0 || s.ClaimGroups > MaxClaimGroups {
+		in.add("claimGroups", fmt.Sprintf("%d is out of bounds", s.ClaimGroups), fmt.Sprintf("write 1 to %d, the same on all hosts", MaxClaimGroups))
+	}
 	switch s.Log.Format {
 	case "", "text", "json":
 	default:
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -22,6 +22,9 @@
 	Hosts []HostAddress `json:"hosts"`
 	// Keepers names the hosts that keep the control log. Their number is odd.
 	Keepers []identifier.Host `json:"keepers"`
+	// ClaimGroups is the number of groups that the claims of idempotency keys
+	// are divided among, 0 to 64; 0 means 1. It is the same on all hosts.
+	ClaimGroups int `json:"claimGroups,omitempty"`
 	// DataFolder holds the durable state of a keeper.
 	DataFolder string `json:"dataFolder,omitempty"`
 	// InitialFleet is a file with the fleet document that an empty control log
@@ -103,6 +106,12 @@
 	return HostAddress{}, false
 }
 
+// MaxClaimGroups bounds Settings.ClaimGroups.
+const MaxClaimGroups = 64
+
+// ClaimGroupCount returns the number of claim groups.
+func (s *Settings) ClaimGroupCount() int { return max(s.ClaimGroups, 1) }
+
 // IsKeeper reports whether this process keeps the control log.
 func (s *Settings) IsKeeper() bool {
 	return slices.Contains(s.Keepers, s.Host)
--- a/distributor/reports.go
+++ b/distributor/reports.go
@@ -100,3 +100,21 @@
 		HeardAt:       now.Add(-time.Duration(max(w.HeardAgoMs, 0)) * time.Millisecond),
 	}
 }
+
+// EncodeReports returns the form of reports that is sent at now.
+func EncodeReports(now time.Time, rs []Report) []*wire.HostReport {
+	out := make([]*wire.HostReport, len(rs))
+	for i, r := range rs {
+		out[i] = encodeReport(now, r)
+	}
+	return out
+}
+
+// DecodeReports returns the reports that arrived at now.
+func DecodeReports(now time.Time, ws []*wire.HostReport) []Report {
+	out := make([]Report, len(ws))
+	for i, w := range ws {
+		out[i] = decodeReport(now, w)
+	}
+	return out
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -11,7 +11,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"cyclamenhub.org/administrator"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/identifier"
@@ -83,6 +82,7 @@
 	m.Handle(proposeMethod, c.handlePropose)
 	m.Handle(viewMethod, c.handleView)
 	m.Handle(rolloutReportMethod, c.handleReport)
+	m.Handle(reportsMethod, c.handleReports)
 	m.Handle(membersMethod, c.handleMembers)
 	m.Handle(changeMembersMethod, c.handleChangeMembers)
 	return c, nil
@@ -184,20 +184,8 @@
 	return s.View(), nil
 }
 
-// HostRevisions returns which host has which revision in force.
-func (c *control) HostRevisions(context.Context) []administrator.HostRevision {
-	rs := c.dist.Reports()
-	out := make([]administrator.HostRevision, len(rs))
-	for i, r := range rs {
-		out[i] = administrator.HostRevision{
-			Host: r.Host, FailureDomain: r.FailureDomain, Revision: r.Revision, Since: r.InForceSince,
-		}
-	}
-	return out
-}
-
 // ask makes a call to the keepers in turn, until one answers. A call that may
-// have taken effect is repeated only because events carry change ids.
+// have taken effect is repeated only because entries carry ids.
 func (c *control) ask(ctx context.Context, method messenger.Method, req, resp proto.Message) error {
 	var last error
 	for _, k := range c.cfg.Keepers {
@@ -214,7 +202,7 @@
 		last = errors.New("no keeper is listed")
 	}
 	return refuser.MayHaveRun(refuser.NoMajority, "no keeper answers: "+last.Error(),
-		"look at the change with 'cyclamenctl config history', then send it again under the same change id")
+		"check 'cyclamenctl members list' on a keeper; a change may be sent again under the same change id")
 }
 
 // isKeeperAway reports whether another keeper may know better than the one that
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,9 +15,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"cyclamenhub.org/administrator"
+	"cyclamenhub.org/claimer"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/distributor"
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/roller"
 	"cyclamenhub.org/server"
@@ -48,6 +50,8 @@
 	messenger *messenger.Messenger
 	dist      *distributor.Distributor
 	control   *control
+	claims    *claims
+	follower  *configurer.Follower
 	judges    *roller.Judges
 	tables    atomic.Pointer[dispatcher.Table]
 	callers   *server.Server
@@ -67,9 +71,10 @@
 	d := &Daemon{cfg: cfg, log: opts.Log, clock: opts.Clock}
 	d.messenger = messenger.New(messenger.Options{Host: cfg.Host, Clock: opts.Clock})
 	d.judges = newJudges(cfg, opts.Clock.Now())
+	d.follower = configurer.NewFollower(opts.Clock, d.putInForce)
 	upstreams := upstreamsOf(cfg)
 	d.dist = distributor.New(distributor.Options{
-		Self: cfg.Self(), Upstreams: func() []string { return upstreams },
+		Self: cfg.Self(), Upstreams: func() []string { return d.control.leaderFirst(upstreams) },
 		Call: d.messenger.Call, OnNews: d.takeTopic, Clock: opts.Clock,
 	})
 	d.dist.Register(d.messenger)
@@ -78,6 +83,10 @@
 		return nil, err
 	}
 	d.control = c
+	if d.claims, err = newClaims(c, opts); err != nil {
+		c.close()
+		return nil, err
+	}
 	d.callers = d.newCallers()
 	if err := d.listen(); err != nil {
 		d.Close()
@@ -93,6 +102,7 @@
 		Dispatcher: dispatcher.New(dispatcher.Options{
 			Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
 			Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain, Draw: d.drawVersion,
+			Claimer: claimer.NewReplicatedClaimer(d.claims, d.cfg.ClaimGroupCount()),
 		}),
 		Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
 	})
@@ -128,6 +138,7 @@
 		}
 	}
 	d.messenger.Close()
+	d.claims.close()
 	d.control.close()
 }
 
@@ -158,6 +169,8 @@
 	d.dist.Start(ctx)
 	wg.Go(func() { d.control.confirm(background) })
 	wg.Go(func() { d.dist.Run(background) })
+	wg.Go(func() { d.follower.Run(background) })
+	wg.Go(func() { d.claims.run(background) })
 	wg.Go(func() { d.control.runRollouts(background, d.clock.Now) })
 	wg.Go(func() { d.runJudges(background) })
 	d.log.Info("serving", "host", d.cfg.Host, "failureDomain", d.cfg.FailureDomain,
@@ -213,14 +226,17 @@
 	default:
 		return nil
 	}
-	f, err := configurer.DecodeFleet(t.Body)
+	err := d.follower.Take(t.Revision, t.Body)
 	if err != nil {
 		d.log.Error("configuration not in force", "revision", t.Revision, "error", err)
-		return err
 	}
+	return err
+}
+
+// putInForce puts a configuration in force, exceptions applied.
+func (d *Daemon) putInForce(revision identifier.Revision, f *configurer.Fleet) {
 	configureJudges(d.judges, f)
 	d.tables.Store(dispatcher.NewTable(f))
 	d.callers.SetReady(true)
-	d.log.Info("configuration in force", "revision", t.Revision)
-	return nil
+	d.log.Info("configuration in force", "revision", revision)
 }
