--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,13 +11,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"cyclamenhub.org/administrator"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/distributor"
+	"cyclamenhub.org/drainer"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/server"
 	"cyclamenhub.org/timer"
@@ -48,6 +47,7 @@
 	dist      *distributor.Distributor
 	control   *control
 	tables    atomic.Pointer[dispatcher.Table]
+	drainer   *drainer.Drainer
 	callers   *server.Server
 
 	peerLn, callerLn, operatorLn net.Listener
@@ -83,20 +83,6 @@
 	return d, nil
 }
 
-// newCallers returns the interface for callers, not ready yet.
-func (d *Daemon) newCallers() *server.Server {
-	set := metrics.GetDefaultSet()
-	s := server.New(server.Options{
-		Dispatcher: dispatcher.New(dispatcher.Options{
-			Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
-			Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain,
-		}),
-		Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
-	})
-	s.SetReady(false)
-	return s
-}
-
 // listen opens the listening addresses.
 func (d *Daemon) listen() error {
 	for _, l := range []struct {
@@ -155,6 +141,7 @@
 	d.dist.Start(ctx)
 	wg.Go(func() { d.control.confirm(background) })
 	wg.Go(func() { d.dist.Run(background) })
+	wg.Go(func() { d.drainer.Run(background) })
 	d.log.Info("serving", "host", d.cfg.Host, "failureDomain", d.cfg.FailureDomain,
 		"callers", d.CallerAddress(), "operators", d.OperatorAddress(), "revision", d.dist.Revision(distributor.FleetTopic))
 	return d.serveHTTP(ctx)
@@ -162,7 +149,7 @@
 
 // serveHTTP serves callers and operators until ctx ends.
 func (d *Daemon) serveHTTP(ctx context.Context) error {
-	operators := newOperatorServer(administrator.New(d.control, d.cfg.Operators.Tokens, d.clock, d.log))
+	operators := newOperatorServer(d.operatorHandler())
 	g, failed := errgroup.WithContext(context.Background())
 	g.Go(func() error { return d.callers.Serve(d.callerLn) })
 	g.Go(func() error { return ignoreClosed(operators.Serve(d.operatorLn)) })
@@ -171,6 +158,7 @@
 	case <-failed.Done():
 	}
 	d.log.Info("stopping", "host", d.cfg.Host)
+	d.drainer.HostStops()
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err := errors.Join(d.callers.Stop(stopCtx), operators.Shutdown(stopCtx), g.Wait(), failureOf(ctx))
@@ -210,7 +198,9 @@
 		return err
 	}
 	d.tables.Store(dispatcher.NewTable(f))
-	d.callers.SetReady(true)
+	if !d.drainer.Leaving() {
+		d.callers.SetReady(true)
+	}
 	d.log.Info("configuration in force", "revision", t.Revision)
 	return nil
 }
