--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -21,7 +21,8 @@
 	})
 	d.drainer = drainer.New(drainer.Options{
 		Self: d.cfg.Self(), Hosts: d.cfg.Hosts, Dispatcher: work, Call: d.messenger.Call,
-		SetReady: func(ready bool) { d.callers.SetReady(ready) }, Clock: d.clock, Log: d.log, Metrics: set,
+		SetReady: func(ready bool) { d.callers.SetReady(ready) }, RefuseNew: func() { d.callers.RefuseNew() },
+		Clock: d.clock, Log: d.log, Metrics: set,
 	})
 	d.drainer.Register(d.messenger)
 	s := server.New(server.Options{
