--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -10,6 +10,7 @@
 type lane struct {
 	service  identifier.Service
 	limit    limit
+	maxWait  time.Duration
 	queue    fairQueue
 	retries  retryBudget
 	inFlight int
@@ -22,16 +23,21 @@
 	if l.Concurrency <= 0 {
 		l.Concurrency = defaultConcurrency
 	}
+	if l.MaxWait <= 0 {
+		l.MaxWait = l.FirstTokenTarget / 2
+	}
 	return &lane{
 		service: l.Service,
-		limit:   newLimit(l.FirstTokenTarget, l.Concurrency),
+		maxWait: l.MaxWait,
+		limit:   newLimit(l.FirstTokenTarget-min(l.MaxWait, l.FirstTokenTarget/2), l.Concurrency),
 		queue:   fairQueue{batchShare: cfg.BatchShare},
 		retries: newRetryBudget(cfg.RetryShare),
 	}
 }
 
-// queueWait estimates how long r would wait to start: the tokens ahead of it
-// over the recent rate, which is limit × cost / took (Little's law).
+// queueWait estimates how long r would wait to start: the tokens ahead of it,
+// and on average half a request until the next one ends, over the recent rate,
+// which is limit × cost / took (Little's law).
 func (l *lane) queueWait(r *Request, weight float64) time.Duration {
 	if l.queue.length == 0 && float64(l.inFlight)+1 <= l.limit.value {
 		return 0
@@ -40,7 +46,7 @@
 		return 0
 	}
 	perToken := l.took.value / (l.limit.value * l.cost.value)
-	return seconds((l.queue.ahead(r, weight) + l.cost.value) * perToken)
+	return seconds((l.queue.ahead(r, weight) + l.cost.value/2) * perToken)
 }
 
 // drainTime estimates how long the whole queue takes.
@@ -52,12 +58,20 @@
 }
 
 // latestStart is the last moment at which r can start and still be answered by
-// its deadline, by the recent service time; zero means any.
-func (l *lane) latestStart(r *Request) time.Time {
-	if r.Deadline.IsZero() {
-		return time.Time{}
+// its deadline, by the recent service time, or within the longest wait; zero
+// means any.
+func (l *lane) latestStart(r *Request, now time.Time) time.Time {
+	var latest time.Time
+	if !r.Deadline.IsZero() {
+		latest = r.Deadline.Add(-l.took.duration())
+	}
+	if r.Priority != Interactive || l.maxWait <= 0 {
+		return latest
+	}
+	if w := now.Add(l.maxWait); latest.IsZero() || w.Before(latest) {
+		return w
 	}
-	return r.Deadline.Add(-l.took.duration())
+	return latest
 }
 
 // done takes in how a granted request ended.
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -17,7 +17,7 @@
 	set := metrics.GetDefaultSet()
 	work := dispatcher.New(dispatcher.Options{
 		Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
-		Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain,
+		Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain, Draw: d.drawVersion,
 	})
 	d.drainer = drainer.New(drainer.Options{
 		Self: d.cfg.Self(), Hosts: d.cfg.Hosts, Dispatcher: work, Call: d.messenger.Call,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/drainer"
 	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/roller"
 	"cyclamenhub.org/server"
 	"cyclamenhub.org/timer"
 )
@@ -46,6 +47,7 @@
 	messenger *messenger.Messenger
 	dist      *distributor.Distributor
 	control   *control
+	judges    *roller.Judges
 	tables    atomic.Pointer[dispatcher.Table]
 	drainer   *drainer.Drainer
 	callers   *server.Server
@@ -64,6 +66,7 @@
 	}
 	d := &Daemon{cfg: cfg, log: opts.Log, clock: opts.Clock}
 	d.messenger = messenger.New(messenger.Options{Host: cfg.Host, Clock: opts.Clock})
+	d.judges = newJudges(cfg, opts.Clock.Now())
 	upstreams := upstreamsOf(cfg)
 	d.dist = distributor.New(distributor.Options{
 		Self: cfg.Self(), Upstreams: func() []string { return upstreams },
@@ -142,6 +145,8 @@
 	wg.Go(func() { d.control.confirm(background) })
 	wg.Go(func() { d.dist.Run(background) })
 	wg.Go(func() { d.drainer.Run(background) })
+	wg.Go(func() { d.control.runRollouts(background, d.clock.Now) })
+	wg.Go(func() { d.runJudges(background) })
 	d.log.Info("serving", "host", d.cfg.Host, "failureDomain", d.cfg.FailureDomain,
 		"callers", d.CallerAddress(), "operators", d.OperatorAddress(), "revision", d.dist.Revision(distributor.FleetTopic))
 	return d.serveHTTP(ctx)
@@ -189,7 +194,11 @@
 
 // takeTopic puts a newer distributed document in force.
 func (d *Daemon) takeTopic(t distributor.Topic) error {
-	if t.Name != distributor.FleetTopic {
+	switch t.Name {
+	case distributor.FleetTopic:
+	case rolloutTopic:
+		return d.judges.Obey(t.Body, d.clock.Now())
+	default:
 		return nil
 	}
 	f, err := configurer.DecodeFleet(t.Body)
@@ -197,6 +206,7 @@
 		d.log.Error("configuration not in force", "revision", t.Revision, "error", err)
 		return err
 	}
+	configureJudges(d.judges, f)
 	d.tables.Store(dispatcher.NewTable(f))
 	if !d.drainer.Leaving() {
 		d.callers.SetReady(true)
--- a/reducer/codec.go
+++ b/reducer/codec.go
@@ -19,6 +19,9 @@
 	typeAddException        = "addException"
 	typeRemoveException     = "removeException"
 	typeRecordAction        = "recordAction"
+	typeRollout             = "rollout"
+	typeStartRollout        = "startRollout"
+	typeRevertRollout       = "revertRollout"
 	typeRecordRefusal       = "recordRefusal"
 	typeAccepted            = "accepted"
 	typeConflict            = "conflict"
@@ -50,6 +53,8 @@
 		return encode(typeRemoveException, ev)
 	case RecordAction:
 		return encode(typeRecordAction, ev)
+	case Rollout:
+		return encodeRollout(ev)
 	case RecordRefusal:
 		return encode(typeRecordRefusal, ev)
 	default:
@@ -72,6 +77,8 @@
 		return decode[RemoveException](e)
 	case typeRecordAction:
 		return decode[RecordAction](e)
+	case typeRollout:
+		return decodeRollout(e)
 	case typeRecordRefusal:
 		return decode[RecordRefusal](e)
 	default:
--- a/roller/judges.go
+++ b/roller/judges.go
@@ -57,19 +57,27 @@
 	js.pace[s] = &pace{}
 }
 
-// Draw returns which version a request goes to. Retry tells that it is a
-// further attempt, see Judge.DrawRetry. For an unknown service the ticket names
-// no version.
-func (js *Judges) Draw(s identifier.Service, id identifier.RequestID, r identifier.Route, b Band, retry bool) Ticket {
+// Draw returns which version a request goes to. For an unknown service the
+// ticket names no version.
+//
+// Only the first attempt at a request may be drawn, since attempts at one
+// request may fail for one reason. Further ones go to the present version.
+func (js *Judges) Draw(s identifier.Service, id identifier.RequestID, r identifier.Route, b Band) Ticket {
 	j, ok := (*js.read.Load())[s]
-	switch {
-	case !ok:
+	if !ok {
 		return Ticket{}
-	case retry:
-		return j.DrawRetry(id, r, b)
-	default:
-		return j.Draw(id, r, b)
 	}
+	return j.Draw(id, r, b)
+}
+
+// Present returns the present version of a service, or configured where the
+// service is not known.
+func (js *Judges) Present(s identifier.Service, configured identifier.Version) identifier.Version {
+	j, ok := (*js.read.Load())[s]
+	if !ok {
+		return configured
+	}
+	return j.table.Load().trial.control
 }
 
 // Obey applies the directives of a document that EncodeDirectives made.
--- a/roller/judges_test.go
+++ b/roller/judges_test.go
@@ -11,7 +11,7 @@
 
 // drawn returns the version that a request to the service goes to.
 func drawn(js *Judges) identifier.Version {
-	t := js.Draw("drafting", "r-1", testRoute, LightLoad, false)
+	t := js.Draw("drafting", "r-1", testRoute, LightLoad)
 	t.End(Ending{})
 	return t.Version()
 }
