--- a/configurer/fleet.go
+++ b/configurer/fleet.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -10,16 +11,22 @@
 
 // Fleet is the document that all hosts share.
 type Fleet struct {
-	Defaults   Defaults    `json:"defaults"`
-	Exceptions []Exception `json:"exceptions"`
+	// Defaults hold unless an exception overrides them.
+	Defaults Defaults `json:"defaults"`
+	// Exceptions lists what overrides a default, and why.
+	Exceptions []Exception `json:"exceptions,omitempty"`
 }
 
 // Defaults hold for the whole fleet.
 type Defaults struct {
-	Services       []Service       `json:"services"`
-	BackendServers []BackendServer `json:"backendServers"`
-	Customers      []Customer      `json:"customers"`
-	Limits         Limits          `json:"limits"`
+	// Services lists what the backend servers offer.
+	Services []Service `json:"services,omitempty"`
+	// BackendServers lists the instances of every service.
+	BackendServers []BackendServer `json:"backendServers,omitempty"`
+	// Customers lists who may send requests.
+	Customers []Customer `json:"customers,omitempty"`
+	// Limits bound what each process holds.
+	Limits Limits `json:"limits"`
 }
 
 // ServiceKind tells how a service is spoken to.
@@ -35,13 +42,17 @@
 
 // Service is a set of backend servers that answer the same calls.
 type Service struct {
-	Name    identifier.Service `json:"name"`
-	Kind    ServiceKind        `json:"kind"`
+	// Name is the service's own.
+	Name identifier.Service `json:"name"`
+	// Kind is "model" or "plain".
+	Kind ServiceKind `json:"kind"`
+	// Version is the present version.
 	Version identifier.Version `json:"version"`
 	// FirstTokenTarget bounds the time to the first token, or to the answer of
 	// a plain service, for 95 in 100 requests.
 	FirstTokenTarget Duration `json:"firstTokenTarget"`
-	// BetweenTokensTarget bounds the time between tokens for 95 in 100.
+	// BetweenTokensTarget bounds the time between tokens for 95 in 100; 0 means
+	// no bound.
 	BetweenTokensTarget Duration `json:"betweenTokensTarget,omitempty"`
 	// Deadline is that of a request that names none.
 	Deadline Duration `json:"deadline"`
@@ -52,11 +63,16 @@
 
 // BackendServer is one model engine or plain service instance.
 type BackendServer struct {
-	Name          identifier.BackendServer `json:"name"`
-	Service       identifier.Service       `json:"service"`
-	Version       identifier.Version       `json:"version"`
+	// Name is the backend server's own.
+	Name identifier.BackendServer `json:"name"`
+	// Service is what it is an instance of.
+	Service identifier.Service `json:"service"`
+	// Version is the version it runs.
+	Version identifier.Version `json:"version"`
+	// FailureDomain is where it stands.
 	FailureDomain identifier.FailureDomain `json:"failureDomain"`
-	Address       string                   `json:"address"`
+	// Address is where it answers, as in "10.0.0.11:9000".
+	Address string `json:"address"`
 	// Concurrency is how many requests it runs side by side.
 	Concurrency int `json:"concurrency"`
 	// Price is its cost per hour, in the fleet's currency.
@@ -67,8 +83,10 @@
 
 // Customer is an organisation that sends requests.
 type Customer struct {
-	Name      identifier.Customer `json:"name"`
-	KeyHashes []KeyHash           `json:"keyHashes"`
+	// Name is the customer's own.
+	Name identifier.Customer `json:"name"`
+	// KeyHashes lists the stored forms of its keys.
+	KeyHashes []KeyHash `json:"keyHashes"`
 	// Weight is its part in the fair queue; 0 means 1.
 	Weight float64 `json:"weight,omitempty"`
 	// RequestsPerSecond bounds its rate over the fleet; 0 means no bound.
@@ -89,32 +107,29 @@
 	ClaimHorizon Duration `json:"claimHorizon"`
 }
 
-// Exception overrides one default, with a written reason.
-type Exception struct {
-	// Name identifies the exception.
-	Name string `json:"name"`
-	// Path is the overridden field, as in
-	// "customers/foodbank/requestsPerSecond".
-	Path string `json:"path"`
-	// Value is what stands there instead.
-	Value json.RawMessage `json:"value"`
-	// Reason says why, in the operator's words.
-	Reason string `json:"reason"`
-	// Ends is when the exception lapses, in RFC 3339; empty means never.
-	Ends string `json:"ends,omitempty"`
+// LoadFleet decodes an accepted fleet document, which was checked in full
+// before it was proposed. It ignores fields that this version does not know,
+// since a newer one may have accepted them, and checks the values it uses.
+func LoadFleet(b []byte) (*Fleet, error) {
+	var f Fleet
+	if err := json.Unmarshal(b, &f); err != nil {
+		return nil, fmt.Errorf("accepted fleet document: %w: upgrade this host", err)
+	}
+	var in inspector
+	f.inspect(&in)
+	if err := in.err("accepted fleet document"); err != nil {
+		return nil, err
+	}
+	return &f, nil
 }
 
-// DecodeFleet decodes and checks a fleet document.
+// DecodeFleet decodes and checks a fleet document from an operator. Unknown
+// and repeated fields are faults, and all faults are reported at once.
 func DecodeFleet(b []byte) (*Fleet, error) {
 	var f Fleet
 	if err := decodeStrict("fleet", b, &f); err != nil {
 		return nil, err
 	}
-	var in inspector
-	f.inspect(&in)
-	if err := in.err("fleet"); err != nil {
-		return nil, err
-	}
 	return &f, nil
 }
 
@@ -122,12 +137,22 @@
 func (f *Fleet) Encode() []byte {
 	b, err := json.MarshalIndent(f, "", "  ")
 	if err != nil {
-		// Every field has a marshalable type.
+		// Every field of a checked document can be encoded.
 		panic(fmt.Sprintf("fleet document: %v", err))
 	}
 	return append(b, '\n')
 }
 
+// Indent returns a fleet document as an operator edits it.
+func Indent(document []byte) ([]byte, error) {
+	var b bytes.Buffer
+	if err := json.Indent(&b, document, "", "  "); err != nil {
+		return nil, fmt.Errorf("fleet document: %w: fetch it again", err)
+	}
+	b.WriteByte('\n')
+	return b.Bytes(), nil
+}
+
 // Service returns the service with that name.
 func (d *Defaults) Service(name identifier.Service) (Service, bool) {
 	i := slices.IndexFunc(d.Services, func(s Service) bool { return s.Name == name })
@@ -141,64 +166,3 @@
 func (s *Service) IsNonIdempotent(r identifier.Route) bool {
 	return slices.Contains(s.NonIdempotentRoutes, r)
 }
-
-// inspect records every fault of f.
-func (f *Fleet) inspect(in *inspector) {
-	for i, s := range f.Defaults.Services {
-		s.inspect(in, fmt.Sprintf("defaults.services[%d]", i))
-	}
-	for i, b := range f.Defaults.BackendServers {
-		b.inspect(in, fmt.Sprintf("defaults.backendServers[%d]", i), &f.Defaults)
-	}
-	for i, c := range f.Defaults.Customers {
-		c.inspect(in, fmt.Sprintf("defaults.customers[%d]", i))
-	}
-	f.Defaults.Limits.inspect(in, "defaults.limits")
-}
-
-func (s *Service) inspect(in *inspector, path string) {
-	in.check(path+".name", s.Name.Check())
-	in.check(path+".version", s.Version.Check())
-	if s.Kind != ModelService && s.Kind != PlainService {
-		in.add(path+".kind", fmt.Sprintf("%q is no kind of service", s.Kind), `write "model" or "plain"`)
-	}
-	if s.Deadline <= 0 {
-		in.add(path+".deadline", "is missing or not positive", `write a duration, as in "30s"`)
-	}
-}
-
-func (b *BackendServer) inspect(in *inspector, path string, d *Defaults) {
-	in.check(path+".name", b.Name.Check())
-	in.check(path+".version", b.Version.Check())
-	in.check(path+".failureDomain", b.FailureDomain.Check())
-	inspectAddress(in, path+".address", b.Address)
-	if _, ok := d.Service(b.Service); !ok {
-		in.add(path+".service", fmt.Sprintf("service %q is not in defaults.services", b.Service), "add it there or correct the name")
-	}
-	if b.Concurrency <= 0 {
-		in.add(path+".concurrency", "is missing or not positive", "write how many requests it runs side by side")
-	}
-}
-
-func (c *Customer) inspect(in *inspector, path string) {
-	in.check(path+".name", c.Name.Check())
-	for i, h := range c.KeyHashes {
-		in.check(fmt.Sprintf("%s.keyHashes[%d]", path, i), h.Check())
-	}
-	if c.Weight < 0 || c.RequestsPerSecond < 0 || c.TokensPerSecond < 0 {
-		in.add(path, "a weight or rate is negative", "write 0 for none, or a positive number")
-	}
-}
-
-func (l *Limits) inspect(in *inspector, path string) {
-	in.check(path+".retryShare", l.RetryShare.Check())
-	if l.BodyBytes <= 0 {
-		in.add(path+".bodyBytes", "is missing or not positive", "write the largest body in bytes, as in 1048576")
-	}
-	if l.QueuedRequests <= 0 {
-		in.add(path+".queuedRequests", "is missing or not positive", "write the longest queue, as in 1000")
-	}
-	if l.ClaimHorizon <= 0 {
-		in.add(path+".claimHorizon", "is missing or not positive", `write how long a key is remembered, as in "24h"`)
-	}
-}
--- /dev/null
+++ b/distributor/topics.go
@@ -0,0 +1,138 @@
+package distributor
+
+import (
+	"sync"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+)
+
+// TopicName names one distributed document.
+type TopicName string
+
+// FleetTopic carries the fleet document.
+const FleetTopic TopicName = "fleet"
+
+// MaxTopics bounds the number of topics that a host holds.
+const MaxTopics = 16
+
+// Topic is one distributed document.
+type Topic struct {
+	Name     TopicName
+	Revision identifier.Revision
+	Body     []byte
+}
+
+// heldTopic is the newest revision of a topic and how it came from older ones.
+type heldTopic struct {
+	Topic
+	history history
+}
+
+// topics holds the newest revision of each topic.
+type topics struct {
+	mu      sync.Mutex
+	byName  map[TopicName]*heldTopic
+	changed chan struct{} // closed and replaced at each change
+}
+
+// newTopics returns an empty set.
+func newTopics() *topics {
+	return &topics{byName: make(map[TopicName]*heldTopic), changed: make(chan struct{})}
+}
+
+// offer takes t unless the present revision is as new.
+func (s *topics) offer(t Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.byName[t.Name]
+	if !ok {
+		if len(s.byName) >= MaxTopics {
+			return
+		}
+		held = &heldTopic{Topic: Topic{Name: t.Name}}
+		s.byName[t.Name] = held
+	}
+	if t.Revision <= held.Revision {
+		return
+	}
+	if held.Revision > 0 {
+		held.history.add(newDelta(held.Topic, t))
+	}
+	held.Topic = t
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// newer returns the topics that are newer than those in have, and a channel
+// that is closed at the next change.
+func (s *topics) newer(have []*wire.Topic) ([]*wire.Topic, <-chan struct{}) {
+	known := make(map[TopicName]identifier.Revision, len(have))
+	for _, h := range have {
+		known[TopicName(h.Name)] = identifier.Revision(h.Revision)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var news []*wire.Topic
+	for _, t := range s.byName {
+		if t.Revision > known[t.Name] {
+			news = append(news, t.encodeFor(known[t.Name]))
+		}
+	}
+	return news, s.changed
+}
+
+// encodeFor returns what a host that has revision r needs: deltas where these
+// lead from r, else the whole document.
+func (t *heldTopic) encodeFor(r identifier.Revision) *wire.Topic {
+	w := &wire.Topic{Name: string(t.Name), Revision: uint64(t.Revision)}
+	if deltas, ok := t.history.since(r); ok {
+		w.Deltas = deltas
+		sentAsDeltas.Inc()
+		return w
+	}
+	w.Body = t.Body
+	sentWhole.Inc()
+	return w
+}
+
+// decode returns the topic that w carries or, with its deltas, leads to.
+func (s *topics) decode(w *wire.Topic) (Topic, error) {
+	t := Topic{Name: TopicName(w.Name), Revision: identifier.Revision(w.Revision), Body: w.Body}
+	if len(w.Deltas) == 0 {
+		return t, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.byName[t.Name]
+	if !ok {
+		return t, errDeltaMismatch
+	}
+	if t.Revision <= held.Revision {
+		return t, nil // It arrived another way in the meantime.
+	}
+	body, err := applyDeltas(held.Topic, w.Deltas)
+	t.Body = body
+	return t, err
+}
+
+// have returns the revisions held, without bodies.
+func (s *topics) have() []*wire.Topic {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var h []*wire.Topic
+	for _, t := range s.byName {
+		h = append(h, &wire.Topic{Name: string(t.Name), Revision: uint64(t.Revision)})
+	}
+	return h
+}
+
+// revision returns the held revision of a topic; 0 means none.
+func (s *topics) revision(name TopicName) identifier.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t, ok := s.byName[name]; ok {
+		return t.Revision
+	}
+	return 0
+}
