admitter: the limit falls from what was reached, sharply when most is late

The request path sets each host's ceiling to the slots of all backend servers, nine times its part. The limit now falls from the most requests that ran at once, windows are as long as those, and a window that is mostly late takes three tenths off. An attempt that failed without a first token counts as late once the target has passed.

--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -76,11 +76,15 @@
 
 // done takes in how a granted request ended.
 func (l *lane) done(w *waiter, o Outcome, took time.Duration) {
-	l.inFlight--
-	if o.Result == Abandoned {
-		return
+	first := o.FirstToken
+	if first <= 0 && o.Result == Failed && took > l.limit.target {
+		// The first token never came in time.
+		first = took
+	}
+	if o.Result != Abandoned {
+		l.limit.observe(first, l.inFlight)
 	}
-	l.limit.observe(o.FirstToken)
+	l.inFlight--
 	if o.Result == Succeeded {
 		l.retries.succeed()
 		l.took.add(took.Seconds())
--- a/admitter/limit.go
+++ b/admitter/limit.go
@@ -9,6 +9,11 @@
 	// lowerFactor is what the limit is multiplied by when too many first
 	// tokens came late.
 	lowerFactor = 0.95
+	// sharpFactor is the same when most of them came late, as after a loss of
+	// servers.
+	sharpFactor = 0.7
+	// sharpShare is what part most is.
+	sharpShare = 0.5
 	// raiseStep is what a full window of timely first tokens adds, in requests.
 	raiseStep = 1
 	// lateShare is the part of a window that may be late: the target is for 95
@@ -28,7 +33,10 @@
 	ceiling float64
 	value   float64
 
+	// seen and late count first tokens in the window, most is the most requests
+	// side by side in it, and full tells that the limit held something up.
 	seen, late int
+	most       float64
 	full       bool
 }
 
@@ -55,23 +63,28 @@
 	return false
 }
 
-// observe takes in the time of a first token.
-func (l *limit) observe(d time.Duration) {
+// observe takes in the time of a first token, with inFlight requests beside it.
+func (l *limit) observe(d time.Duration, inFlight int) {
 	if l.target <= 0 || d <= 0 {
 		return
 	}
 	l.seen++
+	l.most = max(l.most, float64(inFlight))
 	if d > l.target {
 		l.late++
 	}
-	if l.seen < max(minWindow, int(l.value)) {
+	if l.seen < max(minWindow, int(min(l.value, l.most))) {
 		return
 	}
-	switch {
-	case float64(l.late) > lateShare*float64(l.seen):
-		l.value = max(l.value*lowerFactor, minLimit)
+	late := float64(l.late) / float64(l.seen)
+	// A limit that was not reached bounds nothing: it falls from what was.
+	switch reached := min(l.value, l.most); {
+	case late > sharpShare:
+		l.value = max(reached*sharpFactor, minLimit)
+	case late > lateShare:
+		l.value = max(reached*lowerFactor, minLimit)
 	case l.full:
 		l.value = min(l.value+raiseStep, l.ceiling)
 	}
-	l.seen, l.late, l.full = 0, 0, false
+	l.seen, l.late, l.most, l.full = 0, 0, 0, false
 }
--- a/internal/loadbench/bench.go
+++ b/internal/loadbench/bench.go
@@ -111,11 +111,15 @@
 		for _, c := range b.s.Workload.Customers {
 			customers = append(customers, c.Limits)
 		}
+		target := b.s.FirstTokenTarget
+		if a.Fixed {
+			target = 0
+		}
 		h.admitter = admitter.New(admitter.Config{
 			Clock: &b.simulator, Queued: a.Queued, Customers: customers,
 			StartShare: 1 / identifier.Share(b.s.Fleet.Hosts),
 			Services: []admitter.ServiceLimits{{
-				Service: service, FirstTokenTarget: b.s.FirstTokenTarget, Concurrency: a.Concurrency,
+				Service: service, FirstTokenTarget: target, Concurrency: a.Concurrency,
 			}},
 		})
 	}
--- a/internal/loadbench/scenario.go
+++ b/internal/loadbench/scenario.go
@@ -62,6 +62,8 @@
 type Admission struct {
 	// Concurrency is each host's ceiling; Queued bounds its queue.
 	Concurrency, Queued int
+	// Fixed lets the concurrency limit stand still.
+	Fixed bool
 }
 
 // Retries tells how failed attempts are repeated.
--- a/internal/loadbench/stress.go
+++ b/internal/loadbench/stress.go
@@ -30,14 +30,15 @@
 	budget    bool
 }
 
-// protections are the rows for each rate. The unlimited admission has no queue,
-// so that the retry budget is seen alone.
+// protections are the rows for each rate.
 func protections(f *Fleet) []protection {
 	limited := &Admission{Concurrency: perHost(f), Queued: 200}
-	unlimited := &Admission{Concurrency: 1 << 20, Queued: 1}
+	unqueued := &Admission{Concurrency: perHost(f), Queued: 1}
+	unlimited := &Admission{Concurrency: 1 << 20, Queued: 1, Fixed: true}
 	return []protection{
 		{"all", limited, true},
 		{"no budget", limited, false},
+		{"no queue", unqueued, true},
 		{"budget only", unlimited, true},
 		{"none", nil, false},
 	}
