--- a/router/router_test.go
+++ b/router/router_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -226,3 +227,58 @@
 		}
 	})
 }
+
+func TestCutOffDomainServesAlone(t *testing.T) {
+	r, clock := newRouter(candidate("a1", "a", 1), candidate("a2", "a", 1), candidate("b1", "b", 1), candidate("b2", "b", 1))
+	refused := 0
+	for i := range 200 {
+		c := mustChoose(t, r, request(fmt.Sprint("guide", i%8), fmt.Sprint(i)))
+		if c.FailureDomain == "b" {
+			refused++
+			c.Release(Refused)
+			continue
+		}
+		c.Release(Succeeded)
+		clock.Advance(50 * time.Millisecond)
+	}
+	// Each server is tried again after 1, 2, 4 s and so on: in 10 s at most
+	// four times.
+	if refused == 0 || refused > 2*4 {
+		t.Errorf("%d of 200 attempts went to the domain that cannot be reached, want 1 to 8", refused)
+	}
+}
+
+// TestConcurrentUse lets choices, events and tables meet; it is for the race
+// detector, and checks that no load is left over.
+func TestConcurrentUse(t *testing.T) {
+	var servers []Candidate
+	for i := range 6 {
+		servers = append(servers, candidate(fmt.Sprintf("w%d", i), string(rune('a'+i%2)), 1))
+	}
+	r, _ := newRouter(servers...)
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Go(func() {
+			for i := range 300 {
+				c, err := r.Choose(request(fmt.Sprint("guide", i%5), fmt.Sprint(g, i)))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				c.FirstToken()
+				r.Observe(LoadReport{BackendServer: c.BackendServer, Running: i % 4})
+				r.Observe(CacheEvent{BackendServer: c.BackendServer, Evicted: []Block{Block(i)}})
+				if i%50 == 0 {
+					r.Publish(&Table{Candidates: servers})
+				}
+				c.Release(Outcome(i % 2))
+			}
+		})
+	}
+	wg.Wait()
+	for _, s := range servers {
+		if k := r.known(s.BackendServer); k.inFlight.Load() != 0 || k.pending.Load() != 0 {
+			t.Errorf("%s is left with %d requests and %d tokens", s.BackendServer, k.inFlight.Load(), k.pending.Load())
+		}
+	}
+}
