roller: weights for as many routes as there are

Cause: the tests divided their false alarms among the listed routes, while requests on all others have cells too, and the controller by a fixed number; with more routes the weights added up to more than 1. The number now travels with the start.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -69,7 +69,7 @@
 		return c, nil
 	}
 	c.machine = &reducer.Machine{Perform: c.perform}
-	c.rollouts = roller.NewController(c.machine.Rollouts(), rolloutRoutes)
+	c.rollouts = roller.NewController(c.machine.Rollouts())
 	c.peers = keeper.NewPeers(m, c.addressOf)
 	k, err := keeper.Open(keeper.Options{
 		Host: cfg.Host, Hosts: cfg.Keepers, DataFolder: cfg.DataFolder,
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -39,10 +39,6 @@
 // generationRoutes are the routes of every model service.
 var generationRoutes = []identifier.Route{"POST /v1/chat/completions", "POST /v1/completions"}
 
-// rolloutRoutes is the number of routes among which the tests divide their
-// false alarms: the usual number of those that are judged one by one.
-const rolloutRoutes = 4
-
 var rolloutReportsFailed = metrics.NewCounter("cyclamen_rollout_reports_failed_total")
 
 // newJudges returns the judges of this run of the process.
@@ -53,12 +49,16 @@
 // configureJudges tells the judges what a fleet document says of the services.
 func configureJudges(js *roller.Judges, f *configurer.Fleet) {
 	for _, s := range f.Defaults.Services {
-		routes := s.NonIdempotentRoutes
-		if s.Kind == configurer.ModelService {
-			routes = generationRoutes
-		}
-		js.Configure(s.Name, s.Version, routes)
+		js.Configure(s.Name, s.Version, judgedRoutes(s))
+	}
+}
+
+// judgedRoutes returns the routes of a service that are judged one by one.
+func judgedRoutes(s configurer.Service) []identifier.Route {
+	if s.Kind == configurer.ModelService {
+		return generationRoutes
 	}
+	return s.NonIdempotentRoutes
 }
 
 // drawVersion draws the version of a request. Only its first attempt is drawn,
@@ -225,6 +225,7 @@
 		return refuser.NotRun(refuser.NoBackendServer, fmt.Sprintf("no backend server of %s has version %s", start.Service, start.To),
 			"load it and add its servers to the fleet document first")
 	}
+	start.Routes = len(judgedRoutes(s)) + 1
 	start.From, start.Hosts, start.At = c.machine.Rollouts().Present(start.Service, s.Version), len(c.cfg.Hosts), now
 	c.rollouts.Prepare(start, now)
 	return nil
--- a/internal/rolloutbench/fleet.go
+++ b/internal/rolloutbench/fleet.go
@@ -60,7 +60,7 @@
 
 func newFleet(s *Scenario, q *queue) *fleet {
 	f := &fleet{s: s, q: q, out: outcome{stopped: make(map[int]time.Time)}}
-	f.controller = roller.NewController(&f.book, len(routes))
+	f.controller = roller.NewController(&f.book)
 	names := make([]identifier.Route, len(routes))
 	for i, r := range routes {
 		names[i] = r.name
@@ -89,7 +89,7 @@
 	f.apply(roller.StartRollout{
 		ID: rolloutID, Service: service, From: present, To: next, At: now,
 		Deadline: f.s.deadline(), Watch: watch, FirstLevel: roller.FirstLevel(rate),
-		InFlight: inFlightPerHost, Hosts: f.s.Hosts, Thresholds: f.controller.Baseline(service, present),
+		InFlight: inFlightPerHost, Hosts: f.s.Hosts, Routes: len(routes) + 1, Thresholds: f.controller.Baseline(service, present),
 	}, now)
 	f.q.add(now.Add(decideInterval), f.tick)
 }
--- a/internal/rolloutbench/run_test.go
+++ b/internal/rolloutbench/run_test.go
@@ -20,6 +20,7 @@
 }
 
 func TestBadVersionsAreReverted(t *testing.T) {
+	t.Parallel()
 	for _, k := range []Kind{FailsAtOnce, BadAtShare, Hangs, Crashes} {
 		playSeeds(t, k, func(r *Result) {
 			if r.FirstEvidence.IsZero() {
@@ -36,6 +37,7 @@
 }
 
 func TestGoodVersionsMoveInTime(t *testing.T) {
+	t.Parallel()
 	for _, k := range []Kind{Good, ReclaimWaves} {
 		playSeeds(t, k, func(r *Result) {
 			if !r.Reverted.IsZero() || r.Moved.IsZero() || r.Moved.After(r.Scenario.deadline()) {
--- a/roller/bench_test.go
+++ b/roller/bench_test.go
@@ -110,11 +110,11 @@
 			var book Book
 			if _, err := book.Apply(StartRollout{
 				ID: "move-1", Service: "brief-model", From: "v1", To: "v2", At: testTime,
-				Deadline: testTime.Add(time.Hour), Watch: time.Hour, FirstLevel: 3, Hosts: hosts,
+				Deadline: testTime.Add(time.Hour), Watch: time.Hour, FirstLevel: 3, Hosts: hosts, Routes: 9,
 			}); err != nil {
 				b.Fatal(err)
 			}
-			c := NewController(&book, 8)
+			c := NewController(&book)
 			var reports [][]byte
 			for h := range hosts {
 				r := busyJudge(h, 8).Report()
--- a/roller/controller.go
+++ b/roller/controller.go
@@ -13,7 +13,6 @@
 // one report of each host.
 type Controller struct {
 	book     *Book
-	routes   int
 	evidence map[evidenceKey]*Evidence
 	// changed holds the evidence that grew since the tests last ran.
 	changed map[evidenceKey]bool
@@ -37,10 +36,10 @@
 }
 
 // NewController returns a controller for the rollouts in b, which it only
-// reads. Routes is the number of routes that are judged one by one.
-func NewController(b *Book, routes int) *Controller {
+// reads.
+func NewController(b *Book) *Controller {
 	return &Controller{
-		book: b, routes: routes,
+		book:     b,
 		evidence: make(map[evidenceKey]*Evidence),
 		changed:  make(map[evidenceKey]bool),
 		reported: make(map[identifier.RolloutID][]Source), suspicions: make(suspicions),
@@ -193,12 +192,12 @@
 	delete(c.changed, k)
 	e := c.of(k)
 	out := VerdictReached{ID: k.rollout, At: now, Summary: Summarize(e.Sum())}
-	if vs := Examine(e.Sum(), c.routes, logLimitMerged()); len(vs) > 0 {
+	if vs := Examine(e.Sum(), r.Start.Routes, logLimitMerged()); len(vs) > 0 {
 		out.Verdict = vs[0]
 		return out, true
 	}
 	for _, s := range c.reported[k.rollout] {
-		if vs := Examine(e.sources[s], c.routes, logLimitLocal(r.Start.Hosts)); len(vs) > 0 {
+		if vs := Examine(e.sources[s], r.Start.Routes, logLimitLocal(r.Start.Hosts)); len(vs) > 0 {
 			out.Verdict, out.Reporter = vs[0], s.Host
 			return out, true
 		}
--- a/roller/doc.go
+++ b/roller/doc.go
@@ -35,7 +35,7 @@
 //	verdicts := j.Evaluate()                 // control goroutine, often
 //	send(j.Report())                         // control goroutine, each second
 //
-//	c := roller.NewController(book, roller.DefaultLimits())
+//	c := roller.NewController(book)
 //	c.Merge(report, now)
 //	for _, e := range c.Decide(now) {
 //		effects, err := book.Apply(e)        // after the log committed e
--- a/roller/event.go
+++ b/roller/event.go
@@ -25,8 +25,10 @@
 	FirstLevel Level `json:"firstLevel"`
 	// InFlight bounds the requests on the candidate that each host has in
 	// flight before the last stage.
-	InFlight   int                 `json:"inFlight"`
-	Hosts      int                 `json:"hosts"`
+	InFlight int `json:"inFlight"`
+	Hosts    int `json:"hosts"`
+	// Routes is the number of routes that the tests tell apart.
+	Routes     int                 `json:"routes"`
 	Thresholds []Threshold         `json:"thresholds,omitempty"`
 	Operator   identifier.Operator `json:"operator"`
 	Reason     string              `json:"reason"`
--- a/roller/judge.go
+++ b/roller/judge.go
@@ -155,7 +155,7 @@
 	}
 	j.examined = signs
 	var fresh []Verdict
-	for _, v := range Examine(t.trial.cells(), len(j.routes), logLimitLocal(j.directive.Hosts)) {
+	for _, v := range Examine(t.trial.cells(), len(j.routes)+1, logLimitLocal(j.directive.Hosts)) {
 		if !j.judged(v) {
 			fresh = append(fresh, v)
 		}
--- a/roller/property_test.go
+++ b/roller/property_test.go
@@ -205,7 +205,7 @@
 func TestControllerKeepsToSchedule(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var b Book
-		c := NewController(&b, 1)
+		c := NewController(&b)
 		length := time.Duration(rapid.Int64Range(int64(10*time.Minute), int64(24*time.Hour)).Draw(t, "length"))
 		first := FirstLevel(rapid.Float64Range(0, 30000).Draw(t, "rate"))
 		mustApply(t, &b, StartRollout{
--- a/roller/verdict.go
+++ b/roller/verdict.go
@@ -99,7 +99,7 @@
 
 // Examine runs every test on the cells and returns the strongest verdict of
 // each sign and scope that reaches the limit. Routes is the number of routes
-// that have cells of their own, known before the rollout began.
+// that have cells of their own and OtherRoute, known before the rollout began.
 func Examine(cs Cells, routes int, limit float64) []Verdict {
 	var out []Verdict
 	for scope, sums := range scopeSums(cs) {
