roller: a verdict whose event got lost is reached anew

Cause: the controller forgot that evidence had changed once it had proposed a verdict, also where it did not lead or the proposal failed, so that the version stayed until another failure. It now forgets only what condemned nothing, and a keeper that does not lead decides nothing.

--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -157,10 +157,7 @@
 	t := time.NewTicker(decideInterval)
 	defer t.Stop()
 	for {
-		c.mu.Lock()
-		events := c.rollouts.Decide(now())
-		c.mu.Unlock()
-		for _, e := range events {
+		for _, e := range c.decideRollouts(now()) {
 			c.proposeRollout(ctx, e)
 		}
 		select {
@@ -171,12 +168,21 @@
 	}
 }
 
+// decideRollouts returns the events that are due while this host leads.
+func (c *control) decideRollouts(now time.Time) []roller.Event {
+	leads := c.leads()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !leads {
+		c.rollouts.Note(now)
+		return nil
+	}
+	return c.rollouts.Decide(now)
+}
+
 // proposeRollout puts an event of the controller's into the control log. What
 // fails is decided anew.
 func (c *control) proposeRollout(ctx context.Context, e roller.Event) {
-	if !c.leads() {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	_, _ = c.Propose(ctx, reducer.ChangeRollout{Event: e})
--- a/roller/controller.go
+++ b/roller/controller.go
@@ -87,10 +87,17 @@
 	return Thresholds(c.of(evidenceKey{service: s, control: present}).Sum())
 }
 
-// Decide returns the events that are due.
-func (c *Controller) Decide(now time.Time) []Event {
+// Note takes readings that later decisions need. A controller that does not
+// lead calls it in place of Decide.
+func (c *Controller) Note(now time.Time) {
 	c.forget()
 	c.noteRates(now)
+}
+
+// Decide returns the events that are due. An event that was not applied is
+// returned anew.
+func (c *Controller) Decide(now time.Time) []Event {
+	c.Note(now)
 	var out []Event
 	for _, id := range slices.Sorted(maps.Keys(c.book.Records)) {
 		if r := c.book.Records[id]; !r.Phase.Ended() {
@@ -189,7 +196,6 @@
 	if !c.changed[k] {
 		return nil, false
 	}
-	delete(c.changed, k)
 	e := c.of(k)
 	out := VerdictReached{ID: k.rollout, At: now, Summary: Summarize(e.Sum())}
 	if vs := Examine(e.Sum(), r.Start.Routes, logLimitMerged()); len(vs) > 0 {
@@ -202,6 +208,7 @@
 			return out, true
 		}
 	}
+	delete(c.changed, k)
 	return nil, false
 }
 
--- /dev/null
+++ b/roller/controller_test.go
@@ -0,0 +1,76 @@
+package roller
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/identifier"
+)
+
+// startedBook returns a book with one rollout at 10%.
+func startedBook(t interface{ Fatal(...any) }) *Book {
+	var b Book
+	if _, err := b.Apply(StartRollout{
+		ID: "m", Service: "drafting", From: "v1", To: "v2", At: testTime, Deadline: testTime.Add(time.Hour),
+		Watch: time.Hour, FirstLevel: LevelOf(0.1), Hosts: 2, Routes: 1,
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return &b
+}
+
+// failingReport returns the report of a host on which the candidate failed n
+// times and the control never.
+func failingReport(host identifier.Host, n uint64) Report {
+	c := &Cell{}
+	c.Tallies[Candidate][LevelOf(0.1)] = Tally{Requests: n, Failed: n}
+	c.Tallies[Control][LevelOf(0.1)] = Tally{Requests: 9 * n}
+	return Report{
+		Source: Source{Host: host, Epoch: 1}, Service: "drafting", Rollout: "m", Control: "v1",
+		Cells: Cells{CellKey{Route: OtherRoute}: c},
+	}
+}
+
+// A verdict whose event got lost is reached anew.
+func TestControllerRepeatsLostVerdict(t *testing.T) {
+	b := startedBook(t)
+	c := NewController(b)
+	c.Merge(failingReport("h1", 20))
+	for range 2 {
+		es := c.Decide(testTime.Add(time.Second))
+		if len(es) != 1 {
+			t.Fatalf("events %v, want a verdict", es)
+		}
+		if _, ok := es[0].(VerdictReached); !ok {
+			t.Fatalf("event %T, want a verdict", es[0])
+		}
+	}
+}
+
+// What one host's counters prove by themselves is enough, however many sound
+// answers the other hosts report.
+func TestOneLocalReportIsEnough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := startedBook(t)
+		c := NewController(b)
+		sound := &Cell{}
+		n := rapid.Uint64Range(0, 10000).Draw(t, "sound failures")
+		sound.Tallies[Candidate][LevelOf(0.1)] = Tally{Requests: 100 * n, Failed: n / 10}
+		sound.Tallies[Control][LevelOf(0.1)] = Tally{Requests: 900 * n, Failed: n}
+		other := failingReport("h2", 0)
+		other.Cells = Cells{CellKey{Route: OtherRoute}: sound}
+		c.Merge(other)
+		bad := failingReport("h1", 20)
+		bad.Verdicts = make([]Verdict, 1)
+		c.Merge(bad)
+		es := c.Decide(testTime.Add(time.Second))
+		if len(es) != 1 {
+			t.Fatalf("events %v, want a verdict", es)
+		}
+		if _, ok := es[0].(VerdictReached); !ok {
+			t.Fatalf("event %T, want a verdict", es[0])
+		}
+	})
+}
