roller: the bound on requests in flight ends at 10%

Cause: with the bound up to the last step, a host with some hundred requests in flight would never get beyond 16 on the candidate, learn nothing at the higher shares, and leap to all traffic in one step.

--- a/roller/event.go
+++ b/roller/event.go
@@ -24,7 +24,7 @@
 	// FirstLevel is the level of the first stage.
 	FirstLevel Level `json:"firstLevel"`
 	// InFlight bounds the requests on the candidate that each host has in
-	// flight before the last stage.
+	// flight up to a share of 10%.
 	InFlight int `json:"inFlight"`
 	Hosts    int `json:"hosts"`
 	// Routes is the number of routes that the tests tell apart.
--- a/roller/record.go
+++ b/roller/record.go
@@ -69,7 +69,7 @@
 	}
 	d.Rollout, d.Candidate, d.Level = r.Start.ID, r.Start.To, r.Level
 	d.Hosts, d.Thresholds = r.Start.Hosts, r.Start.Thresholds
-	if r.Level < TopLevel {
+	if r.Level <= highestCappedLevel {
 		d.InFlight = r.Start.InFlight
 	}
 	return d
--- a/roller/schedule.go
+++ b/roller/schedule.go
@@ -23,9 +23,14 @@
 const unknownRateLevel Level = 4
 
 // defaultInFlight bounds the requests on the candidate that each host has in
-// flight before the last stage.
+// flight in the early stages.
 const defaultInFlight = 16
 
+// highestCappedLevel is the highest level with that bound: 10%. Above it the
+// bound would keep a busy host from ever reaching its share, and the last step
+// would be a leap.
+const highestCappedLevel = highestFirstLevel
+
 // FirstLevel returns the level of the first stage for a service that gets rate
 // requests a second: low enough that a bad version gets few requests, and high
 // enough that it shows.
