--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -39,7 +39,6 @@
 		r.Get("/audit", h.getAudit)
 		r.Get("/rollouts", h.getRollouts)
 		r.Post("/rollouts", h.startRollout)
-		r.Get("/rollouts/{id}", h.getRollout)
 		r.Post("/rollouts/{id}/revert", h.revertRollout)
 		r.Get("/members", h.getMembers)
 		r.Post("/members", h.changeMembers)
--- a/administrator/rollouts.go
+++ b/administrator/rollouts.go
@@ -1,6 +1,7 @@
 package administrator
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -15,126 +16,187 @@
 	"cyclamenhub.org/roller"
 )
 
-// RolloutOrder is the body of POST /v1/rollouts.
-type RolloutOrder struct {
-	// ID is the same in every resend of the order.
-	ID      identifier.RolloutID `json:"id"`
-	Service identifier.Service   `json:"service"`
+// RolloutRequest is the body of POST /v1/rollouts.
+type RolloutRequest struct {
+	// ChangeID is the same in every resend; the rollout's id follows from it.
+	ChangeID identifier.ChangeID `json:"changeId"`
+	Service  identifier.Service  `json:"service"`
 	// To is the version to move to.
 	To identifier.Version `json:"to"`
-	// Within is how long the move may take.
-	Within configurer.Duration `json:"within"`
-	// Watch is how long the old version stays loaded after it.
-	Watch  configurer.Duration `json:"watch"`
-	Reason string              `json:"reason"`
+	// Deadline is when all traffic must have moved.
+	Deadline time.Time `json:"deadline"`
+	// Watch is how long the old version stays loaded after that.
+	Watch configurer.Duration `json:"watch"`
+	// Reason says why, in the operator's words.
+	Reason string `json:"reason,omitempty"`
 }
 
-// RolloutReversal is the body of POST /v1/rollouts/{id}/revert.
-type RolloutReversal struct {
+// RolloutRevert is the body of POST /v1/rollouts/{id}/revert.
+type RolloutRevert struct {
+	ChangeID identifier.ChangeID `json:"changeId"`
+	// Reason says why, in the operator's words.
 	Reason string `json:"reason"`
 }
 
-// RolloutList is the answer to GET /v1/rollouts.
-type RolloutList struct {
-	// Rollouts lists those that changed last first.
-	Rollouts []roller.Record `json:"rollouts"`
+// Rollouts is the answer to GET /v1/rollouts.
+type Rollouts struct {
+	// Rollouts holds the newest first.
+	Rollouts []RolloutStatus `json:"rollouts"`
 }
 
-// RolloutAnswer is the answer to an accepted order or reversal.
-type RolloutAnswer struct {
+// RolloutStatus is one rollout and the share that it has reached.
+type RolloutStatus struct {
+	roller.Record
+	// Share is the part of the requests that the new version gets.
+	Share identifier.Share `json:"share"`
+}
+
+// RolloutStarted is the answer to an accepted change of a rollout.
+type RolloutStarted struct {
 	ID identifier.RolloutID `json:"id"`
-	// Resent says that there was nothing left to do.
+	// Resent says that the change had been accepted before under its id.
 	Resent bool `json:"resent,omitempty"`
 }
 
-// The bounds of an order.
-const (
-	minWithin = 10 * time.Second
-	maxWithin = 30 * 24 * time.Hour
-)
+// getRollouts lists the rollouts.
+func (h *handler) getRollouts(w http.ResponseWriter, r *http.Request) {
+	v, err := h.head(r.Context())
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	respond(w, Rollouts{Rollouts: rolloutStatuses(v)})
+}
 
-// check returns what is wrong with the order.
-func (o *RolloutOrder) check() error {
-	within := o.Within.Std()
-	switch {
-	case o.ID == "" || len(o.ID) > identifier.MaxNameBytes:
-		return refuser.NotRun(refuser.Malformed, "the rollout's id is empty or too long", fmt.Sprintf("give one of at most %d bytes", identifier.MaxNameBytes))
-	case o.To.Check() != nil || o.Service.Check() != nil:
-		return refuser.NotRun(refuser.Malformed, "the service or version is no name", "write letters, digits, '-', '_' or '.'")
-	case within < minWithin || within > maxWithin || o.Watch < 0 || o.Watch.Std() > maxWithin:
-		return refuser.NotRun(refuser.Malformed, "the time is out of bounds", fmt.Sprintf("give the move %v to %v", minWithin, maxWithin))
-	case o.Reason == "" || len(o.Reason) > reducer.MaxReasonBytes:
-		return refuser.NotRun(refuser.Malformed, "the reason is empty or too long", fmt.Sprintf("write one of at most %d bytes", reducer.MaxReasonBytes))
-	default:
-		return nil
+// rolloutStatuses returns the rollouts, newest first.
+func rolloutStatuses(v reducer.View) []RolloutStatus {
+	statuses := make([]RolloutStatus, 0, len(v.Rollouts))
+	for _, record := range slices.Backward(v.Rollouts) {
+		statuses = append(statuses, RolloutStatus{Record: record, Share: record.Level.Share()})
 	}
+	return statuses
 }
 
-// startRollout begins a rollout.
+// startRollout begins to move a service to another version.
 func (h *handler) startRollout(w http.ResponseWriter, r *http.Request) {
-	var o RolloutOrder
-	if err := readBody(w, r, &o); err != nil {
+	var q RolloutRequest
+	if err := readBody(w, r, &q); err != nil {
 		refuse(w, err)
 		return
 	}
-	if err := o.check(); err != nil {
+	start, err := h.planRollout(r, q)
+	if err != nil {
+		h.recordRefusal(r, reducer.RecordRefusal{
+			Action: "startRollout", ChangeID: q.ChangeID, Operator: operator(r), Reason: q.Reason, At: h.clock.Now().UTC(),
+		}, err)
 		refuse(w, err)
 		return
 	}
-	now := h.clock.Now().UTC()
-	h.changeRollout(w, r, o.ID, roller.StartRollout{
-		ID: o.ID, Service: o.Service, To: o.To, At: now, Deadline: now.Add(o.Within.Std()),
-		Watch: o.Watch.Std(), Operator: operator(r), Reason: o.Reason,
-	})
+	h.changeRollout(w, r, start.ID, reducer.Rollout{ChangeID: q.ChangeID, Event: start})
 }
 
-// revertRollout takes a version back.
-func (h *handler) revertRollout(w http.ResponseWriter, r *http.Request) {
-	var body RolloutReversal
-	if err := readBody(w, r, &body); err != nil {
-		refuse(w, err)
-		return
+// planRollout returns the event that q asks for, with all that the operator
+// need not say.
+func (h *handler) planRollout(r *http.Request, q RolloutRequest) (roller.StartRollout, error) {
+	backend, ok := h.backend.(RolloutBackend)
+	if !ok {
+		return roller.StartRollout{}, refuser.NotRun(refuser.NotFound, "this host starts no rollouts", "ask another host with --address")
 	}
-	id := identifier.RolloutID(chi.URLParam(r, "id"))
-	h.changeRollout(w, r, id, roller.RevertRollout{ID: id, Operator: operator(r), Reason: body.Reason, At: h.clock.Now().UTC()})
+	if err := checkTexts(q.ChangeID, q.Reason); err != nil {
+		return roller.StartRollout{}, err
+	}
+	v, err := h.head(r.Context())
+	if err != nil {
+		return roller.StartRollout{}, err
+	}
+	start := roller.StartRollout{
+		ID: identifier.RolloutID(q.ChangeID), Service: q.Service, To: q.To, At: h.clock.Now().UTC(),
+		Deadline: q.Deadline.UTC(), Watch: q.Watch.Std(), Operator: operator(r), Reason: q.Reason,
+	}
+	if slices.ContainsFunc(v.Rollouts, func(r roller.Record) bool { return r.Start.ID == start.ID }) {
+		// A resend: the log knows the first outcome, and plans are no part of it.
+		return start, nil
+	}
+	if start.From, err = presentVersion(v, q, start.At); err != nil {
+		return roller.StartRollout{}, err
+	}
+	return backend.PlanRollout(r.Context(), start)
 }
 
-// changeRollout proposes an event and answers with what became of it.
-func (h *handler) changeRollout(w http.ResponseWriter, r *http.Request, id identifier.RolloutID, e roller.Event) {
-	outcome, err := h.backend.Propose(r.Context(), reducer.ChangeRollout{Event: e})
-	if err == nil {
-		err = outcome.Err()
+// checkTexts refuses a change id or reason that breaks a bound.
+func checkTexts(id identifier.ChangeID, reason string) error {
+	if id == "" || len(id) > reducer.MaxChangeIDBytes || len(reason) > reducer.MaxReasonBytes {
+		return malformed(fmt.Errorf("the change id is empty, or it or the reason is too long: send at most %d and %d bytes",
+			reducer.MaxChangeIDBytes, reducer.MaxReasonBytes))
+	}
+	return nil
+}
+
+// presentVersion returns the version that a service's traffic goes to, and
+// refuses a rollout to a version that no backend server runs.
+func presentVersion(v reducer.View, q RolloutRequest, now time.Time) (identifier.Version, error) {
+	if v.Revision == 0 {
+		return "", malformed(errors.New("there is no configuration: put one there with 'cyclamenctl config set'"))
 	}
+	fleet, err := configurer.LoadFleet(v.Document)
 	if err != nil {
-		refuse(w, err)
-		return
+		return "", err
 	}
-	accepted, _ := outcome.(reducer.Accepted)
-	respond(w, RolloutAnswer{ID: id, Resent: accepted.Resent})
+	effective, err := fleet.Effective(now)
+	if err != nil {
+		return "", err
+	}
+	service, ok := effective.Service(q.Service)
+	if !ok {
+		return "", malformed(fmt.Errorf("there is no service %q: see 'cyclamenctl status'", q.Service))
+	}
+	if !slices.ContainsFunc(effective.BackendServers, func(b configurer.BackendServer) bool { return b.Service == q.Service && b.Version == q.To }) {
+		return "", malformed(fmt.Errorf("no backend server of service %q runs version %q: add them with 'cyclamenctl config set' first", q.Service, q.To))
+	}
+	return lastMoved(v.Rollouts, service.Name, service.Version), nil
 }
 
-// getRollouts lists the rollouts.
-func (h *handler) getRollouts(w http.ResponseWriter, r *http.Request) {
-	v, err := h.backend.View(r.Context())
-	if err != nil {
-		refuse(w, err)
-		return
+// lastMoved returns the version that the rollouts, oldest first, left a service
+// at that is configured to run version.
+func lastMoved(rollouts []roller.Record, service identifier.Service, version identifier.Version) identifier.Version {
+	for _, r := range rollouts {
+		if r.Start.Service == service && r.Phase == roller.Done && r.Start.From == version {
+			version = r.Start.To
+		}
 	}
-	respond(w, RolloutList{Rollouts: v.Rollouts})
+	return version
 }
 
-// getRollout answers with one rollout.
-func (h *handler) getRollout(w http.ResponseWriter, r *http.Request) {
-	v, err := h.backend.View(r.Context())
-	if err != nil {
+// revertRollout takes the new version back.
+func (h *handler) revertRollout(w http.ResponseWriter, r *http.Request) {
+	var q RolloutRevert
+	if err := readBody(w, r, &q); err != nil {
 		refuse(w, err)
 		return
 	}
 	id := identifier.RolloutID(chi.URLParam(r, "id"))
-	i := slices.IndexFunc(v.Rollouts, func(x roller.Record) bool { return x.Start.ID == id })
-	if i < 0 {
-		refuse(w, refuser.NotRun(refuser.NotFound, fmt.Sprintf("rollout %q is unknown", id), "list the rollouts and correct the id"))
+	if err := checkTexts(q.ChangeID, q.Reason); err != nil {
+		h.recordRefusal(r, reducer.RecordRefusal{
+			Action: "revertRollout", ChangeID: q.ChangeID, Operator: operator(r), Reason: q.Reason, At: h.clock.Now().UTC(),
+		}, err)
+		refuse(w, err)
+		return
+	}
+	h.changeRollout(w, r, id, reducer.Rollout{ChangeID: q.ChangeID, Event: roller.RevertRollout{
+		ID: id, Operator: operator(r), Reason: q.Reason, At: h.clock.Now().UTC(),
+	}})
+}
+
+// changeRollout proposes ev and answers with what became of it.
+func (h *handler) changeRollout(w http.ResponseWriter, r *http.Request, id identifier.RolloutID, ev reducer.Rollout) {
+	outcome, err := h.backend.Propose(r.Context(), ev)
+	if err == nil {
+		err = outcome.Err()
+	}
+	if err != nil {
+		refuse(w, err)
 		return
 	}
-	respond(w, v.Rollouts[i])
+	accepted, _ := outcome.(reducer.Accepted)
+	respond(w, RolloutStarted{ID: id, Resent: accepted.Resent})
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -83,6 +83,8 @@
 	m.Handle(proposeMethod, c.handlePropose)
 	m.Handle(viewMethod, c.handleView)
 	m.Handle(rolloutReportMethod, c.handleReport)
+	m.Handle(membersMethod, c.handleMembers)
+	m.Handle(changeMembersMethod, c.handleChangeMembers)
 	return c, nil
 }
 
@@ -121,10 +123,10 @@
 			// Committed documents have been checked; one that this release can't
 			// read stays out of force here, as the reports show.
 			_ = c.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: e.Revision, Body: e.Document})
-		case reducer.PublishRollouts:
-			_ = c.dist.Offer(distributor.Topic{Name: rolloutTopic, Revision: identifier.Revision(e.Sequence), Body: e.Document})
-		case reducer.NotifyRollout:
-			noteRollout(c.log, e.Notice)
+		case reducer.RolloutEffect:
+			c.performRollout(e.Effect)
+		case reducer.WriteAudit, reducer.Answer:
+			// The state holds the record, and the proposer gets the answer.
 		}
 	}
 }
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -185,7 +185,7 @@
 func (c *control) proposeRollout(ctx context.Context, e roller.Event) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	_, _ = c.Propose(ctx, reducer.ChangeRollout{Event: e})
+	_, _ = c.Propose(ctx, reducer.Rollout{Event: e})
 }
 
 // leads reports whether the keeper here leads.
@@ -201,7 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	change, ok := ev.(reducer.ChangeRollout)
+	change, ok := ev.(reducer.Rollout)
 	if !ok {
 		return entry, nil
 	}
@@ -214,7 +214,30 @@
 	if err := c.fillStart(&start, now); err != nil {
 		return nil, err
 	}
-	return reducer.EncodeEvent(reducer.ChangeRollout{Event: start})
+	change.Event = start
+	return reducer.EncodeEvent(change)
+}
+
+// PlanRollout returns start as it is: the keeper that takes the proposal in
+// fills in the rest, since it alone knows the traffic.
+func (c *control) PlanRollout(_ context.Context, start roller.StartRollout) (roller.StartRollout, error) {
+	return start, nil
+}
+
+// performRollout carries out an effect of a rollout. The caller holds mu.
+func (c *control) performRollout(e roller.Effect) {
+	switch e := e.(type) {
+	case roller.PublishDirective:
+		book := c.machine.Rollouts()
+		_ = c.dist.Offer(distributor.Topic{
+			Name: rolloutTopic, Revision: identifier.Revision(book.Sequence), Body: roller.EncodeDirectives(book.Directives()),
+		})
+	case roller.Notify:
+		noteRollout(c.log, e.Notice)
+	case roller.ReleaseVersion, roller.RecordAudit:
+		// Operators take the servers out of the fleet document; the reducer has
+		// written the audit record.
+	}
 }
 
 // fillStart fills a start in. The caller holds mu.
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// deadline sets DEADLINE to the time after a duration.
+func deadline(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	ts.Setenv("DEADLINE", time.Now().Add(d).UTC().Format(time.RFC3339))
+}
+
 // start starts a process in the background and ends it with the script.
 func start(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) < 2 {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -50,13 +50,14 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"expand":  expand,
-			"start":   start,
-			"signal":  signal,
-			"ended":   ended,
-			"await":   await,
-			"http":    httpCall,
-			"traffic": traffic,
+			"expand":   expand,
+			"start":    start,
+			"signal":   signal,
+			"ended":    ended,
+			"await":    await,
+			"http":     httpCall,
+			"traffic":  traffic,
+			"deadline": deadline,
 		},
 	})
 }
--- a/reducer/codec.go
+++ b/reducer/codec.go
@@ -19,8 +19,10 @@
 	typeAddException        = "addException"
 	typeRemoveException     = "removeException"
 	typeRecordAction        = "recordAction"
+	typeRollout             = "rollout"
+	typeStartRollout        = "startRollout"
+	typeRevertRollout       = "revertRollout"
 	typeRecordRefusal       = "recordRefusal"
-	typeChangeRollout       = "changeRollout"
 	typeAccepted            = "accepted"
 	typeConflict            = "conflict"
 	typeRefused             = "refused"
@@ -35,8 +37,6 @@
 		return typeAddException
 	case RemoveException:
 		return typeRemoveException
-	case ChangeRollout:
-		return typeChangeRollout
 	default:
 		return typeRecordRefusal
 	}
@@ -53,10 +53,10 @@
 		return encode(typeRemoveException, ev)
 	case RecordAction:
 		return encode(typeRecordAction, ev)
+	case Rollout:
+		return encodeRollout(ev)
 	case RecordRefusal:
 		return encode(typeRecordRefusal, ev)
-	case ChangeRollout:
-		return encode(typeChangeRollout, ev)
 	default:
 		return nil, fmt.Errorf("event %T has no encoding: add it to the codec", ev)
 	}
@@ -77,10 +77,10 @@
 		return decode[RemoveException](e)
 	case typeRecordAction:
 		return decode[RecordAction](e)
+	case typeRollout:
+		return decodeRollout(e)
 	case typeRecordRefusal:
 		return decode[RecordRefusal](e)
-	case typeChangeRollout:
-		return decode[ChangeRollout](e)
 	default:
 		return nil, fmt.Errorf("log entry has the unknown type %q: upgrade this keeper", e.Type)
 	}
--- a/reducer/reduce.go
+++ b/reducer/reduce.go
@@ -26,11 +26,24 @@
 		return s.change(removalOfException(ev))
 	case RecordAction:
 		return s.recordAction(ev)
+	case Rollout:
+		return s.changeRollout(ev)
 	case RecordRefusal:
 		return s.recordRefusal(ev)
-	case ChangeRollout:
-		return s.changeRollout(ev)
 	default:
 		panic(fmt.Sprintf("event %T has no case in Reduce", ev))
 	}
 }
+
+// standing returns the effects that bring a performer up to the state: the
+// configuration and the directives of the rollouts.
+func (s *State) standing() []Effect {
+	var effects []Effect
+	if c := &s.configuration; c.revision > 0 {
+		effects = append(effects, PublishConfiguration{Revision: c.revision, Document: c.document})
+	}
+	for _, d := range s.rollouts.Directives() {
+		effects = append(effects, RolloutEffect{Effect: roller.PublishDirective{Directive: d}})
+	}
+	return effects
+}
--- a/reducer/snapshot.go
+++ b/reducer/snapshot.go
@@ -51,7 +51,8 @@
 	c := &s.configuration
 	w := wireState{
 		Format: snapshotFormat, Revision: c.revision, Document: c.document, Since: c.since,
-		LastAudit: s.audit.last, Accepted: s.audit.accepted.records, Refused: s.audit.refused.records, Rollouts: s.rollouts,
+		LastAudit: s.audit.last, Accepted: s.audit.accepted.records, Refused: s.audit.refused.records,
+		Rollouts: s.rollouts,
 	}
 	for _, a := range c.answers {
 		w.Answers = append(w.Answers, wireAnswer{
@@ -61,12 +62,12 @@
 	return w.encode()
 }
 
-// Head returns a snapshot of the present configuration alone, without the audit
-// trail and the remembered answers. A State restored from it serves reads; a
+// Head returns a snapshot of the present configuration and the rollouts alone,
+// without the audit trail and the remembered answers. A State restored from it serves reads; a
 // replica must not be.
 func (s *State) Head() []byte {
 	c := &s.configuration
-	w := wireState{Format: snapshotFormat, Revision: c.revision, Document: c.document, Since: c.since, LastAudit: s.audit.last}
+	w := wireState{Format: snapshotFormat, Revision: c.revision, Document: c.document, Since: c.since, LastAudit: s.audit.last, Rollouts: s.rollouts}
 	return w.encode()
 }
 
--- a/reducer/view.go
+++ b/reducer/view.go
@@ -19,7 +19,7 @@
 	// Accepted and Refused hold the audit trail, oldest first.
 	Accepted []AuditRecord
 	Refused  []AuditRecord
-	// Rollouts lists the rollouts, newest first.
+	// Rollouts holds the running and the newest ended rollouts, oldest first.
 	Rollouts []roller.Record
 }
 
@@ -31,6 +31,6 @@
 		Since:    s.configuration.since,
 		Accepted: s.audit.accepted.view(),
 		Refused:  s.audit.refused.view(),
-		Rollouts: s.rollouts.List(),
+		Rollouts: s.rolloutRecords(),
 	}
 }
