--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -54,7 +54,7 @@
 	if _, ok := r.(silent); !ok {
 		o := a.outcome(r)
 		t.finishPick(o)
-		t.endDraw(o, a.server.Name)
+		t.endDraw(Ending{Outcome: o, Evidence: a.evidence(r), Server: a.server.Name})
 	}
 	a.count(r)
 	return r
--- a/dispatcher/draw.go
+++ b/dispatcher/draw.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/roller"
 )
 
 // Load is how busy a service is on this host when a version is drawn.
@@ -32,24 +33,22 @@
 // connection.
 type Ending struct {
 	Outcome Outcome
-	// Latency is the time from the first send to the first byte; 0 means that
-	// none came.
+	// Evidence is what the outcome tells of the version.
+	Evidence roller.Outcome
+	// Latency is the time from the first send to the first byte, and for a
+	// generation that of further tokens at its own pace; 0 means that no byte
+	// came.
 	Latency time.Duration
 	// Server gave the outcome; empty where none did.
 	Server identifier.BackendServer
 }
 
-// fixedDraw is a version that nothing was drawn for.
-type fixedDraw identifier.Version
-
-// Version returns the version.
-func (v fixedDraw) Version() identifier.Version { return identifier.Version(v) }
-
-// Ended does nothing.
-func (fixedDraw) Ended(Ending) {}
-
 // drawVersion draws the version of the next attempts.
 func (t *task) drawVersion() {
+	if t.d.opt.Draw == nil {
+		t.version = t.r.Service.Version
+		return
+	}
 	var l Load
 	if t.grant != nil {
 		s := t.d.admission().admitter.Status(t.r.Service.Name)
@@ -61,10 +60,11 @@
 }
 
 // endDraw tells how the request went on the drawn version, once.
-func (t *task) endDraw(o Outcome, server identifier.BackendServer) {
+func (t *task) endDraw(e Ending) {
 	if t.draw == nil {
 		return
 	}
-	t.draw.Ended(Ending{Outcome: o, Latency: t.firstToken, Server: server})
+	e.Latency = t.nominalTime()
+	t.draw.Ended(e)
 	t.draw = nil
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/roller"
 	"cyclamenhub.org/timer"
 )
 
@@ -54,15 +56,20 @@
 	machine *reducer.Machine
 	keeper  *keeper.Keeper // nil where this host is no keeper
 	peers   *keeper.Peers
+	// rollouts decides about the rollouts; guarded by mu.
+	rollouts *roller.Controller
+	clock    timer.Clock
+	log      *slog.Logger
 }
 
 // newControl opens the control log where this host is a keeper.
 func newControl(cfg *configurer.Settings, m *messenger.Messenger, d *distributor.Distributor, opts Options) (*control, error) {
-	c := &control{cfg: cfg, messenger: m, dist: d}
+	c := &control{cfg: cfg, messenger: m, dist: d, clock: opts.Clock, log: opts.Log}
 	if !cfg.IsKeeper() {
 		return c, nil
 	}
 	c.machine = &reducer.Machine{Perform: c.perform}
+	c.rollouts = roller.NewController(c.machine.Rollouts(), rolloutRoutes)
 	c.peers = keeper.NewPeers(m, c.addressOf)
 	k, err := keeper.Open(keeper.Options{
 		Host: cfg.Host, Hosts: cfg.Keepers, DataFolder: cfg.DataFolder,
@@ -75,6 +82,7 @@
 	c.peers.Attach(k)
 	m.Handle(proposeMethod, c.handlePropose)
 	m.Handle(viewMethod, c.handleView)
+	m.Handle(rolloutReportMethod, c.handleReport)
 	m.Handle(membersMethod, c.handleMembers)
 	m.Handle(changeMembersMethod, c.handleChangeMembers)
 	return c, nil
@@ -110,10 +118,15 @@
 // perform carries out the effects of an entry.
 func (c *control) perform(_ identifier.LogIndex, effects []reducer.Effect) {
 	for _, e := range effects {
-		if p, ok := e.(reducer.PublishConfiguration); ok {
+		switch e := e.(type) {
+		case reducer.PublishConfiguration:
 			// Committed documents have been checked; one that this release can't
 			// read stays out of force here, as the reports show.
-			_ = c.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: p.Revision, Body: p.Document})
+			_ = c.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: e.Revision, Body: e.Document})
+		case reducer.RolloutEffect:
+			c.performRollout(e.Effect)
+		case reducer.WriteAudit, reducer.Answer:
+			// The state holds the record, and the proposer gets the answer.
 		}
 	}
 }
@@ -127,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	if c.keeper != nil {
-		b, err = c.keeper.Propose(ctx, b)
+		b, err = c.proposeHere(ctx, b)
 	} else {
 		var resp wire.ProposeResponse
 		err = c.ask(ctx, proposeMethod, &wire.ProposeRequest{Event: b}, &resp)
@@ -139,6 +152,15 @@
 	return reducer.DecodeOutcome(b)
 }
 
+// proposeHere puts an entry into the control log kept here.
+func (c *control) proposeHere(ctx context.Context, entry []byte) ([]byte, error) {
+	entry, err := c.prepare(entry, c.clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	return c.keeper.Propose(ctx, entry)
+}
+
 // View returns a linearizable reading of the control state.
 func (c *control) View(ctx context.Context) (reducer.View, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
@@ -214,7 +236,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	b, err := c.keeper.Propose(ctx, req.Event)
+	b, err := c.proposeHere(ctx, req.Event)
 	if err != nil {
 		return nil, err
 	}
--- a/roller/draw.go
+++ b/roller/draw.go
@@ -6,8 +6,8 @@
 	"cyclamenhub.org/identifier"
 )
 
-// Ticket says which version a request was drawn for. It must be handed to
-// Observe exactly once.
+// Ticket says which version a request was drawn for. Its End must be
+// called exactly once.
 type Ticket struct {
 	trial *trial
 	slot  uint16
@@ -40,15 +40,6 @@
 	t.trial.observe(t, e)
 }
 
-// Control returns the version that the request would have gone to without a
-// rollout.
-func (t Ticket) Control() identifier.Version {
-	if t.trial == nil {
-		return ""
-	}
-	return t.trial.control
-}
-
 // drawTable is what traffic goroutines read to draw a version. It is never
 // changed once published.
 type drawTable struct {
