--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -278,6 +278,25 @@
 	})
 }
 
+// TestLargestDocumentIsReplicated proposes an entry of the size of the largest
+// configuration document, encoded, at a follower.
+func TestLargestDocumentIsReplicated(t *testing.T) {
+	c := loopback(t, 3, nil)
+	h, _ := c.leader()
+	other := c.hosts[0]
+	if other == h {
+		other = c.hosts[1]
+	}
+	document := strings.Repeat("x", 6<<20)
+	c.propose(c.keeper(other), document)
+	if err := c.keeper(other).Read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.machines[other].all(); len(got) != 1 || got[0] != document {
+		t.Errorf("%d entries at the follower, want the document", len(got))
+	}
+}
+
 // TestLargeSnapshotGoesInParts repairs a keeper with a state that is too large
 // for one call, over connections on loopback.
 func TestLargeSnapshotGoesInParts(t *testing.T) {
@@ -302,3 +321,32 @@
 	want := c.machines[h].all()
 	c.await("the snapshot arrives", func() bool { return cmp.Equal(want, c.machines[lost].all()) })
 }
+
+// TestAnotherHostTakesPart replaces a host that is gone for good by another
+// one, by a change of the settings on all hosts.
+func TestAnotherHostTakesPart(t *testing.T) {
+	bubble(t, 3, nil, func(t *testing.T, c *cluster) {
+		c.leader()
+		c.propose(c.keeper("k1"), "before")
+		gone := c.keeper("k3").Status().ID
+		for _, h := range c.hosts {
+			_ = c.keeper(h).Close()
+		}
+		c.hosts = []identifier.Host{"k1", "k2", "k4"}
+		c.folders["k4"] = t.TempDir()
+		c.startAll()
+		_, lead := c.leader()
+		c.await("the new host votes", func() bool {
+			return lead.Status().Members.IsVoter(c.keeper("k4").Status().ID)
+		})
+		if err := lead.ChangeMembers(t.Context(), replicator.Remove{ID: gone}); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.keeper("k4").Read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]string{"before"}, c.machines["k4"].all()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/replicator/config.go
+++ b/replicator/config.go
@@ -51,9 +51,9 @@
 	DefaultHeartbeat             = 100 * time.Millisecond
 	DefaultClockMargin           = 100 * time.Millisecond
 	DefaultSnapshotTimeout       = 10 * time.Second
-	DefaultMaxEntryBytes         = 1 << 20
+	DefaultMaxEntryBytes         = 8 << 20
 	DefaultMaxUncommittedEntries = 8192
-	DefaultMaxUncommittedBytes   = 8 << 20
+	DefaultMaxUncommittedBytes   = 16 << 20
 	DefaultMaxInflightEntries    = 2048
 	DefaultMaxMessageBytes       = 512 << 10
 	DefaultMaxReads              = 4096
