--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -71,6 +71,7 @@
 	addMemberCommands(p, c)
 	addStatusCommand(p, c)
 	addKeyCommands(p, c)
+	addLoadCommand(p, c)
 	return p
 }
 
