router: spill by the wait, to different domains; reports without waiting tokens

Causes: a cold prompt takes longer than half of the target wherever it goes, so that it counted as a reason to spill; domains without reports look idle; and all hosts tried them in the same order. A group is now good enough by the wait alone, and domains of one price are tried in an order that differs by the own domain.

Reports no longer carry waiting prompt tokens. They are gone before a report of them arrives, and all hosts share the error.

TestPropertyBoundedLoad found a bound of 3 rounded up to 4.

--- a/router/choose.go
+++ b/router/choose.go
@@ -30,10 +30,11 @@
 	m      *member
 	g      *group
 	cached identifier.Tokens
-	// first is the estimated time to the first token, in seconds.
-	first float64
-	idle  bool
-	by    reason
+	// first is the estimated time to the first token, wait the part of it that
+	// is due to other requests, both in seconds.
+	first, wait float64
+	idle        bool
+	by          reason
 }
 
 // reason tells why a server became a finalist.
@@ -57,7 +58,8 @@
 	// hinted is the server thought to hold most of the prefix, hintDepth blocks.
 	hinted    uint32
 	hintDepth int
-	// limit is the first token that makes a group good enough, in seconds.
+	// limit is the wait that is good enough, in seconds. The time for the prompt
+	// itself does not count: it is the same elsewhere.
 	limit float64
 	// strict leaves out suspect servers and the avoided domain.
 	strict bool
@@ -102,7 +104,7 @@
 		if !ok {
 			continue
 		}
-		if f.first <= d.limit {
+		if f.wait <= d.limit {
 			return f, true
 		}
 		if best.m == nil || f.first < best.first {
@@ -112,8 +114,8 @@
 	return best, best.m != nil
 }
 
-// spillAt is the part of the first-token target that a group may use up before
-// the next is looked at.
+// spillAt is the part of the first-token target that a request may wait in a
+// group before the next is looked at.
 const spillAt = 0.5
 
 // eligible reports whether a server may be chosen. Suspect servers and the
--- a/router/doc.go
+++ b/router/doc.go
@@ -42,5 +42,5 @@
 // What comes from outside is handed to Observe:
 //
 //	r.Observe(router.Leaving{BackendServer: "w3"})
-//	r.Observe(router.LoadReport{BackendServer: "w1", Running: 4, Waiting: 2, WaitingTokens: 900})
+//	r.Observe(router.LoadReport{BackendServer: "w1", Running: 4, Waiting: 2})
 package router
--- a/router/event.go
+++ b/router/event.go
@@ -10,13 +10,13 @@
 // CacheEvent, Leaving and Unreachable.
 type Event interface{ isEvent() }
 
-// LoadReport is what a backend server says of its load. It lags.
+// LoadReport is what a backend server says of its load. It lags. Prompt tokens
+// that wait are not in it: they are computed before a report of them arrives,
+// and an error that all hosts share sends them all to the same servers.
 type LoadReport struct {
 	BackendServer identifier.BackendServer
 	// Running and Waiting count requests of all hosts.
 	Running, Waiting int
-	// WaitingTokens counts the prompt tokens that are not computed yet.
-	WaitingTokens identifier.Tokens
 }
 
 // CacheEvent is what a backend server says of its prefix cache. It is late, and
@@ -69,9 +69,8 @@
 		return
 	}
 	s.report.Store(&report{
-		at:            r.cfg.Clock.Now(),
-		requests:      max(int64(e.Running+e.Waiting)-s.inFlight.Load(), 0),
-		waitingTokens: max(int64(e.WaitingTokens)-s.pending.Load(), 0),
+		at:       r.cfg.Clock.Now(),
+		requests: max(int64(e.Running+e.Waiting)-s.inFlight.Load(), 0),
 	})
 }
 
--- a/router/group.go
+++ b/router/group.go
@@ -150,21 +150,21 @@
 	requests, waiting := float64(m.s.inFlight.Load()), float64(m.s.pending.Load())
 	if p := m.s.fresh(d.now, d.r.cfg.ReportTTL); p != nil {
 		requests += float64(p.requests)
-		waiting += float64(p.waitingTokens)
 	}
 	perToken := d.p.stats.prefill.value(defaultPrefillSeconds)
 	if m.PrefillRate > 0 {
 		perToken = 1 / m.PrefillRate
 	}
 	slots := float64(m.Concurrency)
-	first := (waiting + float64(d.req.PromptTokens) - cached) * perToken
+	wait := waiting*perToken + m.s.excess.value(d.now)
 	if requests >= slots {
-		first += (requests - slots + 1) / slots * d.p.stats.service.value(defaultServiceSeconds)
+		wait += (requests - slots + 1) / slots * d.p.stats.service.value(defaultServiceSeconds)
 	}
 	return finalist{
 		m: m, g: g,
 		cached: identifier.Tokens(cached),
-		first:  first + m.s.excess.value(d.now),
+		wait:   wait,
+		first:  wait + (float64(d.req.PromptTokens)-cached)*perToken,
 		idle:   waiting == 0 && requests < slots,
 	}
 }
--- a/router/ranking.go
+++ b/router/ranking.go
@@ -59,13 +59,16 @@
 	}
 	slots := float64(t.m.Concurrency)
 	mean := slots / s.capacity * float64(s.load+1)
-	limit := max(min(math.Ceil(bound*mean), slots), math.Ceil(mean))
+	limit := max(min(roundUp(bound*mean), slots), roundUp(mean))
 	if !t.blind {
 		limit = max(limit, freePart*slots)
 	}
 	return float64(t.load+1) <= limit
 }
 
+// roundUp rounds up what is not a whole number but for errors of computing.
+func roundUp(x float64) float64 { return math.Ceil(x - 1e-9) }
+
 // score is the weight of a server for a key. With servers of unequal size it is
 // the logarithmic method, by which each gets keys in proportion to its size
 // (Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", SPAA 2005).
--- a/router/server.go
+++ b/router/server.go
@@ -33,9 +33,8 @@
 
 // report is the part of a load report that is due to other hosts.
 type report struct {
-	at            time.Time
-	requests      int64
-	waitingTokens int64
+	at       time.Time
+	requests int64
 }
 
 // Bounds of suspicion after refusals and silence.
--- a/router/view.go
+++ b/router/view.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cyclamenhub.org/identifier"
 )
 
@@ -101,7 +103,9 @@
 			others = append(others, tiers(domains[d])...)
 		}
 	}
-	slices.SortStableFunc(others, func(a, b *group) int { return cmp.Compare(a.price, b.price) })
+	slices.SortStableFunc(others, func(a, b *group) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.distance(own), b.distance(own)))
+	})
 	p.plain = append(p.plain, others...)
 	p.prefixed = p.plain
 	if len(domains[own]) < ownCacheServers {
@@ -109,6 +113,12 @@
 	}
 }
 
+// distance puts domains of one price in an order that differs from domain to
+// domain, so that not all spill to the same one.
+func (g *group) distance(own identifier.FailureDomain) uint64 {
+	return xxhash.Sum64String(string(own) + "/" + string(g.members[0].FailureDomain))
+}
+
 // tiers returns members as groups of about one price, the cheapest first.
 func tiers(members []member) []*group {
 	members = slices.SortedFunc(slices.Values(members), func(a, b member) int {
