router: leave a cheap group before anything waits in it

The next group is now looked at when the wait passes a quarter of the target or 85% of a group's slots are taken, and a group without any report is not taken for a better one than a full group that does not make anybody wait.

--- a/router/choose.go
+++ b/router/choose.go
@@ -61,6 +61,9 @@
 	// limit is the wait that is good enough, in seconds. The time for the prompt
 	// itself does not count: it is the same elsewhere.
 	limit float64
+	// full tells that the group looked at last has hardly a slot free, blind
+	// that no report tells of its load.
+	full, blind bool
 	// strict leaves out suspect servers and the avoided domain.
 	strict bool
 }
@@ -94,29 +97,33 @@
 		target = d.r.cfg.FirstTokenTarget
 	}
 	d.limit = target.Seconds() * spillAt
-	var best finalist
+	var best, full finalist
 	groups := d.p.plain
 	if d.levels > 0 {
 		groups = d.p.prefixed
 	}
 	for _, g := range groups {
 		f, ok := d.bestOf(g)
-		if !ok {
-			continue
-		}
-		if f.wait <= d.limit {
+		switch {
+		case !ok, full.m != nil && d.blind:
+			// A group of which nothing is known is not known to be better.
+		case f.wait <= d.limit && !d.full:
 			return f, true
-		}
-		if best.m == nil || f.first < best.first {
+		case f.wait <= d.limit && full.m == nil:
+			full = f
+		case best.m == nil || f.first < best.first:
 			best = f
 		}
 	}
+	if full.m != nil {
+		return full, true
+	}
 	return best, best.m != nil
 }
 
 // spillAt is the part of the first-token target that a request may wait in a
 // group before the next is looked at.
-const spillAt = 0.5
+const spillAt = 0.25
 
 // eligible reports whether a server may be chosen. Suspect servers and the
 // avoided domain come in only when nothing else is left.
--- a/router/group.go
+++ b/router/group.go
@@ -2,6 +2,10 @@
 
 import "cyclamenhub.org/identifier"
 
+// fullPart is the part of a group's slots beyond which the next group is looked
+// at, before anything has to wait.
+const fullPart = 0.85
+
 // randomProbes bounds the random tries for a server that may be chosen.
 const randomProbes = 8
 
@@ -15,6 +19,7 @@
 			best = f
 		}
 	}
+	d.full, d.blind = false, false
 	if d.levels > 0 {
 		d.byPrefix(g, consider)
 	}
@@ -40,6 +45,7 @@
 	if n == 0 {
 		return
 	}
+	d.full, d.blind = float64(s.load+1) > fullPart*s.capacity, s.blind
 	sizes[0] = n
 	for i := range d.levels {
 		l := &d.path[i]
--- a/router/ranking.go
+++ b/router/ranking.go
@@ -19,11 +19,13 @@
 	// load and capacity are sums over the set, in requests.
 	load     int64
 	capacity float64
+	// blind tells that no report tells of any of them.
+	blind bool
 }
 
 // stand looks at every member of g once; scratch is reused for the set.
 func (d *decision) stand(g *group, scratch []ranked) standing {
-	s := standing{set: scratch[:0]}
+	s := standing{set: scratch[:0], blind: true}
 	for i := range g.members {
 		m := &g.members[i]
 		if !d.eligible(m) {
@@ -32,7 +34,7 @@
 		t := ranked{m: m, load: m.s.inFlight.Load(), blind: true, late: m.s.excess.value(d.now) > d.limit}
 		if p := m.s.fresh(d.now, d.r.cfg.ReportTTL); p != nil {
 			t.load += p.requests
-			t.blind = false
+			t.blind, s.blind = false, false
 		}
 		s.set = append(s.set, t)
 		s.load += t.load
