--- a/replicator/config.go
+++ b/replicator/config.go
@@ -48,7 +48,7 @@
 // Defaults of Config.
 const (
 	DefaultElectionTimeout       = time.Second
-	DefaultHeartbeat             = 100 * time.Millisecond
+	DefaultHeartbeat             = 200 * time.Millisecond
 	DefaultClockMargin           = 100 * time.Millisecond
 	DefaultSnapshotTimeout       = 10 * time.Second
 	DefaultMaxEntryBytes         = 8 << 20
