--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,13 +11,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"cyclamenhub.org/administrator"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/distributor"
+	"cyclamenhub.org/drainer"
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/roller"
 	"cyclamenhub.org/server"
@@ -48,8 +48,11 @@
 	messenger *messenger.Messenger
 	dist      *distributor.Distributor
 	control   *control
+	claims    *claims
+	follower  *configurer.Follower
 	judges    *roller.Judges
 	tables    atomic.Pointer[dispatcher.Table]
+	drainer   *drainer.Drainer
 	callers   *server.Server
 
 	peerLn, callerLn, operatorLn net.Listener
@@ -67,9 +70,10 @@
 	d := &Daemon{cfg: cfg, log: opts.Log, clock: opts.Clock}
 	d.messenger = messenger.New(messenger.Options{Host: cfg.Host, Clock: opts.Clock})
 	d.judges = newJudges(cfg, opts.Clock.Now())
+	d.follower = configurer.NewFollower(opts.Clock, d.putInForce)
 	upstreams := upstreamsOf(cfg)
 	d.dist = distributor.New(distributor.Options{
-		Self: cfg.Self(), Upstreams: func() []string { return upstreams },
+		Self: cfg.Self(), Upstreams: func() []string { return d.control.leaderFirst(upstreams) },
 		Call: d.messenger.Call, OnNews: d.takeTopic, Clock: opts.Clock,
 	})
 	d.dist.Register(d.messenger)
@@ -78,6 +82,10 @@
 		return nil, err
 	}
 	d.control = c
+	if d.claims, err = newClaims(c, opts); err != nil {
+		c.close()
+		return nil, err
+	}
 	d.callers = d.newCallers()
 	if err := d.listen(); err != nil {
 		d.Close()
@@ -86,20 +94,6 @@
 	return d, nil
 }
 
-// newCallers returns the interface for callers, not ready yet.
-func (d *Daemon) newCallers() *server.Server {
-	set := metrics.GetDefaultSet()
-	s := server.New(server.Options{
-		Dispatcher: dispatcher.New(dispatcher.Options{
-			Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
-			Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain, Draw: d.drawVersion,
-		}),
-		Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
-	})
-	s.SetReady(false)
-	return s
-}
-
 // listen opens the listening addresses.
 func (d *Daemon) listen() error {
 	for _, l := range []struct {
@@ -128,6 +122,7 @@
 		}
 	}
 	d.messenger.Close()
+	d.claims.close()
 	d.control.close()
 }
 
@@ -158,6 +153,9 @@
 	d.dist.Start(ctx)
 	wg.Go(func() { d.control.confirm(background) })
 	wg.Go(func() { d.dist.Run(background) })
+	wg.Go(func() { d.follower.Run(background) })
+	wg.Go(func() { d.claims.run(background) })
+	wg.Go(func() { d.drainer.Run(background) })
 	wg.Go(func() { d.control.runRollouts(background, d.clock.Now) })
 	wg.Go(func() { d.runJudges(background) })
 	d.log.Info("serving", "host", d.cfg.Host, "failureDomain", d.cfg.FailureDomain,
@@ -167,7 +165,7 @@
 
 // serveHTTP serves callers and operators until ctx ends.
 func (d *Daemon) serveHTTP(ctx context.Context) error {
-	operators := newOperatorServer(administrator.New(d.control, d.cfg.Operators.Tokens, d.clock, d.log))
+	operators := newOperatorServer(d.operatorHandler())
 	g, failed := errgroup.WithContext(context.Background())
 	g.Go(func() error { return d.callers.Serve(d.callerLn) })
 	g.Go(func() error { return ignoreClosed(operators.Serve(d.operatorLn)) })
@@ -176,6 +174,7 @@
 	case <-failed.Done():
 	}
 	d.log.Info("stopping", "host", d.cfg.Host)
+	d.drainer.HostStops()
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err := errors.Join(d.callers.Stop(stopCtx), operators.Shutdown(stopCtx), g.Wait(), failureOf(ctx))
@@ -213,14 +212,19 @@
 	default:
 		return nil
 	}
-	f, err := configurer.DecodeFleet(t.Body)
+	err := d.follower.Take(t.Revision, t.Body)
 	if err != nil {
 		d.log.Error("configuration not in force", "revision", t.Revision, "error", err)
-		return err
 	}
+	return err
+}
+
+// putInForce puts a configuration in force, exceptions applied.
+func (d *Daemon) putInForce(revision identifier.Revision, f *configurer.Fleet) {
 	configureJudges(d.judges, f)
 	d.tables.Store(dispatcher.NewTable(f))
-	d.callers.SetReady(true)
-	d.log.Info("configuration in force", "revision", t.Revision)
-	return nil
+	if !d.drainer.Leaving() {
+		d.callers.SetReady(true)
+	}
+	d.log.Info("configuration in force", "revision", revision)
 }
