keeper, daemon: operators see committed members

Cause: members are in force once they are appended (Ongaro, section 4.1), and the status showed them before a majority had them. An operator who sees three voters and then stops a host could likewise have lost the quorum. The status tells committed members too, and operators are shown those.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -39,13 +39,13 @@
 	return c.membersOf(m)
 }
 
-// readMembers reads the members here, as of now.
+// readMembers reads the committed members here, as of now.
 func (c *control) readMembers(ctx context.Context) (*wire.MembersResponse, error) {
 	if err := c.keeper.Read(ctx); err != nil {
 		return nil, err
 	}
 	s := c.keeper.Status()
-	return &wire.MembersResponse{Term: uint64(s.Term), Leader: uint64(s.Leader), Members: s.Members.Encode()}, nil
+	return &wire.MembersResponse{Term: uint64(s.Term), Leader: uint64(s.Leader), Members: s.Committed.Encode()}, nil
 }
 
 // membersOf returns the operators' form of a keeper's answer.
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -214,7 +214,7 @@
 		}
 		fresh := c.start(lost).Status().ID
 		c.await("the repair", func() bool {
-			m := k.Status().Members
+			m := k.Status().Committed
 			_, stays := m.Find(old)
 			return !stays && m.IsVoter(fresh) && m.Voters() == 3
 		})
@@ -272,7 +272,7 @@
 				t.Errorf("removal of %s at itself: %v", other, err)
 			}
 		}
-		if diff := cmp.Diff(1, lead.Status().Members.Voters()); diff != "" {
+		if diff := cmp.Diff(1, lead.Status().Committed.Voters()); diff != "" {
 			t.Errorf("voters left (-want +got): %s", diff)
 		}
 	})
@@ -337,7 +337,7 @@
 		c.startAll()
 		_, lead := c.leader()
 		c.await("the new host votes", func() bool {
-			return lead.Status().Members.IsVoter(c.keeper("k4").Status().ID)
+			return lead.Status().Committed.IsVoter(c.keeper("k4").Status().ID)
 		})
 		if err := lead.ChangeMembers(t.Context(), replicator.Remove{ID: gone}); err != nil {
 			t.Fatal(err)
--- a/keeper/perform.go
+++ b/keeper/perform.go
@@ -54,8 +54,12 @@
 func (k *Keeper) apply(entries []replicator.Entry) {
 	for _, e := range entries {
 		var result []byte
-		if e.Kind == replicator.Command {
+		switch e.Kind {
+		case replicator.Command:
 			result = k.opts.StateMachine.Apply(e.Index, e.Data)
+		case replicator.Membership:
+			k.publish() // who made the change finds it in the status
+		case replicator.Empty:
 		}
 		k.resolve(e, result)
 	}
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -8,13 +8,16 @@
 
 // Status is what a replica tells of itself.
 type Status struct {
-	ID      identifier.ReplicaID
-	Role    Role
-	Term    identifier.Term
-	Leader  identifier.ReplicaID
-	Members Members
-	Commit  identifier.LogIndex
-	Last    Position
+	ID     identifier.ReplicaID
+	Role   Role
+	Term   identifier.Term
+	Leader identifier.ReplicaID
+	// Members are those in force, which may not be committed yet, and Committed
+	// those that are: only they outlast the loss of any minority.
+	Members   Members
+	Committed Members
+	Commit    identifier.LogIndex
+	Last      Position
 	// Base and Snapshot tell what the log was compacted to.
 	Base, Snapshot Position
 	// Match is what a leader knows each other member to have stored.
@@ -27,7 +30,7 @@
 func (r *Replica) Status() Status {
 	s := Status{
 		ID: r.cfg.ID, Role: r.role, Term: r.state.Term, Leader: r.leader,
-		Members: r.members(), Commit: r.commit, Last: r.log.last(),
+		Members: r.members(), Committed: r.configs.at(r.commit), Commit: r.commit, Last: r.log.last(),
 		Base: r.log.base, Snapshot: r.snapshot, SteppedAside: r.aside,
 	}
 	if r.role == Leader {
