daemon: a planned stop outlasts the longest request

Cause: the stop was given up after two minutes, while a request may have a longer deadline, so that a planned stop could cut it off. Ruled out: handing such requests over at the end of the two minutes; the callers' connections stay here all the same until their answers end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,8 +29,9 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout bounds how long an unused client connection is kept.
 	idleTimeout = 2 * time.Minute
-	// stopTimeout bounds a graceful stop.
-	stopTimeout = 2 * time.Minute
+	// stopTimeout bounds a graceful stop. It outlasts the longest request, so
+	// that a planned stop cuts none off.
+	stopTimeout = server.MaxDeadline + time.Minute
 )
 
 // Options configure a Daemon besides its settings.
--- a/server/headers.go
+++ b/server/headers.go
@@ -26,8 +26,8 @@
 )
 
 const (
-	// maxDeadline bounds the deadline that a caller may ask for.
-	maxDeadline = 24 * time.Hour
+	// MaxDeadline bounds the deadline that a caller may ask for.
+	MaxDeadline = 24 * time.Hour
 	// maxKeyBytes bounds an idempotency key.
 	maxKeyBytes = 255
 )
@@ -92,7 +92,7 @@
 	if left <= 0 {
 		return time.Time{}, refuser.NotRun(refuser.DeadlinePassed, "the deadline has passed", "send the request with a later deadline")
 	}
-	return now.Add(min(left, maxDeadline)), nil
+	return now.Add(min(left, MaxDeadline)), nil
 }
 
 // idempotencyKey returns the caller's key, or an empty one.
--- a/server/server.go
+++ b/server/server.go
@@ -30,7 +30,7 @@
 	// writeTimeout bounds how long a caller may take nothing of its answer.
 	writeTimeout = 15 * time.Second
 	// responseTimeout bounds a whole answer; writeTimeout bounds its parts.
-	responseTimeout = maxDeadline + time.Hour
+	responseTimeout = MaxDeadline + time.Hour
 	// idleTimeout closes a connection that carries no request.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds a request's header.
