--- a/router/group.go
+++ b/router/group.go
@@ -2,6 +2,10 @@
 
 import "cyclamenhub.org/identifier"
 
+// fullPart is the part of a group's slots beyond which the next group is looked
+// at, before anything has to wait.
+const fullPart = 0.85
+
 // randomProbes bounds the random tries for a server that may be chosen.
 const randomProbes = 8
 
@@ -15,6 +19,7 @@
 			best = f
 		}
 	}
+	d.full, d.blind = false, false
 	if d.levels > 0 {
 		d.byPrefix(g, consider)
 	}
@@ -40,6 +45,7 @@
 	if n == 0 {
 		return
 	}
+	d.full, d.blind = float64(s.load+1) > fullPart*s.capacity, s.blind
 	sizes[0] = n
 	for i := range d.levels {
 		l := &d.path[i]
@@ -150,21 +156,21 @@
 	requests, waiting := float64(m.s.inFlight.Load()), float64(m.s.pending.Load())
 	if p := m.s.fresh(d.now, d.r.cfg.ReportTTL); p != nil {
 		requests += float64(p.requests)
-		waiting += float64(p.waitingTokens)
 	}
 	perToken := d.p.stats.prefill.value(defaultPrefillSeconds)
 	if m.PrefillRate > 0 {
 		perToken = 1 / m.PrefillRate
 	}
 	slots := float64(m.Concurrency)
-	first := (waiting + float64(d.req.PromptTokens) - cached) * perToken
+	wait := waiting*perToken + m.s.excess.value(d.now)
 	if requests >= slots {
-		first += (requests - slots + 1) / slots * d.p.stats.service.value(defaultServiceSeconds)
+		wait += (requests - slots + 1) / slots * d.p.stats.service.value(defaultServiceSeconds)
 	}
 	return finalist{
 		m: m, g: g,
 		cached: identifier.Tokens(cached),
-		first:  first + m.s.excess.value(d.now),
+		wait:   wait,
+		first:  wait + (float64(d.req.PromptTokens)-cached)*perToken,
 		idle:   waiting == 0 && requests < slots,
 	}
 }
