--- a/roller/controller.go
+++ b/roller/controller.go
@@ -155,7 +155,7 @@
 	}
 	p := c.suspicions.of(r.Start.ID)
 	p.settle(c.of(k).Sum(), now)
-	if r.Phase == Watched && watchIsOver(r, p, now) {
+	if r.Phase == Watched && c.watchIsOver(r, p, now) {
 		return []Event{WatchEnded{ID: r.Start.ID, At: now, Summary: Summarize(c.of(k).Sum())}}
 	}
 	if l := wantedLevel(r, p, now); l != r.Level {
@@ -165,14 +165,21 @@
 }
 
 // watchIsOver reports whether the old version may go. A comparison that goes on
-// prolongs the watch period, at most twofold.
-func watchIsOver(r *Record, p *suspicion, now time.Time) bool {
-	if p.comparison.isOn(now) && now.Before(r.MovedAt.Add(2*r.Start.Watch)) {
+// and evidence that is near the limit prolong the watch period, at most twofold.
+func (c *Controller) watchIsOver(r *Record, p *suspicion, now time.Time) bool {
+	if now.Before(r.MovedAt.Add(r.Start.Watch)) {
 		return false
 	}
-	return !now.Before(r.MovedAt.Add(r.Start.Watch))
+	if !now.Before(r.MovedAt.Add(2 * r.Start.Watch)) {
+		return true
+	}
+	near := Examine(c.of(keyOf(r)).Sum(), r.Start.Routes, logLimitMerged()-nearLimit)
+	return !p.comparison.isOn(now) && len(near) == 0
 }
 
+// nearLimit is how far below the limit the log evidence is near it.
+const nearLimit = 5.0
+
 // wantedLevel returns the level that is due: that of the schedule, or a lower
 // one while a comparison goes on. The last call before the deadline ends a
 // comparison that condemned nothing.
--- a/roller/controller_test.go
+++ b/roller/controller_test.go
@@ -74,3 +74,29 @@
 		}
 	})
 }
+
+// Evidence near the limit prolongs the watch period, at most twofold.
+func TestWatchLastsWhileEvidenceIsNear(t *testing.T) {
+	for _, tt := range []struct {
+		failed uint64
+		watch  time.Duration
+	}{{0, time.Hour}, {3, 2 * time.Hour}} {
+		b := startedBook(t)
+		c := NewController(b)
+		moved := testTime.Add(30 * time.Minute)
+		if _, err := b.Apply(StageReached{ID: "m", Level: TopLevel, At: moved}); err != nil {
+			t.Fatal(err)
+		}
+		c.Merge(failingReport("h1", tt.failed))
+		if es := c.Decide(moved.Add(tt.watch - time.Second)); len(es) > 0 {
+			t.Errorf("%d failures: %v before %v are over", tt.failed, es, tt.watch)
+		}
+		es := c.Decide(moved.Add(tt.watch))
+		if len(es) != 1 {
+			t.Fatalf("%d failures: events %v after %v, want the end", tt.failed, es, tt.watch)
+		}
+		if _, ok := es[0].(WatchEnded); !ok {
+			t.Errorf("%d failures: event %T after %v, want the end", tt.failed, es[0], tt.watch)
+		}
+	}
+}
