--- a/router/ranking.go
+++ b/router/ranking.go
@@ -19,11 +19,13 @@
 	// load and capacity are sums over the set, in requests.
 	load     int64
 	capacity float64
+	// blind tells that no report tells of any of them.
+	blind bool
 }
 
 // stand looks at every member of g once; scratch is reused for the set.
 func (d *decision) stand(g *group, scratch []ranked) standing {
-	s := standing{set: scratch[:0]}
+	s := standing{set: scratch[:0], blind: true}
 	for i := range g.members {
 		m := &g.members[i]
 		if !d.eligible(m) {
@@ -32,7 +34,7 @@
 		t := ranked{m: m, load: m.s.inFlight.Load(), blind: true, late: m.s.excess.value(d.now) > d.limit}
 		if p := m.s.fresh(d.now, d.r.cfg.ReportTTL); p != nil {
 			t.load += p.requests
-			t.blind = false
+			t.blind, s.blind = false, false
 		}
 		s.set = append(s.set, t)
 		s.load += t.load
@@ -59,13 +61,16 @@
 	}
 	slots := float64(t.m.Concurrency)
 	mean := slots / s.capacity * float64(s.load+1)
-	limit := max(min(math.Ceil(bound*mean), slots), math.Ceil(mean))
+	limit := max(min(roundUp(bound*mean), slots), roundUp(mean))
 	if !t.blind {
 		limit = max(limit, freePart*slots)
 	}
 	return float64(t.load+1) <= limit
 }
 
+// roundUp rounds up what is not a whole number but for errors of computing.
+func roundUp(x float64) float64 { return math.Ceil(x - 1e-9) }
+
 // score is the weight of a server for a key. With servers of unequal size it is
 // the logarithmic method, by which each gets keys in proportion to its size
 // (Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", SPAA 2005).
