--- a/cmd/cyclamend/run.go
+++ b/cmd/cyclamend/run.go
@@ -31,9 +31,12 @@
 	return d.Run(ctx)
 }
 
-// stopContext returns a context that ends when the process is told to stop.
+// stopContext returns a context that ends when the process is told to stop. A
+// second signal ends the process at once.
 func stopContext() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
 }
 
 // newLogger returns the logger that the settings ask for.
