--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -94,22 +94,40 @@
 func (d *Drainer) Run(ctx context.Context) {
 	defer close(d.done)
 	defer d.work.Wait()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	var ticks ticking
+	defer ticks.set(false)
 	for {
+		ticks.set(!d.idle())
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-d.events:
 			d.reduce(ctx, e)
-		case <-ticker.C:
-			if !d.idle() {
-				d.reduce(ctx, Tick{Now: d.opt.Clock.Now(), Active: d.opt.Dispatcher.Active()})
-			}
+		case <-ticks.c:
+			d.reduce(ctx, Tick{Now: d.opt.Clock.Now(), Active: d.opt.Dispatcher.Active()})
 		}
 	}
 }
 
+// ticking is a ticker that costs nothing while it is off. Its zero value is off.
+type ticking struct {
+	ticker *time.Ticker
+	c      <-chan time.Time
+}
+
+// set turns the ticker on or off.
+func (t *ticking) set(on bool) {
+	switch {
+	case on == (t.ticker != nil):
+	case on:
+		t.ticker = time.NewTicker(tickInterval)
+		t.c = t.ticker.C
+	default:
+		t.ticker.Stop()
+		*t = ticking{}
+	}
+}
+
 // reduce feeds the plan and performs its effects.
 func (d *Drainer) reduce(ctx context.Context, e Event) {
 	d.mu.Lock()
