--- a/router/router_test.go
+++ b/router/router_test.go
@@ -282,3 +282,28 @@
 		}
 	}
 }
+
+// TestFullGroupGivesWayToAKnownOne checks that prefixes leave a cheap group for
+// a dear one before anything waits, and not for one of which nothing is known.
+func TestFullGroupGivesWayToAKnownOne(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		r, _ := newRouter(candidate("cheap", "a", 1), candidate("dear", "a", 2))
+		r.Observe(LoadReport{BackendServer: "cheap"})
+		if known {
+			r.Observe(LoadReport{BackendServer: "dear"})
+		}
+		var got []identifier.BackendServer
+		for i := range 4 {
+			c := mustChoose(t, r, request("guide", fmt.Sprint(i)))
+			c.FirstToken()
+			got = append(got, c.BackendServer)
+		}
+		want := []identifier.BackendServer{"cheap", "cheap", "cheap", "cheap"}
+		if known {
+			want[3] = "dear"
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("choices with the dear server's load known %v (-want +got):\n%s", known, diff)
+		}
+	}
+}
