daemon: a keeper may learn a revision from its failure domain

A keeper watched only the other keepers. One that was away while a revision came to its domain's entry host, and came back with the domain cut off, went on with its older revision for as long as the cut lasted, though the host beside it had the newer one.

Ruled out: that the log holds it; the keeper was dead when it was accepted.

A keeper now watches the hosts of its domain last, after the other keepers. A stale host there stays stale, since a confirmation only ages on its way.

--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -14,7 +14,9 @@
 // hosts of its failure domain that come before it by name, then the keepers in
 // an order of its own, so that the keepers share the relays, and last the other
 // hosts of its failure domain, which may know more once the keepers are out of
-// reach. A keeper has the log itself and watches only the other keepers.
+// reach. A keeper has the log itself and watches the other keepers first; with
+// them out of reach, a host of its failure domain may know a revision that the
+// keeper missed while it was away.
 func upstreamsOf(cfg *configurer.Settings) []string {
 	before, after := domainPeers(cfg)
 	keepers := slices.DeleteFunc(slices.Clone(cfg.Keepers), func(k identifier.Host) bool { return k == cfg.Host })
@@ -22,7 +24,7 @@
 		return cmp.Compare(rank(cfg.Host, a), rank(cfg.Host, b))
 	})
 	if cfg.IsKeeper() {
-		before, after = nil, nil
+		before, after = nil, slices.Concat(before, after)
 	}
 
 	var addresses []string
