--- a/internal/scalebench/fleet.go
+++ b/internal/scalebench/fleet.go
@@ -30,6 +30,20 @@
 	process *exec.Cmd
 }
 
+// role returns what the node does for the fleet besides serving callers: the
+// first host of a failure domain by name is its relay.
+func (f *fleet) role(n *node) string {
+	if n.keeper {
+		return "keeper"
+	}
+	for _, m := range f.nodes {
+		if m.host.FailureDomain == n.host.FailureDomain && m.host.Name < n.host.Name {
+			return "entry"
+		}
+	}
+	return "relay"
+}
+
 // url returns an address of the node.
 func (n *node) url(port int, path string) string {
 	return fmt.Sprintf("http://%s:%d%s", n.ip, port, path)
@@ -64,14 +78,18 @@
 }
 
 // newNode returns the i-th host. Keepers stand in different failure domains as
-// far as these reach.
+// far as these reach, and come last by name, so that they are no relays.
 func newNode(o *options, i int) *node {
+	name := fmt.Sprintf("h%03d", i)
+	if i < o.Keepers {
+		name = fmt.Sprintf("keeper%d", i)
+	}
 	second, third := 16+os.Getpid()%200, 1+i/250
 	ip := fmt.Sprintf("127.%d.%d.%d", second, third, 1+i%250)
 	return &node{
 		ip: ip, keeper: i < o.Keepers,
 		host: configurer.HostAddress{
-			Name:          identifier.Host(fmt.Sprintf("h%03d", i)),
+			Name:          identifier.Host(name),
 			FailureDomain: identifier.FailureDomain(fmt.Sprintf("d%d", i%o.Domains)),
 			Address:       fmt.Sprintf("%s:%d", ip, peerPort),
 		},
--- a/internal/scalebench/sample.go
+++ b/internal/scalebench/sample.go
@@ -124,27 +124,40 @@
 	return sum, sc.Err()
 }
 
+// roles are shown in this order.
+var roles = []string{"keeper", "relay", "entry"}
+
 // costs returns what each role spent between two samples.
 func (f *fleet) costs(before, after []sample) []roleCost {
-	keepers, entries := roleCost{Role: "keeper"}, roleCost{Role: "entry"}
+	byRole := make(map[string]*roleCost)
+	for _, r := range roles {
+		byRole[r] = &roleCost{Role: r}
+	}
 	for i, n := range f.nodes {
-		c := &entries
-		if n.keeper {
-			c = &keepers
-		}
-		elapsed := after[i].at.Sub(before[i].at).Seconds()
-		c.Processes++
-		c.CoreShare += 100 * (after[i].cpu - before[i].cpu).Seconds() / elapsed
-		c.ResidentMB += after[i].resident
-		c.BytesPerSecond += (after[i].bytes - before[i].bytes) / elapsed
+		byRole[f.role(n)].add(before[i], after[i])
 	}
 	var out []roleCost
-	for _, c := range []roleCost{keepers, entries} {
-		if c.Processes > 0 {
-			n := float64(c.Processes)
-			c.CoreShare, c.ResidentMB, c.BytesPerSecond = c.CoreShare/n, c.ResidentMB/n, c.BytesPerSecond/n
-			out = append(out, c)
+	for _, r := range roles {
+		if c := byRole[r]; c.Processes > 0 {
+			out = append(out, c.mean())
 		}
 	}
 	return out
 }
+
+// add adds what one process spent between two samples.
+func (c *roleCost) add(before, after sample) {
+	elapsed := after.at.Sub(before.at).Seconds()
+	c.Processes++
+	c.CoreShare += 100 * (after.cpu - before.cpu).Seconds() / elapsed
+	c.ResidentMB += after.resident
+	c.BytesPerSecond += (after.bytes - before.bytes) / elapsed
+}
+
+// mean returns what one process spent on average.
+func (c *roleCost) mean() roleCost {
+	n := float64(c.Processes)
+	m := *c
+	m.CoreShare, m.ResidentMB, m.BytesPerSecond = c.CoreShare/n, c.ResidentMB/n, c.BytesPerSecond/n
+	return m
+}
