--- a/keeper/loop.go
+++ b/keeper/loop.go
@@ -11,7 +11,7 @@
 // run is the one goroutine that drives the replica.
 func (k *Keeper) run(ctx context.Context) {
 	defer k.shutDown()
-	t := time.NewTimer(k.untilTick())
+	t := time.NewTicker(k.opts.tick())
 	defer t.Stop()
 	for {
 		select {
@@ -19,7 +19,6 @@
 			return
 		case <-t.C:
 			k.onTick()
-			t.Reset(k.untilTick())
 		case e := <-k.received:
 			k.receive(e)
 		case f := <-k.done:
@@ -35,13 +34,6 @@
 	}
 }
 
-// untilTick returns the time until the next tick. The groups of a host tick
-// together, so that their heartbeats travel together.
-func (k *Keeper) untilTick() time.Duration {
-	tick := k.opts.tick()
-	return tick - time.Duration(time.Now().UnixNano())%tick
-}
-
 // proposalsIn returns the channel of proposals. Without group commit it is nil
 // while the disk is busy.
 func (k *Keeper) proposalsIn() <-chan *proposal {
--- a/keeper/peers.go
+++ b/keeper/peers.go
@@ -24,8 +24,6 @@
 	maxBatchBytes = 1 << 20
 	// callsPerPeer is how many calls to one host may be under way.
 	callsPerPeer = 4
-	// lingerTime is how long a heartbeat waits for those of other groups.
-	lingerTime = 2 * time.Millisecond
 	// callTimeout bounds one call.
 	callTimeout = 2 * time.Second
 )
@@ -147,10 +145,7 @@
 		case <-p.ctx.Done():
 			return
 		case w := <-q:
-			batch := fill(&wire.ReplicationBatch{}, w, q)
-			if isIdle(batch) {
-				batch = p.linger(batch, q)
-			}
+			batch := fill(w, q)
 			ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 			if err := p.messenger.Call(ctx, address, replicateMethod, batch, &wire.Empty{}); err != nil {
 				p.lost.Add(len(batch.GetEnvelopes()))
@@ -160,10 +155,10 @@
 	}
 }
 
-// fill adds w and what else is queued to the batch, within maxBatchBytes.
-func fill(batch *wire.ReplicationBatch, w *wire.ReplicationEnvelope, q chan *wire.ReplicationEnvelope) *wire.ReplicationBatch {
-	batch.Envelopes = append(batch.Envelopes, w)
-	for size := proto.Size(batch); size < maxBatchBytes; {
+// fill returns a batch of w and what else is queued, within maxBatchBytes.
+func fill(w *wire.ReplicationEnvelope, q chan *wire.ReplicationEnvelope) *wire.ReplicationBatch {
+	batch := &wire.ReplicationBatch{Envelopes: []*wire.ReplicationEnvelope{w}}
+	for size := proto.Size(w); size < maxBatchBytes; {
 		select {
 		case w := <-q:
 			batch.Envelopes = append(batch.Envelopes, w)
@@ -175,31 +170,3 @@
 	}
 	return batch
 }
-
-// isIdle reports whether a batch holds nothing but heartbeats.
-func isIdle(batch *wire.ReplicationBatch) bool {
-	for _, w := range batch.GetEnvelopes() {
-		if a := w.GetAppend(); a == nil || len(a.GetEntries()) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// linger waits a little for the heartbeats of the other groups.
-func (p *Peers) linger(batch *wire.ReplicationBatch, q chan *wire.ReplicationEnvelope) *wire.ReplicationBatch {
-	t := time.NewTimer(lingerTime)
-	defer t.Stop()
-	for {
-		select {
-		case w := <-q:
-			if batch = fill(batch, w, q); !isIdle(batch) {
-				return batch
-			}
-		case <-t.C:
-			return batch
-		case <-p.ctx.Done():
-			return batch
-		}
-	}
-}
