admitter: changed limits are in force at once

Cause: the admitter took queuedRequests and retryShare from the first configuration that a host saw and kept them. SetLimits now follows each table. TestChangedLimitsAreInForce does not compile without it.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -190,3 +190,25 @@
 		t.Errorf("%d requests were granted, want 2: a fifth of the burst of 10", len(d.grants))
 	}
 }
+
+func TestChangedLimitsAreInForce(t *testing.T) {
+	a, _ := newAdmitter(1, 1, CustomerLimits{Customer: "choir"})
+	var d record
+	offer := func(n int) {
+		for range n {
+			a.Offer(Request{Customer: "choir", Service: "s"}, d.decide)
+		}
+	}
+	offer(3)
+	if diff := cmp.Diff(1, len(d.refusals)); diff != "" {
+		t.Fatalf("refused with room for 1 (-want +got):\n%s", diff)
+	}
+	a.SetLimits(Limits{Queued: 3, RetryShare: 1})
+	offer(3)
+	if diff := cmp.Diff(2, len(d.refusals)); diff != "" {
+		t.Errorf("refused with room for 3 (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(int64(retryUnit), a.lanes["s"].retries.earns); diff != "" {
+		t.Errorf("a success earns (-want +got):\n%s", diff)
+	}
+}
--- a/admitter/retry.go
+++ b/admitter/retry.go
@@ -17,9 +17,14 @@
 
 // newRetryBudget returns a budget with a full reserve.
 func newRetryBudget(share identifier.Share) retryBudget {
-	return retryBudget{earns: int64(share * retryUnit), level: retryReserve * retryUnit}
+	b := retryBudget{level: retryReserve * retryUnit}
+	b.setShare(share)
+	return b
 }
 
+// setShare sets what a success earns from now on.
+func (b *retryBudget) setShare(share identifier.Share) { b.earns = int64(share * retryUnit) }
+
 // succeed adds what one success earns.
 func (b *retryBudget) succeed() { b.level = min(b.level+b.earns, retryReserve*retryUnit) }
 
--- a/admitter/settings.go
+++ b/admitter/settings.go
@@ -28,6 +28,26 @@
 	a.announce(started)
 }
 
+// Limits bound what one host holds; 0 means the default of the Config's field.
+type Limits struct {
+	// Queued bounds the requests that wait for each service.
+	Queued int
+	// RetryShare is the part of recent successes that may be spent on retries.
+	RetryShare identifier.Share
+}
+
+// SetLimits replaces the limits. Requests that wait beyond a lower bound go on
+// waiting; new ones are refused.
+func (a *Admitter) SetLimits(l Limits) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cfg.Queued, a.cfg.RetryShare = l.Queued, l.RetryShare
+	a.cfg = a.cfg.withDefaults()
+	for _, lane := range a.lanes {
+		lane.retries.setShare(a.cfg.RetryShare)
+	}
+}
+
 // SetCustomers replaces the customers and their limits.
 func (a *Admitter) SetCustomers(customers []CustomerLimits) {
 	a.mu.Lock()
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 
 	"cyclamenhub.org/admitter"
-	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/timer"
 
@@ -23,9 +22,9 @@
 
 // newAdmission returns an admission by a, or by an admitter of its own where a
 // is nil.
-func newAdmission(a *admitter.Admitter, clock timer.Clock, set *metrics.Set, l configurer.Limits) *admission {
+func newAdmission(a *admitter.Admitter, clock timer.Clock, set *metrics.Set) *admission {
 	if a == nil {
-		a = admitter.New(admitter.Config{Clock: clock, Metrics: set, Queued: l.QueuedRequests, RetryShare: l.RetryShare})
+		a = admitter.New(admitter.Config{Clock: clock, Metrics: set})
 	}
 	return &admission{admitter: a}
 }
@@ -57,6 +56,8 @@
 	if a.table.Load() == t {
 		return
 	}
+	l := t.Limits()
+	a.admitter.SetLimits(admitter.Limits{Queued: l.QueuedRequests, RetryShare: l.RetryShare})
 	a.admitter.SetServices(serviceLimits(t))
 	a.admitter.SetCustomers(customerLimits(t))
 	a.table.Store(t)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -138,7 +138,7 @@
 // admission returns the point of acceptance, which needs a first table.
 func (d *Dispatcher) admission() *admission {
 	d.admissionOnce.Do(func() {
-		d.admit = newAdmission(d.opt.Admitter, d.opt.Clock, d.opt.Metrics, d.Table().Limits())
+		d.admit = newAdmission(d.opt.Admitter, d.opt.Clock, d.opt.Metrics)
 	})
 	return d.admit
 }
