daemon: a claim ends before its request's deadline

Ruled out: the connections. The refusal came from the keeper's own log, which holds a proposal while no leader is known; nothing else bounded it.

A claim now has 5 s, more than an election takes, on keepers and on other hosts. The claim is given back as before, so that the refusal stays true. Without the bound the new test sees the request's context end first.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -22,6 +23,11 @@
 // before.
 const firstClaimGroup identifier.GroupID = 1
 
+// claimTimeout bounds an entry's way into a claim group. It outlasts an
+// election; a host without a majority then refuses long before the request's
+// deadline.
+const claimTimeout = 5 * time.Second
+
 // claims reaches the logs of the claim groups: those kept here, or those of
 // keepers elsewhere.
 type claims struct {
@@ -90,6 +96,8 @@
 
 // Propose puts an entry into the log of a claim group.
 func (cs *claims) Propose(ctx context.Context, group int, entry []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
 	if len(cs.groups) > 0 {
 		return cs.proposeHere(ctx, group, entry)
 	}
--- /dev/null
+++ b/internal/daemon/claims_test.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/refuser"
+)
+
+// TestClaimEndsBeforeDeadline claims at keepers that are silent, for a request
+// with a late deadline.
+func TestClaimEndsBeforeDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		m := messenger.New(messenger.Options{Host: "a2", DialTimeout: time.Hour, Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			dials++
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}})
+		defer m.Close()
+		cs := &claims{control: &control{messenger: m, cfg: &configurer.Settings{
+			Host: "a2", Keepers: []identifier.Host{"a1"},
+			Hosts: []configurer.HostAddress{{Name: "a1", Address: "a1:1"}, {Name: "a2", Address: "a2:1"}},
+		}}}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+		defer cancel()
+		_, err := cs.Propose(ctx, 0, []byte("claim"))
+		var f *refuser.Refusal
+		if !errors.As(err, &f) || f.Kind() != refuser.NoMajority {
+			t.Errorf("got %v, want %s", err, refuser.NoMajority)
+		}
+		if dials == 0 || ctx.Err() != nil {
+			t.Errorf("%d dials, the request's context: %v", dials, ctx.Err())
+		}
+	})
+}
