daemon: customers' rates are divided between the hosts by demand

Cause: every host granted every customer its whole rate, so that nine hosts granted nine times the limit; the division that the admitter offers was called by nobody. Ruled out: a fixed part for each host, which grants one busy host a third of the rate among three.

--- a/dispatcher/table.go
+++ b/dispatcher/table.go
@@ -88,5 +88,14 @@
 	return nil, false
 }
 
+// CustomerNames returns the names of all customers, in the document's order.
+func (t *Table) CustomerNames() []identifier.Customer {
+	names := make([]identifier.Customer, len(t.all))
+	for i, c := range t.all {
+		names[i] = c.Name
+	}
+	return names
+}
+
 // Limits returns the bounds of a process.
 func (t *Table) Limits() configurer.Limits { return t.limits }
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -19,7 +19,8 @@
 	work := dispatcher.New(dispatcher.Options{
 		Tables: &d.tables, Clock: d.clock, Log: d.log, Metrics: set,
 		Host: d.cfg.Host, FailureDomain: d.cfg.FailureDomain, Draw: d.drawVersion,
-		Claimer: claimer.NewReplicatedClaimer(d.claims, d.cfg.ClaimGroupCount()),
+		Admitter: d.admitter,
+		Claimer:  claimer.NewReplicatedClaimer(d.claims, d.cfg.ClaimGroupCount()),
 	})
 	d.drainer = drainer.New(drainer.Options{
 		Self: d.cfg.Self(), Hosts: d.cfg.Hosts, Dispatcher: work, Call: d.messenger.Call,
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
@@ -55,6 +56,9 @@
 	machine *reducer.Machine
 	keeper  *keeper.Keeper // nil where this host is no keeper
 	peers   *keeper.Peers
+	sharing sharing
+	// table returns what traffic reads, or nil before the first configuration.
+	table func() *dispatcher.Table
 	// rollouts decides about the rollouts; guarded by mu.
 	rollouts *roller.Controller
 	clock    timer.Clock
@@ -83,6 +87,7 @@
 	m.Handle(viewMethod, c.handleView)
 	m.Handle(rolloutReportMethod, c.handleReport)
 	m.Handle(reportsMethod, c.handleReports)
+	m.Handle(sharesMethod, c.handleShares)
 	m.Handle(membersMethod, c.handleMembers)
 	m.Handle(changeMembersMethod, c.handleChangeMembers)
 	return c, nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"cyclamenhub.org/admitter"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/distributor"
@@ -50,6 +51,7 @@
 	dist      *distributor.Distributor
 	control   *control
 	claims    *claims
+	admitter  *admitter.Admitter
 	follower  *configurer.Follower
 	judges    *roller.Judges
 	tables    atomic.Pointer[dispatcher.Table]
@@ -71,6 +73,7 @@
 	d := &Daemon{cfg: cfg, log: opts.Log, clock: opts.Clock}
 	d.messenger = messenger.New(messenger.Options{Host: cfg.Host, Clock: opts.Clock})
 	d.judges = newJudges(cfg, opts.Clock.Now())
+	d.admitter = newAdmitter(cfg, opts)
 	d.follower = configurer.NewFollower(opts.Clock, d.putInForce)
 	upstreams := upstreamsOf(cfg)
 	d.dist = distributor.New(distributor.Options{
@@ -83,6 +86,7 @@
 		return nil, err
 	}
 	d.control = c
+	c.table = d.tables.Load
 	if d.claims, err = newClaims(c, opts); err != nil {
 		c.close()
 		return nil, err
@@ -156,6 +160,7 @@
 	wg.Go(func() { d.dist.Run(background) })
 	wg.Go(func() { d.follower.Run(background) })
 	wg.Go(func() { d.claims.run(background) })
+	wg.Go(func() { d.runShares(background) })
 	wg.Go(func() { d.drainer.Run(background) })
 	wg.Go(func() { d.control.runRollouts(background, d.clock.Now) })
 	wg.Go(func() { d.runJudges(background) })
