connector: a request that was sent in part, under test

A connector that calls every failed send unsent passed TestErrorsTellWhetherSent and the at-most-once tests of dispatcher: no test broke a request off half-way. TestPartlySentIsTold does, and fails with that connector.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -199,6 +199,30 @@
 	})
 }
 
+// TestPartlySentIsTold breaks a connection in the middle of a large request,
+// which a backend server may have begun to run.
+func TestPartlySentIsTold(t *testing.T) {
+	address := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadByte()
+		_ = c.Close()
+	})
+	c, err := connector.NewPool(connector.Options{}).Open(context.Background(), address, connector.Fresh)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	body := strings.NewReader(strings.Repeat("x", 32<<20))
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.Exchange(context.Background(), req, connector.Limits{Deadline: time.Now().Add(time.Minute)})
+	var e *connector.Error
+	if !errors.As(err, &e) || !e.Sent || e.Stage != connector.Sending {
+		t.Errorf("got %+v, want an error of a request that was sent in part", err)
+	}
+}
+
 // TestCancelEndsExchange checks that a cancelled exchange returns at once and
 // its connection is not used again.
 func TestCancelEndsExchange(t *testing.T) {
