--- a/server/handlers.go
+++ b/server/handlers.go
@@ -20,6 +20,10 @@
 func (s *Server) authenticated(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.counters.requests.Inc()
+		if s.opt.Tables.Load() == nil {
+			s.refuse(w, refuser.NotRun(refuser.NoBackendServer, "this host has no configuration yet", "come back after the time in Retry-After").After(unconfiguredRetry))
+			return
+		}
 		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		var c *configurer.Customer
 		if ok {
