scenario: accepted changes stand after a one-way cut

Every change that an operator heard was accepted is looked up in the history after the cut, under the revision that the operator was told.

--- a/internal/scenario/partition_changes_test.go
+++ b/internal/scenario/partition_changes_test.go
@@ -35,10 +35,11 @@
 			p := newPartitioned(t, keeperCount)
 			old := p.awaitLeader(0, 1, 2)
 			p.setCut(domains[old], c.leaving, c.coming)
-			p.raceAcross(old)
+			accepted := p.raceAcross(old)
 			p.checkCutOneWay(domains[old], c.leaving)
 			p.setCut(domains[old], false, false)
 			p.checkOneHistory(3)
+			p.checkStand(accepted)
 		})
 	}
 }
@@ -60,27 +61,48 @@
 }
 
 // raceAcross sends changes against one revision at both sides of a cut until
-// the side of the majority has accepted two.
-func (p *partitioned) raceAcross(old int) {
+// the side of the majority stands two revisions further. It returns the
+// accepted changes.
+func (p *partitioned) raceAcross(old int) []administrator.Changed {
 	p.t.Helper()
 	ctx, cancel := context.WithTimeout(p.t.Context(), awaitLimit)
 	defer cancel()
-	far := make(chan error, 1)
+	far := make(chan result, 1)
 	go func() {
-		_, err := p.change(ctx, p.operators(old), "far", 1)
-		far <- err
+		c, err := p.change(ctx, p.operators(old), "far", 1)
+		far <- result{c, err}
 	}()
+	var near result
 	majority := others(old)
 	p.await("the majority stands at revision 2", func() bool {
-		_, err := p.change(ctx, p.operators(majority[0]), "near", 1)
+		near.changed, near.err = p.change(ctx, p.operators(majority[0]), "near", 1)
 		var f *refuser.Refusal
-		return err == nil || errors.As(err, &f) && f.Kind() == refuser.Conflict
+		return near.err == nil || errors.As(near.err, &f) && f.Kind() == refuser.Conflict
 	})
 	p.awaitLeader(majority...)
 	p.await("the old leader leads no more", func() bool { return p.leader(old) < 0 })
 	p.mustChange(majority[1], "next", 2)
-	if err := <-far; err == nil {
-		p.t.Log("the change at the cut-off side was accepted")
+	accepted := []administrator.Changed{{ChangeID: "next", Revision: 3}}
+	for _, r := range []result{near, <-far} {
+		if r.err == nil {
+			accepted = append(accepted, r.changed)
+		}
+	}
+	return accepted
+}
+
+// checkStand checks that every accepted change is in the history under the
+// revision that its operator was told.
+func (p *partitioned) checkStand(accepted []administrator.Changed) {
+	p.t.Helper()
+	stands := make(map[identifier.ChangeID]identifier.Revision)
+	for _, r := range p.history(0).Records {
+		stands[r.ChangeID] = r.Revision
+	}
+	for _, c := range accepted {
+		if stands[c.ChangeID] != c.Revision {
+			p.t.Errorf("%s was accepted as revision %d, history has %d", c.ChangeID, c.Revision, stands[c.ChangeID])
+		}
 	}
 }
 
