--- a/server/server.go
+++ b/server/server.go
@@ -33,6 +33,9 @@
 	responseTimeout = MaxDeadline + time.Hour
 	// idleTimeout closes a connection that carries no request.
 	idleTimeout = 2 * time.Minute
+	// unconfiguredRetry is when a caller may come back to a host that has no
+	// configuration yet.
+	unconfiguredRetry = time.Second
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 32 << 10
 )
