--- a/server/server.go
+++ b/server/server.go
@@ -110,7 +110,7 @@
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout + bodyTimeout,
 		IdleTimeout: idleTimeout, WriteTimeout: responseTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelError),
 	}
 	return s
 }
