daemon: reports of demand only where there is news, and fewer in a large fleet

Cause: each host's report every 2 s made the leader's cost grow with the fleet. The interval now grows with the hosts, and a host without demand or new shares is silent for 15 intervals.

--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -22,8 +23,13 @@
 
 const (
 	// shareInterval is the time between two divisions, and between two reports
-	// of a host.
-	shareInterval = 2 * time.Second
+	// of a host, in a fleet of up to hostsPerInterval hosts. It grows with the
+	// fleet, so that the leader's work does not.
+	shareInterval    = 2 * time.Second
+	hostsPerInterval = 32
+	// idleReports is how many intervals pass between reports of a host that
+	// has nothing to say.
+	idleReports = 15
 	// shareTimeout bounds one report.
 	shareTimeout = 3 * time.Second
 	// floorShare is the part of every rate that is divided equally.
@@ -50,17 +56,29 @@
 	return floorShare / identifier.Share(hosts)
 }
 
+// intervalOf returns the time between two divisions in a fleet of n hosts.
+func intervalOf(n int) time.Duration {
+	return shareInterval * time.Duration((n+hostsPerInterval-1)/hostsPerInterval)
+}
+
 // runShares reports this host's demand and takes its shares until ctx ends. A
 // host that reaches no leader keeps the shares it has.
 func (d *Daemon) runShares(ctx context.Context) {
 	if len(d.cfg.Hosts) <= 1 {
 		return
 	}
-	t := time.NewTicker(shareInterval)
+	t := time.NewTicker(intervalOf(len(d.cfg.Hosts)))
 	defer t.Stop()
-	for {
-		if err := d.exchangeShares(ctx); err != nil {
-			shareReportsFailed.Inc()
+	var acknowledged map[identifier.Customer]identifier.Share
+	for n := 0; ; n++ {
+		report := d.admitter.TakeDemand()
+		isNews := len(report.Demands) > 0 || report.Epoch == 0 || !maps.Equal(report.Shares, acknowledged)
+		if isNews || n%idleReports == 0 {
+			if err := d.exchangeShares(ctx, report); err != nil {
+				shareReportsFailed.Inc()
+			} else {
+				acknowledged = report.Shares
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -71,10 +89,10 @@
 }
 
 // exchangeShares reports once.
-func (d *Daemon) exchangeShares(ctx context.Context) error {
+func (d *Daemon) exchangeShares(ctx context.Context, demand admitter.DemandReport) error {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	report, err := json.Marshal(d.admitter.TakeDemand())
+	report, err := json.Marshal(demand)
 	if err != nil {
 		return err
 	}
@@ -159,7 +177,7 @@
 		s.divider = admitter.NewDivider(hostNames(c.cfg), floorShare, term)
 	}
 	s.divider.Report(h, r)
-	if now := c.clock.Now(); now.Sub(s.at) >= shareInterval {
+	if now := c.clock.Now(); now.Sub(s.at) >= intervalOf(len(c.cfg.Hosts)) {
 		s.at, s.latest = now, s.divider.Divide(customers)
 	}
 	shares, ok := s.latest[h]
