--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -32,6 +32,8 @@
 	judgeInterval = 100 * time.Millisecond
 	// decideInterval is the time between two decisions of the leading keeper.
 	decideInterval = 200 * time.Millisecond
+	// idleInterval is the time between two looks while no rollout is under way.
+	idleInterval = time.Second
 	// reportTimeout bounds one report and one proposal.
 	reportTimeout = 2 * time.Second
 )
@@ -88,17 +90,30 @@
 
 // runJudges runs this host's tests and reports to the keepers until ctx ends.
 func (d *Daemon) runJudges(ctx context.Context) {
-	t := time.NewTicker(judgeInterval)
-	defer t.Stop()
-	for {
+	every(ctx, judgeInterval, d.judges.Running, func() {
 		for _, r := range d.judges.Tick(d.clock.Now(), d.dist.Confirmed()) {
 			d.reportRollout(ctx, r)
 		}
+	})
+}
+
+// every calls f until ctx ends: once an interval while running says so, and
+// else once an idleInterval.
+func every(ctx context.Context, interval time.Duration, running func() bool, f func()) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		f()
+		if running() {
+			t.Reset(interval)
+		} else {
+			t.Reset(idleInterval)
+		}
 	}
 }
 
@@ -154,18 +169,18 @@
 	if c.keeper == nil {
 		return
 	}
-	t := time.NewTicker(decideInterval)
-	defer t.Stop()
-	for {
+	every(ctx, decideInterval, c.hasRollouts, func() {
 		for _, e := range c.decideRollouts(now()) {
 			c.proposeRollout(ctx, e)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	})
+}
+
+// hasRollouts reports whether a rollout is under way.
+func (c *control) hasRollouts() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rollouts.Running()
 }
 
 // decideRollouts returns the events that are due while this host leads.
--- a/roller/controller.go
+++ b/roller/controller.go
@@ -94,6 +94,17 @@
 	c.noteRates(now)
 }
 
+// Running reports whether a rollout is under way, so that Decide may have
+// something to decide.
+func (c *Controller) Running() bool {
+	for _, r := range c.book.Records {
+		if !r.Phase.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
 // Decide returns the events that are due. An event that was not applied is
 // returned anew.
 func (c *Controller) Decide(now time.Time) []Event {
--- a/roller/judges.go
+++ b/roller/judges.go
@@ -130,6 +130,18 @@
 	return due
 }
 
+// Running reports whether a rollout is under way, so that Tick has tests to run.
+func (js *Judges) Running() bool {
+	js.mu.Lock()
+	defer js.mu.Unlock()
+	for _, d := range js.directives {
+		if d.Rollout != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // services lists the services in order.
 func (js *Judges) services() []identifier.Service { return slices.Sorted(maps.Keys(*js.read.Load())) }
 
