messenger: callers wait for one dial together, each as long as it likes

Cause: the dial was made under the peer's lock, so that callers of a peer that does not answer dials queued behind each other at a second apiece, whatever their contexts said. TestCallersDoNotQueueBehindADial hangs on the version before: the caller whose context has ended waits for the lock.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -77,10 +77,19 @@
 	closed   bool
 }
 
-// slot is the place of one peer's session; its mutex makes dials single.
+// slot is the place of one peer's session. One dial at a time is under way;
+// who comes meanwhile waits for its outcome.
 type slot struct {
 	mu      sync.Mutex
 	session *session
+	dialing *dialing // nil while no dial is under way
+}
+
+// dialing is one dial that callers wait for.
+type dialing struct {
+	done    chan struct{} // closed when session and err are set
+	session *session
+	err     error
 }
 
 // The messenger's counters.
@@ -199,9 +208,35 @@
 
 // session returns the live session to address, dialling one where needed.
 func (m *Messenger) session(ctx context.Context, address string) (*session, error) {
+	sl, err := m.slotOf(address)
+	if err != nil {
+		return nil, err
+	}
+	sl.mu.Lock()
+	if sl.session != nil && !sl.session.closed() {
+		defer sl.mu.Unlock()
+		return sl.session, nil
+	}
+	if sl.dialing == nil {
+		sl.dialing = &dialing{done: make(chan struct{})}
+		go m.dialFor(sl, address)
+	}
+	d := sl.dialing
+	sl.mu.Unlock()
+
+	select {
+	case <-d.done:
+		return d.session, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// slotOf returns the slot of an address.
+func (m *Messenger) slotOf(address string) (*slot, error) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.closed {
-		m.mu.Unlock()
 		return nil, errClosed
 	}
 	sl := m.sessions[address]
@@ -209,19 +244,28 @@
 		sl = &slot{}
 		m.sessions[address] = sl
 	}
-	m.mu.Unlock()
+	return sl, nil
+}
 
+// dialFor dials for all who wait at the slot.
+func (m *Messenger) dialFor(sl *slot, address string) {
+	s, err := m.dial(context.Background(), address)
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
-	if sl.session != nil && !sl.session.closed() {
-		return sl.session, nil
-	}
-	s, err := m.dial(ctx, address)
-	if err != nil {
-		return nil, err
+	d := sl.dialing
+	d.session, d.err = s, err
+	sl.session, sl.dialing = s, nil
+	close(d.done)
+	if err == nil && m.isClosed() {
+		s.close()
 	}
-	sl.session = s
-	return s, nil
+}
+
+// isClosed reports whether Close was called.
+func (m *Messenger) isClosed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.closed
 }
 
 // dial opens a new session to address.
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -270,3 +270,33 @@
 		t.Errorf("error is %v, want an UnreachableError with NotSent", err)
 	}
 }
+
+func TestCallersDoNotQueueBehindADial(t *testing.T) {
+	const callers = 5
+	dials := make(chan struct{}, callers)
+	release := make(chan struct{})
+	client := New(Options{Dial: func(context.Context, string) (net.Conn, error) {
+		dials <- struct{}{}
+		<-release
+		return nil, errors.New("no answer")
+	}})
+	errs := make(chan error, callers)
+	for range callers {
+		go func() {
+			errs <- client.Call(t.Context(), "server", testMethod, &wire.Empty{}, &wire.Empty{})
+		}()
+	}
+	<-dials
+	// One who is in a hurry leaves at once.
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := client.Call(ctx, "server", testMethod, &wire.Empty{}, &wire.Empty{}); !errors.Is(err, context.Canceled) {
+		t.Errorf("error is %v, want Canceled", err)
+	}
+	close(release)
+	for range callers {
+		if err := <-errs; err == nil {
+			t.Error("a call without a session has no error")
+		}
+	}
+}
