dispatcher: each event of a stream reaches the caller at once

Cause: events were kept back while anything was left to read, and the blank line that ends each event was always left. They went out when 4 KB had gathered, or at the end of the stream. Only a whole further event keeps one back now. Found by measuring in separate processes with an engine that sends a token every 40 ms; ruled out: the response writer and the connection to the engine, whose reads return what is there. Tests and benchmarks had engines that send faster than one reads, or read whole streams.

--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -13,7 +13,10 @@
 // doneMarker is the payload that ends a whole stream.
 var doneMarker = []byte("[DONE]")
 
-var dataField = []byte("data:")
+var (
+	dataField = []byte("data:")
+	newline   = []byte("\n")
+)
 
 // errEventTooLarge reports an event beyond maxEventBytes.
 var errEventTooLarge = errors.New("an event of the stream is too large")
@@ -59,5 +62,21 @@
 	return e.long, err
 }
 
-// pending reports whether a further event may be read without waiting.
-func (e *eventReader) pending() bool { return e.br.Buffered() > 0 }
+// pending reports whether a further event can be read without waiting. What is
+// left of the last event, as its blank line, is none.
+func (e *eventReader) pending() bool {
+	b, err := e.br.Peek(e.br.Buffered())
+	if err != nil {
+		return false
+	}
+	for {
+		line, rest, whole := bytes.Cut(b, newline)
+		if !whole {
+			return false
+		}
+		if bytes.HasPrefix(line, dataField) {
+			return true
+		}
+		b = rest
+	}
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
-	"os"
 	"sync"
 	"time"
 
@@ -20,6 +18,7 @@
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
+	"cyclamenhub.org/replicator"
 	"cyclamenhub.org/roller"
 	"cyclamenhub.org/timer"
 )
@@ -29,16 +28,16 @@
 	confirmInterval = time.Second
 	// controlTimeout bounds a proposal to the control log and a reading of it.
 	controlTimeout = 10 * time.Second
-	// initialInterval is the time between attempts to propose the initial
-	// document while no majority of the keepers is in reach.
-	initialInterval = time.Second
-	// initialOperator is who the audit trail names for the initial document.
-	initialOperator identifier.Operator = "initial-settings"
-	// initialChange is the change id of the initial document, the same on every
-	// keeper, so that only one takes effect.
-	initialChange identifier.ChangeID = "initial"
 )
 
+// controlTiming is that of the control log. Changes may wait for a new leader
+// for a few seconds, which halves the heartbeats; claims have the default.
+var controlTiming = replicator.Config{
+	Heartbeat:       2 * replicator.DefaultHeartbeat,
+	ElectionTimeout: 2 * replicator.DefaultElectionTimeout,
+	ClockMargin:     2 * replicator.DefaultClockMargin,
+}
+
 // The methods that keepers answer.
 const (
 	proposeMethod messenger.Method = "control.propose"
@@ -77,6 +76,7 @@
 	k, err := keeper.Open(keeper.Options{
 		Host: cfg.Host, Hosts: cfg.Keepers, DataFolder: cfg.DataFolder,
 		StateMachine: c, Transport: c.peers, Clock: opts.Clock, Log: opts.Log,
+		Replica: controlTiming,
 	})
 	if err != nil {
 		return nil, err
@@ -167,7 +167,13 @@
 }
 
 // View returns a linearizable reading of the control state.
-func (c *control) View(ctx context.Context) (reducer.View, error) {
+func (c *control) View(ctx context.Context) (reducer.View, error) { return c.read(ctx, false) }
+
+// Head returns a linearizable reading without the audit trail.
+func (c *control) Head(ctx context.Context) (reducer.View, error) { return c.read(ctx, true) }
+
+// read reads the control state here or at a keeper elsewhere.
+func (c *control) read(ctx context.Context, head bool) (reducer.View, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	if c.keeper != nil {
@@ -179,7 +185,7 @@
 		return c.machine.View(), nil
 	}
 	var resp wire.ViewResponse
-	if err := c.ask(ctx, viewMethod, &wire.ViewRequest{}, &resp); err != nil {
+	if err := c.ask(ctx, viewMethod, &wire.ViewRequest{Head: head}, &resp); err != nil {
 		return reducer.View{}, err
 	}
 	var s reducer.State
@@ -237,7 +243,11 @@
 }
 
 // handleView answers another host's question for the control state.
-func (c *control) handleView(ctx context.Context, _ *messenger.Call) (proto.Message, error) {
+func (c *control) handleView(ctx context.Context, call *messenger.Call) (proto.Message, error) {
+	var req wire.ViewRequest
+	if err := call.Decode(&req); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	if err := c.keeper.Read(ctx); err != nil {
@@ -245,60 +255,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &wire.ViewResponse{Snapshot: c.machine.Snapshot()}, nil
-}
-
-// proposeInitial puts the initial fleet document into an empty control log, once
-// a majority of the keepers is in reach.
-func (c *control) proposeInitial(ctx context.Context, clock timer.Clock) error {
-	if c.keeper == nil || c.cfg.InitialFleet == "" {
-		return nil
-	}
-	for {
-		err := c.tryInitial(ctx, clock)
-		var f *refuser.Refusal
-		if !errors.As(err, &f) || ctx.Err() != nil {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(initialInterval):
-		}
+	if req.Head {
+		return &wire.ViewResponse{Snapshot: c.machine.Head()}, nil
 	}
-}
-
-// tryInitial proposes the initial fleet document if the control log is empty.
-func (c *control) tryInitial(ctx context.Context, clock timer.Clock) error {
-	v, err := c.View(ctx)
-	if err != nil || v.Revision > 0 {
-		return err
-	}
-	b, err := os.ReadFile(c.cfg.InitialFleet)
-	if err != nil {
-		return fmt.Errorf("initialFleet: %w: name a readable file", err)
-	}
-	f, err := configurer.DecodeFleet(b)
-	if err != nil {
-		return err
-	}
-	out, err := c.Propose(ctx, reducer.ChangeConfiguration{
-		ChangeID: initialChange, Operator: initialOperator, Reason: "initial document of the settings",
-		Document: f.Encode(), At: clock.Now(),
-	})
-	if err != nil {
-		return err
-	}
-	return ignoreConflict(out.Err())
-}
-
-// ignoreConflict drops the error of an initial document that came second.
-func ignoreConflict(err error) error {
-	var f *refuser.Refusal
-	if errors.As(err, &f) && f.Kind() == refuser.Conflict {
-		return nil
-	}
-	return err
+	return &wire.ViewResponse{Snapshot: c.machine.Snapshot()}, nil
 }
 
 // confirm tells the distributor that the state kept here is current, until ctx
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 
+	"cyclamenhub.org/administrator"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/distributor"
@@ -21,6 +22,11 @@
 	"cyclamenhub.org/roller"
 )
 
+var (
+	_ administrator.HeadBackend    = (*control)(nil)
+	_ administrator.RolloutBackend = (*control)(nil)
+)
+
 // rolloutTopic carries the directives of the rollouts.
 const rolloutTopic distributor.TopicName = "rollouts"
 
--- a/internal/rolloutbench/run_test.go
+++ b/internal/rolloutbench/run_test.go
@@ -20,22 +20,31 @@
 }
 
 func TestBadVersionsAreReverted(t *testing.T) {
-	t.Parallel()
-	for _, k := range []Kind{FailsAtOnce, BadAtShare, Hangs, Crashes} {
-		playSeeds(t, k, func(r *Result) {
-			if r.FirstEvidence.IsZero() {
-				t.Errorf("%s: the fault never showed", r)
-			}
-			if r.Reverted.IsZero() {
-				t.Errorf("%s: not reverted", r)
-			}
-			if r.Late > 0 || r.Own > 0 {
-				t.Errorf("%s: drawn after the verdict", r)
-			}
+	for _, k := range Kinds() {
+		if !k.IsBad() {
+			continue
+		}
+		t.Run(string(k), func(t *testing.T) {
+			t.Parallel()
+			playSeeds(t, k, func(r *Result) { checkReverted(t, r) })
 		})
 	}
 }
 
+// checkReverted checks a run of a bad version.
+func checkReverted(t *testing.T, r *Result) {
+	t.Helper()
+	if r.FirstEvidence.IsZero() {
+		t.Errorf("%s: the fault never showed", r)
+	}
+	if r.Reverted.IsZero() {
+		t.Errorf("%s: not reverted", r)
+	}
+	if r.Late > 0 || r.Own > 0 {
+		t.Errorf("%s: drawn after the verdict", r)
+	}
+}
+
 func TestGoodVersionsMoveInTime(t *testing.T) {
 	t.Parallel()
 	for _, k := range []Kind{Good, ReclaimWaves} {
