--- a/internal/daemon/claims_test.go
+++ b/internal/daemon/claims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,9 +19,9 @@
 // with a late deadline.
 func TestClaimEndsBeforeDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		dials := 0
+		var dials atomic.Int64
 		m := messenger.New(messenger.Options{Host: "a2", DialTimeout: time.Hour, Dial: func(ctx context.Context, _ string) (net.Conn, error) {
-			dials++
+			dials.Add(1)
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}})
@@ -36,8 +37,8 @@
 		if !errors.As(err, &f) || f.Kind() != refuser.NoMajority {
 			t.Errorf("got %v, want %s", err, refuser.NoMajority)
 		}
-		if dials == 0 || ctx.Err() != nil {
-			t.Errorf("%d dials, the request's context: %v", dials, ctx.Err())
+		if dials.Load() == 0 || ctx.Err() != nil {
+			t.Errorf("%d dials, the request's context: %v", dials.Load(), ctx.Err())
 		}
 	})
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -70,6 +70,8 @@
 type Messenger struct {
 	opts     Options
 	handlers map[Method]Handler
+	ctx      context.Context // ends with Close; dials run under it
+	stop     context.CancelFunc
 
 	mu       sync.Mutex
 	sessions map[string]*slot // by address
@@ -123,8 +125,11 @@
 			return d.DialContext(ctx, "tcp", address)
 		}
 	}
+	ctx, stop := context.WithCancel(context.Background())
 	return &Messenger{
 		opts:     opts,
+		ctx:      ctx,
+		stop:     stop,
 		handlers: make(map[Method]Handler),
 		sessions: make(map[string]*slot),
 		accepted: make(map[*session]struct{}),
@@ -249,7 +254,7 @@
 
 // dialFor dials for all who wait at the slot.
 func (m *Messenger) dialFor(sl *slot, address string) {
-	s, err := m.dial(context.Background(), address)
+	s, err := m.dial(m.ctx, address)
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
 	d := sl.dialing
@@ -374,6 +379,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.closed = true
+	m.stop()
 	for _, sl := range m.sessions {
 		go sl.close()
 	}
