--- a/internal/scalebench/doc.go
+++ b/internal/scalebench/doc.go
@@ -8,6 +8,6 @@
 //
 // # Usage
 //
-//	go build -o /tmp/bin ./cmd/cyclamend
-//	go run ./internal/scalebench --cyclamend /tmp/bin/cyclamend --hosts 9 --hosts 60 --hosts 150
+//	go build -o bin/ ./cmd/cyclamend
+//	go run ./internal/scalebench --cyclamend bin/cyclamend --hosts 9 --hosts 60 --hosts 150
 package main
