--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -43,28 +43,28 @@
 	table claimer.Table
 }
 
-// newClaims opens the claim groups where this host is a keeper.
-func newClaims(c *control, opts Options) (*claims, error) {
-	cs := &claims{control: c}
+// open opens the claim groups where this host is a keeper, once the control log
+// is open.
+func (cs *claims) open() error {
+	c := cs.control
 	if c.keeper == nil {
-		return cs, nil
+		return nil
 	}
 	for i := range c.cfg.ClaimGroupCount() {
 		g := &claimGroup{}
 		k, err := keeper.Open(keeper.Options{
 			Group: firstClaimGroup + identifier.GroupID(i), Host: c.cfg.Host, Hosts: c.cfg.Keepers,
-			DataFolder: c.cfg.DataFolder, StateMachine: g, Transport: c.peers, Clock: opts.Clock, Log: opts.Log,
+			DataFolder: c.cfg.DataFolder, StateMachine: g, Transport: c.peers, Clock: c.clock, Log: c.log,
 		})
 		if err != nil {
-			cs.close()
-			return nil, err
+			return err
 		}
 		g.keeper = k
 		c.peers.Attach(k)
 		cs.groups = append(cs.groups, g)
 	}
 	c.messenger.Handle(claimMethod, cs.handle)
-	return cs, nil
+	return nil
 }
 
 // Apply applies a committed entry to the table.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -64,22 +64,29 @@
 	log      *slog.Logger
 }
 
-// newControl opens the control log where this host is a keeper.
-func newControl(cfg *configurer.Settings, m *messenger.Messenger, d *distributor.Distributor, opts Options) (*control, error) {
-	c := &control{cfg: cfg, messenger: m, dist: d, clock: opts.Clock, log: opts.Log}
+// newControl returns access to the control log, which open opens.
+func newControl(cfg *configurer.Settings, m *messenger.Messenger, d *distributor.Distributor, opts Options) *control {
+	return &control{cfg: cfg, messenger: m, dist: d, clock: opts.Clock, log: opts.Log}
+}
+
+// open opens the control log where this host is a keeper. A snapshot in the data
+// folder takes effect before open returns, so that all that its effects reach
+// must stand by then.
+func (c *control) open() error {
+	cfg, m := c.cfg, c.messenger
 	if !cfg.IsKeeper() {
-		return c, nil
+		return nil
 	}
 	c.machine = &reducer.Machine{Perform: c.perform}
 	c.rollouts = roller.NewController(c.machine.Rollouts())
 	c.peers = keeper.NewPeers(m, c.addressOf)
 	k, err := keeper.Open(keeper.Options{
 		Host: cfg.Host, Hosts: cfg.Keepers, DataFolder: cfg.DataFolder,
-		StateMachine: c, Transport: c.peers, Clock: opts.Clock, Log: opts.Log,
+		StateMachine: c, Transport: c.peers, Clock: c.clock, Log: c.log,
 		Replica: controlTiming,
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	c.keeper = k
 	c.peers.Attach(k)
@@ -90,7 +97,7 @@
 	m.Handle(sharesMethod, c.handleShares)
 	m.Handle(membersMethod, c.handleMembers)
 	m.Handle(changeMembersMethod, c.handleChangeMembers)
-	return c, nil
+	return nil
 }
 
 // addressOf returns where a keeper is reached.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,24 +81,28 @@
 		Call: d.messenger.Call, OnNews: d.takeTopic, Clock: opts.Clock,
 	})
 	d.dist.Register(d.messenger)
-	c, err := newControl(cfg, d.messenger, d.dist, opts)
-	if err != nil {
-		return nil, err
-	}
-	d.control = c
-	c.table = d.tables.Load
-	if d.claims, err = newClaims(c, opts); err != nil {
-		c.close()
-		return nil, err
-	}
+	d.control = newControl(cfg, d.messenger, d.dist, opts)
+	d.control.table = d.tables.Load
+	d.claims = &claims{control: d.control}
 	d.callers = d.newCallers()
-	if err := d.listen(); err != nil {
+	if err := d.open(); err != nil {
 		d.Close()
 		return nil, err
 	}
 	return d, nil
 }
 
+// open opens the logs and the listening addresses.
+func (d *Daemon) open() error {
+	if err := d.control.open(); err != nil {
+		return err
+	}
+	if err := d.claims.open(); err != nil {
+		return err
+	}
+	return d.listen()
+}
+
 // listen opens the listening addresses.
 func (d *Daemon) listen() error {
 	for _, l := range []struct {
