configurer: one comparison of operators' tokens

The operators' API and the notices of reclaims each compared tokens on their own; both now call OperatorOf. Behaviour and tests are unchanged.

--- a/administrator/authenticate.go
+++ b/administrator/authenticate.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 
+	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/refuser"
 )
@@ -16,7 +17,7 @@
 func (h *handler) authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		operator := h.operatorOf(token)
+		operator := configurer.OperatorOf(h.tokens, token)
 		if !ok || operator == "" {
 			unauthenticatedRequests.Inc()
 			w.Header().Set("WWW-Authenticate", "Bearer")
@@ -28,18 +29,6 @@
 	})
 }
 
-// operatorOf returns the operator with that token, or "". It compares every
-// listed hash, so that the time it takes tells nothing about them.
-func (h *handler) operatorOf(token string) identifier.Operator {
-	var found identifier.Operator
-	for _, t := range h.tokens {
-		if t.TokenHash.Matches(token) {
-			found = t.Operator
-		}
-	}
-	return found
-}
-
 // operator returns who sent r.
 func operator(r *http.Request) identifier.Operator {
 	name, _ := r.Context().Value(operatorKey{}).(identifier.Operator)
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -56,6 +56,18 @@
 	TokenHash KeyHash `json:"tokenHash"`
 }
 
+// OperatorOf returns the operator with that token, or "". It compares every
+// hash, so that the time it takes tells nothing about them.
+func OperatorOf(tokens []OperatorToken, token string) identifier.Operator {
+	var found identifier.Operator
+	for _, t := range tokens {
+		if t.TokenHash.Matches(token) {
+			found = t.Operator
+		}
+	}
+	return found
+}
+
 // HostAddress tells where one entry host stands.
 type HostAddress struct {
 	// Name is the host's own.
--- a/drainer/notices.go
+++ b/drainer/notices.go
@@ -63,14 +63,7 @@
 // allowed reports whether r carries one of the tokens.
 func allowed(r *http.Request, tokens []configurer.OperatorToken) bool {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return false
-	}
-	found := false
-	for _, t := range tokens {
-		found = t.TokenHash.Matches(token) || found
-	}
-	return found
+	return ok && configurer.OperatorOf(tokens, token) != ""
 }
 
 // refuse sends a refusal.
