keeper: a group of a set number of voters takes replicas in and replaces lost ones

Cause: a group was the fixed list of hosts in the settings. Where only a few seeds are known and hosts are replaced at other addresses, a replica has to join through any member, and a voter that is gone for good must give up its place. The leader now keeps an odd number of voters and the rest as learners.

Ruled out: all replicas as voters (an even number leaves no majority on either side of a cut in halves); removing the lost voter before its successor votes (two voters bear no loss meanwhile).

--- a/keeper/founding.go
+++ b/keeper/founding.go
@@ -17,6 +17,8 @@
 	applicant member
 	// next is when the next step is due.
 	next time.Time
+	// led is when a leader was last known, or when the replica started.
+	led time.Time
 }
 
 // member is a replica and its host.
@@ -32,18 +34,28 @@
 		return
 	}
 	k.found.next = k.now().Add(k.opts.Replica.Heartbeat)
-	if k.isFounded() {
-		k.takeIn()
-		return
-	}
-	k.tryFound()
-	if k.isFounded() {
-		return
+	if k.role.Leader != 0 || k.found.led.IsZero() {
+		k.found.led = k.now()
 	}
-	for _, h := range k.opts.Hosts {
-		if h != k.opts.Host {
-			k.announce(h, Announce{})
+	switch {
+	case k.isOrphaned():
+		k.announceAll(Announce{Founded: true})
+	case !k.isFounded():
+		k.tryFound()
+		if !k.isFounded() {
+			k.announceAll(Announce{})
 		}
+	case k.opts.Voters > 0:
+		k.adjustVoters()
+	default:
+		k.takeIn()
+	}
+}
+
+// announceAll tells every known host of this replica.
+func (k *Keeper) announceAll(a Announce) {
+	for _, h := range k.contacts() {
+		k.announce(h, a)
 	}
 }
 
@@ -56,23 +68,34 @@
 }
 
 // onAnnounce notes an empty replica. A founded one answers it, and if it leads
-// takes it in.
+// takes it in; where the number of voters is set, others pass it on to the
+// leader, and a replica that was removed while it was away may come back.
 func (k *Keeper) onAnnounce(e Envelope, a Announce) {
-	if a.Founded || !slices.Contains(k.opts.Hosts, e.FromHost) {
+	open := k.opts.Voters > 0
+	if !open && (a.Founded || !slices.Contains(k.opts.Hosts, e.FromHost)) {
 		return
 	}
-	if !k.isFounded() {
-		if k.found.empty == nil {
-			k.found.empty = make(map[identifier.Host]identifier.ReplicaID)
-		}
-		k.found.empty[e.FromHost] = e.From
+	if !k.isFounded() && !a.Founded {
+		k.noteEmpty(e)
 	}
-	if !a.Answer {
+	if !a.Answer && !a.Founded {
 		k.announce(e.FromHost, Announce{Founded: k.isFounded(), Answer: true})
 	}
-	if k.role.Role == replicator.Leader && k.found.applicant.id == 0 {
+	switch {
+	case !k.isFounded():
+	case k.role.Role == replicator.Leader && k.found.applicant.id == 0:
 		k.found.applicant = member{e.From, e.FromHost}
+	case open && !a.Answer:
+		k.relay(e, a)
+	}
+}
+
+// noteEmpty remembers an empty replica for the founding.
+func (k *Keeper) noteEmpty(e Envelope) {
+	if k.found.empty == nil {
+		k.found.empty = make(map[identifier.Host]identifier.ReplicaID)
 	}
+	k.found.empty[e.FromHost] = e.From
 }
 
 // tryFound stores the founding members, if this is the first host of the list
@@ -80,7 +103,7 @@
 // held and lost, a part of a founded group never lets this happen, unless every
 // single host lost its disk.
 func (k *Keeper) tryFound() {
-	if k.opts.Hosts[0] != k.opts.Host || k.replica.Status().Last.Index > 0 {
+	if k.opts.JoinOnly || k.opts.Hosts[0] != k.opts.Host || k.replica.Status().Last.Index > 0 {
 		return
 	}
 	members := replicator.NewMembers(replicator.Member{ID: k.id, Host: k.opts.Host, Voter: true})
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -33,6 +33,17 @@
 	// everywhere. A group of one needs neither them nor a Transport.
 	Host  identifier.Host
 	Hosts []identifier.Host
+	// Voters is how many voters the group aims at, an odd number. Where it is
+	// set, any host may join: the leader keeps the further replicas as learners
+	// and lets one take the place of a voter that is lost. Hosts are then only
+	// those that found the group, which have to be Voters at most. 0 means that
+	// Hosts are all.
+	Voters int
+	// Contacts returns further hosts that may know the group, and may be nil.
+	Contacts func() []identifier.Host
+	// JoinOnly keeps this replica from founding a group, as when its host lost
+	// its disk.
+	JoinOnly bool
 	// DataFolder holds a folder for each group.
 	DataFolder   string
 	StateMachine StateMachine
