platform: the whole path on the users' platform, first form

An adapter decodes the platform's settings, headers, document, list and calls into the product's types. The product gains routes with opaque calls (matcher, forwarder), the discovered list (discoverer), shares of rates in tokens (sharer), use by window (accountant), documents whose highest revision wins and closed windows (reducer), orders of backend servers (scaler), and two processes composed of them (internal/node).

--- /dev/null
+++ b/accountant/accountant.go
@@ -0,0 +1,151 @@
+package accountant
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// Window numbers the windows of the time of day from 1970 on.
+type Window int64
+
+// WindowAt returns the window of a length that t lies in.
+func WindowAt(t time.Time, length time.Duration) Window {
+	return Window(t.UnixNano() / int64(length))
+}
+
+// End returns when w ends.
+func (w Window) End(length time.Duration) time.Time {
+	return time.Unix(0, (int64(w)+1)*int64(length))
+}
+
+// Counts are calls by customer.
+type Counts map[identifier.Customer]int64
+
+// keptWindows is how many windows a Meter and a Ledger remember: more than a
+// report may be late.
+const keptWindows = 6
+
+// Meter counts on one host. It is safe for concurrent use.
+type Meter struct {
+	length time.Duration
+
+	mu     sync.Mutex
+	counts map[Window]Counts
+}
+
+// NewMeter returns a Meter for windows of a length.
+func NewMeter(length time.Duration) *Meter {
+	return &Meter{length: length, counts: make(map[Window]Counts)}
+}
+
+// Begin counts a call that began to run at a time of day.
+func (m *Meter) Begin(c identifier.Customer, at time.Time) {
+	if c == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w := WindowAt(at, m.length)
+	if m.counts[w] == nil {
+		m.counts[w] = make(Counts)
+	}
+	m.counts[w][c]++
+}
+
+// Counts returns what was counted in the last windows.
+func (m *Meter) Counts(now time.Time) map[Window]Counts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	oldest := WindowAt(now, m.length) - keptWindows
+	out := make(map[Window]Counts, len(m.counts))
+	for w, c := range m.counts {
+		if w < oldest {
+			delete(m.counts, w)
+			continue
+		}
+		out[w] = maps.Clone(c)
+	}
+	return out
+}
+
+// source is one run of a host's process.
+type source struct {
+	host identifier.Host
+	run  uint64
+}
+
+// Ledger sums up what the hosts counted. It is not safe for concurrent use.
+type Ledger struct {
+	length time.Duration
+	grace  time.Duration
+	began  Window
+	counts map[Window]map[source]Counts
+}
+
+// NewLedger returns a Ledger that closes windows a grace period after their
+// end.
+func NewLedger(length, grace time.Duration) *Ledger {
+	return &Ledger{length: length, grace: grace, counts: make(map[Window]map[source]Counts)}
+}
+
+// Merge takes in the counts of one run of a host.
+func (l *Ledger) Merge(now time.Time, host identifier.Host, run uint64, counts map[Window]Counts) {
+	present := WindowAt(now, l.length)
+	if l.began == 0 {
+		l.began = present
+	}
+	for w, c := range counts {
+		if w < present-keptWindows || w > present+1 {
+			continue
+		}
+		if l.counts[w] == nil {
+			l.counts[w] = make(map[source]Counts)
+		}
+		l.join(w, source{host, run}, c)
+	}
+	for w := range l.counts {
+		if w < present-keptWindows {
+			delete(l.counts, w)
+		}
+	}
+}
+
+// join raises each count to the reported one.
+func (l *Ledger) join(w Window, s source, c Counts) {
+	held := l.counts[w][s]
+	if held == nil {
+		held = make(Counts, len(c))
+		l.counts[w][s] = held
+	}
+	for customer, n := range c {
+		held[customer] = max(held[customer], n)
+	}
+}
+
+// Due returns the windows after last that can be closed now, in order. A window
+// that ended before the ledger began is due only where a host still reports it.
+func (l *Ledger) Due(now time.Time, last Window) []Window {
+	var due []Window
+	for w := range l.counts {
+		if w > last && !now.Before(w.End(l.length).Add(l.grace)) {
+			due = append(due, w)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
+// Sum returns the counts of all hosts in a window.
+func (l *Ledger) Sum(w Window) Counts {
+	sum := make(Counts)
+	for _, c := range l.counts[w] {
+		for customer, n := range c {
+			sum[customer] += n
+		}
+	}
+	return sum
+}
--- a/cmd/cyclamend/main.go
+++ b/cmd/cyclamend/main.go
@@ -18,6 +18,8 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+
+	"cyclamenhub.org/internal/node"
 )
 
 // The exit codes.
@@ -34,6 +36,8 @@
 	p := flags.NewNamedParser("cyclamend", flags.HelpFlag|flags.PassDoubleDash)
 	p.ShortDescription = "Serves language-model applications from one entry host."
 	add(p, "run", "Serve with a settings file", &runCommand{})
+	add(p, "entry", "Forward callers' calls on the users' platform", &platformCommand{run: node.RunEntry})
+	add(p, "keeper", "Keep the control log on the users' platform", &platformCommand{run: node.RunKeeper})
 	add(p, "check", "Check settings files and fleet documents", &checkCommand{out: out})
 	add(p, "demo", "Run a whole small system in this process", &demoCommand{out: out})
 	_, err := p.ParseArgs(args)
--- /dev/null
+++ b/cmd/cyclamend/platform.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cyclamenhub.org/internal/logger"
+	"cyclamenhub.org/internal/node"
+	"cyclamenhub.org/platform"
+)
+
+// platformCommand runs a process on the users' platform, which names the
+// settings file in the environment.
+type platformCommand struct {
+	run func(context.Context, *platform.Settings, node.Options) error
+}
+
+// Execute serves until the process is told to stop.
+func (c *platformCommand) Execute([]string) error {
+	path := os.Getenv(platform.SettingsVariable)
+	cfg, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	l := logger.New(os.Stdout, logger.Options{})
+	defer l.Close()
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	changed := make(chan struct{}, 1)
+	go func() {
+		for range hangUps {
+			select {
+			case changed <- struct{}{}:
+			default: // A reload is due already.
+			}
+		}
+	}()
+	ctx, stop := stopContext()
+	defer stop()
+	return c.run(ctx, cfg, node.Options{
+		Log:     slog.New(l),
+		Reload:  func() (*platform.Settings, error) { return platform.ReadSettings(path) },
+		Changed: changed,
+	})
+}
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -62,6 +64,11 @@
 	closing  bool
 	finished bool
 	stop     func() bool
+	// writing tells how the sending of a long body ended; nil without one.
+	writing chan error
+	// idleLimit is how long the server keeps an idle connection, as far as it
+	// says so.
+	idleLimit time.Duration
 }
 
 func newConn(nc net.Conn, address string, clock timer.Clock) *Conn {
@@ -157,11 +164,42 @@
 		}
 		if res.StatusCode >= http.StatusOK {
 			c.res, c.closing = newResponse(c, res), res.Close
+			c.idleLimit = idleLimitOf(res.Header)
 			return c.res, nil
 		}
 	}
 }
 
+// idleMargin is how much earlier than the server a connection counts as
+// expired: a request must not meet the server's close.
+const idleMargin = time.Second
+
+// idleLimitOf returns how long a connection may be idle by what the server says
+// (Keep-Alive: timeout=N), or 0 where it says nothing.
+func idleLimitOf(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		n, err := strconv.Atoi(value)
+		if err != nil || n < 0 {
+			return 0
+		}
+		d := time.Duration(n) * time.Second
+		return max(d-idleMargin, d/2)
+	}
+	return 0
+}
+
+// isExpired reports whether an idle connection is too old to be used.
+func (c *Conn) isExpired(now time.Time, most time.Duration) bool {
+	if c.idleLimit > 0 {
+		most = min(most, c.idleLimit)
+	}
+	return now.Sub(c.lastByte) > most
+}
+
 // reusable reads what is left of the body and reports whether the connection
 // may serve another exchange.
 func (c *Conn) reusable() bool {
@@ -172,7 +210,7 @@
 		c.limit, c.armed = drainLimit, time.Time{}
 		_, _ = io.CopyN(io.Discard, c.res.Body, 1)
 	}
-	if !c.finished || c.br.Buffered() > 0 {
+	if !c.finished || c.br.Buffered() > 0 || !c.hasWritten() {
 		return false
 	}
 	c.unwatch()
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -111,7 +111,7 @@
 		switch {
 		case c == nil:
 			return nil
-		case p.opt.Clock.Now().Sub(c.lastByte) > p.opt.MaxIdleAge:
+		case c.isExpired(p.opt.Clock.Now(), p.opt.MaxIdleAge):
 			p.aged.Inc()
 		case !c.quiet():
 			p.closed.Inc()
--- /dev/null
+++ b/discoverer/discoverer_test.go
@@ -0,0 +1,71 @@
+package discoverer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/timer"
+)
+
+// pages is a Source of named pages.
+type pages map[string]Page
+
+func (p pages) Page(_ context.Context, name string) (Page, error) {
+	page, ok := p[name]
+	if !ok {
+		return Page{}, errors.New("no such page")
+	}
+	return page, nil
+}
+
+func TestReadingsReplaceEachOther(t *testing.T) {
+	source := pages{
+		"":   {Instances: []Instance{{ID: "a"}, {ID: "b"}}, Next: "p2"},
+		"p2": {Instances: []Instance{{ID: "c", Draining: true}}},
+	}
+	var changes int
+	d := New(Options{
+		Source: source, Clock: timer.NewManual(time.Unix(1, 0)), Log: slog.New(slog.DiscardHandler),
+		OnChange: func(*Listing) { changes++ },
+	})
+	names := func() []identifier.BackendServer {
+		var out []identifier.BackendServer
+		for _, in := range d.Listing().Instances {
+			out = append(out, in.ID)
+		}
+		return out
+	}
+	if err := d.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]identifier.BackendServer{"a", "b", "c"}, names()); diff != "" {
+		t.Errorf("first reading differs (-want +got):\n%s", diff)
+	}
+
+	source["p2"] = Page{Instances: []Instance{{ID: "c", Draining: true, ColdFor: time.Second}}}
+	if err := d.read(t.Context()); err != nil || changes != 1 {
+		t.Errorf("an equal reading gave error %v and %d changes in all, want 1", err, changes)
+	}
+
+	delete(source, "p2")
+	if err := d.read(t.Context()); err == nil {
+		t.Error("a reading without its second page succeeded")
+	}
+	if got := len(names()); got != 3 {
+		t.Errorf("after a failed reading %d instances are listed, want the 3 of the last one", got)
+	}
+
+	source[""] = Page{Instances: []Instance{{ID: "b"}}}
+	if err := d.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]identifier.BackendServer{"b"}, names()); diff != "" {
+		t.Errorf("last reading differs (-want +got):\n%s", diff)
+	}
+}
--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -20,6 +20,12 @@
 	wg.Wait()
 }
 
+// Refresh asks one upstream once and takes its newer topics.
+func (d *Distributor) Refresh(ctx context.Context, address string) error {
+	_, err := d.watch(ctx, address, 0)
+	return err
+}
+
 // Run keeps the topics current until ctx ends.
 func (d *Distributor) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,309 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/connector"
+	"cyclamenhub.org/discoverer"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/matcher"
+	"cyclamenhub.org/router"
+	"cyclamenhub.org/sharer"
+	"cyclamenhub.org/timer"
+)
+
+const (
+	// defaultMaxBodyBytes bounds a caller's body where the document says
+	// nothing.
+	defaultMaxBodyBytes = 4 << 20
+	// comeBackFirst and comeBackSpread tell refused callers when to return:
+	// spread out, so that they do not return together.
+	comeBackFirst  = 300 * time.Millisecond
+	comeBackSpread = 700 * time.Millisecond
+)
+
+// Options configure a Forwarder.
+type Options struct {
+	Codec   Codec
+	Pool    *connector.Pool
+	Router  *router.Router
+	Limiter *sharer.Limiter
+	Meter   *accountant.Meter
+	Retries RetryBudget
+	// Current reports whether this host surely knows the newest withdrawal of
+	// keys. Where it does not, calls with keys are refused.
+	Current func() bool
+	Clock   timer.Clock
+	// TimeOfDay is the clock by which use is counted; nil means the system's.
+	TimeOfDay timer.Clock
+	Log       *slog.Logger
+}
+
+// Forwarder serves callers. It is an http.Handler.
+type Forwarder struct {
+	opts    Options
+	table   atomic.Pointer[matcher.Table]
+	fleet   atomic.Pointer[fleet]
+	retries *budgets
+	// active counts the calls at work.
+	active atomic.Int64
+}
+
+// New returns a Forwarder that refuses every call until it has a table and a
+// listing.
+func New(opts Options) *Forwarder {
+	if opts.Clock == nil {
+		opts.Clock = timer.System{}
+	}
+	if opts.TimeOfDay == nil {
+		opts.TimeOfDay = timer.System{}
+	}
+	if opts.Log == nil {
+		opts.Log = slog.Default()
+	}
+	if opts.Current == nil {
+		opts.Current = func() bool { return true }
+	}
+	return &Forwarder{opts: opts, retries: newBudgets(opts.Retries)}
+}
+
+// SetTable puts a routing table in force.
+func (f *Forwarder) SetTable(t *matcher.Table) {
+	f.table.Store(t)
+	rates := make(map[identifier.Customer]sharer.Rate)
+	for _, c := range t.Document().Customers {
+		rates[c.Name] = sharer.Rate{PerSecond: c.Rate, Burst: c.Burst}
+	}
+	f.opts.Limiter.Configure(rates)
+}
+
+// Table returns the routing table in force, or nil.
+func (f *Forwarder) Table() *matcher.Table { return f.table.Load() }
+
+// SetListing puts a listing of backend servers in force.
+func (f *Forwarder) SetListing(l *discoverer.Listing) {
+	fl := newFleet(l)
+	f.fleet.Store(fl)
+	f.opts.Router.Publish(&router.Table{Candidates: fl.candidates()})
+}
+
+// Active returns how many calls are at work.
+func (f *Forwarder) Active() int64 { return f.active.Load() }
+
+// ServeHTTP answers one call.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	x := &exchange{f: f, w: w, r: r, start: f.opts.Clock.Now()}
+	x.serve()
+}
+
+// exchange is one call on its way.
+type exchange struct {
+	f        *Forwarder
+	w        http.ResponseWriter
+	r        *http.Request
+	ctx      context.Context
+	call     *Call
+	table    *matcher.Table
+	route    *matcher.Route
+	customer *matcher.Customer
+	service  identifier.Service
+	start    time.Time
+	deadline time.Time
+	cost     float64
+
+	tried []identifier.BackendServer
+	// sends counts the attempts, and runs those of them that may have run.
+	sends, runs int
+	// held is a backend server's failure, passed on if nothing better comes.
+	held *answer
+	// begun tells that a part of the answer has been delivered.
+	begun     bool
+	lastEvent string
+	status    int
+	why       string
+	server    identifier.BackendServer
+}
+
+// serve answers the call.
+func (x *exchange) serve() {
+	defer x.log()
+	if refusal := x.accept(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	x.ctx = ctx
+	x.f.retries.earn(x.service)
+	x.run()
+}
+
+// refusal is an answer of this host's own.
+type refusal struct {
+	status int
+	why    string
+	// after is when to come back; 0 says nothing.
+	after time.Duration
+}
+
+// comeBack returns a time to come back that differs from caller to caller.
+func comeBack(first time.Duration) time.Duration {
+	return first + time.Duration(rand.Int64N(int64(comeBackSpread)))
+}
+
+// notRun refuses a call that surely did not run.
+func notRun(why string) *refusal {
+	return &refusal{http.StatusServiceUnavailable, why, comeBack(comeBackFirst)}
+}
+
+// accept checks everything that comes before the first attempt.
+func (x *exchange) accept() *refusal {
+	x.table = x.f.table.Load()
+	if x.table == nil || x.f.fleet.Load() == nil {
+		return notRun("this host has no document yet")
+	}
+	if why := x.read(); why != nil {
+		return why
+	}
+	if why := x.match(); why != nil {
+		return why
+	}
+	patience := x.route.Timeout
+	if x.call.Patience > 0 {
+		patience = min(patience, x.call.Patience)
+	}
+	x.deadline = x.start.Add(patience)
+	x.service = x.route.Service(hashOf(x.call.ID))
+	return x.limit()
+}
+
+// read reads the call.
+func (x *exchange) read() *refusal {
+	most := x.table.Document().Limits.BodyBytes
+	if most <= 0 {
+		most = defaultMaxBodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(x.r.Body, int64(most)+1))
+	switch {
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, why: "the body was not read: " + err.Error()}
+	case len(body) > most:
+		return &refusal{status: http.StatusRequestEntityTooLarge, why: "the body is too large"}
+	}
+	call, err := x.f.opts.Codec.Decode(x.r)
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, why: err.Error()}
+	}
+	call.method, call.target, call.host, call.body = x.r.Method, x.r.RequestURI, x.r.Host, body
+	x.call, x.lastEvent = call, call.LastEvent
+	return nil
+}
+
+// match finds the route and the customer.
+func (x *exchange) match() *refusal {
+	path, _, _ := strings.Cut(x.call.target, "?")
+	route, ok := x.table.Route(x.call.host, path)
+	if !ok {
+		return x.unknown(http.StatusNotFound, "no route matches")
+	}
+	x.route = route
+	if route.Anonymous || !x.table.HasCustomers() {
+		return nil
+	}
+	if !x.f.opts.Current() {
+		return notRun("this host may not know which keys were withdrawn")
+	}
+	x.customer, ok = x.table.Customer(x.call.Key)
+	if !ok {
+		return x.unknown(http.StatusUnauthorized, "the key is unknown")
+	}
+	return nil
+}
+
+// unknown refuses what the document does not name, unless this host may not
+// have the newest document.
+func (x *exchange) unknown(status int, why string) *refusal {
+	if !x.f.opts.Current() {
+		return notRun(why + ", but this host may not have the newest document")
+	}
+	return &refusal{status: status, why: why}
+}
+
+// limit takes the call's cost from its customer's rate.
+func (x *exchange) limit() *refusal {
+	if x.customer == nil {
+		return nil
+	}
+	x.cost = 1
+	if x.customer.CountsTokens {
+		x.cost = float64(x.customer.DefaultTokens)
+		if x.call.HasTokens {
+			x.cost = float64(x.call.PromptTokens + x.call.OutputTokens)
+		}
+	}
+	if wait := x.f.opts.Limiter.Take(x.customer.Name, x.cost); wait > 0 {
+		x.cost = 0
+		return &refusal{http.StatusTooManyRequests, "the customer's rate is used up", wait}
+	}
+	return nil
+}
+
+// refuse answers with a refusal.
+func (x *exchange) refuse(why *refusal) {
+	x.status, x.why = why.status, why.why
+	h := x.w.Header()
+	if why.after > 0 {
+		x.f.opts.Codec.RetryAfter(h, why.after)
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	x.w.WriteHeader(why.status)
+	_, _ = io.WriteString(x.w, why.why+"\n")
+}
+
+// giveUp ends a call that no attempt has answered.
+func (x *exchange) giveUp(why string) {
+	switch {
+	case x.begun:
+		x.status, x.why = http.StatusOK, "broken off: "+why
+		brokenOff.Inc()
+		panic(http.ErrAbortHandler) // The answer must not look complete.
+	case x.held != nil:
+		x.why = why
+		x.deliver(x.held)
+	case x.runs == 0:
+		x.giveBack()
+		x.refuse(notRun(why))
+	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+		x.refuse(&refusal{status: http.StatusGatewayTimeout, why: why})
+	default:
+		x.refuse(&refusal{status: http.StatusBadGateway, why: why})
+	}
+}
+
+// giveBack returns the cost of a call that surely did not run.
+func (x *exchange) giveBack() {
+	if x.customer != nil && x.cost > 0 {
+		x.f.opts.Limiter.Return(x.customer.Name, x.cost)
+	}
+}
+
+var (
+	callsByStatus = metrics.NewSet()
+	brokenOff     = metrics.NewCounter("cyclamen_forwarder_streams_broken_off_total")
+	resumed       = metrics.NewCounter("cyclamen_forwarder_streams_resumed_total")
+	retried       = metrics.NewCounter("cyclamen_forwarder_retries_total")
+	callSeconds   = metrics.NewHistogram("cyclamen_forwarder_call_seconds")
+)
--- /dev/null
+++ b/internal/node/duties.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/discoverer"
+	"cyclamenhub.org/keeper"
+	"cyclamenhub.org/platform"
+	"cyclamenhub.org/reducer"
+	"cyclamenhub.org/scaler"
+)
+
+const (
+	// dutyInterval is the time between two looks at the duties.
+	dutyInterval = 250 * time.Millisecond
+	// dutyTimeout bounds one call to the platform.
+	dutyTimeout = 800 * time.Millisecond
+	// reportFor is how long after its end the report of a window is tried.
+	reportFor = 20 * time.Second
+)
+
+// duties is what the holder of the duties remembers. Only runDuties uses it.
+type duties struct {
+	// since is when this keeper's lead was first seen; zero while it does not
+	// lead.
+	since    time.Time
+	term     uint64
+	reported map[accountant.Window]bool
+	scaler   *scaler.Scaler
+	listed   time.Time
+}
+
+// runDuties performs the duties while this keeper leads, until ctx ends. A new
+// holder waits until no former one can act any more.
+func (n *keeperNode) runDuties(ctx context.Context) {
+	t := time.NewTicker(dutyInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		lease, err := n.keeper.Load().Lease()
+		if err != nil {
+			n.duties = duties{}
+			continue
+		}
+		d := &n.duties
+		if d.term != uint64(lease.Fencing()) {
+			*d = duties{since: n.clock.Now(), term: uint64(lease.Fencing()), reported: make(map[accountant.Window]bool), scaler: scaler.New()}
+			n.log.Info("holding the duties after the former lease", "fencing", lease.Fencing(), "wait", n.cfg.Bounds.DutyLease)
+		}
+		n.closeWindows(ctx)
+		if n.clock.Now().Sub(d.since) < n.cfg.Bounds.DutyLease {
+			continue
+		}
+		n.reportWindows(ctx, lease)
+		n.orderServers(ctx, lease)
+	}
+}
+
+// closeWindows records the windows that are due.
+func (n *keeperNode) closeWindows(ctx context.Context) {
+	var last accountant.Window
+	if ws := n.view().Windows; len(ws) > 0 {
+		last = ws[len(ws)-1].Window
+	}
+	now := time.Now()
+	n.mu.Lock()
+	due := n.ledger.Due(now, last)
+	sums := make([]accountant.Counts, len(due))
+	for i, w := range due {
+		sums[i] = n.ledger.Sum(w)
+	}
+	n.mu.Unlock()
+	for i, w := range due {
+		if err := n.propose(ctx, reducer.CloseWindow{Window: w, Counts: sums[i], At: now}); err != nil {
+			n.log.Warn("window not closed", "window", w, "error", err)
+			return
+		}
+	}
+}
+
+// reportWindows reports the closed windows that this holder has not reported.
+func (n *keeperNode) reportWindows(ctx context.Context, lease keeper.Lease) {
+	for _, w := range n.view().Windows {
+		if n.duties.reported[w.Window] || time.Since(w.Window.End(n.cfg.Bounds.Window)) > reportFor {
+			continue
+		}
+		err := n.underLease(ctx, lease, func(ctx context.Context) error {
+			return n.client.ReportUse(ctx, lease.Fencing(), w.Window, w.Counts)
+		})
+		if err != nil {
+			n.log.Warn("window not reported", "window", w.Window, "error", err)
+			return
+		}
+		n.duties.reported[w.Window] = true
+		n.log.Info("window reported", "window", w.Window, "customers", len(w.Counts), "fencing", lease.Fencing())
+	}
+}
+
+// underLease makes a call that ends before the lease does.
+func (n *keeperNode) underLease(ctx context.Context, lease keeper.Lease, call func(context.Context) error) error {
+	if err := lease.Check(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(dutyTimeout, lease.Until().Sub(n.clock.Now())))
+	defer cancel()
+	return call(ctx)
+}
+
+// listPages bounds the pages of the list that the holder reads at once.
+const listPages = 100
+
+// readList reads the list of backend servers.
+func (n *keeperNode) readList(ctx context.Context) (*discoverer.Listing, error) {
+	l := &discoverer.Listing{At: n.clock.Now()}
+	name := ""
+	for range listPages {
+		pageCtx, cancel := context.WithTimeout(ctx, dutyTimeout)
+		p, err := n.client.Page(pageCtx, name)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		l.Instances = append(l.Instances, p.Instances...)
+		if name = p.Next; name == "" {
+			break
+		}
+	}
+	return l, nil
+}
+
+// orderServers gives the orders for backend servers that are due.
+func (n *keeperNode) orderServers(ctx context.Context, lease keeper.Lease) {
+	d := &n.duties
+	now := n.clock.Now()
+	if now.Sub(d.listed) < scaler.Interval {
+		return
+	}
+	v := n.view()
+	if v.Revision == 0 {
+		return
+	}
+	_, document, err := platform.DecodeDocument(v.Document)
+	if err != nil {
+		n.log.Error("stored document cannot be read", "revision", v.Revision, "error", err)
+		return
+	}
+	list, err := n.readList(ctx)
+	if err != nil {
+		n.log.Warn("list of backend servers not read", "error", err)
+		return
+	}
+	d.listed = now
+	for _, o := range d.scaler.Plan(now, document.Services, list) {
+		err := n.underLease(ctx, lease, func(ctx context.Context) error {
+			return n.client.OrderServers(ctx, lease.Fencing(), o.Service, o.FailureDomain, o.Reclaimable, o.Count)
+		})
+		d.scaler.Answer(now, o, err == nil, platform.IsUnavailable(err))
+		n.log.Info("backend servers ordered", "service", o.Service, "failureDomain", o.FailureDomain,
+			"reclaimable", o.Reclaimable, "count", o.Count, "why", o.Why, "fencing", lease.Fencing(), "error", err)
+	}
+}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/distributor"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/sharer"
+)
+
+// syncMethod is the call by which a host tells the leader what it did and gets
+// the leader's word.
+const syncMethod messenger.Method = "node.sync"
+
+const (
+	// syncInterval is the time between two syncs.
+	syncInterval = 250 * time.Millisecond
+	// syncTimeout bounds one sync.
+	syncTimeout = 700 * time.Millisecond
+)
+
+// follow syncs with the leading keeper until ctx ends.
+func (e *entry) follow(ctx context.Context) {
+	t := time.NewTicker(syncInterval)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		syncCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+		if !e.syncOnce(syncCtx) {
+			e.findLeader(ctx)
+		}
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+}
+
+// syncOnce syncs with the leader that is known and reports whether it leads.
+func (e *entry) syncOnce(ctx context.Context) bool {
+	address := e.leader.Load()
+	if address == nil {
+		return false
+	}
+	e.gatherDemand()
+	req := e.request()
+	req.Demand = make(map[string]float64, len(e.pending))
+	for c, n := range e.pending {
+		req.Demand[string(c)] = n
+	}
+	sent := e.steps.Now()
+	var resp wire.SyncResponse
+	if err := e.messenger.Call(ctx, *address, syncMethod, req, &resp); err != nil {
+		e.lose(*address, err.Error())
+		return false
+	}
+	e.learn(&resp)
+	if !resp.GetLeads() {
+		e.lose(*address, "it does not lead")
+		return false
+	}
+	e.pending = nil
+	e.obey(ctx, *address, sent, &resp)
+	return true
+}
+
+// gatherDemand adds what was asked since the last sync to what no leader has
+// been told yet.
+func (e *entry) gatherDemand() {
+	asked := e.limiter.TakeDemand()
+	if e.pending == nil {
+		e.pending = asked
+		return
+	}
+	for c, n := range asked {
+		e.pending[c] += n
+	}
+}
+
+// request returns what this host tells of itself, without the demand.
+func (e *entry) request() *wire.SyncRequest {
+	req := &wire.SyncRequest{
+		Host: string(e.cfg.Host), Run: e.run, Revision: uint64(e.dist.Revision(distributor.FleetTopic)),
+	}
+	for w, counts := range e.meter.Counts(time.Now()) {
+		req.Windows = append(req.Windows, encodeWindow(w, counts))
+	}
+	return req
+}
+
+// lose forgets a leader.
+func (e *entry) lose(address, why string) {
+	if e.leader.Swap(nil) != nil {
+		e.log.Warn("leading keeper lost", "address", address, "why", why)
+	}
+}
+
+// learn remembers the keepers that an answer names.
+func (e *entry) learn(resp *wire.SyncResponse) {
+	if len(resp.GetKeepers()) == 0 {
+		return
+	}
+	e.contacts.setKeepers(hostsOf(resp.GetKeepers()))
+}
+
+// obey takes the leader's word, which counts from when it was asked for. It
+// confirms nothing before the newest document is in force here.
+func (e *entry) obey(ctx context.Context, address string, sent time.Time, resp *wire.SyncResponse) {
+	e.limiter.SetShares(sharesOf(resp))
+	if uint64(e.dist.Revision(distributor.FleetTopic)) < resp.GetRevision() {
+		if err := e.dist.Refresh(ctx, address); err != nil {
+			e.log.Warn("newest document not fetched", "revision", resp.GetRevision(), "error", err)
+		}
+	}
+	if uint64(e.dist.Revision(distributor.FleetTopic)) >= resp.GetRevision() {
+		e.confirmed.raise(sent)
+	}
+}
+
+// findLeader asks all known keepers at once who leads.
+func (e *entry) findLeader(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	hosts := e.contacts.list()
+	found := make(chan identifier.Host, 2*len(hosts))
+	var wg sync.WaitGroup
+	for _, h := range hosts {
+		wg.Go(func() {
+			var resp wire.SyncResponse
+			if e.messenger.Call(ctx, e.cfg.PeerAddress(h), syncMethod, &wire.SyncRequest{}, &resp) != nil {
+				return
+			}
+			e.learn(&resp)
+			switch leader := identifier.Host(resp.GetLeader()); {
+			case resp.GetLeads():
+				found <- h
+			case leader != "" && !slices.Contains(hosts, leader):
+				found <- leader
+			}
+		})
+	}
+	go func() { wg.Wait(); close(found) }()
+	if h, ok := <-found; ok {
+		address := e.cfg.PeerAddress(h)
+		e.leader.Store(&address)
+		e.log.Info("leading keeper found", "address", address)
+	}
+}
+
+// upstreams returns the keepers that documents are watched at, the leading one
+// first.
+func (e *entry) upstreams() []string {
+	var out []string
+	if leader := e.leader.Load(); leader != nil {
+		out = append(out, *leader)
+	}
+	for _, h := range e.contacts.list() {
+		if a := e.cfg.PeerAddress(h); !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// hostsOf returns names as hosts.
+func hostsOf(names []string) []identifier.Host {
+	out := make([]identifier.Host, len(names))
+	for i, n := range names {
+		out[i] = identifier.Host(n)
+	}
+	return out
+}
+
+// sharesOf returns the shares of an answer.
+func sharesOf(resp *wire.SyncResponse) sharer.Shares {
+	s := sharer.Shares{Customers: make(map[identifier.Customer]identifier.Share, len(resp.GetShares())), Others: identifier.Share(resp.GetOthers())}
+	for c, v := range resp.GetShares() {
+		s.Customers[identifier.Customer(c)] = identifier.Share(v)
+	}
+	return s
+}
+
+// encodeWindow returns the protobuf form of a window's counts.
+func encodeWindow(w accountant.Window, counts accountant.Counts) *wire.WindowCounts {
+	out := &wire.WindowCounts{Window: int64(w), Counts: make(map[string]int64, len(counts))}
+	for c, n := range counts {
+		out.Counts[string(c)] = n
+	}
+	return out
+}
+
+// decodeWindows returns the counts of windows.
+func decodeWindows(ws []*wire.WindowCounts) map[accountant.Window]accountant.Counts {
+	out := make(map[accountant.Window]accountant.Counts, len(ws))
+	for _, w := range ws {
+		counts := make(accountant.Counts, len(w.GetCounts()))
+		for c, n := range w.GetCounts() {
+			counts[identifier.Customer(c)] = n
+		}
+		out[accountant.Window(w.GetWindow())] = counts
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/keeper.go
@@ -0,0 +1,247 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/distributor"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/keeper"
+	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/platform"
+	"cyclamenhub.org/reducer"
+	"cyclamenhub.org/replicator"
+	"cyclamenhub.org/sharer"
+	"cyclamenhub.org/timer"
+)
+
+const (
+	// confirmInterval is the time between two confirmations of the state kept
+	// here.
+	confirmInterval = time.Second
+	// reopenPause is the pause before a replica whose disk failed is opened
+	// again.
+	reopenPause = time.Second
+	// stopTime bounds the end of operators' calls at a stop.
+	stopTime = 500 * time.Millisecond
+	// usageGrace is how long after its end a window is closed. Hosts report
+	// several times a second.
+	usageGrace = 2 * time.Second
+)
+
+// keeperTiming is that of the control log on the platform: a leader that is
+// gone must be replaced within the time in which operators try again.
+var keeperTiming = replicator.Config{
+	Heartbeat:       200 * time.Millisecond,
+	ElectionTimeout: time.Second,
+	ClockMargin:     100 * time.Millisecond,
+}
+
+// keeperNode is a process that keeps the control log.
+type keeperNode struct {
+	cfg   *platform.Settings
+	log   *slog.Logger
+	clock timer.Clock
+
+	contacts  contacts
+	messenger *messenger.Messenger
+	dist      *distributor.Distributor
+	peers     *keeper.Peers
+	keeper    atomic.Pointer[keeper.Keeper]
+	client    *platform.Client
+
+	mu      sync.Mutex // guards the fields below
+	machine *reducer.Machine
+	divider *sharer.Divider
+	ledger  *accountant.Ledger
+
+	duties duties
+}
+
+// RunKeeper runs a keeper until ctx ends.
+func RunKeeper(ctx context.Context, cfg *platform.Settings, opts Options) error {
+	fitRuntime(cfg)
+	n := newKeeperNode(cfg, opts)
+	peerLn, err := listen("internalPorts", cfg.PeerAddress(cfg.Host))
+	if err != nil {
+		return err
+	}
+	operatorLn, err := listen("controlPlane", cfg.Operators)
+	if err != nil {
+		return err
+	}
+	if err := n.open(); err != nil {
+		return err
+	}
+	return n.serve(ctx, peerLn, operatorLn, opts)
+}
+
+// newKeeperNode returns a keeper that does not run yet.
+func newKeeperNode(cfg *platform.Settings, opts Options) *keeperNode {
+	clock := timer.NewBoot()
+	n := &keeperNode{
+		cfg: cfg, log: opts.Log, clock: clock,
+		contacts: contacts{self: cfg.Host, seeds: cfg.Seeds},
+		divider:  sharer.NewDivider(time.Duration(leasePart * float64(cfg.Bounds.WithdrawKeys))),
+		ledger:   accountant.NewLedger(cfg.Bounds.Window, usageGrace),
+		client:   platform.NewClient(cfg.API.Address, cfg.Name),
+	}
+	n.messenger = messenger.New(messenger.Options{Host: cfg.Host, Silence: peerSilence, Clock: clock})
+	n.dist = distributor.New(distributor.Options{
+		Self:      configurer.HostAddress{Name: cfg.Host, FailureDomain: cfg.FailureDomain},
+		Upstreams: func() []string { return nil }, Call: n.messenger.Call,
+		OnNews: func(distributor.Topic) error { return nil }, Clock: clock,
+	})
+	n.dist.Register(n.messenger)
+	n.peers = keeper.NewPeers(n.messenger, func(h identifier.Host) (string, bool) { return cfg.PeerAddress(h), true })
+	n.messenger.Handle(syncMethod, n.handleSync)
+	return n
+}
+
+// open opens the replica.
+func (n *keeperNode) open() error {
+	n.mu.Lock()
+	n.machine = &reducer.Machine{Perform: n.perform}
+	n.mu.Unlock()
+	k, err := keeper.Open(keeper.Options{
+		Host: n.cfg.Host, Hosts: n.cfg.Seeds, Voters: 2*max(n.cfg.LostMachines, 1) + 1, Contacts: n.contacts.list,
+		JoinOnly: !n.cfg.Founding, DataFolder: n.cfg.DataFolder, StateMachine: n, Transport: n.peers,
+		Clock: n.clock, Log: n.log, Replica: keeperTiming,
+	})
+	if err != nil {
+		return err
+	}
+	n.keeper.Store(k)
+	n.peers.Attach(k)
+	return nil
+}
+
+// serve serves until ctx ends.
+func (n *keeperNode) serve(ctx context.Context, peerLn, operatorLn net.Listener, opts Options) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	serveMetrics(background, n.cfg, n.log)
+	operators := newServer(platform.OperatorHandler(n, n.log), n.log)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { _ = n.messenger.Serve(peerLn) })
+	wg.Go(func() { serve(operators, operatorLn, n.log) })
+	wg.Go(func() { n.confirm(background) })
+	wg.Go(func() { n.reopen(background) })
+	wg.Go(func() { n.runDuties(background) })
+	wg.Go(func() { n.contacts.reload(background, opts) })
+	n.log.Info("started", "host", n.cfg.Host, "name", n.cfg.Name, "failureDomain", n.cfg.FailureDomain,
+		"seeds", n.cfg.Seeds, "founding", n.cfg.Founding, "replica", n.keeper.Load().Status().ID)
+
+	<-ctx.Done()
+	n.log.Info("stopping")
+	stopCtx, stopped := context.WithTimeout(context.Background(), stopTime)
+	defer stopped()
+	err := operators.Shutdown(stopCtx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = operators.Close()
+	}
+	cancel()
+	err = errors.Join(err, n.keeper.Load().Close())
+	n.messenger.Close()
+	_ = peerLn.Close()
+	n.peers.Close()
+	n.log.Info("stopped")
+	return err
+}
+
+// Apply applies a committed entry. It implements keeper.StateMachine.
+func (n *keeperNode) Apply(index identifier.LogIndex, entry []byte) []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.Apply(index, entry)
+}
+
+// Snapshot returns the control state.
+func (n *keeperNode) Snapshot() []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.Snapshot()
+}
+
+// Restore replaces the control state.
+func (n *keeperNode) Restore(snapshot []byte) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.Restore(snapshot)
+}
+
+// perform carries out the effects of an entry. The caller holds mu.
+func (n *keeperNode) perform(_ identifier.LogIndex, effects []reducer.Effect) {
+	for _, e := range effects {
+		if p, ok := e.(reducer.PublishConfiguration); ok {
+			// OnNews of a keeper accepts everything.
+			_ = n.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: p.Revision, Body: p.Document})
+		}
+	}
+}
+
+// view returns a reading of the control state.
+func (n *keeperNode) view() reducer.View {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.View()
+}
+
+// confirm tells the distributor that the state kept here is current, until ctx
+// ends.
+func (n *keeperNode) confirm(ctx context.Context) {
+	t := time.NewTicker(confirmInterval)
+	defer t.Stop()
+	for {
+		asked := n.clock.Now()
+		readCtx, cancel := context.WithTimeout(ctx, confirmInterval)
+		if n.keeper.Load().Read(readCtx) == nil {
+			n.dist.Confirm(asked)
+		}
+		cancel()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// reopen opens a replica whose disk failed again until ctx ends: the disk may
+// have got well.
+func (n *keeperNode) reopen(ctx context.Context) {
+	t := time.NewTicker(reopenPause)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		k := n.keeper.Load()
+		failure := k.Status().Failure
+		if failure == nil {
+			continue
+		}
+		_ = k.Close() // It says again what failed.
+		if err := n.open(); err != nil {
+			n.log.Warn("replica stays aside", "failure", failure, "error", err)
+			continue
+		}
+		n.log.Info("replica opened again", "failure", failure)
+	}
+}
+
+// leads reports whether this keeper holds the leader's lease.
+func (n *keeperNode) leads() bool {
+	_, err := n.keeper.Load().Lease()
+	return err == nil
+}
--- /dev/null
+++ b/matcher/table.go
@@ -0,0 +1,81 @@
+package matcher
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"cyclamenhub.org/identifier"
+)
+
+// Table is a Document made ready for lookups. It is immutable.
+type Table struct {
+	revision  identifier.Revision
+	routes    map[string][]*Route // by host, the longest prefix first
+	customers map[string]*Customer
+	services  map[identifier.Service]*Service
+	document  *Document
+}
+
+// NewTable returns the table of a checked document, which it keeps.
+func NewTable(revision identifier.Revision, d *Document) *Table {
+	t := &Table{
+		revision: revision, document: d,
+		routes:    make(map[string][]*Route),
+		customers: make(map[string]*Customer),
+		services:  make(map[identifier.Service]*Service, len(d.Services)),
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.routes[host] = append(t.routes[host], r)
+	}
+	for _, list := range t.routes {
+		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range d.Customers {
+		for _, k := range d.Customers[i].Keys {
+			t.customers[k] = &d.Customers[i]
+		}
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	return t
+}
+
+// Revision returns the document's revision.
+func (t *Table) Revision() identifier.Revision { return t.revision }
+
+// Document returns the document, which must not be changed.
+func (t *Table) Document() *Document { return t.document }
+
+// Route returns the route of a call by its host, with or without a port, and
+// its path.
+func (t *Table) Route(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// HasCustomers reports whether calls carry keys at all.
+func (t *Table) HasCustomers() bool { return len(t.document.Customers) > 0 }
+
+// Customer returns the customer that holds a key.
+func (t *Table) Customer(key string) (*Customer, bool) {
+	c, ok := t.customers[key]
+	return c, ok
+}
+
+// Service returns a service by its name.
+func (t *Table) Service(name identifier.Service) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
--- a/reducer/codec.go
+++ b/reducer/codec.go
@@ -23,6 +23,8 @@
 	typeStartRollout        = "startRollout"
 	typeRevertRollout       = "revertRollout"
 	typeRecordRefusal       = "recordRefusal"
+	typeStoreDocument       = "storeDocument"
+	typeCloseWindow         = "closeWindow"
 	typeAccepted            = "accepted"
 	typeConflict            = "conflict"
 	typeRefused             = "refused"
@@ -57,6 +59,10 @@
 		return encodeRollout(ev)
 	case RecordRefusal:
 		return encode(typeRecordRefusal, ev)
+	case StoreDocument:
+		return encode(typeStoreDocument, ev)
+	case CloseWindow:
+		return encode(typeCloseWindow, ev)
 	default:
 		return nil, fmt.Errorf("event %T has no encoding: add it to the codec", ev)
 	}
@@ -81,6 +87,10 @@
 		return decodeRollout(e)
 	case typeRecordRefusal:
 		return decode[RecordRefusal](e)
+	case typeStoreDocument:
+		return decode[StoreDocument](e)
+	case typeCloseWindow:
+		return decode[CloseWindow](e)
 	default:
 		return nil, fmt.Errorf("log entry has the unknown type %q: upgrade this keeper", e.Type)
 	}
--- a/reducer/machine.go
+++ b/reducer/machine.go
@@ -103,3 +103,6 @@
 	answer, _ := effects[len(effects)-1].(Answer)
 	return answer.Outcome
 }
+
+// Revision returns the revision of the present configuration.
+func (m *Machine) Revision() identifier.Revision { return m.state.configuration.revision }
--- a/reducer/reduce.go
+++ b/reducer/reduce.go
@@ -12,6 +12,8 @@
 	configuration configuration
 	audit         audit
 	rollouts      roller.Book
+	// windows are the newest closed windows, oldest first.
+	windows []ClosedWindow
 }
 
 // Reduce applies ev to s and returns what is to be done. The last effect is
@@ -28,6 +30,10 @@
 		return s.recordAction(ev)
 	case Rollout:
 		return s.changeRollout(ev)
+	case StoreDocument:
+		return s.storeDocument(ev)
+	case CloseWindow:
+		return s.closeWindow(ev)
 	case RecordRefusal:
 		return s.recordRefusal(ev)
 	default:
--- a/reducer/snapshot.go
+++ b/reducer/snapshot.go
@@ -24,6 +24,7 @@
 	Accepted  []AuditRecord       `json:"accepted,omitempty"`
 	Refused   []AuditRecord       `json:"refused,omitempty"`
 	Rollouts  roller.Book         `json:"rollouts"`
+	Windows   []ClosedWindow      `json:"windows,omitempty"`
 }
 
 // wireAnswer is the JSON form of an answer.
@@ -52,7 +53,7 @@
 	w := wireState{
 		Format: snapshotFormat, Revision: c.revision, Document: c.document, Since: c.since,
 		LastAudit: s.audit.last, Accepted: s.audit.accepted.records, Refused: s.audit.refused.records,
-		Rollouts: s.rollouts,
+		Rollouts: s.rollouts, Windows: s.windows,
 	}
 	for _, a := range c.answers {
 		w.Answers = append(w.Answers, wireAnswer{
@@ -94,6 +95,7 @@
 		configuration: configuration{revision: w.Revision, document: w.Document, since: w.Since},
 		audit:         audit{last: w.LastAudit},
 		rollouts:      w.Rollouts,
+		windows:       w.Windows,
 	}
 	for _, r := range w.Accepted {
 		restored.audit.accepted.add(r, MaxAcceptedRecords, MaxAcceptedBytes)
--- a/reducer/view.go
+++ b/reducer/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"cyclamenhub.org/identifier"
@@ -21,6 +22,8 @@
 	Refused  []AuditRecord
 	// Rollouts holds the running and the newest ended rollouts, oldest first.
 	Rollouts []roller.Record
+	// Windows holds the newest closed windows, oldest first.
+	Windows []ClosedWindow
 }
 
 // View returns a reading of s. Only the goroutine that owns s may call it.
@@ -32,5 +35,6 @@
 		Accepted: s.audit.accepted.view(),
 		Refused:  s.audit.refused.view(),
 		Rollouts: s.rolloutRecords(),
+		Windows:  slices.Clone(s.windows),
 	}
 }
