--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -80,12 +80,17 @@
 
 // SetTable puts a routing table in force.
 func (f *Forwarder) SetTable(t *matcher.Table) {
+	f.opts.Limiter.Configure(RatesOf(t.Document()))
 	f.table.Store(t)
-	rates := make(map[identifier.Customer]sharer.Rate)
-	for _, c := range t.Document().Customers {
+}
+
+// RatesOf returns the rates of a document's customers.
+func RatesOf(d *matcher.Document) map[identifier.Customer]sharer.Rate {
+	rates := make(map[identifier.Customer]sharer.Rate, len(d.Customers))
+	for _, c := range d.Customers {
 		rates[c.Name] = sharer.Rate{PerSecond: c.Rate, Burst: c.Burst}
 	}
-	f.opts.Limiter.Configure(rates)
+	return rates
 }
 
 // Table returns the routing table in force, or nil.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,7 +12,6 @@
 	"cyclamenhub.org/platform"
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
-	"cyclamenhub.org/sharer"
 )
 
 var _ platform.Control = (*keeperNode)(nil)
@@ -83,20 +82,12 @@
 		return resp, nil
 	}
 	host, now := identifier.Host(req.GetHost()), n.clock.Now()
-	asked := make(sharer.Demand, len(req.GetDemand()))
-	for c, v := range req.GetDemand() {
-		asked[identifier.Customer(c)] = v
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.divider.Report(now, host, asked)
+	n.divider.Report(now, host, useOf(&req))
 	n.ledger.Merge(time.Now(), host, req.GetRun(), decodeWindows(req.GetWindows()))
-	shares := n.divider.SharesOf(now, host)
-	resp.Others, resp.Hosts = float64(shares.Others), uint32(n.divider.Hosts(now))
-	resp.Shares = make(map[string]float64, len(shares.Customers))
-	for c, v := range shares.Customers {
-		resp.Shares[string(c)] = float64(v)
-	}
+	encodeGrants(resp, n.divider.GrantsOf(now, host))
+	resp.Hosts = uint32(n.divider.Hosts(now))
 	return resp, nil
 }
 
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -141,13 +141,10 @@
 	if now.Sub(d.listed) < scaler.Interval {
 		return
 	}
-	v := n.view()
-	if v.Revision == 0 {
-		return
-	}
-	_, document, err := platform.DecodeDocument(v.Document)
-	if err != nil {
-		n.log.Error("stored document cannot be read", "revision", v.Revision, "error", err)
+	n.mu.Lock()
+	document := n.document
+	n.mu.Unlock()
+	if document == nil {
 		return
 	}
 	list, err := n.readList(ctx)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -18,6 +18,7 @@
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/forwarder"
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/matcher"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/platform"
@@ -68,7 +69,8 @@
 	lease      time.Duration
 	stopping   atomic.Bool
 	isReady    atomic.Bool
-	pending    sharer.Demand
+	// pending is the use that no leader has been told yet; only follow uses it.
+	pending map[identifier.Customer]sharer.Use
 }
 
 // RunEntry runs an entry host until ctx ends, and then stops it gracefully.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -48,11 +48,11 @@
 	if address == nil {
 		return false
 	}
-	e.gatherDemand()
+	e.gatherUse()
 	req := e.request()
-	req.Demand = make(map[string]float64, len(e.pending))
-	for c, n := range e.pending {
-		req.Demand[string(c)] = n
+	req.Use = make(map[string]*wire.Use, len(e.pending))
+	for c, u := range e.pending {
+		req.Use[string(c)] = &wire.Use{Asked: u.Asked, Taken: u.Taken}
 	}
 	sent := e.steps.Now()
 	var resp wire.SyncResponse
@@ -70,20 +70,19 @@
 	return true
 }
 
-// gatherDemand adds what was asked since the last sync to what no leader has
-// been told yet.
-func (e *entry) gatherDemand() {
-	asked := e.limiter.TakeDemand()
-	if e.pending == nil {
-		e.pending = asked
-		return
-	}
-	for c, n := range asked {
-		e.pending[c] += n
+// gatherUse adds the use since the last sync to what no leader has been told
+// yet.
+func (e *entry) gatherUse() {
+	use := e.limiter.TakeUse()
+	for c, u := range e.pending {
+		u.Asked += use[c].Asked
+		u.Taken += use[c].Taken
+		use[c] = u
 	}
+	e.pending = use
 }
 
-// request returns what this host tells of itself, without the demand.
+// request returns what this host tells of itself, without the use.
 func (e *entry) request() *wire.SyncRequest {
 	req := &wire.SyncRequest{
 		Host: string(e.cfg.Host), Run: e.run, Revision: uint64(e.dist.Revision(distributor.FleetTopic)),
@@ -112,7 +111,7 @@
 // obey takes the leader's word, which counts from when it was asked for. It
 // confirms nothing before the newest document is in force here.
 func (e *entry) obey(ctx context.Context, address string, sent time.Time, resp *wire.SyncResponse) {
-	e.limiter.SetShares(sharesOf(resp))
+	e.limiter.SetGrants(grantsOf(resp))
 	if uint64(e.dist.Revision(distributor.FleetTopic)) < resp.GetRevision() {
 		if err := e.dist.Refresh(ctx, address); err != nil {
 			e.log.Warn("newest document not fetched", "revision", resp.GetRevision(), "error", err)
@@ -177,13 +176,34 @@
 	return out
 }
 
-// sharesOf returns the shares of an answer.
-func sharesOf(resp *wire.SyncResponse) sharer.Shares {
-	s := sharer.Shares{Customers: make(map[identifier.Customer]identifier.Share, len(resp.GetShares())), Others: identifier.Share(resp.GetOthers())}
-	for c, v := range resp.GetShares() {
-		s.Customers[identifier.Customer(c)] = identifier.Share(v)
+// grantsOf returns the grants of an answer.
+func grantsOf(resp *wire.SyncResponse) sharer.Grants {
+	g := sharer.Grants{
+		Customers: make(map[identifier.Customer]sharer.Grant, len(resp.GetGrants())),
+		Others:    identifier.Share(resp.GetOthers()),
+	}
+	for c, v := range resp.GetGrants() {
+		g.Customers[identifier.Customer(c)] = sharer.Grant{Level: v.GetLevel(), Share: identifier.Share(v.GetShare())}
+	}
+	return g
+}
+
+// encodeGrants adds grants to an answer.
+func encodeGrants(resp *wire.SyncResponse, g sharer.Grants) {
+	resp.Others = float64(g.Others)
+	resp.Grants = make(map[string]*wire.Grant, len(g.Customers))
+	for c, v := range g.Customers {
+		resp.Grants[string(c)] = &wire.Grant{Level: v.Level, Share: float64(v.Share)}
+	}
+}
+
+// useOf returns the use of a request.
+func useOf(req *wire.SyncRequest) map[identifier.Customer]sharer.Use {
+	use := make(map[identifier.Customer]sharer.Use, len(req.GetUse()))
+	for c, u := range req.GetUse() {
+		use[identifier.Customer(c)] = sharer.Use{Asked: u.GetAsked(), Taken: u.GetTaken()}
 	}
-	return s
+	return use
 }
 
 // encodeWindow returns the protobuf form of a window's counts.
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -12,8 +12,10 @@
 	"cyclamenhub.org/accountant"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/distributor"
+	"cyclamenhub.org/forwarder"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/keeper"
+	"cyclamenhub.org/matcher"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/platform"
 	"cyclamenhub.org/reducer"
@@ -61,6 +63,8 @@
 	machine *reducer.Machine
 	divider *sharer.Divider
 	ledger  *accountant.Ledger
+	// document is the newest one, or nil before the first.
+	document *matcher.Document
 
 	duties duties
 }
@@ -182,12 +186,25 @@
 func (n *keeperNode) perform(_ identifier.LogIndex, effects []reducer.Effect) {
 	for _, e := range effects {
 		if p, ok := e.(reducer.PublishConfiguration); ok {
+			n.learn(p)
 			// OnNews of a keeper accepts everything.
 			_ = n.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: p.Revision, Body: p.Document})
 		}
 	}
 }
 
+// learn takes from a document what the duties and the limits need. The caller
+// holds mu.
+func (n *keeperNode) learn(p reducer.PublishConfiguration) {
+	_, document, err := platform.DecodeDocument(p.Document)
+	if err != nil {
+		n.log.Error("stored document cannot be read", "revision", p.Revision, "error", err)
+		return
+	}
+	n.document = document
+	n.divider.Configure(forwarder.RatesOf(document))
+}
+
 // view returns a reading of the control state.
 func (n *keeperNode) view() reducer.View {
 	n.mu.Lock()
--- a/sharer/divider.go
+++ b/sharer/divider.go
@@ -9,65 +9,123 @@
 
 const (
 	// demandHalfLife is the time in which an old demand loses half its weight.
-	demandHalfLife = 700 * time.Millisecond
+	demandHalfLife = 1500 * time.Millisecond
 	// floorShare is the part of every rate that is divided equally, so that a
 	// customer's first call at a host is not refused.
-	floorShare identifier.Share = 0.1
+	floorShare identifier.Share = 0.2
+	// startLevel is the part of the burst that a new leader, which does not know
+	// what was used, begins with.
+	startLevel = 0.5
 )
 
-// Demand is what customers asked of one host since its last report, in the
-// unit of their rates.
-type Demand map[identifier.Customer]float64
+// Rate bounds one customer over the whole fleet.
+type Rate struct {
+	// PerSecond is the rate; 0 means no bound.
+	PerSecond float64
+	// Burst is what may be saved up.
+	Burst float64
+}
 
-// Shares is one host's part of every customer's rate. Others is the share of a
-// customer that is not listed.
-type Shares struct {
-	Customers map[identifier.Customer]identifier.Share
-	Others    identifier.Share
+// Use is what a customer asked of one host and took there since the host's last
+// report, in the unit of the rates.
+type Use struct{ Asked, Taken float64 }
+
+// Grant is what a host may take of a customer's rate.
+type Grant struct {
+	// Level is that of the fleet's bucket; it may be below 0.
+	Level float64
+	// Share is the host's part of the customer's demand.
+	Share identifier.Share
 }
 
-// of returns the share of a customer.
-func (s Shares) of(c identifier.Customer) identifier.Share {
-	if v, ok := s.Customers[c]; ok {
-		return v
-	}
-	return s.Others
+// Grants are what one host may take. Others is the share of a customer that is
+// not listed, whose bucket is full.
+type Grants struct {
+	Customers map[identifier.Customer]Grant
+	Others    identifier.Share
 }
 
-// Divider divides rates by demand. It is pure: reports go in, shares come out.
-// It is not safe for concurrent use.
+// Divider keeps the fleet's buckets and divides the rates by demand. It is pure:
+// reports go in, grants come out. It is not safe for concurrent use.
 type Divider struct {
-	lease time.Duration
-	hosts map[identifier.Host]*hostDemand
+	silence time.Duration
+	rates   map[identifier.Customer]Rate
+	buckets map[identifier.Customer]*bucket
+	hosts   map[identifier.Host]*hostDemand
+}
+
+// bucket is a token bucket whose level may fall below 0.
+type bucket struct {
+	level float64
+	at    time.Time
+}
+
+// refill adds what has accrued.
+func (b *bucket) refill(r Rate, now time.Time) {
+	if d := now.Sub(b.at).Seconds(); d > 0 {
+		b.level = min(b.level+d*r.PerSecond, r.Burst)
+		b.at = now
+	}
 }
 
 // hostDemand is what one host was asked lately.
 type hostDemand struct {
 	heard time.Time
-	level Demand
+	level map[identifier.Customer]float64
 }
 
-// NewDivider returns a Divider that counts a silent host for the time of a
-// lease, after which the host admits nothing any more.
-func NewDivider(lease time.Duration) *Divider {
-	return &Divider{lease: lease, hosts: make(map[identifier.Host]*hostDemand)}
+// NewDivider returns a Divider that forgets a host after a time of silence.
+func NewDivider(silence time.Duration) *Divider {
+	return &Divider{silence: silence, hosts: make(map[identifier.Host]*hostDemand), buckets: make(map[identifier.Customer]*bucket)}
 }
 
-// Report takes in what a host was asked since its last report.
-func (d *Divider) Report(now time.Time, host identifier.Host, asked Demand) {
+// Configure replaces the rates.
+func (d *Divider) Configure(rates map[identifier.Customer]Rate) {
+	d.rates = rates
+	for c, b := range d.buckets {
+		r, ok := rates[c]
+		if !ok {
+			delete(d.buckets, c)
+			continue
+		}
+		b.level = min(b.level, r.Burst)
+	}
+}
+
+// Report takes in what customers used at a host since its last report.
+func (d *Divider) Report(now time.Time, host identifier.Host, use map[identifier.Customer]Use) {
 	h := d.hosts[host]
 	if h == nil {
-		h = &hostDemand{level: make(Demand)}
+		h = &hostDemand{heard: now, level: make(map[identifier.Customer]float64)}
 		d.hosts[host] = h
 	}
 	h.decay(now)
-	for c, n := range asked {
-		if n > 0 {
-			h.level[c] += n
+	for c, u := range use {
+		if u.Asked > 0 {
+			h.level[c] += u.Asked
+		}
+		if b := d.bucketOf(now, c); b != nil {
+			b.level -= u.Taken
 		}
 	}
 }
 
+// bucketOf returns the refilled bucket of a customer, or nil where it has no
+// bound.
+func (d *Divider) bucketOf(now time.Time, c identifier.Customer) *bucket {
+	r, ok := d.rates[c]
+	if !ok || r.PerSecond <= 0 {
+		return nil
+	}
+	b := d.buckets[c]
+	if b == nil {
+		b = &bucket{level: startLevel * r.Burst, at: now}
+		d.buckets[c] = b
+	}
+	b.refill(r, now)
+	return b
+}
+
 // decay lets the demand age until now.
 func (h *hostDemand) decay(now time.Time) {
 	factor := math.Exp2(-float64(now.Sub(h.heard)) / float64(demandHalfLife))
@@ -80,26 +138,32 @@
 	h.heard = now
 }
 
-// SharesOf returns the present shares of a host that has reported.
-func (d *Divider) SharesOf(now time.Time, host identifier.Host) Shares {
+// GrantsOf returns the present grants of a host that has reported.
+func (d *Divider) GrantsOf(now time.Time, host identifier.Host) Grants {
 	d.forget(now)
-	n := max(len(d.hosts), 1)
-	equal := 1 / identifier.Share(n)
-	out := Shares{Customers: make(map[identifier.Customer]identifier.Share), Others: equal}
-	total := make(Demand)
-	for _, h := range d.hosts {
-		for c, v := range h.level {
-			total[c] += v
+	equal := 1 / identifier.Share(max(len(d.hosts), 1))
+	out := Grants{Customers: make(map[identifier.Customer]Grant, len(d.rates)), Others: equal}
+	for c := range d.rates {
+		if b := d.bucketOf(now, c); b != nil {
+			out.Customers[c] = Grant{Level: b.level, Share: d.shareOf(host, c, equal)}
 		}
 	}
-	for c, sum := range total {
-		var own float64
-		if h := d.hosts[host]; h != nil {
+	return out
+}
+
+// shareOf returns a host's part of a customer's demand.
+func (d *Divider) shareOf(host identifier.Host, c identifier.Customer, equal identifier.Share) identifier.Share {
+	var own, sum float64
+	for name, h := range d.hosts {
+		sum += h.level[c]
+		if name == host {
 			own = h.level[c]
 		}
-		out.Customers[c] = floorShare*equal + (1-floorShare)*identifier.Share(own/sum)
 	}
-	return out
+	if sum <= 0 {
+		return equal
+	}
+	return floorShare*equal + (1-floorShare)*identifier.Share(own/sum)
 }
 
 // Hosts returns how many hosts are counted.
@@ -108,10 +172,10 @@
 	return len(d.hosts)
 }
 
-// forget drops the hosts whose leases have run out.
+// forget drops the hosts that have been silent for too long.
 func (d *Divider) forget(now time.Time) {
 	for name, h := range d.hosts {
-		if now.Sub(h.heard) > d.lease {
+		if now.Sub(h.heard) > d.silence {
 			delete(d.hosts, name)
 		}
 	}
--- a/sharer/doc.go
+++ b/sharer/doc.go
@@ -1,21 +1,27 @@
-// Package sharer divides the customers' fleet-wide rates between the hosts that
-// admit their calls.
+// Package sharer holds the customers' fleet-wide rates on hosts that admit
+// their calls one by one.
 //
-// Every host holds a token bucket for each customer with a share of the
-// customer's rate and burst. A host tells the leader several times a second
-// what each customer asked of it; a Divider on the leader answers with shares
-// that follow the demand, so that a customer whose calls reach few hosts still
-// gets its whole rate. Hosts come and go without a list: one that is silent is
-// counted with its last shares until its lease has surely run out.
+// A Divider on the leader keeps one token bucket for each customer and hears
+// several times a second what every host took from it. It answers with the
+// bucket's level and with the host's share of the customer's demand. Until the
+// next answer a host may take a part of that level, and what its share of the
+// rate adds: while the bucket is well filled a burst is admitted wherever it
+// arrives, and when it is used up the hosts divide the rate by demand. What is
+// taken beyond the level is paid for later, since the bucket knows of it.
+//
+// A host that hears no answer only has its share of the rate. Hosts come and go
+// without a list.
 //
 // # Usage
 //
 //	d := sharer.NewDivider(3 * time.Second)             // on the leader
-//	d.Report(now, host, demand)
-//	shares := d.SharesOf(now, host)
+//	d.Configure(rates)
+//	d.Report(now, host, use)
+//	grants := d.GrantsOf(now, host)
 //
 //	l := sharer.NewLimiter(clock)                       // on a host that admits
-//	l.Configure(customers)
-//	l.SetShares(shares)
+//	l.Configure(rates)
+//	use := l.TakeUse()
+//	l.SetGrants(grants)
 //	if wait := l.Take(customer, cost); wait > 0 { ... } // refused: come back then
 package sharer
--- a/sharer/limiter.go
+++ b/sharer/limiter.go
@@ -8,13 +8,13 @@
 	"cyclamenhub.org/timer"
 )
 
-// Rate bounds one customer over the whole fleet.
-type Rate struct {
-	// PerSecond is the rate; 0 means no bound.
-	PerSecond float64
-	// Burst is what may be saved up.
-	Burst float64
-}
+// leastPart is the least part of a bucket's level that each host may take
+// before it hears of the level again. With more hosts than fit they may take
+// more than there is between two answers, which is paid for afterwards.
+const leastPart = 0.3
+
+// longestWait bounds the time to come back that a refusal tells.
+const longestWait = 5 * time.Second
 
 // Limiter holds one host's part of the customers' rates. It is safe for
 // concurrent use.
@@ -23,22 +23,21 @@
 
 	mu      sync.Mutex
 	rates   map[identifier.Customer]Rate
-	shares  Shares
-	buckets map[identifier.Customer]*bucket
-	asked   Demand
+	others  identifier.Share
+	allowed map[identifier.Customer]*allowance
+	use     map[identifier.Customer]Use
 }
 
-// bucket is a token bucket for a share of a rate. The level is not topped up
-// when the share grows and is cut when it shrinks, so that the levels of all
-// hosts together stay within one burst.
-type bucket struct {
-	level float64
+// allowance is what the host may still take until the next grant.
+type allowance struct {
+	left  float64
+	share identifier.Share
 	at    time.Time
 }
 
 // NewLimiter returns a Limiter without rates.
 func NewLimiter(clock timer.Clock) *Limiter {
-	return &Limiter{clock: clock, buckets: make(map[identifier.Customer]*bucket), asked: make(Demand)}
+	return &Limiter{clock: clock, allowed: make(map[identifier.Customer]*allowance), use: make(map[identifier.Customer]Use)}
 }
 
 // Configure replaces the rates.
@@ -46,88 +45,90 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rates = rates
-	for c := range l.buckets {
-		if _, ok := rates[c]; !ok {
-			delete(l.buckets, c)
+	for c, a := range l.allowed {
+		r, ok := rates[c]
+		if !ok {
+			delete(l.allowed, c)
+			continue
 		}
+		a.left = min(a.left, r.Burst)
 	}
 }
 
-// SetShares replaces this host's shares.
-func (l *Limiter) SetShares(s Shares) {
+// SetGrants takes the leader's answer to a report. What was taken since that
+// report is not known to the leader and is taken off.
+func (l *Limiter) SetGrants(g Grants) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	for c, b := range l.buckets {
-		l.refill(c, b, now)
-	}
-	l.shares = s
-	for c, b := range l.buckets {
-		b.level = min(b.level, l.rates[c].Burst*float64(s.of(c)))
+	l.others = g.Others
+	for c, v := range g.Customers {
+		part := max(float64(v.Share), leastPart)
+		if v.Level < 0 {
+			part = 1 // Nobody takes anything before the debt is paid.
+		}
+		l.allowed[c] = &allowance{left: part*v.Level - l.use[c].Taken, share: v.Share, at: now}
 	}
 }
 
-// Take takes cost from a customer's bucket, or returns how long until that is
-// possible. What is refused counts as demand too.
+// Take takes cost from a customer's allowance, or returns how long until that
+// is possible. A call is admitted while anything is left and the rest is paid
+// for afterwards, so that a call that costs more than the burst can run. What is
+// refused counts as asked.
 func (l *Limiter) Take(c identifier.Customer, cost float64) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.asked[c] += cost
+	u := l.use[c]
+	u.Asked += cost
 	r := l.rates[c]
-	if r.PerSecond <= 0 {
-		return 0
-	}
-	b := l.bucketOf(c)
-	share := float64(l.shares.of(c))
-	// A cost above the bucket's size is let through by a full bucket and paid
-	// for afterwards, since it could never be met otherwise.
-	need := min(cost, r.Burst*share)
-	if b.level >= need && share > 0 {
-		b.level -= cost
-		return 0
-	}
-	perSecond := r.PerSecond * share
-	if perSecond <= 0 {
-		return time.Second
+	a := l.allowanceOf(c, r)
+	if r.PerSecond > 0 && a.left <= 0 {
+		l.use[c] = u
+		perSecond := r.PerSecond * float64(a.share)
+		if perSecond <= 0 {
+			return longestWait
+		}
+		wait := time.Duration(-a.left / perSecond * float64(time.Second))
+		return min(max(wait, time.Millisecond), longestWait)
 	}
-	return max(time.Duration((need-b.level)/perSecond*float64(time.Second)), time.Millisecond)
+	a.left -= cost
+	u.Taken += cost
+	l.use[c] = u
+	return 0
 }
 
 // Return gives back what was taken for a call that surely did not run.
 func (l *Limiter) Return(c identifier.Customer, cost float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.buckets[c]; b != nil {
-		b.level = min(b.level+cost, l.rates[c].Burst*float64(l.shares.of(c)))
+	if a := l.allowed[c]; a != nil {
+		a.left += cost
 	}
+	u := l.use[c]
+	u.Taken -= cost
+	l.use[c] = u
 }
 
-// TakeDemand returns what was asked since the last call.
-func (l *Limiter) TakeDemand() Demand {
+// TakeUse returns the use since the last call.
+func (l *Limiter) TakeUse() map[identifier.Customer]Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	asked := l.asked
-	l.asked = make(Demand)
-	return asked
+	use := l.use
+	l.use = make(map[identifier.Customer]Use)
+	return use
 }
 
-// bucketOf returns the bucket of a customer, refilled. The caller holds mu.
-func (l *Limiter) bucketOf(c identifier.Customer) *bucket {
+// allowanceOf returns the refilled allowance of a customer. The caller holds mu.
+func (l *Limiter) allowanceOf(c identifier.Customer, r Rate) *allowance {
 	now := l.clock.Now()
-	b := l.buckets[c]
-	if b == nil {
-		b = &bucket{level: l.rates[c].Burst * float64(l.shares.of(c)), at: now}
-		l.buckets[c] = b
+	a := l.allowed[c]
+	if a == nil {
+		a = &allowance{left: startLevel * r.Burst * float64(l.others), share: l.others, at: now}
+		l.allowed[c] = a
 	}
-	l.refill(c, b, now)
-	return b
-}
-
-// refill adds what has accrued. The caller holds mu.
-func (l *Limiter) refill(c identifier.Customer, b *bucket, now time.Time) {
-	share := float64(l.shares.of(c))
-	if d := now.Sub(b.at).Seconds(); d > 0 {
-		b.level = min(b.level+d*l.rates[c].PerSecond*share, l.rates[c].Burst*share)
-		b.at = now
+	if d := now.Sub(a.at).Seconds(); d > 0 {
+		a.left = min(a.left+d*r.PerSecond*float64(a.share), r.Burst)
+		a.at = now
 	}
+	return a
 }
