forwarder: versions are drawn by the judges; tests against scripted backend servers

The roller gains a leap for rollouts whose time is too short for stages: an unproven version gets its first share until then. internal/node composes judges and controller; a move to a version without backend servers is held back and then taken back.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -45,7 +45,7 @@
 		conn.Close()
 		return router.Failed, broken, "the answer is too large"
 	}
-	choice.FirstToken()
+	x.noteFirst(choice)
 	a := &answer{status: res.Status, header: passedOn(res.Header), body: body}
 	x.f.opts.Pool.Release(conn)
 	switch {
@@ -138,7 +138,7 @@
 		return answered, ""
 	}
 	if first {
-		choice.FirstToken()
+		x.noteFirst(choice)
 		if !x.begun {
 			x.count(x.f.opts.TimeOfDay.Now())
 		}
@@ -158,6 +158,12 @@
 	return answered, ""
 }
 
+// noteFirst tells that the first content has come.
+func (x *exchange) noteFirst(choice *router.Choice) {
+	choice.FirstToken()
+	x.firstAfter = x.f.opts.Clock.Now().Sub(x.start)
+}
+
 // begin delivers the header of a stream once.
 func (x *exchange) begin(res *connector.Response) {
 	if x.begun {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -65,6 +65,7 @@
 			return
 		}
 		end, why := x.attempt(&choice)
+		x.ended(end, x.firstAfter)
 		switch end {
 		case answered:
 			return
@@ -101,7 +102,7 @@
 func (x *exchange) place() (router.Choice, error) {
 	fl := x.f.fleet.Load()
 	return x.f.opts.Router.Choose(router.Request{
-		Service: x.service, Version: fl.versions[x.service],
+		Service: x.service, Version: x.draw(fl),
 		PrefixBlocks: blocksOf(x.call.Parts), PromptTokens: x.call.PromptTokens,
 		FirstTokenTarget: x.route.Target, Exclude: x.tried,
 	})
--- /dev/null
+++ b/forwarder/fake_test.go
@@ -0,0 +1,257 @@
+package forwarder
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/connector"
+	"cyclamenhub.org/discoverer"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/matcher"
+	"cyclamenhub.org/router"
+	"cyclamenhub.org/sharer"
+	"cyclamenhub.org/timer"
+)
+
+// The headers of the test's own codec.
+const (
+	testID     = "X-Id"
+	testKey    = "X-Key"
+	testSeal   = "X-Seal"
+	testNotRun = "X-Not-Run"
+	testEvent  = "X-After"
+	testServer = "X-Server"
+)
+
+// testCodec speaks the headers above.
+type testCodec struct{}
+
+func (testCodec) Decode(r *http.Request) (*Call, error) {
+	h := r.Header
+	return &Call{ID: identifier.AttemptID(h.Get(testID)), Key: h.Get(testKey), LastEvent: h.Get(testEvent), Header: h.Clone()}, nil
+}
+
+func (testCodec) Encode(c *Call, a *Attempt) http.Header {
+	h := c.Header.Clone()
+	h.Del("Content-Length")
+	h.Del("Accept-Encoding")
+	h.Set(testServer, string(a.Server))
+	if a.LastEvent != "" {
+		h.Set(testEvent, a.LastEvent)
+	}
+	return h
+}
+
+func (testCodec) Reply(_ int, h http.Header) Reply {
+	return Reply{ID: identifier.AttemptID(h.Get(testID)), NotRun: h.Get(testNotRun) != "", Sealed: h.Get(testSeal) != ""}
+}
+
+func (testCodec) RetryAfter(h http.Header, after time.Duration) { h.Set("Retry-After", after.String()) }
+
+// received is a request as a backend server got it.
+type received struct {
+	method, target, body string
+	header               http.Header
+}
+
+// backends are fake backend servers. Each request gets the next of the scripted
+// answers, whichever server it reaches: the raw bytes, after which the
+// connection is closed unless the answer says that it stays.
+type backends struct {
+	t *testing.T
+
+	mu      sync.Mutex
+	answers []string
+	got     []received
+}
+
+// closeAfter, at the end of an answer, closes the connection.
+const closeAfter = "\x00close"
+
+// start starts a server and returns its address.
+func (b *backends) start() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// serve answers the requests of one connection.
+func (b *backends) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		answer := b.next()
+		early := strings.HasPrefix(answer, earlyAnswer)
+		if early {
+			_, _ = io.WriteString(c, strings.TrimPrefix(answer, earlyAnswer))
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.got = append(b.got, received{method: r.Method, target: r.RequestURI, body: string(body), header: r.Header})
+		b.mu.Unlock()
+		if early {
+			continue
+		}
+		text, closes := strings.CutSuffix(answer, closeAfter)
+		_, _ = io.WriteString(c, text)
+		if closes {
+			return
+		}
+	}
+}
+
+// earlyAnswer, before an answer, sends it before the body is read.
+const earlyAnswer = "\x00early"
+
+// next returns the next scripted answer.
+func (b *backends) next() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.answers) == 0 {
+		return plain(http.StatusInternalServerError, "", "no answer is scripted")
+	}
+	a := b.answers[0]
+	b.answers = b.answers[1:]
+	return a
+}
+
+// requests returns what was received.
+func (b *backends) requests() []received {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]received(nil), b.got...)
+}
+
+// plain returns a sealed answer with a length.
+func plain(status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: s\r\n%sContent-Length: %d\r\n\r\n%s", status, testSeal, header, len(body), body)
+}
+
+// notRunAnswer is that of a backend server that is full.
+const notRunAnswer = "HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+
+// streamHead begins a stream in chunks.
+const streamHead = "HTTP/1.1 200 OK\r\n" + testSeal + ": s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// chunk returns one chunk of a body.
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// event returns one event of a stream.
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: token-%d\n\n", id, id) }
+
+// rig is a forwarder in front of three fake backend servers.
+type rig struct {
+	*Forwarder
+	backends *backends
+	url      string
+	current  bool
+}
+
+// newRig returns a rig whose backend servers give the scripted answers.
+func newRig(t *testing.T, answers ...string) *rig {
+	b := &backends{t: t, answers: answers}
+	clock := timer.System{}
+	g := &rig{backends: b, current: true}
+	g.Forwarder = New(Options{
+		Codec: testCodec{}, Pool: connector.NewPool(connector.Options{}),
+		Router: router.New(router.Config{Random: router.NewSeeded(1)}), Limiter: sharer.NewLimiter(clock),
+		Meter: accountant.NewMeter(time.Hour), Retries: RetryBudget{Ratio: 0.1, Reserve: 5},
+		Current: func() bool { return g.current }, Clock: clock, Log: slog.New(slog.DiscardHandler),
+	})
+	d := &matcher.Document{
+		Services: []matcher.Service{{Name: "cases"}},
+		Customers: []matcher.Customer{
+			{Name: "foodbank", Keys: []string{"key"}},
+			{Name: "choir", Keys: []string{"low"}, Rate: 0.001, Burst: 1},
+		},
+	}
+	for _, r := range []matcher.Route{
+		{Name: "look", Prefix: "/look/", Kind: matcher.Idempotent, MaxAttempts: 2},
+		{Name: "file", Prefix: "/file/", Kind: matcher.NonIdempotent, MaxAttempts: 1},
+		{Name: "draft", Prefix: "/draft/", Kind: matcher.Streaming, MaxAttempts: 1},
+		{Name: "edit", Prefix: "/edit/", Kind: matcher.Streaming, MaxAttempts: 2, Resumable: true},
+		{Name: "open", Prefix: "/open/", Kind: matcher.Idempotent, MaxAttempts: 1, Anonymous: true},
+	} {
+		r.Host, r.Timeout, r.Target = "127.0.0.1", time.Minute, time.Minute
+		r.Split = []matcher.Destination{{Service: "cases", Weight: 1}}
+		d.Routes = append(d.Routes, r)
+	}
+	if err := d.Check(); err != nil {
+		t.Fatal(err)
+	}
+	g.SetTable(matcher.NewTable(1, d))
+	l := &discoverer.Listing{}
+	for i := range 3 {
+		l.Instances = append(l.Instances, discoverer.Instance{
+			ID: identifier.BackendServer(fmt.Sprint("b", i)), Service: "cases", Address: b.start(), Version: "v1", Slots: 4,
+		})
+	}
+	g.SetListing(l)
+	s := httptest.NewServer(g)
+	t.Cleanup(s.Close)
+	g.url = s.URL
+	return g
+}
+
+// response is what the caller got.
+type response struct {
+	status int
+	body   string
+	// whole tells that the answer did not break off.
+	whole  bool
+	header http.Header
+}
+
+// call makes a call with a key.
+func (g *rig) call(t *testing.T, method, path, key, body string) response {
+	t.Helper()
+	r, err := http.NewRequest(method, g.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(testID, "id-1")
+	if key != "" {
+		r.Header.Set(testKey, key)
+	}
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return response{}
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	return response{status: res.StatusCode, body: string(b), whole: err == nil, header: res.Header}
+}
+
+// grantOf returns a grant of the whole of a customer's rate.
+func grantOf(c identifier.Customer, level float64) sharer.Grants {
+	return sharer.Grants{Customers: map[identifier.Customer]sharer.Grant{c: {Level: level, Share: 1}}, Others: 1}
+}
--- a/forwarder/fleet.go
+++ b/forwarder/fleet.go
@@ -15,6 +15,8 @@
 type fleet struct {
 	servers  map[identifier.BackendServer]discoverer.Instance
 	versions map[identifier.Service]identifier.Version
+	// counts is how many servers of each version take work.
+	counts map[identifier.Service]map[identifier.Version]int
 }
 
 // newFleet returns the fleet of a listing.
@@ -22,19 +24,26 @@
 	f := &fleet{
 		servers:  make(map[identifier.BackendServer]discoverer.Instance, len(l.Instances)),
 		versions: make(map[identifier.Service]identifier.Version),
+		counts:   make(map[identifier.Service]map[identifier.Version]int),
 	}
 	for _, in := range l.Instances {
 		f.servers[in.ID] = in
 		if _, ok := f.versions[in.Service]; !ok {
-			f.versions[in.Service] = commonVersion(l.Versions(in.Service))
+			f.counts[in.Service] = l.Versions(in.Service)
+			f.versions[in.Service] = CommonVersion(f.counts[in.Service])
 		}
 	}
 	return f
 }
 
-// commonVersion returns the version that most instances have; of several, the
+// has reports whether a version of a service has a server that takes work.
+func (f *fleet) has(s identifier.Service, v identifier.Version) bool {
+	return f.counts[s][v] > 0
+}
+
+// CommonVersion returns the version that most instances have; of several, the
 // first by name.
-func commonVersion(counts map[identifier.Version]int) identifier.Version {
+func CommonVersion(counts map[identifier.Version]int) identifier.Version {
 	var best identifier.Version
 	for v, n := range counts {
 		if most := counts[best]; n > most || n == most && v < best {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/matcher"
+	"cyclamenhub.org/roller"
 	"cyclamenhub.org/router"
 	"cyclamenhub.org/sharer"
 	"cyclamenhub.org/timer"
@@ -40,7 +41,9 @@
 	Router  *router.Router
 	Limiter *sharer.Limiter
 	Meter   *accountant.Meter
-	Retries RetryBudget
+	// Versions draws the versions of services; nil means the most common one.
+	Versions Versions
+	Retries  RetryBudget
 	// Tolerance is how far customers may exceed their rates.
 	Tolerance sharer.Tolerance
 	// Current reports whether this host surely knows the newest withdrawal of
@@ -142,6 +145,11 @@
 	status    int
 	why       string
 	server    identifier.BackendServer
+	// ticket is that of the version of the first attempt, as long as drawn is
+	// set, and firstAfter the time to its first byte of content.
+	ticket     roller.Ticket
+	drawn      bool
+	firstAfter time.Duration
 }
 
 // serve answers the call.
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,167 @@
+package forwarder
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestWhatEachKindMayRepeat plays failures of backend servers and checks what
+// the caller gets and how often the call was sent.
+func TestWhatEachKindMayRepeat(t *testing.T) {
+	ok := plain(200, "", "done")
+	bad := plain(500, "", "bad")
+	cut := "HTTP/1.1 200 OK\r\n" + testSeal + ": s\r\nContent-Length: 100\r\n\r\nhalf" + closeAfter
+	unsealed := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+	for _, tc := range []struct {
+		name    string
+		path    string
+		answers []string
+		status  int
+		body    string
+		sends   int
+	}{
+		{"an answer passes as it is", "/file/1", []string{ok}, 200, "done", 1},
+		{"a failure passes as it is", "/file/1", []string{bad}, 500, "bad", 1},
+		{"a full server is passed by", "/file/1", []string{notRunAnswer, ok}, 200, "done", 2},
+		{"three full servers refuse", "/file/1", []string{notRunAnswer, notRunAnswer, notRunAnswer}, 503, "", 3},
+		{"a filing whose answer is lost is not sent again", "/file/1", []string{closeAfter, ok}, 502, "", 1},
+		{"a filing whose answer is cut is not sent again", "/file/1", []string{cut, ok}, 502, "", 1},
+		{"a success without a seal is none", "/file/1", []string{unsealed}, 502, "", 1},
+		{"503 without a word that nothing ran promises too much", "/file/1", []string{plain(503, "", "busy")}, 502, "", 1},
+		{"a look-up is sent again after a failure", "/look/1", []string{bad, ok}, 200, "done", 2},
+		{"a look-up is sent again after a cut answer", "/look/1", []string{cut, ok}, 200, "done", 2},
+		{"the last failure of a look-up passes", "/look/1", []string{bad, bad, ok}, 500, "bad", 2},
+		{"a failure is better than nothing", "/look/1", []string{bad, closeAfter, ok}, 500, "bad", 2},
+		{"an answer to another call is skipped", "/file/1", []string{plain(200, testID+": other\r\n", "theirs") + plain(200, testID+": id-1\r\n", "mine")}, 200, "mine", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := newRig(t, tc.answers...)
+			res := g.call(t, http.MethodPost, tc.path, "key", "body")
+			if res.status != tc.status || tc.body != "" && res.body != tc.body || !res.whole {
+				t.Errorf("the caller got %+v, want status %d with %q", res, tc.status, tc.body)
+			}
+			if n := len(g.backends.requests()); n != tc.sends {
+				t.Errorf("the call was sent %d times, want %d", n, tc.sends)
+			}
+			if hasPromise := res.header.Get("Retry-After") != ""; hasPromise != (tc.status == 503) {
+				t.Errorf("Retry-After present: %v", hasPromise)
+			}
+		})
+	}
+}
+
+// TestStreams plays streams that end, break off and are resumed.
+func TestStreams(t *testing.T) {
+	whole := streamHead + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"
+	cut := streamHead + chunk(event(1)) + chunk("id: 2\nda") + closeAfter
+	rest := streamHead + chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n"
+	for _, tc := range []struct {
+		name    string
+		path    string
+		answers []string
+		body    string
+		whole   bool
+		after   []string // the event named in each attempt
+	}{
+		{"events pass", "/draft/1", []string{whole}, event(1) + event(2), true, []string{""}},
+		{"a broken draft does not look complete", "/draft/1", []string{cut, rest}, event(1), false, []string{""}},
+		{"a broken edit goes on after the last event", "/edit/1", []string{cut, rest}, event(1) + event(2) + event(3), true, []string{"", "1"}},
+		{"an edit that breaks twice does not look complete", "/edit/1", []string{cut, cut}, event(1) + event(1), false, []string{"", "1"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := newRig(t, tc.answers...)
+			res := g.call(t, http.MethodPost, tc.path, "key", "prompt")
+			if res.status != 200 || res.body != tc.body || res.whole != tc.whole {
+				t.Errorf("the caller got %+v, want %q, whole %v", res, tc.body, tc.whole)
+			}
+			var after []string
+			for _, r := range g.backends.requests() {
+				after = append(after, r.header.Get(testEvent))
+			}
+			if diff := cmp.Diff(tc.after, after); diff != "" {
+				t.Errorf("attempts differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestCallsPassUnchanged(t *testing.T) {
+	g := newRig(t, plain(201, "X-Own: yes\r\nKeep-Alive: timeout=5\r\n", "done"))
+	const target = "/file//a%2Fb?x=1&y=%20"
+	body := strings.Repeat("0123456789", 5000)
+	res := g.call(t, http.MethodPut, target, "key", body)
+	if res.status != 201 || res.header.Get("X-Own") != "yes" || res.header.Get("Keep-Alive") != "" {
+		t.Errorf("the caller got %d with %v", res.status, res.header)
+	}
+	got := g.backends.requests()
+	if len(got) != 1 || got[0].method != http.MethodPut || got[0].target != target || got[0].body != body {
+		t.Errorf("the backend server got another call: %d requests", len(got))
+	}
+}
+
+// TestEarlyAnswer has a backend server answer before it has read a long body and
+// read on later: the next call on the connection must not be mixed up with it.
+func TestEarlyAnswer(t *testing.T) {
+	g := newRig(t, earlyAnswer+plain(413, "", "too long"), plain(200, "", "done"))
+	body := strings.Repeat("x", 4<<20-1)
+	if res := g.call(t, http.MethodPost, "/file/1", "key", body); res.status != 413 {
+		t.Fatalf("the caller got %d, want the early answer", res.status)
+	}
+	if res := g.call(t, http.MethodPost, "/file/2", "key", "short"); res.status != 200 {
+		t.Fatalf("the next caller got %d", res.status)
+	}
+	for _, r := range g.backends.requests() {
+		if r.target == "/file/2" && r.body != "short" {
+			t.Errorf("the second call arrived with a body of %d bytes", len(r.body))
+		}
+	}
+}
+
+// TestRefusals checks what is refused before anything is sent.
+func TestRefusals(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, key string
+		stale           bool
+		status          int
+	}{
+		{"unknown route", "/none/1", "key", false, 404},
+		{"unknown key", "/file/1", "wrong", false, 401},
+		{"no key", "/file/1", "", false, 401},
+		{"a host that may have missed a withdrawal", "/file/1", "key", true, 503},
+		{"an unknown route at such a host", "/none/1", "key", true, 503},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := newRig(t)
+			g.current = !tc.stale
+			if res := g.call(t, http.MethodPost, tc.path, tc.key, ""); res.status != tc.status {
+				t.Errorf("the caller got %d, want %d", res.status, tc.status)
+			}
+			if n := len(g.backends.requests()); n != 0 {
+				t.Errorf("%d calls were sent", n)
+			}
+		})
+	}
+}
+
+func TestAnonymousCallsNeedNoWordOfTheLeader(t *testing.T) {
+	g := newRig(t, plain(200, "", "done"))
+	g.current = false
+	if res := g.call(t, http.MethodGet, "/open/1", "", ""); res.status != 200 {
+		t.Errorf("the caller got %d", res.status)
+	}
+}
+
+func TestRateIsUsedUp(t *testing.T) {
+	g := newRig(t, plain(200, "", "done"))
+	g.opts.Limiter.SetGrants(grantOf("choir", 1))
+	var statuses []int
+	for range 2 {
+		statuses = append(statuses, g.call(t, http.MethodPost, "/file/1", "low", "").status)
+	}
+	if diff := cmp.Diff([]int{200, 429}, statuses); diff != "" {
+		t.Errorf("statuses differ (-want +got):\n%s", diff)
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -112,13 +112,3 @@
 	}
 	return resp
 }
-
-// StartRollout begins to move a service.
-func (n *keeperNode) StartRollout(context.Context, identifier.Service, identifier.Version, time.Duration) error {
-	return refuser.NotRun(refuser.NoMajority, "rollouts are not served yet", "ask again later")
-}
-
-// Rollout returns the state of a service's last rollout.
-func (n *keeperNode) Rollout(context.Context, identifier.Service) (platform.RolloutState, identifier.Version, error) {
-	return "", "", refuser.NotRun(refuser.NoMajority, "rollouts are not served yet", "ask again later")
-}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -153,6 +153,9 @@
 		return
 	}
 	d.listed = now
+	n.mu.Lock()
+	n.listing = list
+	n.mu.Unlock()
 	for _, o := range d.scaler.Plan(now, document.Services, list) {
 		err := n.underLease(ctx, lease, func(ctx context.Context) error {
 			return n.client.OrderServers(ctx, lease.Fencing(), o.Service, o.FailureDomain, o.Reclaimable, o.Count)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -22,6 +22,7 @@
 	"cyclamenhub.org/matcher"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/platform"
+	"cyclamenhub.org/roller"
 	"cyclamenhub.org/router"
 	"cyclamenhub.org/sharer"
 	"cyclamenhub.org/timer"
@@ -62,6 +63,7 @@
 	dist       *distributor.Distributor
 	discoverer *discoverer.Discoverer
 	forwarder  *forwarder.Forwarder
+	judges     *roller.Judges
 	limiter    *sharer.Limiter
 	meter      *accountant.Meter
 	leader     atomic.Pointer[string] // its address
@@ -97,6 +99,7 @@
 		limiter:  sharer.NewLimiter(timer.System{}), meter: accountant.NewMeter(cfg.Bounds.Window),
 		lease: time.Duration(leasePart * float64(cfg.Bounds.WithdrawKeys)),
 	}
+	e.judges = roller.NewJudges(roller.Source{Host: cfg.Host, Epoch: roller.Epoch(e.run)})
 	e.messenger = messenger.New(messenger.Options{Host: cfg.Host, Silence: peerSilence, Clock: boot})
 	e.dist = distributor.New(distributor.Options{
 		Self:      configurer.HostAddress{Name: cfg.Host, FailureDomain: cfg.FailureDomain},
@@ -105,11 +108,11 @@
 	e.forwarder = forwarder.New(forwarder.Options{
 		Codec: platform.Codec{}, Pool: connector.NewPool(connector.Options{Metrics: metrics.GetDefaultSet()}),
 		Router:  router.New(router.Config{FailureDomain: cfg.FailureDomain, Metrics: metrics.GetDefaultSet()}),
-		Limiter: e.limiter, Meter: e.meter, Retries: retriesOf(cfg), Tolerance: cfg.Bounds.Rates, Current: e.isCurrent, Log: opts.Log,
+		Limiter: e.limiter, Meter: e.meter, Versions: e.judges, Retries: retriesOf(cfg), Tolerance: cfg.Bounds.Rates, Current: e.isCurrent, Log: opts.Log,
 	})
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: listInterval,
-		OnChange: e.forwarder.SetListing, Log: opts.Log,
+		OnChange: e.takeListing, Log: opts.Log,
 	})
 	return e
 }
@@ -137,6 +140,7 @@
 	wg.Go(func() { e.discoverer.Run(background) })
 	wg.Go(func() { e.follow(background) })
 	wg.Go(func() { e.dist.Run(background) })
+	wg.Go(func() { e.runJudges(background) })
 	wg.Go(func() { e.contacts.reload(background, opts) })
 	e.log.Info("started", "host", e.cfg.Host, "name", e.cfg.Name, "failureDomain", e.cfg.FailureDomain, "seeds", e.cfg.Seeds)
 
@@ -217,7 +221,11 @@
 
 // take puts a newer document in force.
 func (e *entry) take(t distributor.Topic) error {
-	if t.Name != distributor.FleetTopic {
+	switch t.Name {
+	case distributor.FleetTopic:
+	case rolloutTopic:
+		return e.judges.Obey(t.Body, e.steps.Now())
+	default:
 		return nil
 	}
 	revision, document, err := platform.DecodeDocument(t.Body)
@@ -229,6 +237,7 @@
 		return fmt.Errorf("document %d says that it is revision %d: look at the keepers' logs", t.Revision, revision)
 	}
 	e.forwarder.SetTable(matcher.NewTable(revision, document))
+	e.configureJudges()
 	e.log.Info("document in force", "revision", revision, "routes", len(document.Routes), "customers", len(document.Customers))
 	return nil
 }
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -11,6 +11,7 @@
 
 	"cyclamenhub.org/accountant"
 	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/forwarder"
 	"cyclamenhub.org/identifier"
@@ -20,6 +21,7 @@
 	"cyclamenhub.org/platform"
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/replicator"
+	"cyclamenhub.org/roller"
 	"cyclamenhub.org/sharer"
 	"cyclamenhub.org/timer"
 )
@@ -65,6 +67,10 @@
 	ledger  *accountant.Ledger
 	// document is the newest one, or nil before the first.
 	document *matcher.Document
+	// rollouts decides about the rollouts of the machine's book.
+	rollouts *roller.Controller
+	// listing is what the holder of the duties last read, or nil.
+	listing *discoverer.Listing
 
 	duties duties
 }
@@ -106,6 +112,7 @@
 	n.dist.Register(n.messenger)
 	n.peers = keeper.NewPeers(n.messenger, func(h identifier.Host) (string, bool) { return cfg.PeerAddress(h), true })
 	n.messenger.Handle(syncMethod, n.handleSync)
+	n.messenger.Handle(judgeMethod, n.handleJudgement)
 	return n
 }
 
@@ -113,6 +120,7 @@
 func (n *keeperNode) open() error {
 	n.mu.Lock()
 	n.machine = &reducer.Machine{Perform: n.perform}
+	n.rollouts = roller.NewController(n.machine.Rollouts())
 	n.mu.Unlock()
 	k, err := keeper.Open(keeper.Options{
 		Host: n.cfg.Host, Hosts: n.cfg.Seeds, Voters: 2*max(n.cfg.LostMachines, 1) + 1, Contacts: n.contacts.list,
@@ -140,6 +148,7 @@
 	wg.Go(func() { n.confirm(background) })
 	wg.Go(func() { n.reopen(background) })
 	wg.Go(func() { n.runDuties(background) })
+	wg.Go(func() { n.runRollouts(background) })
 	wg.Go(func() { n.contacts.reload(background, opts) })
 	n.log.Info("started", "host", n.cfg.Host, "name", n.cfg.Name, "failureDomain", n.cfg.FailureDomain,
 		"seeds", n.cfg.Seeds, "founding", n.cfg.Founding, "replica", n.keeper.Load().Status().ID)
@@ -185,10 +194,15 @@
 // perform carries out the effects of an entry. The caller holds mu.
 func (n *keeperNode) perform(_ identifier.LogIndex, effects []reducer.Effect) {
 	for _, e := range effects {
-		if p, ok := e.(reducer.PublishConfiguration); ok {
-			n.learn(p)
+		switch e := e.(type) {
+		case reducer.PublishConfiguration:
+			n.learn(e)
 			// OnNews of a keeper accepts everything.
-			_ = n.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: p.Revision, Body: p.Document})
+			_ = n.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: e.Revision, Body: e.Document})
+		case reducer.RolloutEffect:
+			n.performRollout(e.Effect)
+		case reducer.WriteAudit, reducer.Answer:
+			// The state holds the record, and the proposer gets the answer.
 		}
 	}
 }
--- a/roller/event.go
+++ b/roller/event.go
@@ -23,6 +23,10 @@
 	Watch time.Duration `json:"watch"`
 	// FirstLevel is the level of the first stage.
 	FirstLevel Level `json:"firstLevel"`
+	// Leap is when all traffic moves at once, from the first level. It is set
+	// where the time is too short for stages, as when the requests of an unproven
+	// version are bounded over the whole rollout; zero means stages.
+	Leap time.Time `json:"leap,omitzero"`
 	// InFlight bounds the requests on the candidate that each host has in
 	// flight up to a share of 10%.
 	InFlight int `json:"inFlight"`
--- a/roller/schedule.go
+++ b/roller/schedule.go
@@ -47,6 +47,12 @@
 // last longest, since there a bad version does least harm, and the later
 // stages, which get more requests, need less time for as much evidence.
 func scheduledLevel(s *StartRollout, now time.Time) Level {
+	if !s.Leap.IsZero() {
+		if now.Before(s.Leap) {
+			return s.FirstLevel
+		}
+		return TopLevel
+	}
 	span := float64(s.Deadline.Sub(s.At)) * scheduleShare
 	passed := min(max(float64(now.Sub(s.At))/span, 0), 1)
 	steps := float64(TopLevel - s.FirstLevel)
--- a/sharer/limiter.go
+++ b/sharer/limiter.go
@@ -101,7 +101,7 @@
 	u.Asked += cost
 	r := l.rates[c]
 	a := l.allowanceOf(c, r)
-	if r.PerSecond > 0 && a.left <= 0 {
+	if r.PerSecond > 0 && a.left < min(cost, 1) {
 		l.use[c] = u
 		return &Refusal{Wait: a.wait(r), Left: a.left, PerSecond: r.PerSecond, Share: a.share, Age: a.at.Sub(a.granted)}
 	}
