--- a/sharer/limiter.go
+++ b/sharer/limiter.go
@@ -101,7 +101,7 @@
 	u.Asked += cost
 	r := l.rates[c]
 	a := l.allowanceOf(c, r)
-	if r.PerSecond > 0 && a.left < min(cost, 1) {
+	if r.PerSecond > 0 && a.left < min(cost, leastLeft) {
 		l.use[c] = u
 		return &Refusal{Wait: a.wait(r), Left: a.left, PerSecond: r.PerSecond, Share: a.share, Age: a.at.Sub(a.granted)}
 	}
@@ -111,13 +111,16 @@
 	return nil
 }
 
-// wait returns how long until the allowance is above 0.
+// leastLeft is what must be left for a call to be admitted.
+const leastLeft = 1
+
+// wait returns how long until the allowance admits a call.
 func (a *allowance) wait(r Rate) time.Duration {
 	perSecond := r.PerSecond * float64(a.share)
 	if perSecond <= 0 {
 		return longestWait
 	}
-	wait := time.Duration(-a.left / perSecond * float64(time.Second))
+	wait := time.Duration((leastLeft - a.left) / perSecond * float64(time.Second))
 	return min(max(wait, time.Millisecond), longestWait)
 }
 
