--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -6,6 +6,7 @@
 
 	"cyclamenhub.org/accountant"
 	"cyclamenhub.org/discoverer"
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/keeper"
 	"cyclamenhub.org/platform"
 	"cyclamenhub.org/reducer"
@@ -21,6 +22,9 @@
 	reportFor = 20 * time.Second
 )
 
+// firstFencing is the fencing number of the first leader that a group has.
+const firstFencing identifier.FencingNumber = 1
+
 // duties is what the holder of the duties remembers. Only runDuties uses it.
 type duties struct {
 	// since is when this keeper's lead was first seen; zero while it does not
@@ -54,7 +58,7 @@
 			n.log.Info("holding the duties after the former lease", "fencing", lease.Fencing(), "wait", n.cfg.Bounds.DutyLease)
 		}
 		n.closeWindows(ctx)
-		if n.clock.Now().Sub(d.since) < n.cfg.Bounds.DutyLease {
+		if !n.mayAct(lease) {
 			continue
 		}
 		n.reportWindows(ctx, lease)
@@ -62,6 +66,12 @@
 	}
 }
 
+// mayAct reports whether no former holder can act any more. The first leader of
+// a group has none.
+func (n *keeperNode) mayAct(lease keeper.Lease) bool {
+	return lease.Fencing() == firstFencing || n.clock.Now().Sub(n.duties.since) >= n.cfg.Bounds.DutyLease
+}
+
 // closeWindows records the windows that are due.
 func (n *keeperNode) closeWindows(ctx context.Context) {
 	var last accountant.Window
