--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -165,8 +165,9 @@
 	d.listed = now
 	n.mu.Lock()
 	n.listing = list
+	calls := n.loads.byService(now, list)
 	n.mu.Unlock()
-	for _, o := range d.scaler.Plan(now, document.Services, list) {
+	for _, o := range d.scaler.Plan(now, document.Services, list, calls) {
 		err := n.underLease(ctx, lease, func(ctx context.Context) error {
 			return n.client.OrderServers(ctx, lease.Fencing(), o.Service, o.FailureDomain, o.Reclaimable, o.Count)
 		})
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/placer"
 )
@@ -45,3 +46,14 @@
 	}
 	return out
 }
+
+// byService returns the calls at work at each service.
+func (l *loads) byService(now time.Time, list *discoverer.Listing) map[identifier.Service]int {
+	total := l.others(now, "")
+	out := make(map[identifier.Service]int)
+	for i := range list.Instances {
+		in := &list.Instances[i]
+		out[in.Service] += total[in.ID].Running
+	}
+	return out
+}
--- a/scaler/doc.go
+++ b/scaler/doc.go
@@ -19,7 +19,7 @@
 // # Usage
 //
 //	s := scaler.New()
-//	for _, o := range s.Plan(now, services, listing) {
+//	for _, o := range s.Plan(now, services, listing, callsAtWork) {
 //		err := order(o)
 //		s.Answer(now, o, err == nil, isUnavailable(err))
 //	}
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -21,15 +22,27 @@
 	resendAfter = 5 * time.Second
 	// dryFor is how long a domain that had no reclaimable server is left alone.
 	dryFor = 2 * time.Second
-	// keepFor is how long servers at the full price are kept once they are not
-	// needed any more.
-	keepFor = 4 * time.Second
-	// reclaimablePerDomain is how many reclaimable servers each domain gets.
-	reclaimablePerDomain = 3
+	// keepFor is how long servers are kept once they are not needed any more.
+	keepFor = 5 * time.Second
 	// floorServers is how many servers at the full price there are always.
 	floorServers = 1
-	// neededServers is how many servers the load needs.
-	neededServers = 7
+	// callsPerServer is how many calls at work one server is meant for: more
+	// would still fit, at a slower pace.
+	callsPerServer = 16.0
+	// leastNeeded is how many servers are needed however little is at work, and
+	// startNeeded how many until the load is known.
+	leastNeeded = 3
+	startNeeded = 7
+	// demandHalf is the time in which a higher load of the past loses half its
+	// weight. A rise counts at once.
+	demandHalf = 6 * time.Second
+	// leastPerDomain is how many reclaimable servers each domain gets at least.
+	// After a reclaim none may be had anywhere for a while, so that what is there
+	// before has to last.
+	leastPerDomain = 2
+	// keepReclaimableFor is how long reclaimable servers are kept once they are
+	// not needed any more: longer than a wave of the load.
+	keepReclaimableFor = 30 * time.Second
 )
 
 // Place is what one number of backend servers is ordered for.
@@ -59,26 +72,50 @@
 // concurrent use.
 type Scaler struct {
 	last map[Place]ordered
-	// surplus is since when a place has had more at the full price than needed.
+	// surplus is since when a place has had more than needed.
 	surplus map[Place]time.Time
+	demand  map[identifier.Service]*demand
+}
+
+// demand is the recent peak of the calls at work.
+type demand struct {
+	calls float64
+	at    time.Time
 }
 
 // New returns a Scaler that has ordered nothing.
 func New() *Scaler {
-	return &Scaler{last: make(map[Place]ordered), surplus: make(map[Place]time.Time)}
+	return &Scaler{last: make(map[Place]ordered), surplus: make(map[Place]time.Time), demand: make(map[identifier.Service]*demand)}
 }
 
-// Plan returns the orders that are due.
-func (s *Scaler) Plan(now time.Time, services []matcher.Service, l *discoverer.Listing) []Order {
+// Plan returns the orders that are due. Calls are those at work at each service.
+func (s *Scaler) Plan(now time.Time, services []matcher.Service, l *discoverer.Listing, calls map[identifier.Service]int) []Order {
 	var out []Order
 	for i := range services {
 		if c := services[i].Scaling; c != nil {
-			out = append(out, s.plan(now, services[i].Name, c, l)...)
+			name := services[i].Name
+			out = append(out, s.plan(now, name, c, l, s.needed(now, name, calls[name]))...)
 		}
 	}
 	return out
 }
 
+// needed returns how many servers the load needs. The load counts with its
+// recent peak, since a server takes seconds to start.
+func (s *Scaler) needed(now time.Time, service identifier.Service, calls int) int {
+	d := s.demand[service]
+	if d == nil {
+		if calls == 0 {
+			return startNeeded
+		}
+		d = &demand{at: now}
+		s.demand[service] = d
+	}
+	d.calls *= math.Exp2(-now.Sub(d.at).Seconds() / demandHalf.Seconds())
+	d.calls, d.at = max(d.calls, float64(calls)), now
+	return max(int(math.Ceil(d.calls/callsPerServer)), leastNeeded)
+}
+
 // count is what is listed of one kind in one domain.
 type count struct{ ready, leaving int }
 
@@ -102,37 +139,51 @@
 	return out
 }
 
-// plan returns the orders for one service.
-func (s *Scaler) plan(now time.Time, service identifier.Service, c *matcher.Scaling, l *discoverer.Listing) []Order {
+// plan returns the orders for one service that needs a number of servers.
+func (s *Scaler) plan(now time.Time, service identifier.Service, c *matcher.Scaling, l *discoverer.Listing, needed int) []Order {
 	counts := listed(service, l)
 	domains := slices.SortedFunc(maps.Keys(c.Prices), func(a, b identifier.FailureDomain) int {
 		return cmp.Or(cmp.Compare(c.Prices[a], c.Prices[b]), cmp.Compare(a, b))
 	})
-	var reclaimable, full int
-	for p, n := range counts {
-		if p.Reclaimable {
-			reclaimable += n.ready
-		} else {
-			full += n.ready
-		}
-	}
-	why := fmt.Sprintf("%d reclaimable and %d others ready, %d needed", reclaimable, full, neededServers)
-	var out []Order
-	add := func(p Place, want int) {
-		if o, due := s.due(now, p, want, counts[p], why); due {
-			out = append(out, o)
+	var reclaimable, largest, full, wet int
+	for _, d := range domains {
+		n := counts[Place{service, d, true}].ready
+		reclaimable += n
+		largest = max(largest, n)
+		full += counts[Place{service, d, false}].ready
+		if last, ok := s.last[Place{service, d, true}]; !ok || last.accepted {
+			wet++
 		}
 	}
-	for _, d := range domains {
-		add(Place{service, d, true}, min(reclaimablePerDomain, c.Max-floorServers))
+	perDomain := perDomain(needed, len(domains), c.Max-floorServers)
+	left := reclaimable
+	if wet < len(domains) {
+		// None can be had to replace those of the next reclaim.
+		left -= largest
 	}
-	wanted := spread(domains, max(floorServers, neededServers-reclaimable), c.Max-reclaimablePerDomain)
+	wanted := spread(domains, max(floorServers, needed-left), c.Max-perDomain)
+	why := fmt.Sprintf("%d needed, %d reclaimable ready in %d domains, %d counted on, %d at the full price", needed, reclaimable, wet, left, full)
+	var out []Order
 	for _, d := range domains {
-		add(Place{service, d, false}, s.keep(now, Place{service, d, false}, wanted[d], counts))
+		for _, w := range []struct {
+			p    Place
+			want int
+		}{{Place{service, d, true}, perDomain}, {Place{service, d, false}, wanted[d]}} {
+			if o, due := s.due(now, w.p, s.keep(now, w.p, w.want, counts[w.p]), counts[w.p], why); due {
+				out = append(out, o)
+			}
+		}
 	}
 	return out
 }
 
+// perDomain returns how many reclaimable servers each domain gets, so that those
+// of all domains but one are enough.
+func perDomain(needed, domains, most int) int {
+	others := max(domains-1, 1)
+	return min(max((needed+others-1)/others, leastPerDomain), most)
+}
+
 // spread distributes n servers over the domains, the cheapest first, so that no
 // domain gets two before every other has one.
 func spread(domains []identifier.FailureDomain, n, most int) map[identifier.FailureDomain]int {
@@ -149,8 +200,11 @@
 }
 
 // keep returns want, or the present number while a surplus is recent.
-func (s *Scaler) keep(now time.Time, p Place, want int, counts map[Place]count) int {
-	present := max(counts[p].ready, s.last[p].count)
+func (s *Scaler) keep(now time.Time, p Place, want int, n count) int {
+	present := n.ready
+	if last := s.last[p]; last.accepted {
+		present = max(present, last.count)
+	}
 	if want >= present {
 		delete(s.surplus, p)
 		return want
@@ -160,12 +214,20 @@
 		since = now
 		s.surplus[p] = now
 	}
-	if now.Sub(since) < keepFor {
+	if now.Sub(since) < keepTime(p) {
 		return present
 	}
 	return want
 }
 
+// keepTime returns how long a surplus is kept.
+func keepTime(p Place) time.Duration {
+	if p.Reclaimable {
+		return keepReclaimableFor
+	}
+	return keepFor
+}
+
 // due returns the order that brings a place to want, if it is to be given now.
 func (s *Scaler) due(now time.Time, p Place, want int, n count, why string) (Order, bool) {
 	last, given := s.last[p]
