node: election timeout of 500 ms; surplus servers go after 2 s

Cause: after a loss of power calls with keys wait for a leader, which came 1.5 s after the keepers' start: one election timeout for leases that may still be backed and as much again drawn at random. In two of the worst windows nothing was served.

--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -40,12 +40,12 @@
 	usageGrace = 2 * time.Second
 )
 
-// keeperTiming is that of the control log on the platform: a leader that is
-// gone must be replaced within the time in which operators try again.
+// keeperTiming is that of the control log on the platform. After a loss of power
+// no call with a key is served before a leader is elected.
 var keeperTiming = replicator.Config{
-	Heartbeat:       200 * time.Millisecond,
-	ElectionTimeout: time.Second,
-	ClockMargin:     100 * time.Millisecond,
+	Heartbeat:       100 * time.Millisecond,
+	ElectionTimeout: 500 * time.Millisecond,
+	ClockMargin:     50 * time.Millisecond,
 }
 
 // keeperNode is a process that keeps the control log.
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -23,7 +23,7 @@
 	// dryFor is how long a domain that had no reclaimable server is left alone.
 	dryFor = 2 * time.Second
 	// keepFor is how long servers are kept once they are not needed any more.
-	keepFor = 5 * time.Second
+	keepFor = 2 * time.Second
 	// floorServers is how many servers at the full price there are always.
 	floorServers = 1
 	// callsPerServer is how many calls at work one server is meant for: more
