--- a/placer/cost.go
+++ b/placer/cost.go
@@ -20,9 +20,14 @@
 	// typicalOutput is the number of tokens that a running generation is thought
 	// to have before it.
 	typicalOutput = 150.0
-	// firstWeight is how much more the time to the first token counts than the
-	// rest.
+	// firstWeight and stepWeight are how much the time to the first token and the
+	// time of the steps count: callers see the first at once, and mind the other
+	// only once it is long.
 	firstWeight = 2.0
+	stepWeight  = 0.25
+	// rereadWeight is what reading shared tokens that another server holds counts
+	// beside the time that it takes.
+	rereadWeight = 4.0
 	// fullMemory is the part of the memory above which generations may be put
 	// back, and fullPenaltyMs what that costs.
 	fullMemory    = 0.9
@@ -68,6 +73,15 @@
 	return r.Parts[:len(r.Parts)-1]
 }
 
+// ownTokens returns the tokens that no other prompt shares.
+func (r *Request) ownTokens() identifier.Tokens {
+	left := r.Prompt
+	for _, p := range r.shared() {
+		left -= p.Tokens
+	}
+	return max(left, 1)
+}
+
 // unread returns how many tokens of the prompt a server would have to read. A
 // part is held only if all before it are. The home of the prompt is thought to
 // hold what is shared, since all hosts send such prompts there first.
@@ -112,8 +126,11 @@
 	if over := l.Running - s.Slots + 1; over > 0 {
 		firstMs += float64(over) * queueMs
 	}
-	own := firstWeight*firstMs + float64(r.Output)*step
-	others := n*reading + n*typicalOutput*stepMsPerToken*float64(r.Prompt)
+	own := firstWeight*firstMs + stepWeight*float64(r.Output)*step
+	others := n*reading + stepWeight*n*typicalOutput*stepMsPerToken*float64(r.Prompt)
+	if again := unread - r.ownTokens(); again > 0 {
+		others += rereadWeight * float64(again) / readTokensPerMs
+	}
 	cost = own + others
 	if s.Memory > 0 && float64(l.Context+r.Prompt+r.Output) > fullMemory*float64(s.Memory) {
 		cost += fullPenaltyMs
