--- a/placer/cost.go
+++ b/placer/cost.go
@@ -27,7 +27,7 @@
 	stepWeight  = 0.25
 	// rereadWeight is what reading shared tokens that another server holds counts
 	// beside the time that it takes.
-	rereadWeight = 4.0
+	rereadWeight = 12.0
 	// fullMemory is the part of the memory above which generations may be put
 	// back, and fullPenaltyMs what that costs.
 	fullMemory    = 0.9
