--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -42,9 +42,9 @@
 // keeperTiming is that of the control log on the platform. After a loss of power
 // no call with a key is served before a leader is elected.
 var keeperTiming = replicator.Config{
-	Heartbeat:       100 * time.Millisecond,
-	ElectionTimeout: 500 * time.Millisecond,
-	ClockMargin:     50 * time.Millisecond,
+	Heartbeat:       80 * time.Millisecond,
+	ElectionTimeout: 400 * time.Millisecond,
+	ClockMargin:     40 * time.Millisecond,
 }
 
 // keeperNode is a process that keeps the control log.
--- a/scaler/doc.go
+++ b/scaler/doc.go
@@ -18,7 +18,7 @@
 //
 // # Usage
 //
-//	s := scaler.New()
+//	s := scaler.New(false)
 //	for _, o := range s.Plan(now, services, listing, callsAtWork) {
 //		err := order(o)
 //		s.Answer(now, o, err == nil, isUnavailable(err))
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -42,7 +42,7 @@
 	leastPerDomain = 2
 	// keepReclaimableFor is how long reclaimable servers are kept once they are
 	// not needed any more: longer than a wave of the load.
-	keepReclaimableFor = 30 * time.Second
+	keepReclaimableFor = 15 * time.Second
 )
 
 // Place is what one number of backend servers is ordered for.
@@ -75,6 +75,8 @@
 	// surplus is since when a place has had more than needed.
 	surplus map[Place]time.Time
 	demand  map[identifier.Service]*demand
+	// fresh tells that the system has served nothing yet.
+	fresh bool
 }
 
 // demand is the recent peak of the calls at work.
@@ -83,9 +85,10 @@
 	at    time.Time
 }
 
-// New returns a Scaler that has ordered nothing.
-func New() *Scaler {
-	return &Scaler{last: make(map[Place]ordered), surplus: make(map[Place]time.Time), demand: make(map[identifier.Service]*demand)}
+// New returns a Scaler that has ordered nothing. Fresh tells that the system
+// starts for the first time, so that nothing is at work.
+func New(fresh bool) *Scaler {
+	return &Scaler{fresh: fresh, last: make(map[Place]ordered), surplus: make(map[Place]time.Time), demand: make(map[identifier.Service]*demand)}
 }
 
 // Plan returns the orders that are due. Calls are those at work at each service.
@@ -155,20 +158,23 @@
 			wet++
 		}
 	}
-	perDomain := perDomain(needed, len(domains), c.Max-floorServers)
+	spares := reclaimableIn(domains, needed, c.Max-floorServers)
 	left := reclaimable
 	if wet < len(domains) {
 		// None can be had to replace those of the next reclaim.
 		left -= largest
 	}
-	wanted := spread(domains, max(floorServers, needed-left), c.Max-perDomain)
+	if s.isIdle(service) {
+		left = needed
+	}
+	wanted := spread(domains, max(floorServers, needed-left), c.Max-spares[domains[0]])
 	why := fmt.Sprintf("%d needed, %d reclaimable ready in %d domains, %d counted on, %d at the full price", needed, reclaimable, wet, left, full)
 	var out []Order
 	for _, d := range domains {
 		for _, w := range []struct {
 			p    Place
 			want int
-		}{{Place{service, d, true}, perDomain}, {Place{service, d, false}, wanted[d]}} {
+		}{{Place{service, d, true}, spares[d]}, {Place{service, d, false}, wanted[d]}} {
 			if o, due := s.due(now, w.p, s.keep(now, w.p, w.want, counts[w.p]), counts[w.p], why); due {
 				out = append(out, o)
 			}
@@ -177,11 +183,19 @@
 	return out
 }
 
-// perDomain returns how many reclaimable servers each domain gets, so that those
-// of all domains but one are enough.
-func perDomain(needed, domains, most int) int {
-	others := max(domains-1, 1)
-	return min(max((needed+others-1)/others, leastPerDomain), most)
+// reclaimableIn returns how many reclaimable servers each domain gets, so that
+// those of all domains but one are enough.
+func reclaimableIn(domains []identifier.FailureDomain, needed, most int) map[identifier.FailureDomain]int {
+	n := len(domains)
+	others := max(n-1, 1)
+	total := max((needed*n+others-1)/others, leastPerDomain*n)
+	return spread(domains, total, most)
+}
+
+// isIdle reports whether nothing was ever at work, so that servers at the full
+// price need not be kept until others are ready.
+func (s *Scaler) isIdle(service identifier.Service) bool {
+	return s.fresh && s.demand[service] == nil
 }
 
 // spread distributes n servers over the domains, the cheapest first, so that no
@@ -214,7 +228,7 @@
 		since = now
 		s.surplus[p] = now
 	}
-	if now.Sub(since) < keepTime(p) {
+	if now.Sub(since) < keepTime(p) && !s.isIdle(p.Service) {
 		return present
 	}
 	return want
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -30,7 +30,7 @@
 
 // newMarket returns a market with nine servers at the full price.
 func newMarket(t *testing.T) *market {
-	m := &market{t: t, now: time.Unix(1000, 0), scaler: New(), have: make(map[Place][]time.Time)}
+	m := &market{t: t, now: time.Unix(1000, 0), scaler: New(false), have: make(map[Place][]time.Time)}
 	m.service = matcher.Service{Name: service, Scaling: &matcher.Scaling{
 		Min: 1, Max: 6, BootTime: bootTime, ReclaimablePrice: 0.2,
 		Prices: map[identifier.FailureDomain]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
