--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/placer"
+	"cyclamenhub.org/sharer"
+	"cyclamenhub.org/timer"
+)
+
+// TestWholePath follows a document from an operator to a call, the withdrawal of
+// a key, and both through the stop and restart of all keepers.
+func TestWholePath(t *testing.T) {
+	s := newSystem(t)
+	s.startKeepers(true)
+	s.start(entryA, RunEntry, false)
+	s.put(keeperB, documentOf(3, `"k1","k2"`))
+	s.await("the entry host is ready", func() bool {
+		status, _ := s.ask(http.MethodGet, entryA, readinessPort, "/cyclamenhub/readyz", "", nil)
+		return status == http.StatusOK
+	})
+	if status, body := s.call("k1"); status != http.StatusOK || body != "for foodbank" {
+		t.Errorf("a call gets %d with %q", status, body)
+	}
+	if status, _ := s.call("unknown"); status != http.StatusUnauthorized {
+		t.Errorf("a call with an unknown key gets %d", status)
+	}
+
+	newest := documentOf(9, `"k2"`)
+	s.put(keeperA, newest)
+	s.put(keeperC, documentOf(5, `"k1"`)) // overtaken: acknowledged and without effect
+	s.await("the withdrawn key is refused", func() bool {
+		status, _ := s.call("k1")
+		return status == http.StatusUnauthorized
+	})
+	if status, _ := s.call("k2"); status != http.StatusOK {
+		t.Errorf("a call with the other key gets %d", status)
+	}
+	s.await("the use of a window is reported", func() bool {
+		s.cloud.mu.Lock()
+		defer s.cloud.mu.Unlock()
+		return len(s.cloud.reports) > 0
+	})
+
+	for _, ip := range []string{keeperA, keeperB, keeperC} {
+		s.end(ip)
+	}
+	s.startKeepers(false)
+	if diff := cmp.Diff(decoded(t, newest), decoded(t, s.read(keeperB))); diff != "" {
+		t.Errorf("after a restart of all keepers the document differs (-want +got):\n%s", diff)
+	}
+	s.await("the entry host serves after the restart", func() bool {
+		status, _ := s.call("k2")
+		return status == http.StatusOK
+	})
+	if status, _ := s.call("k1"); status != http.StatusUnauthorized {
+		t.Errorf("a call with the withdrawn key gets %d after the restart", status)
+	}
+	s.cloud.mu.Lock()
+	defer s.cloud.mu.Unlock()
+	if w := s.cloud.reports["twice"]; w != "" {
+		t.Errorf("window %s is reported with two counts", w)
+	}
+}
+
+// TestNoMajority stops two of three keepers: the third acknowledges nothing and
+// reads nothing, and once the others are back nothing is lost.
+func TestNoMajority(t *testing.T) {
+	s := newSystem(t)
+	s.startKeepers(true)
+	document := documentOf(1, `"k1"`)
+	s.put(keeperA, document)
+	s.end(keeperB)
+	s.end(keeperC)
+	for _, method := range []string{http.MethodPut, http.MethodGet} {
+		if status, _ := s.ask(method, keeperA, operatorPort, "/cyclamenhub/config", documentOf(2, `"k1"`), nil); status == http.StatusOK {
+			t.Errorf("%s succeeds without a majority", method)
+		}
+	}
+	s.start(keeperB, RunKeeper, false)
+	s.start(keeperC, RunKeeper, false)
+	got := decoded(t, s.read(keeperC))
+	if !cmp.Equal(got, decoded(t, document)) && !cmp.Equal(got, decoded(t, documentOf(2, `"k1"`))) {
+		t.Errorf("the document is %v", got)
+	}
+}
+
+// decoded returns what a document says, whatever its white space.
+func decoded(t *testing.T, document string) any {
+	t.Helper()
+	var v any
+	if err := json.Unmarshal([]byte(document), &v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// TestLoadsOfOthers checks that a host hears of all hosts but itself, and of none
+// that has been silent.
+func TestLoadsOfOthers(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	var l loads
+	load := func(n int) map[identifier.BackendServer]placer.Load {
+		return map[identifier.BackendServer]placer.Load{"s": {Running: n, Unread: 10, Context: 100}}
+	}
+	l.report(clock.Now(), "old", load(100))
+	clock.Advance(loadsFor)
+	l.report(clock.Now(), "a", load(1))
+	l.report(clock.Now(), "b", load(2))
+	l.report(clock.Now(), "c", load(4))
+	clock.Advance(time.Millisecond)
+	want := map[identifier.BackendServer]placer.Load{"s": {Running: 6, Unread: 20, Context: 200}}
+	if diff := cmp.Diff(want, l.others(clock.Now(), "a")); diff != "" {
+		t.Errorf("loads differ (-want +got):\n%s", diff)
+	}
+}
+
+// TestSyncMessages takes every part of a sync through its protobuf form.
+func TestSyncMessages(t *testing.T) {
+	loads := map[identifier.BackendServer]placer.Load{"s": {Running: 6, Unread: 20, Context: 200}}
+	if diff := cmp.Diff(loads, decodeLoads(encodeLoads(loads))); diff != "" {
+		t.Errorf("loads differ (-want +got):\n%s", diff)
+	}
+	grants := sharer.Grants{Customers: map[identifier.Customer]sharer.Grant{"c": {Level: -5, Share: 0.25}}, Others: 0.125}
+	var resp wire.SyncResponse
+	encodeGrants(&resp, grants)
+	if diff := cmp.Diff(grants, grantsOf(&resp)); diff != "" {
+		t.Errorf("grants differ (-want +got):\n%s", diff)
+	}
+	windows := map[accountant.Window]accountant.Counts{7: {"c": 3}}
+	if diff := cmp.Diff(windows, decodeWindows([]*wire.WindowCounts{encodeWindow(7, windows[7])})); diff != "" {
+		t.Errorf("windows differ (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/node/rig_test.go
@@ -0,0 +1,239 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/platform"
+)
+
+// cloud is a stand-in of the platform: it lists one backend server and takes
+// reports and orders.
+type cloud struct {
+	server  string
+	mu      sync.Mutex
+	reports map[string]string // by window
+	fences  []string
+}
+
+// ServeHTTP answers the platform's own interface.
+func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch r.URL.Path {
+	case "/instances":
+		fmt.Fprintf(w, `{"instances":[{"id":"i-1","service":"cases","address":%q,"zone":"a","version":"v1","slots":8,"state":"ready"}],"next":null}`, c.server)
+	case "/usage":
+		var body struct {
+			WindowID json.Number     `json:"windowId"`
+			Counts   json.RawMessage `json:"counts"`
+		}
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		if c.reports == nil {
+			c.reports = make(map[string]string)
+		}
+		if before, ok := c.reports[body.WindowID.String()]; ok && before != string(body.Counts) {
+			c.reports["twice"] = body.WindowID.String()
+		}
+		c.reports[body.WindowID.String()] = string(body.Counts)
+		c.fences = append(c.fences, r.Header.Get("Cyclamenhub-Fencing-Token"))
+	}
+}
+
+// system is some keepers and entry hosts on loopback addresses.
+type system struct {
+	t      *testing.T
+	cloud  *cloud
+	api    string
+	port   int
+	seeds  []string
+	stop   map[string]context.CancelFunc
+	ended  map[string]chan error
+	folder map[string]string
+}
+
+// The addresses of the system's hosts.
+const (
+	keeperA, keeperB, keeperC = "127.7.0.1", "127.7.0.2", "127.7.0.3"
+	entryA                    = "127.7.0.4"
+	operatorPort              = 1 // after the port of the processes' own calls
+	frontendPort              = 2
+	readinessPort             = 3
+	metricsPort               = 4
+)
+
+// newSystem returns a system whose processes do not run yet.
+func newSystem(t *testing.T) *system {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Cyclamenhub-Response-Seal", "s")
+		w.Header().Set("Cyclamenhub-Attempt-Id", r.Header.Get("Cyclamenhub-Attempt-Id"))
+		_, _ = io.WriteString(w, "for "+r.Header.Get("Cyclamenhub-Tenant"))
+	}))
+	t.Cleanup(backend.Close)
+	c := &cloud{server: strings.TrimPrefix(backend.URL, "http://")}
+	api := httptest.NewServer(c)
+	t.Cleanup(api.Close)
+	s := &system{
+		t: t, cloud: c, api: strings.TrimPrefix(api.URL, "http://"), port: freePort(t),
+		stop: make(map[string]context.CancelFunc), ended: make(map[string]chan error), folder: make(map[string]string),
+	}
+	for _, ip := range []string{keeperA, keeperB, keeperC} {
+		s.seeds = append(s.seeds, fmt.Sprintf("%s:%d", ip, s.port+operatorPort))
+	}
+	t.Cleanup(func() {
+		for ip := range s.stop {
+			s.end(ip)
+		}
+	})
+	return s
+}
+
+// freePort returns the first of some ports that are free on every address.
+func freePort(t *testing.T) int {
+	for range 50 {
+		ln, err := net.Listen("tcp", "127.7.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := ln.Addr().(*net.TCPAddr).Port
+		_ = ln.Close()
+		if port < 60000 {
+			return port
+		}
+	}
+	t.Fatal("no port below 60000 is free")
+	return 0
+}
+
+// settings returns the settings of a host.
+func (s *system) settings(ip string, founding bool) *platform.Settings {
+	s.t.Helper()
+	at := func(offset int) string { return fmt.Sprintf("%s:%d", ip, s.port+offset) }
+	if s.folder[ip] == "" {
+		s.folder[ip] = s.t.TempDir()
+	}
+	text, err := json.Marshal(map[string]any{
+		"nodeName": "node-" + ip, "ip": ip, "zone": "a", "zones": map[string]string{"a": "r"},
+		"internalPorts": []int{s.port, s.port + metricsPort}, "seedNodes": s.seeds, "bootstrap": founding, "dataDir": s.folder[ip],
+		"listen": map[string]string{"controlPlane": at(operatorPort), "frontend": at(frontendPort), "readiness": at(readinessPort)},
+		"limits": map[string]any{"cores": 4}, "faultTolerance": map[string]int{"machines": 1},
+		"bounds":   map[string]any{"graceS": 4, "revokeMs": 60000, "leaseMs": 10, "reportWindowS": 1, "quotaWindowS": 8},
+		"cloudApi": map[string]string{"address": s.api},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	cfg, err := platform.DecodeSettings(text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return cfg
+}
+
+// start starts a process.
+func (s *system) start(ip string, run func(context.Context, *platform.Settings, Options) error, founding bool) {
+	s.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cfg := s.settings(ip, founding)
+	ended := make(chan error, 1)
+	s.stop[ip], s.ended[ip] = cancel, ended
+	go func() { ended <- run(ctx, cfg, Options{Log: slog.New(slog.DiscardHandler)}) }()
+}
+
+// startKeepers starts the three keepers.
+func (s *system) startKeepers(founding bool) {
+	for _, ip := range []string{keeperA, keeperB, keeperC} {
+		s.start(ip, RunKeeper, founding)
+	}
+}
+
+// end stops a process and waits for its end.
+func (s *system) end(ip string) {
+	if s.stop[ip] == nil {
+		return
+	}
+	s.stop[ip]()
+	if err := <-s.ended[ip]; err != nil {
+		s.t.Errorf("%s ended with %v", ip, err)
+	}
+	delete(s.stop, ip)
+}
+
+// await waits until a condition holds.
+func (s *system) await(what string, ok func() bool) {
+	s.t.Helper()
+	for range 3000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.t.Fatalf("never happened: %s", what)
+}
+
+// ask makes a call and returns its status, 0 where there is no answer, and body.
+func (s *system) ask(method, ip string, port int, path, body string, header map[string]string) (int, string) {
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", ip, s.port+port, path), strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = "app.example"
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+	res, err := client.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(b)
+}
+
+// put puts a document in force through one keeper, as operators do: again and
+// again until it is acknowledged.
+func (s *system) put(ip, document string) {
+	s.t.Helper()
+	s.await("the document is acknowledged", func() bool {
+		status, _ := s.ask(http.MethodPut, ip, operatorPort, "/cyclamenhub/config", document, nil)
+		return status == http.StatusOK
+	})
+}
+
+// read returns the document that a keeper confirms as the newest.
+func (s *system) read(ip string) string {
+	s.t.Helper()
+	var document string
+	s.await("the document is read back", func() bool {
+		status, body := s.ask(http.MethodGet, ip, operatorPort, "/cyclamenhub/config", "", nil)
+		document = body
+		return status == http.StatusOK
+	})
+	return document
+}
+
+// call makes a caller's call with a key and returns its status and body.
+func (s *system) call(key string) (int, string) {
+	return s.ask(http.MethodPost, entryA, frontendPort, "/file/1", "x", map[string]string{
+		"Authorization": "Token " + key, "Cyclamenhub-Attempt-Id": "id-1", "Cyclamenhub-Deadline-Ms": "5000",
+	})
+}
+
+// documentOf returns a document with a revision and the keys of one customer.
+func documentOf(revision identifier.Revision, keys string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"app.example","pathPrefix":"/file/","routeType":"non_idempotent",
+"timeoutMs":5000,"targetLatencyMs":1000,"service":"cases","maxAttempts":1}],"services":[{"name":"cases","healthPath":"/healthz","maxConnections":100}],
+"tenants":[{"name":"foodbank","apiKeys":[%s]}]}`, revision, keys)
+}
