--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -72,6 +72,7 @@
 	addStatusCommand(p, c)
 	addKeyCommands(p, c)
 	addLoadCommand(p, c)
+	addExplainCommand(p, std)
 	return p
 }
 
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -205,6 +205,15 @@
 	return out
 }
 
+// logAttempt writes why an attempt did not answer the call.
+func (x *exchange) logAttempt(end ending, why string, after time.Duration) {
+	if end == answered || end == left {
+		return // The line of the call says it.
+	}
+	x.f.opts.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "attempt failed", slog.String("id", string(x.call.ID)),
+		slog.String("server", string(x.server)), slog.Duration("after", after), slog.String("end", end.String()), slog.String("why", why))
+}
+
 // log writes what became of the call and which inputs decided it.
 func (x *exchange) log() {
 	took := x.f.opts.Clock.Now().Sub(x.start)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -54,6 +54,11 @@
 	left
 )
 
+// String returns the ending as logs name it.
+func (e ending) String() string {
+	return [...]string{"answered", "refused", "unsent", "failed", "broken", "left"}[e]
+}
+
 // hashOf returns the hash of a call's id, by which calls are spread.
 func hashOf(id identifier.AttemptID) uint64 { return xxhash.Sum64String(string(id)) }
 
@@ -69,8 +74,10 @@
 			x.giveUp(err.Error())
 			return
 		}
+		began := x.f.opts.Clock.Now()
 		end, why := x.attempt(choice)
 		x.ended(end, x.firstAfter)
+		x.logAttempt(end, why, x.f.opts.Clock.Now().Sub(began))
 		switch end {
 		case answered:
 			return
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -96,6 +96,7 @@
 
 // newEntry returns an entry host that does not run yet.
 func newEntry(cfg *platform.Settings, opts Options) *entry {
+	opts.Log = opts.Log.With("host", cfg.Name)
 	boot := timer.NewBoot()
 	e := &entry{
 		cfg: cfg, log: opts.Log, steps: boot, run: uint64(time.Now().UnixNano()),
@@ -147,7 +148,7 @@
 	wg.Go(func() { e.dist.Run(background) })
 	wg.Go(func() { e.runJudges(background) })
 	wg.Go(func() { e.contacts.reload(background, opts) })
-	e.log.Info("started", "host", e.cfg.Host, "name", e.cfg.Name, "failureDomain", e.cfg.FailureDomain, "seeds", e.cfg.Seeds)
+	e.log.Info("started", "address", e.cfg.Host, "failureDomain", e.cfg.FailureDomain, "seeds", e.cfg.Seeds)
 
 	<-ctx.Done()
 	e.stop(callers)
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -96,6 +96,7 @@
 
 // newKeeperNode returns a keeper that does not run yet.
 func newKeeperNode(cfg *platform.Settings, opts Options) *keeperNode {
+	opts.Log = opts.Log.With("host", cfg.Name)
 	clock := timer.NewBoot()
 	n := &keeperNode{
 		cfg: cfg, log: opts.Log, clock: clock,
@@ -151,7 +152,7 @@
 	wg.Go(func() { n.runDuties(background) })
 	wg.Go(func() { n.runRollouts(background) })
 	wg.Go(func() { n.contacts.reload(background, opts) })
-	n.log.Info("started", "host", n.cfg.Host, "name", n.cfg.Name, "failureDomain", n.cfg.FailureDomain,
+	n.log.Info("started", "address", n.cfg.Host, "failureDomain", n.cfg.FailureDomain,
 		"seeds", n.cfg.Seeds, "founding", n.cfg.Founding, "replica", n.keeper.Load().Status().ID)
 
 	<-ctx.Done()
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -123,14 +123,14 @@
 	if s.folder[ip] == "" {
 		s.folder[ip] = s.t.TempDir()
 	}
-	text, err := json.Marshal(map[string]any{
+	text, err := json.Marshal(map[string]any{"metricsPort": s.port + metricsPort, "platform": map[string]any{
 		"nodeName": "node-" + ip, "ip": ip, "zone": "a", "zones": map[string]string{"a": "r"},
 		"internalPorts": []int{s.port, s.port + metricsPort}, "seedNodes": s.seeds, "bootstrap": founding, "dataDir": s.folder[ip],
 		"listen": map[string]string{"controlPlane": at(operatorPort), "frontend": at(frontendPort), "readiness": at(readinessPort)},
 		"limits": map[string]any{"cores": 4}, "faultTolerance": map[string]int{"machines": 1},
 		"bounds":   map[string]any{"graceS": 4, "revokeMs": 60000, "leaseMs": 10, "reportWindowS": 1, "quotaWindowS": 8},
 		"cloudApi": map[string]string{"address": s.api},
-	})
+	}})
 	if err != nil {
 		s.t.Fatal(err)
 	}
