--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -78,26 +78,39 @@
 	run  uint64
 }
 
+// silentAfter is how long a host that counted is silent before a window waits
+// for it.
+const silentAfter = time.Second
+
 // Ledger sums up what the hosts counted. It is not safe for concurrent use.
 type Ledger struct {
 	length time.Duration
-	grace  time.Duration
-	began  Window
-	counts map[Window]map[source]Counts
+	// grace passes between the end of a window and its closing, and patience
+	// where a host may not have told its counts.
+	grace, patience time.Duration
+	began           time.Time
+	heard           map[identifier.Host]time.Time
+	counts          map[Window]map[source]Counts
 }
 
-// NewLedger returns a Ledger that closes windows a grace period after their
-// end.
-func NewLedger(length, grace time.Duration) *Ledger {
-	return &Ledger{length: length, grace: grace, counts: make(map[Window]map[source]Counts)}
+// NewLedger returns a Ledger that closes windows a grace period after their end.
+// Where a host that counted is silent, or the ledger began a short while ago, it
+// waits for as long as patience: the host may be cut off and come back.
+func NewLedger(length, grace, patience time.Duration) *Ledger {
+	return &Ledger{
+		length: length, grace: grace, patience: max(patience, grace),
+		heard: make(map[identifier.Host]time.Time), counts: make(map[Window]map[source]Counts),
+	}
 }
 
+// Begin tells that the ledger is in use from now on, as when its keeper begins
+// to lead: it may not know all hosts yet.
+func (l *Ledger) Begin(now time.Time) { l.began = now }
+
 // Merge takes in the counts of one run of a host.
 func (l *Ledger) Merge(now time.Time, host identifier.Host, run uint64, counts map[Window]Counts) {
 	present := WindowAt(now, l.length)
-	if l.began == 0 {
-		l.began = present
-	}
+	l.heard[host] = now
 	for w, c := range counts {
 		if w < present-keptWindows || w > present+1 {
 			continue
@@ -126,12 +139,11 @@
 	}
 }
 
-// Due returns the windows after last that can be closed now, in order. A window
-// that ended before the ledger began is due only where a host still reports it.
+// Due returns the windows after last that can be closed now, in order.
 func (l *Ledger) Due(now time.Time, last Window) []Window {
 	var due []Window
 	for w := range l.counts {
-		if w > last && !now.Before(w.End(l.length).Add(l.grace)) {
+		if w > last && !now.Before(w.End(l.length).Add(l.waitFor(w, now))) {
 			due = append(due, w)
 		}
 	}
@@ -139,6 +151,22 @@
 	return due
 }
 
+// waitFor returns how long after its end a window is closed.
+func (l *Ledger) waitFor(w Window, now time.Time) time.Duration {
+	if w.End(l.length).Before(l.began.Add(l.grace)) {
+		return l.patience
+	}
+	for host, at := range l.heard {
+		switch silence := now.Sub(at); {
+		case silence > 2*l.patience:
+			delete(l.heard, host) // It is gone for good.
+		case silence > silentAfter:
+			return l.patience
+		}
+	}
+	return l.grace
+}
+
 // Sum returns the counts of all hosts in a window.
 func (l *Ledger) Sum(w Window) Counts {
 	sum := make(Counts)
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -20,7 +20,7 @@
 	m.Begin("choir", start.Add(2*time.Second))
 	late := m.Counts(start.Add(3 * time.Second))
 
-	l := NewLedger(length, 2*time.Second)
+	l := NewLedger(length, 2*time.Second, 8*time.Second)
 	now := start.Add(4 * time.Second)
 	l.Merge(now, "a", 1, late)
 	l.Merge(now, "a", 1, early)
@@ -32,12 +32,14 @@
 }
 
 func TestWindowsAreDueAfterTheirGrace(t *testing.T) {
-	l := NewLedger(length, 2*time.Second)
+	l := NewLedger(length, 2*time.Second, 8*time.Second)
 	end := Window(101).End(length)
 	l.Merge(end.Add(-time.Second), "a", 1, map[Window]Counts{101: {"choir": 1}})
+	l.Merge(end.Add(time.Second), "a", 1, map[Window]Counts{101: {"choir": 1}})
 	if due := l.Due(end.Add(time.Second), 100); len(due) != 0 {
 		t.Errorf("windows %v are due before the grace period has passed", due)
 	}
+	l.Merge(end.Add(2*time.Second), "a", 1, nil)
 	if diff := cmp.Diff([]Window{101}, l.Due(end.Add(2*time.Second), 100)); diff != "" {
 		t.Errorf("due windows differ (-want +got):\n%s", diff)
 	}
@@ -45,3 +47,27 @@
 		t.Errorf("closed windows %v are due again", due)
 	}
 }
+
+// TestWindowsWaitForHostsThatMayComeBack replays a host that is cut off around
+// the end of a window, and a leader that is new: the window is closed late, and
+// with the counts that came meanwhile.
+func TestWindowsWaitForHostsThatMayComeBack(t *testing.T) {
+	end := Window(101).End(length)
+	for _, isNew := range []bool{false, true} {
+		l := NewLedger(length, 2*time.Second, 8*time.Second)
+		if isNew {
+			l.Begin(end.Add(time.Second))
+		} else {
+			l.Merge(end.Add(-time.Second), "cut-off", 1, map[Window]Counts{101: {"choir": 1}})
+		}
+		l.Merge(end.Add(3*time.Second), "a", 1, map[Window]Counts{101: {"choir": 2}})
+		if due := l.Due(end.Add(3*time.Second), 100); len(due) != 0 {
+			t.Errorf("new leader %v: windows %v are closed without all counts", isNew, due)
+		}
+		l.Merge(end.Add(7*time.Second), "cut-off", 1, map[Window]Counts{101: {"choir": 5}})
+		l.Merge(end.Add(7*time.Second), "a", 1, map[Window]Counts{101: {"choir": 2}})
+		if due := l.Due(end.Add(8*time.Second), 100); len(due) != 1 || l.Sum(101)["choir"] != 7 {
+			t.Errorf("new leader %v: windows %v are due with %v", isNew, due, l.Sum(101))
+		}
+	}
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -54,6 +54,9 @@
 		d := &n.duties
 		if d.term != uint64(lease.Fencing()) {
 			*d = duties{since: n.clock.Now(), term: uint64(lease.Fencing()), reported: make(map[accountant.Window]bool), scaler: scaler.New(lease.Fencing() == firstFencing)}
+			n.mu.Lock()
+			n.ledger.Begin(time.Now())
+			n.mu.Unlock()
 			n.log.Info("holding the duties after the former lease", "fencing", lease.Fencing(), "wait", n.cfg.Bounds.DutyLease)
 		}
 		n.readListing(ctx, lease)
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -37,6 +37,9 @@
 	// usageGrace is how long after its end a window is closed. Hosts report
 	// several times a second.
 	usageGrace = 2 * time.Second
+	// usageMargin is how long before a report is due its window is closed at the
+	// latest.
+	usageMargin = 1500 * time.Millisecond
 )
 
 // keeperTiming is that of the control log on the platform. After a loss of power
@@ -102,7 +105,7 @@
 		cfg: cfg, log: opts.Log, clock: clock,
 		contacts: contacts{self: cfg.Host, seeds: cfg.Seeds},
 		divider:  sharer.NewDivider(time.Duration(leasePart * float64(cfg.Bounds.WithdrawKeys))),
-		ledger:   accountant.NewLedger(cfg.Bounds.Window, usageGrace),
+		ledger:   accountant.NewLedger(cfg.Bounds.Window, usageGrace, cfg.Bounds.UseDue-usageMargin),
 		client:   platform.NewClient(cfg.API.Address, cfg.Name),
 	}
 	n.messenger = messenger.New(messenger.Options{Host: cfg.Host, Silence: peerSilence, Clock: clock})
