--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -164,9 +164,11 @@
 	if ns, ok := v.(float64); ok && slices.Contains(durations, name) {
 		return time.Duration(ns).Round(100 * time.Microsecond).String()
 	}
-	b, err := json.Marshal(v)
-	if err != nil {
+	var b strings.Builder
+	enc := json.NewEncoder(&b)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(v); err != nil {
 		return "?" // What came out of JSON always goes back.
 	}
-	return string(b)
+	return strings.TrimSpace(b.String())
 }
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/matcher"
 	"cyclamenhub.org/placer"
@@ -218,7 +220,7 @@
 func (x *exchange) log() {
 	took := x.f.opts.Clock.Now().Sub(x.start)
 	callSeconds.Update(took.Seconds())
-	callsByStatus.GetOrCreateCounter(fmt.Sprintf("cyclamen_forwarder_calls_total{status=\"%d\"}", x.status)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf("cyclamen_forwarder_calls_total{status=\"%d\"}", x.status)).Inc()
 	attrs := []slog.Attr{slog.Int("status", x.status), slog.Duration("took", took), slog.Int("sends", x.sends), slog.Int("runs", x.runs)}
 	if x.call != nil {
 		attrs = append(attrs, slog.String("id", string(x.call.ID)))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -324,9 +324,8 @@
 }
 
 var (
-	callsByStatus = metrics.NewSet()
-	brokenOff     = metrics.NewCounter("cyclamen_forwarder_streams_broken_off_total")
-	resumed       = metrics.NewCounter("cyclamen_forwarder_streams_resumed_total")
-	retried       = metrics.NewCounter("cyclamen_forwarder_retries_total")
-	callSeconds   = metrics.NewHistogram("cyclamen_forwarder_call_seconds")
+	brokenOff   = metrics.NewCounter("cyclamen_forwarder_streams_broken_off_total")
+	resumed     = metrics.NewCounter("cyclamen_forwarder_streams_resumed_total")
+	retried     = metrics.NewCounter("cyclamen_forwarder_retries_total")
+	callSeconds = metrics.NewHistogram("cyclamen_forwarder_call_seconds")
 )
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -51,7 +51,7 @@
 	// the leader tells it.
 	retryHosts = 8
 	// retryPart is the part of the allowed retries that is used.
-	retryPart = 0.6
+	retryPart = 0.8
 )
 
 // entry is a process that forwards calls.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -80,7 +80,7 @@
 }
 
 // serveMetrics serves the metrics of the process until ctx ends.
-func serveMetrics(ctx context.Context, cfg *platform.Settings, log *slog.Logger, sets ...*metrics.Set) {
+func serveMetrics(ctx context.Context, cfg *platform.Settings, log *slog.Logger) {
 	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", cfg.IP, cfg.MetricsPort))
 	if err != nil {
 		log.Error("metrics are not served", "error", err)
@@ -89,9 +89,6 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
-		for _, s := range sets {
-			s.WritePrometheus(w)
-		}
 	})
 	s := newServer(mux, log)
 	context.AfterFunc(ctx, func() { _ = s.Close() })
