--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -139,15 +139,19 @@
 	}
 }
 
-// Due returns the windows after last that can be closed now, in order.
+// Due returns the windows after last that can be closed now, in order. One that
+// waits holds up those after it, since windows are closed in order.
 func (l *Ledger) Due(now time.Time, last Window) []Window {
 	var due []Window
-	for w := range l.counts {
-		if w > last && !now.Before(w.End(l.length).Add(l.waitFor(w, now))) {
-			due = append(due, w)
+	for _, w := range slices.Sorted(maps.Keys(l.counts)) {
+		if w <= last {
+			continue
+		}
+		if now.Before(w.End(l.length).Add(l.waitFor(w, now))) {
+			break
 		}
+		due = append(due, w)
 	}
-	slices.Sort(due)
 	return due
 }
 
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -71,3 +71,21 @@
 		}
 	}
 }
+
+// TestWindowThatWaitsIsNotOvertaken has a new leader whose first window waits for
+// hosts that it does not know: the next window must not be closed before it.
+func TestWindowThatWaitsIsNotOvertaken(t *testing.T) {
+	end := Window(101).End(length)
+	l := NewLedger(length, 2*time.Second, 8*time.Second)
+	l.Begin(end.Add(-500 * time.Millisecond))
+	for at := end; at.Before(end.Add(8 * time.Second)); at = at.Add(250 * time.Millisecond) {
+		l.Merge(at, "a", 1, map[Window]Counts{101: {"choir": 2}, 102: {"choir": 3}})
+		if due := l.Due(at, 100); len(due) != 0 {
+			t.Fatalf("%v after the end of window 101 windows %v are due", at.Sub(end), due)
+		}
+	}
+	l.Merge(end.Add(8*time.Second), "a", 1, nil)
+	if diff := cmp.Diff([]Window{101, 102}, l.Due(end.Add(8*time.Second), 100)); diff != "" {
+		t.Errorf("due windows differ (-want +got):\n%s", diff)
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -85,7 +85,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.divider.Report(now, host, useOf(&req))
-	n.ledger.Merge(time.Now(), host, req.GetRun(), decodeWindows(req.GetWindows()))
+	n.ledger.Merge(now, host, req.GetRun(), decodeWindows(req.GetWindows()))
 	encodeGrants(resp, n.divider.GrantsOf(now, host))
 	resp.Listing = n.listings.current(now)
 	n.loads.report(now, host, decodeLoads(req.GetLoads()))
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -55,7 +55,7 @@
 		if d.term != uint64(lease.Fencing()) {
 			*d = duties{since: n.clock.Now(), term: uint64(lease.Fencing()), reported: make(map[accountant.Window]bool), scaler: scaler.New(lease.Fencing() == firstFencing)}
 			n.mu.Lock()
-			n.ledger.Begin(time.Now())
+			n.ledger.Begin(n.clock.Now())
 			n.mu.Unlock()
 			n.log.Info("holding the duties after the former lease", "fencing", lease.Fencing(), "wait", n.cfg.Bounds.DutyLease)
 		}
@@ -81,7 +81,7 @@
 	if ws := n.view().Windows; len(ws) > 0 {
 		last = ws[len(ws)-1].Window
 	}
-	now := time.Now()
+	now := n.clock.Now()
 	n.mu.Lock()
 	due := n.ledger.Due(now, last)
 	sums := make([]accountant.Counts, len(due))
@@ -100,7 +100,7 @@
 // reportWindows reports the closed windows that this holder has not reported.
 func (n *keeperNode) reportWindows(ctx context.Context, lease keeper.Lease) {
 	for _, w := range n.view().Windows {
-		if n.duties.reported[w.Window] || time.Since(w.Window.End(n.cfg.Bounds.Window)) > reportFor {
+		if n.duties.reported[w.Window] || n.clock.Now().Sub(w.Window.End(n.cfg.Bounds.Window)) > reportFor {
 			continue
 		}
 		err := n.underLease(ctx, lease, func(ctx context.Context) error {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -114,7 +114,7 @@
 	e.forwarder = forwarder.New(forwarder.Options{
 		Codec: platform.Codec{}, Pool: connector.NewPool(connector.Options{Metrics: metrics.GetDefaultSet(), DialTimeout: dialTimeout}),
 		Placer:  e.placer,
-		Limiter: e.limiter, Meter: e.meter, Versions: e.judges, Retries: retriesOf(cfg), Tolerance: cfg.Bounds.Rates, Current: e.isCurrent, Log: opts.Log,
+		Limiter: e.limiter, Meter: e.meter, Versions: e.judges, Retries: retriesOf(cfg), Tolerance: cfg.Bounds.Rates, Current: e.isCurrent, TimeOfDay: boot, Log: opts.Log,
 	})
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: listInterval,
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -89,7 +89,7 @@
 		Host: string(e.cfg.Host), Run: e.run, Revision: uint64(e.dist.Revision(distributor.FleetTopic)),
 	}
 	req.Loads = encodeLoads(e.placer.Loads())
-	for w, counts := range e.meter.Counts(time.Now()) {
+	for w, counts := range e.meter.Counts(e.steps.Now()) {
 		req.Windows = append(req.Windows, encodeWindow(w, counts))
 	}
 	return req
