--- a/placer/choice.go
+++ b/placer/choice.go
@@ -57,6 +57,8 @@
 	now := c.p.opts.Clock.Now()
 	took := now.Sub(c.at)
 	c.s.clear()
+	c.s.stopWaiting(c)
+	c.s.heard = now
 	delete(c.p.unreached, c.s.FailureDomain)
 	if c.s.Engine {
 		expected := max(c.firstMs, leastExpectedMs)
@@ -83,6 +85,7 @@
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	now := c.p.opts.Clock.Now()
+	c.s.stopWaiting(c)
 	c.s.own = c.s.own.Plus(Load{-c.load.Running, -c.load.Unread, -c.load.Context})
 	switch o {
 	case Succeeded:
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -150,7 +150,7 @@
 	now := p.opts.Clock.Now()
 	all := p.pools[pool{r.Service, r.Version}]
 	candidates := eligible(all, &r, func(s *state) bool {
-		return !s.Leaving && !s.isSuspect(now) && !p.unreached[s.FailureDomain].isLikely(now)
+		return !s.Leaving && !s.isSuspect(now) && !s.isMute(now) && !p.unreached[s.FailureDomain].isLikely(now)
 	})
 	if len(candidates) == 0 {
 		candidates = eligible(all, &r, func(s *state) bool { return !s.Leaving })
@@ -212,6 +212,7 @@
 	}
 	b.s.own = b.s.own.Plus(c.load)
 	b.s.since = b.s.since.Plus(c.load)
+	b.s.waiting = append(b.s.waiting, c)
 	if b.s.Engine {
 		b.s.hold(r.shared(), now)
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -224,3 +224,34 @@
 		t.Errorf("after the partition %d of 20 calls go to the domain", far)
 	}
 }
+
+// TestDarkServerIsPassedBy replays a server that takes connections and answers
+// nothing: only the calls of the first moments go there, whatever their prompts,
+// and it is taken again once it answers.
+func TestDarkServerIsPassedBy(t *testing.T) {
+	f := newFleet(1, 4)
+	p := f.hosts[0]
+	dark := place(t, p, draft("a"))
+	var lost []*Choice
+	for range 50 {
+		f.clock.Advance(100 * time.Millisecond)
+		c := place(t, p, draft("a"))
+		if c.Server == dark.Server {
+			lost = append(lost, c)
+			continue
+		}
+		c.First()
+		c.End(Succeeded)
+	}
+	if len(lost) > 12 {
+		t.Errorf("%d of 50 calls went to a server that answers nothing", len(lost))
+	}
+	dark.First()
+	for _, c := range append(lost, dark) {
+		c.End(Cancelled)
+	}
+	f.clock.Advance(time.Minute)
+	if c := place(t, p, draft("a")); c.Server != dark.Server {
+		t.Error("the server is not taken again though it answers")
+	}
+}
--- a/placer/server.go
+++ b/placer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cyclamenhub.org/identifier"
@@ -76,6 +77,10 @@
 
 	strikes int
 	until   time.Time
+	// waiting are the choices whose first content has not come, oldest first, and
+	// heard is when content last came from there.
+	waiting []*Choice
+	heard   time.Time
 }
 
 // faded is an average that returns to its rest as time passes.
@@ -107,6 +112,33 @@
 // isSuspect reports whether the server could not be reached a moment ago.
 func (s *state) isSuspect(now time.Time) bool { return now.Before(s.until) }
 
+// muteAfter is how long a server that has calls to answer says nothing before it
+// is passed by. A busy one answers some call within that time.
+const muteAfter = 600 * time.Millisecond
+
+// isMute reports whether the server has been silent since it got a call that
+// should have been answered: it may be dark, which no connection shows. It
+// answers crashes without a reset and hanging servers.
+func (s *state) isMute(now time.Time) bool {
+	if len(s.waiting) == 0 {
+		return false
+	}
+	oldest := s.waiting[0]
+	expected := time.Duration(muteFactor * oldest.firstMs * float64(time.Millisecond))
+	return s.heard.Before(oldest.at) && now.Sub(oldest.at) > max(muteAfter, expected)
+}
+
+// muteFactor is how many times the expected time to the first token a server may
+// take.
+const muteFactor = 4.0
+
+// stopWaiting forgets a choice whose first content has come, or that ended.
+func (s *state) stopWaiting(c *Choice) {
+	if i := slices.Index(s.waiting, c); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+}
+
 // strike notes that the server could not be reached.
 func (s *state) strike(now time.Time) {
 	s.until = now.Add(min(suspectFirst<<min(s.strikes, 5), suspectMost))
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -121,7 +121,7 @@
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	f := newFleet(Rate{PerSecond: 100, Burst: 100})
 	for range 100 {
-		f.limiters[0].Take(customer, 10)
+		_ = f.limiters[0].Take(customer, 10)
 	}
 	first := f.limiters[0].Take(customer, 10)
 	if first == nil {
