replicator: a large entry that heartbeats overtake is sent once

Cause of the finding that TestLargestDocumentIsReplicated failed once beside other load: every heartbeat that overtook the 6 MB entry was rejected, and each rejection had the whole entry sent again, 42 times within five election timeouts in TestLargeEntryIsSentOnce, which fails without; a call that took longer than 2 s was lost besides. An entry of 256 KB or more is now sent again only after the time that it may take at 1 MB a second, and so long is waited for a call. Ruled out: the disk (one write), the test's bound.

--- a/keeper/peers.go
+++ b/keeper/peers.go
@@ -24,8 +24,10 @@
 	maxBatchBytes = 1 << 20
 	// callsPerPeer is how many calls to one host may be under way.
 	callsPerPeer = 4
-	// callTimeout bounds one call.
-	callTimeout = 2 * time.Second
+	// callTimeout bounds one call, and callBytesPerSecond is the pace that is
+	// waited for beyond that.
+	callTimeout        = 2 * time.Second
+	callBytesPerSecond = 1 << 20
 )
 
 // Peers is the Transport over a messenger, for any number of groups.
@@ -146,7 +148,7 @@
 			return
 		case w := <-q:
 			batch := fill(w, q)
-			ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+			ctx, cancel := context.WithTimeout(p.ctx, timeoutOf(batch))
 			if err := p.messenger.Call(ctx, address, replicateMethod, batch, &wire.Empty{}); err != nil {
 				p.lost.Add(len(batch.GetEnvelopes()))
 			}
@@ -155,6 +157,11 @@
 	}
 }
 
+// timeoutOf returns how long a call may take.
+func timeoutOf(batch *wire.ReplicationBatch) time.Duration {
+	return callTimeout + time.Duration(proto.Size(batch))*time.Second/callBytesPerSecond
+}
+
 // fill returns a batch of w and what else is queued, within maxBatchBytes.
 func fill(w *wire.ReplicationEnvelope, q chan *wire.ReplicationEnvelope) *wire.ReplicationBatch {
 	batch := &wire.ReplicationBatch{Envelopes: []*wire.ReplicationEnvelope{w}}
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -31,6 +31,9 @@
 	match, next identifier.LogIndex
 	// heard is the highest stamp it echoed, or 0.
 	heard Stamp
+	// underway is when entries of many bytes, which may still be on their way,
+	// are sent again; zero if none are.
+	underway time.Time
 	// snapshotUntil is when a snapshot under way is sent again; zero if none.
 	snapshotUntil time.Time
 	catchUp       catchUp
--- a/replicator/replicate.go
+++ b/replicator/replicate.go
@@ -58,9 +58,31 @@
 	}
 	entries := r.log.batch(p.next, r.room(p), r.cfg.MaxMessageBytes)
 	p.next += identifier.LogIndex(len(entries))
+	r.noteUnderway(p, entries)
 	r.send(to, Append{Term: r.state.Term, Previous: previous, Entries: entries, Commit: r.commit, Stamp: r.nextStamp()})
 }
 
+const (
+	// largeBytes is the size of entries that heartbeats may overtake by far, so
+	// that a rejection of these does not say that the entries are lost.
+	largeBytes = 256 << 10
+	// slowBytesPerSecond is the pace at which they arrive at the worst.
+	slowBytesPerSecond = 1 << 20
+)
+
+// noteUnderway notes when large entries are sent again that are not answered.
+// Without it every heartbeat that overtakes them would have them sent once more.
+func (r *Replica) noteUnderway(p *progress, entries []Entry) {
+	n := 0
+	for _, e := range entries {
+		n += e.size()
+	}
+	p.underway = time.Time{}
+	if n >= largeBytes {
+		p.underway = r.now.Add(r.cfg.ElectionTimeout + time.Duration(n)*time.Second/slowBytesPerSecond)
+	}
+}
+
 // sendEmpty sends a heartbeat.
 func (r *Replica) sendEmpty(to identifier.ReplicaID, previous Position) {
 	r.send(to, Append{Term: r.state.Term, Previous: previous, Commit: r.commit, Stamp: r.nextStamp()})
@@ -87,6 +109,7 @@
 	}
 	p.match = m.Match
 	p.next = max(p.next, p.match+1)
+	p.underway = time.Time{}
 	if p.match >= r.log.base.Index {
 		p.snapshotUntil = time.Time{}
 	}
@@ -101,7 +124,7 @@
 // was overtaken costs no more than entries sent twice.
 func (r *Replica) onRejected(from identifier.ReplicaID, p *progress, hint identifier.LogIndex) {
 	next := max(p.match, min(hint, r.log.last().Index)) + 1
-	if !p.snapshotUntil.IsZero() || next >= p.next {
+	if !p.snapshotUntil.IsZero() || next >= p.next || r.now.Before(p.underway) {
 		return
 	}
 	p.next = next
--- a/replicator/rules_test.go
+++ b/replicator/rules_test.go
@@ -180,3 +180,46 @@
 		t.Fatalf("the sole voter is a %v once its vote is stored, want the leader", r.Role())
 	}
 }
+
+// TestLargeEntryIsSentOnce has heartbeats overtake an entry of 6 MB, as they do
+// between hosts under load: the rejections say that it has not arrived yet, and
+// it is sent again only once it should have.
+func TestLargeEntryIsSentOnce(t *testing.T) {
+	r := newVoter(HardState{Term: 3})
+	now := start.Add(3 * testTimeout)
+	elect(r, now)
+	r.Step(now, Synced{r.saves.seq})
+	r.Step(now, Receive{2, AppendAnswer{Term: 4, Match: 2, Stamp: 1}})
+	r.Step(now, Receive{3, AppendAnswer{Term: 4, Match: 2, Stamp: 1}})
+	sent := largeSends(r.Step(now, Propose{[]Proposal{{ID: 1, Data: make([]byte, 6<<20)}}}))
+	for range 20 {
+		now = now.Add(testTimeout / 4)
+		r.Step(now, Tick{})
+		for _, from := range []identifier.ReplicaID{2, 3} {
+			sent += largeSends(r.Step(now, Receive{from, AppendAnswer{Term: 4, Rejected: true, Match: 2, Stamp: Stamp(now.Sub(start))}}))
+		}
+	}
+	if sent != 2 {
+		t.Errorf("the entry was sent %d times to two members within %d election timeouts", sent, 20/4)
+	}
+	now = now.Add(time.Minute)
+	again := largeSends(r.Step(now, Receive{2, AppendAnswer{Term: 4, Rejected: true, Match: 2, Stamp: Stamp(now.Sub(start))}}))
+	if again != 1 {
+		t.Errorf("a lost entry was sent again %d times, want once", again)
+	}
+}
+
+// largeSends counts the messages among effects that carry large entries.
+func largeSends(effects []Effect) int {
+	n := 0
+	for _, e := range effects {
+		s, ok := e.(Send)
+		if !ok {
+			continue
+		}
+		if m, ok := s.Message.(Append); ok && len(m.Entries) > 0 && m.Entries[0].size() >= 256<<10 {
+			n++
+		}
+	}
+	return n
+}
