forwarder: the retry budget is divided by the hosts that there are

The leader tells how many hosts sync with it. What a host placed counts for seven others at most: for 68 it drove every call away from the server that was used last.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -44,6 +44,8 @@
 	// Versions draws the versions of services; nil means the most common one.
 	Versions Versions
 	Retries  RetryBudget
+	// Hosts is how many entry hosts there are thought to be until SetHosts.
+	Hosts int
 	// Tolerance is how far customers may exceed their rates.
 	Tolerance sharer.Tolerance
 	// Current reports whether this host surely knows the newest withdrawal of
@@ -80,7 +82,7 @@
 	if opts.Current == nil {
 		opts.Current = func() bool { return true }
 	}
-	return &Forwarder{opts: opts, retries: newBudgets(opts.Retries)}
+	return &Forwarder{opts: opts, retries: newBudgets(opts.Retries, opts.Hosts)}
 }
 
 // SetTable puts a routing table in force.
@@ -115,6 +117,9 @@
 	f.publish()
 }
 
+// SetHosts tells how many entry hosts there are.
+func (f *Forwarder) SetHosts(n int) { f.retries.setHosts(n) }
+
 // Active returns how many calls are at work.
 func (f *Forwarder) Active() int64 { return f.active.Load() }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -47,9 +47,9 @@
 	// stopMargin is how long before the kill a stopping host gives up what is
 	// still at work.
 	stopMargin = 400 * time.Millisecond
-	// retryHosts is the number of entry hosts that share the retry budget until
-	// the leader tells it.
-	retryHosts = 8
+	// unknownHosts is how many entry hosts there are thought to be until the
+	// leader tells it: too many leaves each too few retries, which is safe.
+	unknownHosts = 64
 	// retryPart is the part of the allowed retries that is used.
 	retryPart = 0.8
 )
@@ -114,7 +114,7 @@
 	e.forwarder = forwarder.New(forwarder.Options{
 		Codec: platform.Codec{}, Pool: connector.NewPool(connector.Options{Metrics: metrics.GetDefaultSet(), DialTimeout: dialTimeout}),
 		Placer:  e.placer,
-		Limiter: e.limiter, Meter: e.meter, Versions: e.judges, Retries: retriesOf(cfg), Tolerance: cfg.Bounds.Rates, Current: e.isCurrent, TimeOfDay: boot, Log: opts.Log,
+		Limiter: e.limiter, Meter: e.meter, Versions: e.judges, Retries: retriesOf(cfg), Hosts: unknownHosts, Tolerance: cfg.Bounds.Rates, Current: e.isCurrent, TimeOfDay: boot, Log: opts.Log,
 	})
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: listInterval,
@@ -123,12 +123,9 @@
 	return e
 }
 
-// retriesOf returns this host's part of the retry budget.
+// retriesOf returns the retry budget of all hosts.
 func retriesOf(cfg *platform.Settings) forwarder.RetryBudget {
-	return forwarder.RetryBudget{
-		Ratio:   retryPart * cfg.Bounds.RetryRatio,
-		Reserve: max(retryPart*cfg.Bounds.RetrySlack/retryHosts, 1),
-	}
+	return forwarder.RetryBudget{Ratio: retryPart * cfg.Bounds.RetryRatio, Reserve: retryPart * cfg.Bounds.RetrySlack}
 }
 
 // serve serves until ctx ends and then stops.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -114,6 +114,7 @@
 // confirms nothing before the newest document is in force here.
 func (e *entry) obey(ctx context.Context, address string, sent time.Time, resp *wire.SyncResponse) {
 	e.limiter.SetGrants(grantsOf(resp))
+	e.forwarder.SetHosts(int(resp.GetHosts()))
 	e.placer.SetOthers(decodeLoads(resp.GetLoads()), int(resp.GetHosts()))
 	if l := resp.GetListing(); l != 0 && uint64(e.dist.Revision(listingTopic)) >= l {
 		e.discoverer.Vouch()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -14,8 +14,10 @@
 
 const (
 	// echoPart is the part of what this host placed since it heard of the others
-	// that each of them is thought to have placed there too.
-	echoPart = 0.5
+	// that each of them is thought to have placed there too, and echoHosts how
+	// many of them count: what one host of many places says little of the rest.
+	echoPart  = 0.5
+	echoHosts = 7
 	// othersFor is how long the figures of other hosts hold.
 	othersFor = 1500 * time.Millisecond
 )
@@ -124,7 +126,7 @@
 	if now.Sub(p.heard) > othersFor {
 		return s.own.times(float64(p.hosts))
 	}
-	return s.own.Plus(s.others).Plus(s.since.times(echoPart * float64(p.hosts-1)))
+	return s.own.Plus(s.others).Plus(s.since.times(echoPart * float64(min(p.hosts-1, echoHosts))))
 }
 
 // NoServerError tells that no backend server may be chosen.
