--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -29,10 +29,14 @@
 	// callsPerServer is how many calls at work one server is meant for: more
 	// would still fit, at a slower pace.
 	callsPerServer = 16.0
-	// leastNeeded is how many servers are needed however little is at work, and
-	// startNeeded how many until the load is known.
+	// leastNeeded is how many servers are needed however little is at work.
 	leastNeeded = 3
-	startNeeded = 7
+	// startPart is the part of the servers found that is needed until the load is
+	// known: who set them up expected some load.
+	startPart = 0.75
+	// mostGrowth bounds the need by the servers that are ready: calls that queue
+	// at too few servers would have the need overshoot.
+	mostGrowth = 1.6
 	// demandHalf is the time in which a higher load of the past loses half its
 	// weight. A rise counts at once.
 	demandHalf = 6 * time.Second
@@ -75,6 +79,8 @@
 	// surplus is since when a place has had more than needed.
 	surplus map[Place]time.Time
 	demand  map[identifier.Service]*demand
+	// found is how many servers there were before any load was seen.
+	found int
 	// fresh tells that the system has served nothing yet.
 	fresh bool
 }
@@ -97,26 +103,37 @@
 	for i := range services {
 		if c := services[i].Scaling; c != nil {
 			name := services[i].Name
-			out = append(out, s.plan(now, name, c, l, s.needed(now, name, calls[name]))...)
+			out = append(out, s.plan(now, name, c, l, s.needed(now, name, calls[name], readyOf(name, l)))...)
 		}
 	}
 	return out
 }
 
+// readyOf returns how many servers of a service take work.
+func readyOf(service identifier.Service, l *discoverer.Listing) int {
+	n := 0
+	for _, c := range listed(service, l) {
+		n += c.ready
+	}
+	return n
+}
+
 // needed returns how many servers the load needs. The load counts with its
 // recent peak, since a server takes seconds to start.
-func (s *Scaler) needed(now time.Time, service identifier.Service, calls int) int {
+func (s *Scaler) needed(now time.Time, service identifier.Service, calls, ready int) int {
 	d := s.demand[service]
 	if d == nil {
 		if calls == 0 {
-			return startNeeded
+			s.found = max(s.found, ready)
+			return max(int(math.Ceil(startPart*float64(s.found))), leastNeeded)
 		}
 		d = &demand{at: now}
 		s.demand[service] = d
 	}
 	d.calls *= math.Exp2(-now.Sub(d.at).Seconds() / demandHalf.Seconds())
 	d.calls, d.at = max(d.calls, float64(calls)), now
-	return max(int(math.Ceil(d.calls/callsPerServer)), leastNeeded)
+	most := max(int(mostGrowth*float64(ready)), leastNeeded)
+	return min(max(int(math.Ceil(d.calls/callsPerServer)), leastNeeded), most)
 }
 
 // count is what is listed of one kind in one domain.
