--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -124,7 +124,9 @@
 	d := s.demand[service]
 	if d == nil {
 		if calls == 0 {
-			s.found = max(s.found, ready)
+			if s.found == 0 {
+				s.found = ready
+			}
 			return max(int(math.Ceil(startPart*float64(s.found))), leastNeeded)
 		}
 		d = &demand{at: now}
