scaler: servers are given up once the list has settled

Reclaimable ones are ordered at once, others given up when the number found has stood for 1.5 s and reclaimable ones are ready.

--- a/placer/server.go
+++ b/placer/server.go
@@ -114,7 +114,7 @@
 
 // muteAfter is how long a server that has calls to answer says nothing before it
 // is passed by. A busy one answers some call within that time.
-const muteAfter = 600 * time.Millisecond
+const muteAfter = time.Second
 
 // isMute reports whether the server has been silent since it got a call that
 // should have been answered: it may be dark, which no connection shows. It
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -34,9 +34,12 @@
 	// startPart is the part of the servers found that is needed until the load is
 	// known: who set them up expected some load.
 	startPart = 0.75
+	// settleFor is how long the number of servers found has to stand before any
+	// is given up: a list that lags shows them one after the other.
+	settleFor = 1500 * time.Millisecond
 	// mostGrowth bounds the need by the servers that are ready: calls that queue
 	// at too few servers would have the need overshoot.
-	mostGrowth = 1.6
+	mostGrowth = 2.5
 	// demandHalf is the time in which a higher load of the past loses half its
 	// weight. A rise counts at once.
 	demandHalf = 6 * time.Second
@@ -79,8 +82,8 @@
 	// surplus is since when a place has had more than needed.
 	surplus map[Place]time.Time
 	demand  map[identifier.Service]*demand
-	// found is how many servers there were before any load was seen.
-	found int
+	// found is how many servers of each service there were at first.
+	found map[identifier.Service]*found
 	// fresh tells that the system has served nothing yet.
 	fresh bool
 }
@@ -91,10 +94,17 @@
 	at    time.Time
 }
 
+// found is how many servers of a service there were before the first order.
+type found struct {
+	servers int
+	since   time.Time
+	settled bool
+}
+
 // New returns a Scaler that has ordered nothing. Fresh tells that the system
 // starts for the first time, so that nothing is at work.
 func New(fresh bool) *Scaler {
-	return &Scaler{fresh: fresh, last: make(map[Place]ordered), surplus: make(map[Place]time.Time), demand: make(map[identifier.Service]*demand)}
+	return &Scaler{fresh: fresh, last: make(map[Place]ordered), surplus: make(map[Place]time.Time), found: make(map[identifier.Service]*found), demand: make(map[identifier.Service]*demand)}
 }
 
 // Plan returns the orders that are due. Calls are those at work at each service.
@@ -103,7 +113,9 @@
 	for i := range services {
 		if c := services[i].Scaling; c != nil {
 			name := services[i].Name
-			out = append(out, s.plan(now, name, c, l, s.needed(now, name, calls[name], readyOf(name, l)))...)
+			ready := readyOf(name, l)
+			s.settle(now, name, ready)
+			out = append(out, s.plan(now, name, c, l, s.needed(now, name, calls[name], ready))...)
 		}
 	}
 	return out
@@ -118,16 +130,29 @@
 	return n
 }
 
+// settle finds out how many servers of a service there are at first.
+func (s *Scaler) settle(now time.Time, service identifier.Service, ready int) {
+	f := s.found[service]
+	if f == nil {
+		f = &found{since: now}
+		s.found[service] = f
+	}
+	if f.settled {
+		return
+	}
+	if ready != f.servers {
+		f.servers, f.since = ready, now
+	}
+	f.settled = f.servers > 0 && now.Sub(f.since) >= settleFor
+}
+
 // needed returns how many servers the load needs. The load counts with its
 // recent peak, since a server takes seconds to start.
 func (s *Scaler) needed(now time.Time, service identifier.Service, calls, ready int) int {
 	d := s.demand[service]
 	if d == nil {
 		if calls == 0 {
-			if s.found == 0 {
-				s.found = ready
-			}
-			return max(int(math.Ceil(startPart*float64(s.found))), leastNeeded)
+			return max(int(math.Ceil(startPart*float64(s.found[service].servers))), leastNeeded)
 		}
 		d = &demand{at: now}
 		s.demand[service] = d
@@ -183,9 +208,6 @@
 		// None can be had to replace those of the next reclaim.
 		left -= largest
 	}
-	if s.isIdle(service) {
-		left = needed
-	}
 	wanted := spread(domains, max(floorServers, needed-left), c.Max-spares[domains[0]])
 	why := fmt.Sprintf("%d needed, %d reclaimable ready in %d domains, %d counted on, %d at the full price", needed, reclaimable, wet, left, full)
 	var out []Order
@@ -211,8 +233,8 @@
 	return spread(domains, total, most)
 }
 
-// isIdle reports whether nothing was ever at work, so that servers at the full
-// price need not be kept until others are ready.
+// isIdle reports whether nothing was ever at work, so that a surplus need not be
+// kept for a while.
 func (s *Scaler) isIdle(service identifier.Service) bool {
 	return s.fresh && s.demand[service] == nil
 }
@@ -242,6 +264,9 @@
 		delete(s.surplus, p)
 		return want
 	}
+	if !s.found[p.Service].settled {
+		return present
+	}
 	since, ok := s.surplus[p]
 	if !ok {
 		since = now
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -172,3 +172,22 @@
 		t.Errorf("%d orders were due in 120 s of a wave", orders)
 	}
 }
+
+// TestListThatFillsGivesNoServersUp shows the scaler a list that lags: servers
+// that are not listed yet are not given up.
+func TestListThatFillsGivesNoServersUp(t *testing.T) {
+	m := newMarket(t)
+	all := m.listing().Instances
+	for n := 0; n <= len(all); n += 3 {
+		part := &discoverer.Listing{Instances: all[:n], At: m.now}
+		for _, o := range m.scaler.Plan(m.now, []matcher.Service{m.service}, part, nil) {
+			if listed(service, part)[o.Place].ready > o.Count {
+				t.Errorf("with %d of %d servers listed %d are ordered in %+v", n, len(all), o.Count, o.Place)
+			}
+		}
+		m.now = m.now.Add(time.Second)
+	}
+	if needed := m.scaler.needed(m.now, service, 0, len(all)); needed != 7 {
+		t.Errorf("of %d servers found %d are needed", len(all), needed)
+	}
+}
