--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -37,9 +37,11 @@
 	// settleFor is how long the number of servers found has to stand before any
 	// is given up: a list that lags shows them one after the other.
 	settleFor = 1500 * time.Millisecond
-	// mostGrowth bounds the need by the servers that are ready: calls that queue
-	// at too few servers would have the need overshoot.
-	mostGrowth = 2.5
+	// mostGrowth bounds the need by the recent peak of the servers that were
+	// ready: calls that queue at too few servers would have the need overshoot.
+	// readyHalf is the time in which that peak loses half its weight.
+	mostGrowth = 1.6
+	readyHalf  = 20 * time.Second
 	// demandHalf is the time in which a higher load of the past loses half its
 	// weight. A rise counts at once.
 	demandHalf = 6 * time.Second
@@ -88,12 +90,26 @@
 	fresh bool
 }
 
-// demand is the recent peak of the calls at work.
-type demand struct {
-	calls float64
+// demand is the recent peaks of the calls at work and of the servers that were
+// ready.
+type demand struct{ calls, ready peak }
+
+// peak is a highest value that fades.
+type peak struct {
+	value float64
 	at    time.Time
 }
 
+// raise takes a value in and returns the peak, which loses half its weight in
+// the time half.
+func (p *peak) raise(now time.Time, v float64, half time.Duration) float64 {
+	if !p.at.IsZero() {
+		p.value *= math.Exp2(-now.Sub(p.at).Seconds() / half.Seconds())
+	}
+	p.value, p.at = max(p.value, v), now
+	return p.value
+}
+
 // found is how many servers of a service there were before the first order.
 type found struct {
 	servers int
@@ -154,13 +170,12 @@
 		if calls == 0 {
 			return max(int(math.Ceil(startPart*float64(s.found[service].servers))), leastNeeded)
 		}
-		d = &demand{at: now}
+		d = &demand{}
 		s.demand[service] = d
 	}
-	d.calls *= math.Exp2(-now.Sub(d.at).Seconds() / demandHalf.Seconds())
-	d.calls, d.at = max(d.calls, float64(calls)), now
-	most := max(int(mostGrowth*float64(ready)), leastNeeded)
-	return min(max(int(math.Ceil(d.calls/callsPerServer)), leastNeeded), most)
+	busiest := d.calls.raise(now, float64(calls), demandHalf)
+	most := max(int(mostGrowth*d.ready.raise(now, float64(ready), readyHalf)), leastNeeded)
+	return min(max(int(math.Ceil(busiest/callsPerServer)), leastNeeded), most)
 }
 
 // count is what is listed of one kind in one domain.
@@ -208,14 +223,18 @@
 		// None can be had to replace those of the next reclaim.
 		left -= largest
 	}
-	wanted := spread(domains, max(floorServers, needed-left), c.Max-spares[domains[0]])
+	room := make(map[identifier.FailureDomain]int, len(domains))
+	for _, d := range domains {
+		room[d] = c.Max - max(s.taken(Place{service, d, true}, spares[d]), counts[Place{service, d, true}].ready)
+	}
+	wanted := spread(domains, max(floorServers, needed-left), room)
 	why := fmt.Sprintf("%d needed, %d reclaimable ready in %d domains, %d counted on, %d at the full price", needed, reclaimable, wet, left, full)
 	var out []Order
 	for _, d := range domains {
 		for _, w := range []struct {
 			p    Place
 			want int
-		}{{Place{service, d, true}, spares[d]}, {Place{service, d, false}, wanted[d]}} {
+		}{{Place{service, d, true}, min(spares[d], c.Max-s.presentAt(Place{service, d, false}, counts))}, {Place{service, d, false}, wanted[d]}} {
 			if o, due := s.due(now, w.p, s.keep(now, w.p, w.want, counts[w.p]), counts[w.p], why); due {
 				out = append(out, o)
 			}
@@ -230,7 +249,30 @@
 	n := len(domains)
 	others := max(n-1, 1)
 	total := max((needed*n+others-1)/others, leastPerDomain*n)
-	return spread(domains, total, most)
+	room := make(map[identifier.FailureDomain]int, n)
+	for _, d := range domains {
+		room[d] = most
+	}
+	return spread(domains, total, room)
+}
+
+// presentAt returns how many servers there are in a place, starting ones
+// included.
+func (s *Scaler) presentAt(p Place, counts map[Place]count) int {
+	present := counts[p].ready
+	if last := s.last[p]; last.accepted {
+		present = max(present, last.count)
+	}
+	return present
+}
+
+// taken returns how many places reclaimable servers take up in a domain: those
+// wanted, unless none can be had there now.
+func (s *Scaler) taken(p Place, want int) int {
+	if last, ok := s.last[p]; ok && !last.accepted {
+		return 0
+	}
+	return want
 }
 
 // isIdle reports whether nothing was ever at work, so that a surplus need not be
@@ -239,13 +281,14 @@
 	return s.fresh && s.demand[service] == nil
 }
 
-// spread distributes n servers over the domains, the cheapest first, so that no
-// domain gets two before every other has one.
-func spread(domains []identifier.FailureDomain, n, most int) map[identifier.FailureDomain]int {
+// spread distributes n servers over the domains that have room, the cheapest
+// first, so that no domain gets two before every other has one.
+func spread(domains []identifier.FailureDomain, n int, room map[identifier.FailureDomain]int) map[identifier.FailureDomain]int {
 	out := make(map[identifier.FailureDomain]int)
-	for round := 0; round < most && n > 0; round++ {
+	for before := -1; n > 0 && before != n; {
+		before = n
 		for _, d := range domains {
-			if n > 0 {
+			if n > 0 && out[d] < room[d] {
 				out[d]++
 				n--
 			}
@@ -256,10 +299,7 @@
 
 // keep returns want, or the present number while a surplus is recent.
 func (s *Scaler) keep(now time.Time, p Place, want int, n count) int {
-	present := n.ready
-	if last := s.last[p]; last.accepted {
-		present = max(present, last.count)
-	}
+	present := s.presentAt(p, map[Place]count{p: n})
 	if want >= present {
 		delete(s.surplus, p)
 		return want
