--- a/sharer/limiter.go
+++ b/sharer/limiter.go
@@ -9,10 +9,14 @@
 	"cyclamenhub.org/timer"
 )
 
-// leastPart is the least part of a bucket's level that each host may take
-// before it hears of the level again. With more hosts than fit they may take
-// more than there is between two answers, which is paid for afterwards.
-const leastPart = 0.3
+// mostPart is the most of a bucket's level that a host may take before it hears
+// of the level again without a share of the demand, and mostAll what all hosts
+// may take so together: more than there is, since seldom all ask at once, and
+// what is taken too much is paid for afterwards.
+const (
+	mostPart = 0.3
+	mostAll  = 1.2
+)
 
 // longestWait bounds the time to come back that a refusal tells.
 const longestWait = 5 * time.Second
@@ -65,7 +69,7 @@
 	now := l.clock.Now()
 	l.others = g.Others
 	for c, v := range g.Customers {
-		part := max(float64(v.Share), leastPart)
+		part := max(float64(v.Share), min(mostPart, mostAll*float64(g.Others)))
 		if v.Level < 0 {
 			part = 1 // Nobody takes anything before the debt is paid.
 		}
