--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -24,15 +22,8 @@
 	"cyclamenhub.org/timer"
 )
 
-const (
-	// defaultMaxBodyBytes bounds a caller's body where the document says
-	// nothing.
-	defaultMaxBodyBytes = 4 << 20
-	// comeBackFirst and comeBackSpread tell refused callers when to return:
-	// spread out, so that they do not return together.
-	comeBackFirst  = 300 * time.Millisecond
-	comeBackSpread = 700 * time.Millisecond
-)
+// defaultMaxBodyBytes bounds a caller's body where the document says nothing.
+const defaultMaxBodyBytes = 4 << 20
 
 // Options configure a Forwarder.
 type Options struct {
@@ -179,24 +170,6 @@
 	x.run()
 }
 
-// refusal is an answer of this host's own.
-type refusal struct {
-	status int
-	why    string
-	// after is when to come back; 0 says nothing.
-	after time.Duration
-}
-
-// comeBack returns a time to come back that differs from caller to caller.
-func comeBack(first time.Duration) time.Duration {
-	return first + time.Duration(rand.Int64N(int64(comeBackSpread)))
-}
-
-// notRun refuses a call that surely did not run.
-func notRun(why string) *refusal {
-	return &refusal{http.StatusServiceUnavailable, why, comeBack(comeBackFirst)}
-}
-
 // accept checks everything that comes before the first attempt.
 func (x *exchange) accept() *refusal {
 	x.table = x.f.table.Load()
@@ -289,45 +262,6 @@
 	return nil
 }
 
-// refuse answers with a refusal.
-func (x *exchange) refuse(why *refusal) {
-	x.status, x.why = why.status, why.why
-	h := x.w.Header()
-	if why.after > 0 {
-		x.f.opts.Codec.RetryAfter(h, why.after)
-	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.WriteHeader(why.status)
-	_, _ = io.WriteString(x.w, why.why+"\n")
-}
-
-// giveUp ends a call that no attempt has answered.
-func (x *exchange) giveUp(why string) {
-	switch {
-	case x.begun:
-		x.status, x.why = http.StatusOK, "broken off: "+why
-		brokenOff.Inc()
-		panic(http.ErrAbortHandler) // The answer must not look complete.
-	case x.held != nil:
-		x.why = why
-		x.deliver(x.held)
-	case x.runs == 0:
-		x.giveBack()
-		x.refuse(notRun(why))
-	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
-		x.refuse(&refusal{status: http.StatusGatewayTimeout, why: why})
-	default:
-		x.refuse(&refusal{status: http.StatusBadGateway, why: why})
-	}
-}
-
-// giveBack returns the cost of a call that surely did not run.
-func (x *exchange) giveBack() {
-	if x.customer != nil && x.cost > 0 {
-		x.f.opts.Limiter.Return(x.customer.Name, x.cost)
-	}
-}
-
 var (
 	brokenOff   = metrics.NewCounter("cyclamen_forwarder_streams_broken_off_total")
 	resumed     = metrics.NewCounter("cyclamen_forwarder_streams_resumed_total")
--- /dev/null
+++ b/internal/node/codec.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/placer"
+	"cyclamenhub.org/sharer"
+)
+
+// hostsOf returns names as hosts.
+func hostsOf(names []string) []identifier.Host {
+	out := make([]identifier.Host, len(names))
+	for i, n := range names {
+		out[i] = identifier.Host(n)
+	}
+	return out
+}
+
+// grantsOf returns the grants of an answer.
+func grantsOf(resp *wire.SyncResponse) sharer.Grants {
+	g := sharer.Grants{
+		Customers: make(map[identifier.Customer]sharer.Grant, len(resp.GetGrants())),
+		Others:    identifier.Share(resp.GetOthers()),
+	}
+	for c, v := range resp.GetGrants() {
+		g.Customers[identifier.Customer(c)] = sharer.Grant{Level: v.GetLevel(), Share: identifier.Share(v.GetShare())}
+	}
+	return g
+}
+
+// encodeGrants adds grants to an answer.
+func encodeGrants(resp *wire.SyncResponse, g sharer.Grants) {
+	resp.Others = float64(g.Others)
+	resp.Grants = make(map[string]*wire.Grant, len(g.Customers))
+	for c, v := range g.Customers {
+		resp.Grants[string(c)] = &wire.Grant{Level: v.Level, Share: float64(v.Share)}
+	}
+}
+
+// encodeLoads returns the protobuf form of loads.
+func encodeLoads(loads map[identifier.BackendServer]placer.Load) map[string]*wire.ServerLoad {
+	out := make(map[string]*wire.ServerLoad, len(loads))
+	for id, l := range loads {
+		out[string(id)] = &wire.ServerLoad{Running: uint32(max(l.Running, 0)), Unread: uint32(max(l.Unread, 0)), Context: uint32(max(l.Context, 0))}
+	}
+	return out
+}
+
+// decodeLoads returns loads from their protobuf form.
+func decodeLoads(loads map[string]*wire.ServerLoad) map[identifier.BackendServer]placer.Load {
+	out := make(map[identifier.BackendServer]placer.Load, len(loads))
+	for id, l := range loads {
+		out[identifier.BackendServer(id)] = placer.Load{
+			Running: int(l.GetRunning()), Unread: identifier.Tokens(l.GetUnread()), Context: identifier.Tokens(l.GetContext()),
+		}
+	}
+	return out
+}
+
+// useOf returns the use of a request.
+func useOf(req *wire.SyncRequest) map[identifier.Customer]sharer.Use {
+	use := make(map[identifier.Customer]sharer.Use, len(req.GetUse()))
+	for c, u := range req.GetUse() {
+		use[identifier.Customer(c)] = sharer.Use{Asked: u.GetAsked(), Taken: u.GetTaken()}
+	}
+	return use
+}
+
+// encodeWindow returns the protobuf form of a window's counts.
+func encodeWindow(w accountant.Window, counts accountant.Counts) *wire.WindowCounts {
+	out := &wire.WindowCounts{Window: int64(w), Counts: make(map[string]int64, len(counts))}
+	for c, n := range counts {
+		out.Counts[string(c)] = n
+	}
+	return out
+}
+
+// decodeWindows returns the counts of windows.
+func decodeWindows(ws []*wire.WindowCounts) map[accountant.Window]accountant.Counts {
+	out := make(map[accountant.Window]accountant.Counts, len(ws))
+	for _, w := range ws {
+		counts := make(accountant.Counts, len(w.GetCounts()))
+		for c, n := range w.GetCounts() {
+			counts[identifier.Customer(c)] = n
+		}
+		out[accountant.Window(w.GetWindow())] = counts
+	}
+	return out
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -29,7 +29,7 @@
 	// since is when this keeper's lead was first seen; zero while it does not
 	// lead.
 	since    time.Time
-	term     uint64
+	term     identifier.FencingNumber
 	reported map[accountant.Window]bool
 	scaler   *scaler.Scaler
 	planned  time.Time
@@ -38,35 +38,35 @@
 // runDuties performs the duties while this keeper leads, until ctx ends. A new
 // holder waits until no former one can act any more.
 func (n *keeperNode) runDuties(ctx context.Context) {
-	t := time.NewTicker(dutyInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	repeat(ctx, dutyInterval, func() {
 		lease, err := n.keeper.Load().Lease()
 		if err != nil {
 			n.duties = duties{}
-			continue
+			return
 		}
-		d := &n.duties
-		if d.term != uint64(lease.Fencing()) {
-			*d = duties{since: n.clock.Now(), term: uint64(lease.Fencing()), reported: make(map[accountant.Window]bool), scaler: scaler.New(lease.Fencing() == firstFencing)}
-			n.mu.Lock()
-			n.ledger.Begin(n.clock.Now())
-			n.mu.Unlock()
-			n.log.Info("holding the duties after the former lease", "fencing", lease.Fencing(), "wait", n.cfg.Bounds.DutyLease)
+		if n.duties.term != lease.Fencing() {
+			n.takeDuties(lease)
 		}
 		n.readListing(ctx, lease)
 		n.closeWindows(ctx)
-		if !n.mayAct(lease) {
-			continue
+		if n.mayAct(lease) {
+			n.reportWindows(ctx, lease)
+			n.orderServers(ctx, lease)
 		}
-		n.reportWindows(ctx, lease)
-		n.orderServers(ctx, lease)
+	})
+}
+
+// takeDuties begins a new hold of the duties.
+func (n *keeperNode) takeDuties(lease keeper.Lease) {
+	now := n.clock.Now()
+	n.duties = duties{
+		since: now, term: lease.Fencing(), reported: make(map[accountant.Window]bool),
+		scaler: scaler.New(lease.Fencing() == firstFencing),
 	}
+	n.mu.Lock()
+	n.ledger.Begin(now)
+	n.mu.Unlock()
+	n.log.Info("holding the duties after the former lease", "fencing", lease.Fencing(), "wait", n.cfg.Bounds.DutyLease)
 }
 
 // mayAct reports whether no former holder can act any more. The first leader of
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -234,46 +234,32 @@
 // confirm tells the distributor that the state kept here is current, until ctx
 // ends.
 func (n *keeperNode) confirm(ctx context.Context) {
-	t := time.NewTicker(confirmInterval)
-	defer t.Stop()
-	for {
+	repeat(ctx, confirmInterval, func() {
 		asked := n.clock.Now()
-		readCtx, cancel := context.WithTimeout(ctx, confirmInterval)
-		if n.keeper.Load().Read(readCtx) == nil {
+		ctx, cancel := context.WithTimeout(ctx, confirmInterval)
+		defer cancel()
+		if n.keeper.Load().Read(ctx) == nil {
 			n.dist.Confirm(asked)
 		}
-		cancel()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	})
 }
 
 // reopen opens a replica whose disk failed again until ctx ends: the disk may
 // have got well.
 func (n *keeperNode) reopen(ctx context.Context) {
-	t := time.NewTicker(reopenPause)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	repeat(ctx, reopenPause, func() {
 		k := n.keeper.Load()
 		failure := k.Status().Failure
 		if failure == nil {
-			continue
+			return
 		}
 		_ = k.Close() // It says again what failed.
 		if err := n.open(); err != nil {
 			n.log.Warn("replica stays aside", "failure", failure, "error", err)
-			continue
+			return
 		}
 		n.log.Info("replica opened again", "failure", failure)
-	}
+	})
 }
 
 // leads reports whether this keeper holds the leader's lease.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -64,6 +64,19 @@
 	return ln, nil
 }
 
+// repeat calls f at once and then once an interval until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		f()
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+}
+
 // newServer returns an HTTP server with bounded patience.
 func newServer(h http.Handler, log *slog.Logger) *http.Server {
 	return &http.Server{
