--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -27,7 +28,9 @@
 	// FailureDomain is that of this host.
 	FailureDomain identifier.FailureDomain
 	Clock         timer.Clock
-	Metrics       *metrics.Set
+	// Random yields the random choices; nil means a source seeded by the clock.
+	Random  *rand.Rand
+	Metrics *metrics.Set
 }
 
 // Placer chooses backend servers for one host. It is safe for concurrent use.
@@ -59,6 +62,9 @@
 	if opts.Clock == nil {
 		opts.Clock = timer.System{}
 	}
+	if opts.Random == nil {
+		opts.Random = rand.New(rand.NewPCG(uint64(opts.Clock.Now().UnixNano()), 1))
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
@@ -188,7 +194,7 @@
 func (p *Placer) best(candidates []*state, r *Request, now time.Time) bid {
 	home := r.home(candidates)
 	var best bid
-	for _, s := range candidates {
+	for _, s := range p.sample(candidates, r, home, now) {
 		b := bid{s: s, isHome: s.ID == home}
 		l := p.load(s, now)
 		if s.Engine {
@@ -205,6 +211,45 @@
 	return best
 }
 
+// sampleSize is how many servers are compared beside the home of a prompt and
+// those that hold it. Figures of others are stale, and with many hosts all would
+// choose the one server that has just come; the best of a few is nearly as good
+// (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
+const sampleSize = 6
+
+// sample returns the servers that are compared. The caller holds mu.
+func (p *Placer) sample(candidates []*state, r *Request, home identifier.BackendServer, now time.Time) []*state {
+	if len(candidates) <= sampleSize {
+		return candidates
+	}
+	shared := r.shared()
+	first := p.opts.Random.IntN(len(candidates))
+	var out []*state
+	random := 0
+	for i := range candidates {
+		s := candidates[(first+i*sampleStride(len(candidates)))%len(candidates)]
+		switch {
+		case s.ID == home, len(shared) > 0 && s.holds(shared[len(shared)-1].ID, now):
+			out = append(out, s)
+		case random < sampleSize:
+			random++
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// sampleStride returns a step that visits each of n places once and spreads a
+// sample over the list, which is ordered by name.
+func sampleStride(n int) int {
+	for _, prime := range []int{7919, 7907, 7901} {
+		if n%prime != 0 {
+			return prime
+		}
+	}
+	return 1
+}
+
 // take counts the load of a choice. The caller holds mu.
 func (p *Placer) take(b bid, r *Request, now time.Time) *Choice {
 	c := &Choice{p: p, s: b.s, at: now, firstMs: b.firstMs, Server: b.s.ID, Unread: b.unread}
--- a/sharer/divider.go
+++ b/sharer/divider.go
@@ -36,7 +36,7 @@
 // tolerancePart is the part of a tolerance that is given away, so that no call
 // is refused that is allowed. The rest covers what hosts take before they hear
 // of each other.
-const tolerancePart = 0.4
+const tolerancePart = 0.5
 
 // With returns the rate that makes use of a tolerance. A rate of 0 stays.
 func (r Rate) With(t Tolerance) Rate {
