--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,6 +12,7 @@
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
 	"cyclamenhub.org/placer"
+	"cyclamenhub.org/platform/standin"
 	"cyclamenhub.org/sharer"
 	"cyclamenhub.org/timer"
 )
@@ -22,9 +23,9 @@
 	s := newSystem(t)
 	s.startKeepers(true)
 	s.start(entryA, RunEntry, false)
-	s.put(keeperB, documentOf(3, `"k1","k2"`))
+	s.put(keeperB, standin.Document(3, `["k1","k2"]`))
 	s.await("the entry host is ready", func() bool {
-		status, _ := s.ask(http.MethodGet, entryA, readinessPort, "/cyclamenhub/readyz", "", nil)
+		status, _ := s.ask(http.MethodGet, entryA, readinessPort, standin.ReadinessPath, "", nil)
 		return status == http.StatusOK
 	})
 	if status, body := s.call("k1"); status != http.StatusOK || body != "for foodbank" {
@@ -34,9 +35,9 @@
 		t.Errorf("a call with an unknown key gets %d", status)
 	}
 
-	newest := documentOf(9, `"k2"`)
+	newest := standin.Document(9, `["k2"]`)
 	s.put(keeperA, newest)
-	s.put(keeperC, documentOf(5, `"k1"`)) // overtaken: acknowledged and without effect
+	s.put(keeperC, standin.Document(5, `["k1"]`)) // overtaken: acknowledged and without effect
 	s.await("the withdrawn key is refused", func() bool {
 		status, _ := s.call("k1")
 		return status == http.StatusUnauthorized
@@ -45,9 +46,7 @@
 		t.Errorf("a call with the other key gets %d", status)
 	}
 	s.await("the use of a window is reported", func() bool {
-		s.cloud.mu.Lock()
-		defer s.cloud.mu.Unlock()
-		return len(s.cloud.reports) > 0
+		return len(s.cloud.Reports()) > 0
 	})
 
 	for _, ip := range []string{keeperA, keeperB, keeperC} {
@@ -64,10 +63,8 @@
 	if status, _ := s.call("k1"); status != http.StatusUnauthorized {
 		t.Errorf("a call with the withdrawn key gets %d after the restart", status)
 	}
-	s.cloud.mu.Lock()
-	defer s.cloud.mu.Unlock()
-	if w := s.cloud.reports["twice"]; w != "" {
-		t.Errorf("window %s is reported with two counts", w)
+	if windows := s.cloud.Changed(); len(windows) > 0 {
+		t.Errorf("windows %v are reported with two counts", windows)
 	}
 }
 
@@ -76,19 +73,19 @@
 func TestNoMajority(t *testing.T) {
 	s := newSystem(t)
 	s.startKeepers(true)
-	document := documentOf(1, `"k1"`)
+	document := standin.Document(1, `["k1"]`)
 	s.put(keeperA, document)
 	s.end(keeperB)
 	s.end(keeperC)
 	for _, method := range []string{http.MethodPut, http.MethodGet} {
-		if status, _ := s.ask(method, keeperA, operatorPort, "/cyclamenhub/config", documentOf(2, `"k1"`), nil); status == http.StatusOK {
+		if status, _ := s.ask(method, keeperA, operatorPort, standin.DocumentPath, standin.Document(2, `["k1"]`), nil); status == http.StatusOK {
 			t.Errorf("%s succeeds without a majority", method)
 		}
 	}
 	s.start(keeperB, RunKeeper, false)
 	s.start(keeperC, RunKeeper, false)
 	got := decoded(t, s.read(keeperC))
-	if !cmp.Equal(got, decoded(t, document)) && !cmp.Equal(got, decoded(t, documentOf(2, `"k1"`))) {
+	if !cmp.Equal(got, decoded(t, document)) && !cmp.Equal(got, decoded(t, standin.Document(2, `["k1"]`))) {
 		t.Errorf("the document is %v", got)
 	}
 }
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -10,51 +10,17 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/platform"
+	"cyclamenhub.org/platform/standin"
 )
 
-// cloud is a stand-in of the platform: it lists one backend server and takes
-// reports and orders.
-type cloud struct {
-	server  string
-	mu      sync.Mutex
-	reports map[string]string // by window
-	fences  []string
-}
-
-// ServeHTTP answers the platform's own interface.
-func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch r.URL.Path {
-	case "/instances":
-		fmt.Fprintf(w, `{"instances":[{"id":"i-1","service":"cases","address":%q,"zone":"a","version":"v1","slots":8,"state":"ready"}],"next":null}`, c.server)
-	case "/usage":
-		var body struct {
-			WindowID json.Number     `json:"windowId"`
-			Counts   json.RawMessage `json:"counts"`
-		}
-		_ = json.NewDecoder(r.Body).Decode(&body)
-		if c.reports == nil {
-			c.reports = make(map[string]string)
-		}
-		if before, ok := c.reports[body.WindowID.String()]; ok && before != string(body.Counts) {
-			c.reports["twice"] = body.WindowID.String()
-		}
-		c.reports[body.WindowID.String()] = string(body.Counts)
-		c.fences = append(c.fences, r.Header.Get("Cyclamenhub-Fencing-Token"))
-	}
-}
-
 // system is some keepers and entry hosts on loopback addresses.
 type system struct {
 	t      *testing.T
-	cloud  *cloud
+	cloud  *standin.Cloud
 	api    string
 	port   int
 	seeds  []string
@@ -75,13 +41,9 @@
 
 // newSystem returns a system whose processes do not run yet.
 func newSystem(t *testing.T) *system {
-	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Cyclamenhub-Response-Seal", "s")
-		w.Header().Set("Cyclamenhub-Attempt-Id", r.Header.Get("Cyclamenhub-Attempt-Id"))
-		_, _ = io.WriteString(w, "for "+r.Header.Get("Cyclamenhub-Tenant"))
-	}))
+	backend := httptest.NewServer(http.HandlerFunc(standin.Backend))
 	t.Cleanup(backend.Close)
-	c := &cloud{server: strings.TrimPrefix(backend.URL, "http://")}
+	c := &standin.Cloud{Server: strings.TrimPrefix(backend.URL, "http://")}
 	api := httptest.NewServer(c)
 	t.Cleanup(api.Close)
 	s := &system{
@@ -183,14 +145,14 @@
 }
 
 // ask makes a call and returns its status, 0 where there is no answer, and body.
-func (s *system) ask(method, ip string, port int, path, body string, header map[string]string) (int, string) {
+func (s *system) ask(method, ip string, port int, path, body string, header http.Header) (int, string) {
 	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", ip, s.port+port, path), strings.NewReader(body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	r.Host = "app.example"
-	for name, value := range header {
-		r.Header.Set(name, value)
+	if header != nil {
+		r.Header = header
 	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
 	res, err := client.Do(r)
@@ -207,7 +169,7 @@
 func (s *system) put(ip, document string) {
 	s.t.Helper()
 	s.await("the document is acknowledged", func() bool {
-		status, _ := s.ask(http.MethodPut, ip, operatorPort, "/cyclamenhub/config", document, nil)
+		status, _ := s.ask(http.MethodPut, ip, operatorPort, standin.DocumentPath, document, nil)
 		return status == http.StatusOK
 	})
 }
@@ -217,7 +179,7 @@
 	s.t.Helper()
 	var document string
 	s.await("the document is read back", func() bool {
-		status, body := s.ask(http.MethodGet, ip, operatorPort, "/cyclamenhub/config", "", nil)
+		status, body := s.ask(http.MethodGet, ip, operatorPort, standin.DocumentPath, "", nil)
 		document = body
 		return status == http.StatusOK
 	})
@@ -226,14 +188,5 @@
 
 // call makes a caller's call with a key and returns its status and body.
 func (s *system) call(key string) (int, string) {
-	return s.ask(http.MethodPost, entryA, frontendPort, "/file/1", "x", map[string]string{
-		"Authorization": "Token " + key, "Cyclamenhub-Attempt-Id": "id-1", "Cyclamenhub-Deadline-Ms": "5000",
-	})
-}
-
-// documentOf returns a document with a revision and the keys of one customer.
-func documentOf(revision identifier.Revision, keys string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"app.example","pathPrefix":"/file/","routeType":"non_idempotent",
-"timeoutMs":5000,"targetLatencyMs":1000,"service":"cases","maxAttempts":1}],"services":[{"name":"cases","healthPath":"/healthz","maxConnections":100}],
-"tenants":[{"name":"foodbank","apiKeys":[%s]}]}`, revision, keys)
+	return s.ask(http.MethodPost, entryA, frontendPort, "/file/1", "x", standin.CallHeader("id-1", key, 5*time.Second))
 }
