--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -171,6 +171,21 @@
 	return l.grace
 }
 
+// Hosts returns how many hosts told counts of a window, and how many of the hosts
+// that counted lately are silent now.
+func (l *Ledger) Hosts(w Window, now time.Time) (told, silent int) {
+	hosts := make(map[identifier.Host]bool)
+	for s := range l.counts[w] {
+		hosts[s.host] = true
+	}
+	for _, at := range l.heard {
+		if now.Sub(at) > silentAfter {
+			silent++
+		}
+	}
+	return len(hosts), silent
+}
+
 // Sum returns the counts of all hosts in a window.
 func (l *Ledger) Sum(w Window) Counts {
 	sum := make(Counts)
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -89,3 +89,15 @@
 		t.Errorf("due windows differ (-want +got):\n%s", diff)
 	}
 }
+
+// TestHostsOfAWindow counts a restarted host once, and a host that is silent.
+func TestHostsOfAWindow(t *testing.T) {
+	now := Window(101).End(length)
+	l := NewLedger(length, 2*time.Second, 8*time.Second)
+	l.Merge(now, "a", 1, map[Window]Counts{101: {"choir": 1}})
+	l.Merge(now, "a", 2, map[Window]Counts{101: {"choir": 1}})
+	l.Merge(now.Add(-silentAfter-1), "b", 1, nil)
+	if told, silent := l.Hosts(101, now); told != 1 || silent != 1 {
+		t.Errorf("%d hosts told counts and %d are silent, want 1 and 1", told, silent)
+	}
+}
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -141,9 +141,7 @@
 	}
 	if first {
 		x.noteFirst(choice)
-		if !x.begun {
-			x.count(x.f.opts.TimeOfDay.Now())
-		}
+		x.count(x.f.opts.TimeOfDay.Now())
 	}
 	x.begin(res)
 	_, err = x.w.Write(whole)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -265,9 +265,11 @@
 	}
 }
 
-// count counts the call as begun.
+// count counts the call as begun, once however often it is sent.
 func (x *exchange) count(at time.Time) {
-	if x.customer != nil {
-		x.f.opts.Meter.Begin(x.customer.Name, at)
+	if x.counted || x.customer == nil {
+		return
 	}
+	x.counted = true
+	x.f.opts.Meter.Begin(x.customer.Name, at)
 }
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -173,6 +173,7 @@
 	*Forwarder
 	backends *backends
 	url      string
+	meter    *accountant.Meter
 	current  bool
 }
 
@@ -180,11 +181,11 @@
 func newRig(t *testing.T, answers ...string) *rig {
 	b := &backends{t: t, answers: answers}
 	clock := timer.System{}
-	g := &rig{backends: b, current: true}
+	g := &rig{backends: b, meter: accountant.NewMeter(time.Hour), current: true}
 	g.Forwarder = New(Options{
 		Codec: testCodec{}, Pool: connector.NewPool(connector.Options{}),
 		Placer: placer.New(placer.Options{}), Limiter: sharer.NewLimiter(clock),
-		Meter: accountant.NewMeter(time.Hour), Retries: RetryBudget{Ratio: 0.1, Reserve: 5},
+		Meter: g.meter, Retries: RetryBudget{Ratio: 0.1, Reserve: 5},
 		Current: func() bool { return g.current }, Clock: clock, Log: slog.New(slog.DiscardHandler),
 	})
 	d := &matcher.Document{
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -145,6 +145,7 @@
 	held *answer
 	// begun tells that a part of the answer has been delivered.
 	begun     bool
+	counted   bool // in the use of its customer
 	lastEvent string
 	status    int
 	why       string
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -88,6 +89,39 @@
 	}
 }
 
+// TestUse checks that a call counts once where it may have begun to run, however
+// often it is sent. Load pattern: all backend servers answer a part of the calls
+// with errors, so that a tenth of the calls are sent twice.
+func TestUse(t *testing.T) {
+	ok, failed := plain(http.StatusOK, "", "x"), plain(http.StatusInternalServerError, "", "x")
+	stream := streamHead + chunk(event(1)) + chunk(event(2))
+	for _, tc := range []struct {
+		name, path string
+		answers    []string
+		want       int64
+	}{
+		{"answered", "/file/1", []string{ok}, 1},
+		{"an error", "/file/1", []string{failed}, 1},
+		{"refused", "/file/1", []string{notRunAnswer, notRunAnswer, notRunAnswer, notRunAnswer}, 0},
+		{"refused and sent again", "/look/1", []string{notRunAnswer, ok}, 1},
+		{"sent again after an error", "/look/1", []string{failed, ok}, 1},
+		{"two errors", "/look/1", []string{failed, failed}, 1},
+		{"a stream", "/draft/1", []string{stream + chunk("")}, 1},
+		{"a stream that is resumed", "/edit/1", []string{stream + closeAfter, stream + chunk("")}, 1},
+		{"a stream after an error", "/edit/1", []string{failed, stream + chunk("")}, 1},
+	} {
+		g := newRig(t, tc.answers...)
+		g.call(t, http.MethodPost, tc.path, "key", "x")
+		var got int64
+		for _, counts := range g.meter.Counts(time.Now()) {
+			got += int64(counts["foodbank"])
+		}
+		if got != tc.want {
+			t.Errorf("%s: %d calls are counted, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
 func TestCallsPassUnchanged(t *testing.T) {
 	g := newRig(t, plain(201, "X-Own: yes\r\nKeep-Alive: timeout=5\r\n", "done"))
 	const target = "/file//a%2Fb?x=1&y=%20"
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -75,6 +75,14 @@
 	return lease.Fencing() == firstFencing || n.clock.Now().Sub(n.duties.since) >= n.cfg.Bounds.DutyLease
 }
 
+// closingWindow is a window that is due, with its counts, the hosts that told
+// them and the hosts that are silent.
+type closingWindow struct {
+	accountant.Window
+	sum          accountant.Counts
+	told, silent int
+}
+
 // closeWindows records the windows that are due.
 func (n *keeperNode) closeWindows(ctx context.Context) {
 	var last accountant.Window
@@ -84,16 +92,18 @@
 	now := n.clock.Now()
 	n.mu.Lock()
 	due := n.ledger.Due(now, last)
-	sums := make([]accountant.Counts, len(due))
+	closing := make([]closingWindow, len(due))
 	for i, w := range due {
-		sums[i] = n.ledger.Sum(w)
+		closing[i].Window, closing[i].sum = w, n.ledger.Sum(w)
+		closing[i].told, closing[i].silent = n.ledger.Hosts(w, now)
 	}
 	n.mu.Unlock()
-	for i, w := range due {
-		if err := n.propose(ctx, reducer.CloseWindow{Window: w, Counts: sums[i], At: now}); err != nil {
-			n.log.Warn("window not closed", "window", w, "error", err)
+	for _, w := range closing {
+		if err := n.propose(ctx, reducer.CloseWindow{Window: w.Window, Counts: w.sum, At: now}); err != nil {
+			n.log.Warn("window not closed", "window", w.Window, "error", err)
 			return
 		}
+		n.log.Info("window closed", "window", w.Window, "hosts", w.told, "silent", w.silent)
 	}
 }
 
