node: a leader that is found is asked at once

Cause, from incident inc-537d: after the restart of all processes entry hosts found the leader 50 ms after its election and asked for its word a quarter of a second later; 47 calls were refused meanwhile. TestLeaderFoundIsAsked fails without.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -25,13 +25,23 @@
 
 // follow syncs with the leading keeper until ctx ends.
 func (e *entry) follow(ctx context.Context) {
-	repeat(ctx, syncInterval, func() {
-		syncCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		defer cancel()
-		if !e.syncOnce(syncCtx) {
-			e.findLeader(ctx)
-		}
-	})
+	repeat(ctx, syncInterval, func() { e.syncOrSearch(ctx) })
+}
+
+// syncOrSearch syncs with the leader. Where none is known it looks for one and
+// syncs with the one that it finds at once: after a change of leaders every host
+// refuses calls with keys until it has that leader's word.
+func (e *entry) syncOrSearch(ctx context.Context) {
+	if !e.syncInTime(ctx) && e.findLeader(ctx) {
+		e.syncInTime(ctx)
+	}
+}
+
+// syncInTime syncs with the leader that is known, within the time for one sync.
+func (e *entry) syncInTime(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	return e.syncOnce(ctx)
 }
 
 // syncOnce syncs with the leader that is known and reports whether it leads.
@@ -120,8 +130,9 @@
 	}
 }
 
-// findLeader asks all known keepers at once who leads.
-func (e *entry) findLeader(ctx context.Context) {
+// findLeader asks all known keepers at once who leads, and reports whether one
+// does.
+func (e *entry) findLeader(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	hosts := e.contacts.list()
@@ -143,11 +154,14 @@
 		})
 	}
 	go func() { wg.Wait(); close(found) }()
-	if h, ok := <-found; ok {
-		address := e.cfg.PeerAddress(h)
-		e.leader.Store(&address)
-		e.log.Info("leading keeper found", "address", address)
+	h, ok := <-found
+	if !ok {
+		return false
 	}
+	address := e.cfg.PeerAddress(h)
+	e.leader.Store(&address)
+	e.log.Info("leading keeper found", "address", address)
+	return true
 }
 
 // upstreams returns the keepers that documents are watched at, the leading one
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"testing"
 	"time"
@@ -90,6 +91,24 @@
 	}
 }
 
+// TestLeaderFoundIsAsked checks that a host has the word of the leader as soon as
+// it finds one. Load pattern: after a change of leaders all hosts refuse all calls
+// with keys until then.
+func TestLeaderFoundIsAsked(t *testing.T) {
+	s := newSystem(t)
+	s.startKeepers(true)
+	s.put(keeperA, standin.Document(1, `["k1"]`))
+	e := newEntry(s.settings(entryA, false), Options{Log: slog.New(slog.DiscardHandler)})
+	t.Cleanup(e.messenger.Close)
+	s.await("a leader is found", func() bool {
+		e.syncOrSearch(t.Context())
+		return e.leader.Load() != nil
+	})
+	if !e.isCurrent() {
+		t.Error("the host found a leader and has no word of it")
+	}
+}
+
 // decoded returns what a document says, whatever its white space.
 func decoded(t *testing.T, document string) any {
 	t.Helper()
