forwarder: a host that has just started holds calls until it has its first word

Ruled out: a wait at any other time (a host that was cut off has had its word for four seconds; what it can't serve then is refused at once). TestCallsAwaitTheFirstWord fails without.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -42,7 +42,10 @@
 	// Current reports whether this host surely knows the newest withdrawal of
 	// keys. Where it does not, calls with keys are refused.
 	Current func() bool
-	Clock   timer.Clock
+	// FirstWord is closed once Current has been true for the first time; nil says
+	// that it is from the start.
+	FirstWord <-chan struct{}
+	Clock     timer.Clock
 	// TimeOfDay is the clock by which use is counted; nil means the system's.
 	TimeOfDay timer.Clock
 	Log       *slog.Logger
@@ -51,6 +54,7 @@
 // Forwarder serves callers. It is an http.Handler.
 type Forwarder struct {
 	opts    Options
+	began   time.Time
 	table   atomic.Pointer[matcher.Table]
 	fleet   atomic.Pointer[fleet]
 	retries *budgets
@@ -73,7 +77,7 @@
 	if opts.Current == nil {
 		opts.Current = func() bool { return true }
 	}
-	return &Forwarder{opts: opts, retries: newBudgets(opts.Retries, opts.Hosts)}
+	return &Forwarder{opts: opts, began: opts.Clock.Now(), retries: newBudgets(opts.Retries, opts.Hosts)}
 }
 
 // SetTable puts a routing table in force.
@@ -160,6 +164,7 @@
 // serve answers the call.
 func (x *exchange) serve() {
 	defer x.log()
+	x.awaitFirstWord()
 	if refusal := x.accept(); refusal != nil {
 		x.refuse(refusal)
 		return
@@ -171,6 +176,29 @@
 	x.run()
 }
 
+// firstWordWait is how long after its start a host holds calls until it has its
+// first word: the keepers, which may have started with it, elect a leader in
+// half a second to a second.
+const firstWordWait = time.Second
+
+// awaitFirstWord holds a call to a host that has just started, within the time
+// in which its first word is to be expected. Load pattern: all machines are back
+// from a loss of power, and callers ask at once; those that are refused come back
+// too late for their aim.
+func (x *exchange) awaitFirstWord() {
+	left := firstWordWait - x.start.Sub(x.f.began)
+	if x.f.opts.FirstWord == nil || left <= 0 {
+		return
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-x.f.opts.FirstWord:
+	case <-t.C:
+	case <-x.r.Context().Done():
+	}
+}
+
 // accept checks everything that comes before the first attempt.
 func (x *exchange) accept() *refusal {
 	x.table = x.f.table.Load()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -199,3 +199,29 @@
 		t.Errorf("statuses differ (-want +got):\n%s", diff)
 	}
 }
+
+// TestCallsAwaitTheFirstWord checks that a host that has just started holds calls
+// until it has the leader's word, and refuses at once where it should have come.
+func TestCallsAwaitTheFirstWord(t *testing.T) {
+	g := newRig(t, plain(http.StatusOK, "", "x"))
+	word := make(chan struct{})
+	g.opts.FirstWord = word
+	g.began = time.Now().Add(time.Hour) // The word may come as late as this test likes.
+	answered := make(chan response, 1)
+	go func() { answered <- g.call(t, http.MethodPost, "/file/1", "key", "x") }()
+	select {
+	case word <- struct{}{}:
+		if res := <-answered; res.status != http.StatusOK {
+			t.Errorf("a call that came before the first word gets %d", res.status)
+		}
+	case res := <-answered:
+		t.Errorf("a call is answered with %d before the first word", res.status)
+	}
+
+	g.current = false
+	g.opts.FirstWord = make(chan struct{})
+	g.began = time.Now().Add(-firstWordWait)
+	if res := g.call(t, http.MethodPost, "/file/1", "key", "x"); res.status != http.StatusServiceUnavailable {
+		t.Errorf("a call to a host that waits in vain gets %d", res.status)
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -72,9 +72,12 @@
 	meter      *accountant.Meter
 	leader     atomic.Pointer[string] // its address
 	confirmed  moment
-	lease      time.Duration
-	stopping   atomic.Bool
-	isReady    atomic.Bool
+	// firstWord is closed with the first confirmation.
+	firstWord chan struct{}
+	announce  sync.Once
+	lease     time.Duration
+	stopping  atomic.Bool
+	isReady   atomic.Bool
 	// pending is the use that no leader has been told yet; only follow uses it.
 	pending map[identifier.Customer]sharer.Use
 }
@@ -102,8 +105,9 @@
 		cfg: cfg, log: opts.Log, steps: boot, run: uint64(time.Now().UnixNano()),
 		contacts: contacts{self: cfg.Host, seeds: cfg.Seeds},
 		limiter:  sharer.NewLimiter(timer.System{}), meter: accountant.NewMeter(cfg.Bounds.Window),
-		placer: placer.New(placer.Options{FailureDomain: cfg.FailureDomain, Metrics: metrics.GetDefaultSet()}),
-		lease:  time.Duration(leasePart * float64(cfg.Bounds.WithdrawKeys)),
+		placer:    placer.New(placer.Options{FailureDomain: cfg.FailureDomain, Metrics: metrics.GetDefaultSet()}),
+		firstWord: make(chan struct{}),
+		lease:     time.Duration(leasePart * float64(cfg.Bounds.WithdrawKeys)),
 	}
 	e.judges = roller.NewJudges(roller.Source{Host: cfg.Host, Epoch: roller.Epoch(e.run)})
 	e.messenger = messenger.New(messenger.Options{Host: cfg.Host, Silence: peerSilence, Clock: boot})
@@ -114,7 +118,7 @@
 	e.forwarder = forwarder.New(forwarder.Options{
 		Codec: platform.Codec{}, Pool: connector.NewPool(connector.Options{Metrics: metrics.GetDefaultSet(), DialTimeout: dialTimeout}),
 		Placer:  e.placer,
-		Limiter: e.limiter, Meter: e.meter, Versions: e.judges, Retries: retriesOf(cfg), Hosts: unknownHosts, Tolerance: cfg.Bounds.Rates, Current: e.isCurrent, TimeOfDay: boot, Log: opts.Log,
+		Limiter: e.limiter, Meter: e.meter, Versions: e.judges, Retries: retriesOf(cfg), Hosts: unknownHosts, Tolerance: cfg.Bounds.Rates, Current: e.isCurrent, FirstWord: e.firstWord, TimeOfDay: boot, Log: opts.Log,
 	})
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: listInterval,
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -127,6 +127,7 @@
 	}
 	if uint64(e.dist.Revision(distributor.FleetTopic)) >= resp.GetRevision() {
 		e.confirmed.raise(sent)
+		e.announce.Do(func() { close(e.firstWord) })
 	}
 }
 
