--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -169,22 +169,15 @@
 // runRollouts proposes the events that are due while this keeper leads, until
 // ctx ends.
 func (n *keeperNode) runRollouts(ctx context.Context) {
-	t := time.NewTimer(0)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	pace(ctx, 0, func() time.Duration {
 		events, running := n.dueRollouts()
 		for _, e := range events {
 			if err := n.propose(ctx, reducer.Rollout{Event: e}); err != nil {
 				n.log.Warn("rollout not moved", "event", fmt.Sprintf("%T", e), "error", err)
 			}
 		}
-		t.Reset(paceOf(running))
-	}
+		return paceOf(running)
+	})
 }
 
 // paceOf returns the time until rollouts are looked at again.
@@ -256,14 +249,7 @@
 // runJudges runs this host's own tests and reports to the leading keeper until
 // ctx ends.
 func (e *entry) runJudges(ctx context.Context) {
-	t := time.NewTimer(idleInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	pace(ctx, idleInterval, func() time.Duration {
 		heard := e.steps.Now()
 		if age, ok := e.confirmed.age(e.steps); ok {
 			heard = heard.Add(-age)
@@ -271,8 +257,8 @@
 		for _, r := range e.judges.Tick(e.steps.Now(), heard) {
 			e.judge(ctx, r)
 		}
-		t.Reset(paceOf(e.judges.Running()))
-	}
+		return paceOf(e.judges.Running())
+	})
 }
 
 // judge sends one report. A lost one is made up for by the next.
