--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -68,7 +68,7 @@
 // answers, whichever server it reaches: the raw bytes, after which the
 // connection is closed unless the answer says that it stays.
 type backends struct {
-	t *testing.T
+	t testing.TB
 
 	mu      sync.Mutex
 	answers []string
@@ -178,7 +178,7 @@
 }
 
 // newRig returns a rig whose backend servers give the scripted answers.
-func newRig(t *testing.T, answers ...string) *rig {
+func newRig(t testing.TB, answers ...string) *rig {
 	b := &backends{t: t, answers: answers}
 	clock := timer.System{}
 	g := &rig{backends: b, meter: accountant.NewMeter(time.Hour), current: true}
@@ -233,7 +233,7 @@
 }
 
 // call makes a call with a key.
-func (g *rig) call(t *testing.T, method, path, key, body string) response {
+func (g *rig) call(t testing.TB, method, path, key, body string) response {
 	t.Helper()
 	r, err := http.NewRequest(method, g.url+path, strings.NewReader(body))
 	if err != nil {
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"log/slog"
 	"strings"
 	"sync"
@@ -50,3 +51,16 @@
 		}
 	}
 }
+
+// BenchmarkLine writes the line of one call.
+func BenchmarkLine(b *testing.B) {
+	l := New(io.Discard, Options{Rate: b.N})
+	defer l.Close()
+	log := slog.New(l).With("host", "edge-a-1")
+	b.ReportAllocs()
+	for range b.N {
+		log.LogAttrs(b.Context(), slog.LevelInfo, "call", slog.Int("status", 200), slog.Duration("took", time.Second), slog.Int("sends", 1),
+			slog.Int("runs", 1), slog.String("id", "bc3c3208f81c7f79"), slog.String("route", "r-1"), slog.Uint64("revision", 4),
+			slog.String("customer", "foodbank"), slog.String("server", "i-e4f443912d"))
+	}
+}
