--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -114,7 +114,7 @@
 		g.call(t, http.MethodPost, tc.path, "key", "x")
 		var got int64
 		for _, counts := range g.meter.Counts(time.Now()) {
-			got += int64(counts["foodbank"])
+			got += counts["foodbank"]
 		}
 		if got != tc.want {
 			t.Errorf("%s: %d calls are counted, want %d", tc.name, got, tc.want)
