drainer: outcomes that a peer is told are counted apart; an offer can be repeated

TestKilledInReclaim failed once beside load: "38 streams were taken and 32 are known".

Cause: a host that leaves tells a peer the outcome "unknown" of each non-idempotent request shortly before its notice ends. The peer counted these in cyclamen_handovers_taken_total as well. Beside load the test kills the host late, after the 6 filings were told: 32 streams and 6 outcomes. The test is unchanged.

A copy that is behind gives way, unless a caller read from it.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -174,7 +174,9 @@
 	t.stopDeadline()
 	t.cancel(nil)
 	d.mu.Lock()
-	delete(d.running, t.r.ID)
+	if d.running[t.r.ID] == t {
+		delete(d.running, t.r.ID)
+	}
 	d.mu.Unlock()
 	d.records.close(t.record, t.r.Reconnectable || t.r.Key != "")
 }
--- a/dispatcher/freeze.go
+++ b/dispatcher/freeze.go
@@ -35,18 +35,21 @@
 	}
 }
 
-// Thaw lets a frozen request go on here.
-func (d *Dispatcher) Thaw(id identifier.RequestID) {
+// Thaw lets a frozen request go on here. It was offered under epochs up to
+// offered.
+func (d *Dispatcher) Thaw(id identifier.RequestID, offered uint64) {
 	if t := d.task(id); t != nil {
+		t.record.takeBack(offered)
 		t.frozen().verdict <- nil
 	}
 }
 
-// Handed tells that owner has acknowledged a frozen request. This host lets go
-// of it and relays what the owner sends to the caller, for as long as it can.
-func (d *Dispatcher) Handed(id identifier.RequestID, owner identifier.Host, r Remote) {
+// Handed tells that owner has acknowledged a frozen request under epoch. This
+// host lets go of it and relays what the owner sends to the caller, for as long
+// as it can.
+func (d *Dispatcher) Handed(id identifier.RequestID, owner identifier.Host, epoch uint64, r Remote) {
 	if t := d.task(id); t != nil {
-		t.record.moveTo(owner)
+		t.record.moveTo(owner, epoch)
 		t.frozen().verdict <- r
 	}
 }
@@ -141,7 +144,7 @@
 			return t.outOfTime(), true
 		}
 		if err != nil || u.State == Moved {
-			t.record.takeBack()
+			t.record.takeBack(0)
 			t.mu.Lock()
 			t.handed = false
 			t.mu.Unlock()
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -92,56 +92,67 @@
 	return &Handover{Request: *t.r, Epoch: t.record.epoch + 1}, true
 }
 
-// moveTo notes that another host owns the request.
-func (c *Record) moveTo(owner identifier.Host) {
+// moveTo notes that another host owns the request under epoch.
+func (c *Record) moveTo(owner identifier.Host, epoch uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.owner = Moved, owner
-	c.epoch++
+	c.state, c.owner, c.epoch = Moved, owner, epoch
 	c.notify()
 }
 
-// yields reports whether a new owner of that epoch may take the request over.
-func (c *Record) yields(epoch uint64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state != Running && epoch > c.epoch
-}
-
-// takeBack notes that this host owns the request again.
-func (c *Record) takeBack() {
+// takeBack notes that this host owns the request again, above every epoch under
+// which it was offered.
+func (c *Record) takeBack(offered uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.owner = Running, ""
-	c.epoch++
+	c.epoch = max(c.epoch, offered) + 1
 	c.notify()
 }
 
-// Adopt goes on with a request of another host. Where it returns nil, this host
-// owns the request.
-func (d *Dispatcher) Adopt(h *Handover) *refuser.Refusal {
+// Adopt goes on with a request of another host. Without a refusal this host
+// owns the request. It reports whether the request was taken now; one that a
+// former offer brought here goes on as it is.
+func (d *Dispatcher) Adopt(h *Handover) (bool, *refuser.Refusal) {
 	r := h.Request
 	if err := h.Progress.Check(); err != nil {
-		return refuser.NotRun(refuser.Malformed, err.Error(), "hand the request to a host of the same version")
+		return false, refuser.NotRun(refuser.Malformed, err.Error(), "hand the request to a host of the same version")
 	}
 	if r.nonIdempotent() && h.Final == nil {
-		return refuser.NotRun(refuser.Forbidden, "a non-idempotent request stays with its owner", "hand over its outcome")
+		return false, refuser.NotRun(refuser.Forbidden, "a non-idempotent request stays with its owner", "hand over its outcome")
 	}
 	if int(d.adopted.Load()) >= d.Table().Limits().QueuedRequests {
-		return refuser.NotRun(refuser.Overloaded, "this host has taken as many requests over as it may hold", "hand the request to another host")
+		return false, refuser.NotRun(refuser.Overloaded, "this host has taken as many requests over as it may hold", "hand the request to another host")
 	}
-	record, refusal := d.records.adopt(h)
-	if refusal != nil {
-		return refusal
+	record, old, refusal := d.records.adopt(h)
+	if record == nil {
+		return false, refusal
 	}
 	if h.Final != nil {
 		record.settle(nil, h.Final)
 		d.records.close(record, true)
-		return nil
+		return true, nil
+	}
+	d.stopReplaced(old)
+	d.goOn(&r, record, h.Version)
+	return old == nil || !old.copied, nil
+}
+
+// stopReplaced ends the run of a copy that a newer one replaces.
+func (d *Dispatcher) stopReplaced(old *Record) {
+	if old == nil {
+		return
+	}
+	if t := d.task(old.id); t != nil && t.record == old {
+		t.cancel(errReplaced)
 	}
+}
+
+// goOn runs a request that another host accepted, from where its record stands.
+func (d *Dispatcher) goOn(r *Request, record *Record, version identifier.Version) {
 	r.Reconnectable = true
-	t := d.start(context.Background(), &r, record, nil, nil)
-	t.version = h.Version
+	t := d.start(context.Background(), r, record, nil, nil)
+	t.version = version
 	t.adopted = true
 	t.detached.Store(true)
 	time.AfterFunc(adoptGrace, t.abandon)
@@ -151,5 +162,4 @@
 		// The outcome stays with the record.
 		_ = d.finish(t)
 	}()
-	return nil
 }
--- a/dispatcher/progress.go
+++ b/dispatcher/progress.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 )
 
 // maxTextBytes bounds the text of one answer that is kept for resuming.
@@ -32,6 +33,15 @@
 // count returns the number of events.
 func (p *progress) count() int { return len(p.ends) }
 
+// holds reports whether every event of o is in p as well, text for text.
+func (p *progress) holds(o *Progress) bool {
+	n := len(o.Ends)
+	if n > len(p.ends) || !slices.Equal(p.ends[:n], o.Ends) {
+		return false
+	}
+	return n == 0 || bytes.Equal(p.text[:p.ends[n-1]], o.Text[:o.Ends[n-1]])
+}
+
 // add appends an ordinary event.
 func (p *progress) add(fragment []byte) {
 	if len(p.text)+len(fragment) > maxTextBytes {
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -55,8 +55,10 @@
 	answer   *Answer
 	refusal  *refuser.Refusal
 	changed  chan struct{}
-	// epoch rises with every change of owner; the highest owner is the owner.
+	// epoch rises with every change of owner; the highest epoch's is the owner.
 	epoch uint64
+	// copied tells that another host accepted the request and offered it.
+	copied bool
 	// owner is the host that took the request over, in state Moved.
 	owner identifier.Host
 	// seen is when a follower last asked for progress.
--- a/dispatcher/registry.go
+++ b/dispatcher/registry.go
@@ -45,17 +45,59 @@
 	return c, nil
 }
 
-// adopt adds a request of another host, unless a higher epoch is known.
-func (g *registry) adopt(h *Handover) (*Record, *refuser.Refusal) {
+// adopt adds a request of another host and returns its record, with the one that
+// it replaces, if any. Without a record and a refusal, the copy that a former
+// offer brought here goes on under the new epoch.
+func (g *registry) adopt(h *Handover) (c, old *Record, refusal *refuser.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if old, ok := g.records[h.Request.ID]; ok && !old.yields(h.Epoch) {
-		return nil, refuser.NotRun(refuser.Conflict, "this host owns the request already", "let go of it, or hand it over under a higher epoch")
+	old = g.records[h.Request.ID]
+	if old != nil {
+		switch old.meet(h) {
+		case keep:
+			return nil, nil, nil
+		case refuse:
+			return nil, nil, refuser.NotRun(refuser.Conflict, "this host owns the request already", "let go of it, or hand it over under a higher epoch")
+		case replace:
+		}
 	}
-	c := newRecord(&h.Request)
-	c.epoch, c.progress = h.Epoch, newProgress(h.Progress)
+	c = newRecord(&h.Request)
+	c.epoch, c.progress, c.copied = h.Epoch, newProgress(h.Progress), true
 	g.records[h.Request.ID] = c
-	return c, nil
+	return c, old, nil
+}
+
+// verdict is what becomes of a record when its request is offered again.
+type verdict int
+
+const (
+	refuse verdict = iota
+	keep
+	replace
+)
+
+// meet weighs a record against an offer of the same request, and takes the
+// offer's epoch where the record stays. The load pattern is hosts that are so
+// busy, or so cut off, that acknowledgements come late and offers are repeated.
+// A copy stays where it holds what the offer holds, since running it again
+// would cost a backend server the work twice. A copy that is behind gives way as
+// long as no caller has read from it.
+func (c *Record) meet(h *Handover) verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case h.Epoch <= c.epoch:
+		return refuse
+	case c.copied && h.Final == nil && (c.state == Running || c.state == Done) && c.progress.holds(&h.Progress):
+		c.epoch = h.Epoch
+		return keep
+	case c.state != Running:
+		return replace
+	case c.copied && c.seen.IsZero():
+		return replace
+	default:
+		return refuse
+	}
 }
 
 // find returns a request of that customer.
@@ -70,15 +112,15 @@
 }
 
 // close moves a request to the finished ones, or forgets it.
-func (g *registry) close(c *Record, keep bool) {
+func (g *registry) close(c *Record, findable bool) {
 	size := 0
-	if keep {
+	if findable {
 		size = c.size()
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !keep || size > maxFinishedBytes {
-		delete(g.records, c.id)
+	if !findable || size > maxFinishedBytes {
+		g.forget(c)
 		return
 	}
 	g.finished = append(g.finished, finishedRecord{c, size})
@@ -93,7 +135,12 @@
 	g.finished[0] = finishedRecord{}
 	g.finished = g.finished[1:]
 	g.bytes -= oldest.size
-	if g.records[oldest.record.id] == oldest.record {
-		delete(g.records, oldest.record.id)
+	g.forget(oldest.record)
+}
+
+// forget drops a record, unless another has replaced it.
+func (g *registry) forget(c *Record) {
+	if g.records[c.id] == c {
+		delete(g.records, c.id)
 	}
 }
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 // errCallerLeft ends a request whose caller went away.
 var errCallerLeft = errors.New("the caller went away")
 
+// errReplaced ends a copy that nobody has read from, when a newer copy of the
+// same request takes its place.
+var errReplaced = fmt.Errorf("a newer copy of the request replaced this one: %w", errCallerLeft)
+
 // task is one accepted request at work. The goroutine that runs it owns all
 // but the atomic fields.
 type task struct {
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -59,7 +59,7 @@
 
 	work sync.WaitGroup
 
-	moves, handed, failed, unknown, taken *metrics.Counter
+	moves, handed, failed, unknown, taken, told *metrics.Counter
 }
 
 // New returns a Drainer.
@@ -87,6 +87,7 @@
 		failed:  m.GetOrCreateCounter("cyclamen_handovers_failed_total"),
 		unknown: m.GetOrCreateCounter("cyclamen_handovers_unknown_total"),
 		taken:   m.GetOrCreateCounter("cyclamen_handovers_taken_total"),
+		told:    m.GetOrCreateCounter("cyclamen_handovers_told_total"),
 	}
 }
 
--- a/drainer/handover.go
+++ b/drainer/handover.go
@@ -22,12 +22,12 @@
 	host, ok := d.offer(ctx, h)
 	if !ok {
 		d.failed.Inc()
-		d.opt.Dispatcher.Thaw(id)
+		d.opt.Dispatcher.Thaw(id, h.Epoch)
 		d.put(HandoverEnded{Request: id, Failed: true})
 		return
 	}
 	d.handed.Inc()
-	d.opt.Dispatcher.Handed(id, host.Name, &remote{d: d, host: host, customer: h.Request.Customer, id: id})
+	d.opt.Dispatcher.Handed(id, host.Name, h.Epoch, &remote{d: d, host: host, customer: h.Request.Customer, id: id})
 	d.put(HandoverEnded{Request: id})
 }
 
--- a/drainer/handover_test.go
+++ b/drainer/handover_test.go
@@ -13,6 +13,7 @@
 
 	"cyclamenhub.org/dispatcher"
 	"cyclamenhub.org/drainer"
+	"cyclamenhub.org/drainer/wire"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/faker"
 	"cyclamenhub.org/messenger"
@@ -262,5 +263,179 @@
 		if n := len(f.plain.Executions()); n != 1 {
 			t.Errorf("%d executions", n)
 		}
+		taken, told := f.hosts[1].counter("cyclamen_handovers_taken_total"), f.hosts[1].counter("cyclamen_handovers_told_total")
+		if taken != 0 || told != 1 {
+			t.Errorf("the peer counts %d requests taken and %d outcomes told, want 0 and 1", taken, told)
+		}
+	})
+}
+
+// lateTake returns calls of which the first offer's acknowledgement never
+// comes; hold delays the offer itself.
+func (f *fleet) lateTake(hold time.Duration) drainer.CallFunc {
+	late := false
+	return func(ctx context.Context, address string, method messenger.Method, req, resp proto.Message) error {
+		if method != "drainer.take" || late {
+			return f.call(ctx, address, method, req, resp)
+		}
+		late = true
+		go func() {
+			time.Sleep(hold)
+			_ = f.call(context.WithoutCancel(ctx), address, method, req, resp)
+		}()
+		<-ctx.Done()
+		return &messenger.UnreachableError{Address: address, Err: ctx.Err()}
+	}
+}
+
+// TestOfferIsRepeated checks that a peer that took a request, and whose
+// acknowledgement came too late, acknowledges the next offer and goes on: the
+// request is taken once.
+func TestOfferIsRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// hold is how late the peer gets the first offer.
+		hold time.Duration
+	}{
+		{name: "while it runs there", hold: 0},
+		{name: "after it overtook this host", hold: 900 * time.Millisecond},
+		{name: "after this host has gone on", hold: 1200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				defer f.close()
+				call := f.lateTake(c.hold)
+				f.hosts[0].tamper.Store(&call)
+				a := f.stream(f.hosts[0], "r1")
+				f.hosts[0].dr.HostLeaves(5 * time.Second)
+				<-a.ended
+				f.checkWhole("r1", a.text.String(), a.ids)
+				if n := f.hosts[1].counter("cyclamen_handovers_taken_total"); n != 1 {
+					t.Errorf("the peer counts %d requests that it took", n)
+				}
+				if n := f.hosts[0].counter("cyclamen_handovers_total"); n != 1 {
+					t.Errorf("%d handovers were acknowledged", n)
+				}
+			})
+		})
+	}
+}
+
+// TestFinishedRequestIsOffered checks that a peer that has finished a request
+// acknowledges a late offer of it without running it again.
+func TestFinishedRequestIsOffered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		defer f.close()
+		var taken proto.Message
+		call := drainer.CallFunc(func(ctx context.Context, address string, method messenger.Method, req, resp proto.Message) error {
+			if method == "drainer.take" {
+				taken = proto.Clone(req)
+			}
+			return f.call(ctx, address, method, req, resp)
+		})
+		f.hosts[0].tamper.Store(&call)
+		a := f.stream(f.hosts[0], "r1")
+		f.hosts[0].dr.HostLeaves(5 * time.Second)
+		<-a.ended
+		calls := f.engines[0].Stats().Calls + f.engines[1].Stats().Calls
+		again := taken.(*wire.TakeRequest)
+		again.Epoch++
+		if err := f.call(t.Context(), "h1", "drainer.take", again, &wire.TakeResponse{}); err != nil {
+			t.Errorf("the offer was refused: %v", err)
+		}
+		if n := f.engines[0].Stats().Calls + f.engines[1].Stats().Calls; n != calls {
+			t.Errorf("%d calls for a request that had finished", n-calls)
+		}
+		if n := f.hosts[1].counter("cyclamen_handovers_taken_total"); n != 1 {
+			t.Errorf("the peer counts %d requests that it took", n)
+		}
+		if _, s, ok := f.hosts[1].d.Find("c", "r1"); !ok || s.State != dispatcher.Done || s.Epoch != again.Epoch {
+			t.Errorf("found %v, status %+v", ok, s)
+		}
+	})
+}
+
+// TestOwnerAfterFailedOffers checks that a host that goes on by itself, since no
+// peer acknowledged, is above the peers that may have taken the request.
+func TestOwnerAfterFailedOffers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		call := drainer.CallFunc(func(ctx context.Context, address string, method messenger.Method, req, resp proto.Message) error {
+			err := f.call(ctx, address, method, req, resp)
+			if method == "drainer.take" && err == nil {
+				return &messenger.UnreachableError{Address: address, Err: context.DeadlineExceeded}
+			}
+			return err
+		})
+		f.hosts[0].tamper.Store(&call)
+		a := f.stream(f.hosts[0], "r1")
+		f.hosts[0].dr.HostLeaves(5 * time.Second)
+		// Between two looks of the drainer, so that no offer is under way.
+		time.Sleep(2620 * time.Millisecond)
+		_, own, _ := f.hosts[0].d.Find("c", "r1")
+		for _, h := range f.hosts[1:] {
+			_, s, ok := h.d.Find("c", "r1")
+			if !ok || s.Epoch >= own.Epoch {
+				t.Errorf("%s: found %v with epoch %d, the owner has %d", h.name, ok, s.Epoch, own.Epoch)
+			}
+		}
+		<-a.ended
+		f.checkWhole("r1", a.text.String(), a.ids)
 	})
 }
+
+// TestCopyIsBehind checks that a copy that has less than a later offer of the
+// same request gives way to it, unless a caller has read from the copy.
+func TestCopyIsBehind(t *testing.T) {
+	for _, read := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 2)
+			defer f.close()
+			var offered *wire.TakeRequest
+			call := drainer.CallFunc(func(ctx context.Context, address string, method messenger.Method, req, resp proto.Message) error {
+				if method == "drainer.take" {
+					offered = proto.Clone(req).(*wire.TakeRequest)
+					return &messenger.UnreachableError{Address: address, NotSent: true, Err: net.ErrClosed}
+				}
+				return f.call(ctx, address, method, req, resp)
+			})
+			f.hosts[0].tamper.Store(&call)
+			a := f.stream(f.hosts[0], "r1")
+			f.hosts[0].dr.HostLeaves(5 * time.Second)
+			<-a.ended
+			first := proto.Clone(offered).(*wire.TakeRequest)
+			first.Epoch, first.Progress = 1, &wire.StreamProgress{}
+			offered.Epoch = 2
+			take := func(req *wire.TakeRequest) error {
+				return f.call(t.Context(), "h1", "drainer.take", req, &wire.TakeResponse{})
+			}
+			if err := take(first); err != nil {
+				t.Fatal(err)
+			}
+			if read {
+				r, _, _ := f.hosts[1].d.Find("c", "r1")
+				if _, err := r.Next(t.Context(), 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := take(offered); (err != nil) != read {
+				t.Errorf("read from %v: the offer had the answer %v", read, err)
+			}
+			_, s, _ := f.hosts[1].d.Find("c", "r1")
+			if ahead := s.Events >= len(offered.Progress.Ends); ahead == read {
+				t.Errorf("read from %v: %d events, %d were offered", read, s.Events, len(offered.Progress.Ends))
+			}
+			b := new(answer)
+			if refusal := f.follow(f.hosts[0], "r1", 0, b); refusal != nil || !b.done {
+				t.Errorf("refusal %v, done %v", refusal, b.done)
+			}
+			f.checkWhole("r1", b.text.String(), b.ids)
+			if n := f.hosts[1].counter("cyclamen_handovers_taken_total"); n != 1 {
+				t.Errorf("the peer counts %d requests that it took", n)
+			}
+		})
+	}
+}
--- a/drainer/peers.go
+++ b/drainer/peers.go
@@ -92,10 +92,16 @@
 	if err != nil {
 		return err
 	}
-	if refusal := d.opt.Dispatcher.Adopt(h); refusal != nil {
+	taken, refusal := d.opt.Dispatcher.Adopt(h)
+	if refusal != nil {
 		return refusal
 	}
-	d.taken.Inc()
+	switch {
+	case h.Final != nil:
+		d.told.Inc()
+	case taken:
+		d.taken.Inc()
+	}
 	return nil
 }
 
