describer: the values between the adapter and what decides get a package of their own

platform/ imported the types of forwarder, placer, sharer, accountant, discoverer and matcher, packages that decide. The values (calls, attempts, replies, the routing document, listed backend servers, counts, tolerances) stand in describer now, and the drawing of a service by weight, which is a decision, in matcher. No behaviour changes.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -6,25 +6,10 @@
 	"sync"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
-// Window numbers the windows of the time of day from 1970 on.
-type Window int64
-
-// WindowAt returns the window of a length that t lies in.
-func WindowAt(t time.Time, length time.Duration) Window {
-	return Window(t.UnixNano() / int64(length))
-}
-
-// End returns when w ends.
-func (w Window) End(length time.Duration) time.Time {
-	return time.Unix(0, (int64(w)+1)*int64(length))
-}
-
-// Counts are calls by customer.
-type Counts map[identifier.Customer]int64
-
 // keptWindows is how many windows a Meter and a Ledger remember: more than a
 // report may be late.
 const keptWindows = 6
@@ -34,12 +19,12 @@
 	length time.Duration
 
 	mu     sync.Mutex
-	counts map[Window]Counts
+	counts map[describer.Window]describer.Counts
 }
 
 // NewMeter returns a Meter for windows of a length.
 func NewMeter(length time.Duration) *Meter {
-	return &Meter{length: length, counts: make(map[Window]Counts)}
+	return &Meter{length: length, counts: make(map[describer.Window]describer.Counts)}
 }
 
 // Begin counts a call that began to run at a time of day.
@@ -49,19 +34,19 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	w := WindowAt(at, m.length)
+	w := describer.WindowAt(at, m.length)
 	if m.counts[w] == nil {
-		m.counts[w] = make(Counts)
+		m.counts[w] = make(describer.Counts)
 	}
 	m.counts[w][c]++
 }
 
 // Counts returns what was counted in the last windows.
-func (m *Meter) Counts(now time.Time) map[Window]Counts {
+func (m *Meter) Counts(now time.Time) map[describer.Window]describer.Counts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	oldest := WindowAt(now, m.length) - keptWindows
-	out := make(map[Window]Counts, len(m.counts))
+	oldest := describer.WindowAt(now, m.length) - keptWindows
+	out := make(map[describer.Window]describer.Counts, len(m.counts))
 	for w, c := range m.counts {
 		if w < oldest {
 			delete(m.counts, w)
@@ -90,7 +75,7 @@
 	grace, patience time.Duration
 	began           time.Time
 	heard           map[identifier.Host]time.Time
-	counts          map[Window]map[source]Counts
+	counts          map[describer.Window]map[source]describer.Counts
 }
 
 // NewLedger returns a Ledger that closes windows a grace period after their end.
@@ -99,7 +84,7 @@
 func NewLedger(length, grace, patience time.Duration) *Ledger {
 	return &Ledger{
 		length: length, grace: grace, patience: max(patience, grace),
-		heard: make(map[identifier.Host]time.Time), counts: make(map[Window]map[source]Counts),
+		heard: make(map[identifier.Host]time.Time), counts: make(map[describer.Window]map[source]describer.Counts),
 	}
 }
 
@@ -108,15 +93,15 @@
 func (l *Ledger) Begin(now time.Time) { l.began = now }
 
 // Merge takes in the counts of one run of a host.
-func (l *Ledger) Merge(now time.Time, host identifier.Host, run uint64, counts map[Window]Counts) {
-	present := WindowAt(now, l.length)
+func (l *Ledger) Merge(now time.Time, host identifier.Host, run uint64, counts map[describer.Window]describer.Counts) {
+	present := describer.WindowAt(now, l.length)
 	l.heard[host] = now
 	for w, c := range counts {
 		if w < present-keptWindows || w > present+1 {
 			continue
 		}
 		if l.counts[w] == nil {
-			l.counts[w] = make(map[source]Counts)
+			l.counts[w] = make(map[source]describer.Counts)
 		}
 		l.join(w, source{host, run}, c)
 	}
@@ -128,10 +113,10 @@
 }
 
 // join raises each count to the reported one.
-func (l *Ledger) join(w Window, s source, c Counts) {
+func (l *Ledger) join(w describer.Window, s source, c describer.Counts) {
 	held := l.counts[w][s]
 	if held == nil {
-		held = make(Counts, len(c))
+		held = make(describer.Counts, len(c))
 		l.counts[w][s] = held
 	}
 	for customer, n := range c {
@@ -141,8 +126,8 @@
 
 // Due returns the windows after last that can be closed now, in order. One that
 // waits holds up those after it, since windows are closed in order.
-func (l *Ledger) Due(now time.Time, last Window) []Window {
-	var due []Window
+func (l *Ledger) Due(now time.Time, last describer.Window) []describer.Window {
+	var due []describer.Window
 	for _, w := range slices.Sorted(maps.Keys(l.counts)) {
 		if w <= last {
 			continue
@@ -156,7 +141,7 @@
 }
 
 // waitFor returns how long after its end a window is closed.
-func (l *Ledger) waitFor(w Window, now time.Time) time.Duration {
+func (l *Ledger) waitFor(w describer.Window, now time.Time) time.Duration {
 	if w.End(l.length).Before(l.began.Add(l.grace)) {
 		return l.patience
 	}
@@ -173,7 +158,7 @@
 
 // Hosts returns how many hosts told counts of a window, and how many of the hosts
 // that counted lately are silent now.
-func (l *Ledger) Hosts(w Window, now time.Time) (told, silent int) {
+func (l *Ledger) Hosts(w describer.Window, now time.Time) (told, silent int) {
 	hosts := make(map[identifier.Host]bool)
 	for s := range l.counts[w] {
 		hosts[s.host] = true
@@ -187,8 +172,8 @@
 }
 
 // Sum returns the counts of all hosts in a window.
-func (l *Ledger) Sum(w Window) Counts {
-	sum := make(Counts)
+func (l *Ledger) Sum(w describer.Window) describer.Counts {
+	sum := make(describer.Counts)
 	for _, c := range l.counts[w] {
 		for customer, n := range c {
 			sum[customer] += n
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"cyclamenhub.org/describer"
 )
 
 const length = 5 * time.Second
@@ -12,7 +14,7 @@
 // TestReportsMayComeTwiceAndLate checks that repeated, late and lost reports
 // change no sum, and that two runs of one host add up.
 func TestReportsMayComeTwiceAndLate(t *testing.T) {
-	start := Window(100).End(length)
+	start := describer.Window(100).End(length)
 	m := NewMeter(length)
 	m.Begin("foodbank", start)
 	early := m.Counts(start)
@@ -26,21 +28,21 @@
 	l.Merge(now, "a", 1, early)
 	l.Merge(now, "a", 1, late)
 	l.Merge(now, "a", 2, early)
-	if diff := cmp.Diff(Counts{"foodbank": 3, "choir": 1}, l.Sum(101)); diff != "" {
+	if diff := cmp.Diff(describer.Counts{"foodbank": 3, "choir": 1}, l.Sum(101)); diff != "" {
 		t.Errorf("sum differs (-want +got):\n%s", diff)
 	}
 }
 
 func TestWindowsAreDueAfterTheirGrace(t *testing.T) {
 	l := NewLedger(length, 2*time.Second, 8*time.Second)
-	end := Window(101).End(length)
-	l.Merge(end.Add(-time.Second), "a", 1, map[Window]Counts{101: {"choir": 1}})
-	l.Merge(end.Add(time.Second), "a", 1, map[Window]Counts{101: {"choir": 1}})
+	end := describer.Window(101).End(length)
+	l.Merge(end.Add(-time.Second), "a", 1, map[describer.Window]describer.Counts{101: {"choir": 1}})
+	l.Merge(end.Add(time.Second), "a", 1, map[describer.Window]describer.Counts{101: {"choir": 1}})
 	if due := l.Due(end.Add(time.Second), 100); len(due) != 0 {
 		t.Errorf("windows %v are due before the grace period has passed", due)
 	}
 	l.Merge(end.Add(2*time.Second), "a", 1, nil)
-	if diff := cmp.Diff([]Window{101}, l.Due(end.Add(2*time.Second), 100)); diff != "" {
+	if diff := cmp.Diff([]describer.Window{101}, l.Due(end.Add(2*time.Second), 100)); diff != "" {
 		t.Errorf("due windows differ (-want +got):\n%s", diff)
 	}
 	if due := l.Due(end.Add(2*time.Second), 101); len(due) != 0 {
@@ -52,20 +54,20 @@
 // the end of a window, and a leader that is new: the window is closed late, and
 // with the counts that came meanwhile.
 func TestWindowsWaitForHostsThatMayComeBack(t *testing.T) {
-	end := Window(101).End(length)
+	end := describer.Window(101).End(length)
 	for _, isNew := range []bool{false, true} {
 		l := NewLedger(length, 2*time.Second, 8*time.Second)
 		if isNew {
 			l.Begin(end.Add(time.Second))
 		} else {
-			l.Merge(end.Add(-time.Second), "cut-off", 1, map[Window]Counts{101: {"choir": 1}})
+			l.Merge(end.Add(-time.Second), "cut-off", 1, map[describer.Window]describer.Counts{101: {"choir": 1}})
 		}
-		l.Merge(end.Add(3*time.Second), "a", 1, map[Window]Counts{101: {"choir": 2}})
+		l.Merge(end.Add(3*time.Second), "a", 1, map[describer.Window]describer.Counts{101: {"choir": 2}})
 		if due := l.Due(end.Add(3*time.Second), 100); len(due) != 0 {
 			t.Errorf("new leader %v: windows %v are closed without all counts", isNew, due)
 		}
-		l.Merge(end.Add(7*time.Second), "cut-off", 1, map[Window]Counts{101: {"choir": 5}})
-		l.Merge(end.Add(7*time.Second), "a", 1, map[Window]Counts{101: {"choir": 2}})
+		l.Merge(end.Add(7*time.Second), "cut-off", 1, map[describer.Window]describer.Counts{101: {"choir": 5}})
+		l.Merge(end.Add(7*time.Second), "a", 1, map[describer.Window]describer.Counts{101: {"choir": 2}})
 		if due := l.Due(end.Add(8*time.Second), 100); len(due) != 1 || l.Sum(101)["choir"] != 7 {
 			t.Errorf("new leader %v: windows %v are due with %v", isNew, due, l.Sum(101))
 		}
@@ -75,27 +77,27 @@
 // TestWindowThatWaitsIsNotOvertaken has a new leader whose first window waits for
 // hosts that it does not know: the next window must not be closed before it.
 func TestWindowThatWaitsIsNotOvertaken(t *testing.T) {
-	end := Window(101).End(length)
+	end := describer.Window(101).End(length)
 	l := NewLedger(length, 2*time.Second, 8*time.Second)
 	l.Begin(end.Add(-500 * time.Millisecond))
 	for at := end; at.Before(end.Add(8 * time.Second)); at = at.Add(250 * time.Millisecond) {
-		l.Merge(at, "a", 1, map[Window]Counts{101: {"choir": 2}, 102: {"choir": 3}})
+		l.Merge(at, "a", 1, map[describer.Window]describer.Counts{101: {"choir": 2}, 102: {"choir": 3}})
 		if due := l.Due(at, 100); len(due) != 0 {
 			t.Fatalf("%v after the end of window 101 windows %v are due", at.Sub(end), due)
 		}
 	}
 	l.Merge(end.Add(8*time.Second), "a", 1, nil)
-	if diff := cmp.Diff([]Window{101, 102}, l.Due(end.Add(8*time.Second), 100)); diff != "" {
+	if diff := cmp.Diff([]describer.Window{101, 102}, l.Due(end.Add(8*time.Second), 100)); diff != "" {
 		t.Errorf("due windows differ (-want +got):\n%s", diff)
 	}
 }
 
 // TestHostsOfAWindow counts a restarted host once, and a host that is silent.
 func TestHostsOfAWindow(t *testing.T) {
-	now := Window(101).End(length)
+	now := describer.Window(101).End(length)
 	l := NewLedger(length, 2*time.Second, 8*time.Second)
-	l.Merge(now, "a", 1, map[Window]Counts{101: {"choir": 1}})
-	l.Merge(now, "a", 2, map[Window]Counts{101: {"choir": 1}})
+	l.Merge(now, "a", 1, map[describer.Window]describer.Counts{101: {"choir": 1}})
+	l.Merge(now, "a", 2, map[describer.Window]describer.Counts{101: {"choir": 1}})
 	l.Merge(now.Add(-silentAfter-1), "b", 1, nil)
 	if told, silent := l.Hosts(101, now); told != 1 || silent != 1 {
 		t.Errorf("%d hosts told counts and %d are silent, want 1 and 1", told, silent)
--- a/matcher/document.go
+++ b/describer/document.go
@@ -1,4 +1,4 @@
-package matcher
+package describer
 
 import (
 	"errors"
@@ -71,22 +71,6 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
-// Service returns the service of a call with the given hash.
-func (r *Route) Service(hash uint64) identifier.Service {
-	var sum float64
-	for _, d := range r.Split {
-		sum += d.Weight
-	}
-	at := float64(hash>>11) / (1 << 53) * sum
-	for _, d := range r.Split {
-		if at < d.Weight {
-			return d.Service
-		}
-		at -= d.Weight
-	}
-	return r.Split[len(r.Split)-1].Service
-}
-
 // Service is a set of backend servers.
 type Service struct {
 	Name identifier.Service
--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/timer"
 )
 
@@ -24,24 +25,9 @@
 	maxPages = 1000
 )
 
-// Page is a part of the list.
-type Page struct {
-	Instances []Instance
-	// Skipped counts entries that could not be read.
-	Skipped int
-	// Next names the following page, or is empty.
-	Next string
-}
-
-// Source reads pages of the list.
-type Source interface {
-	// Page returns the page of that name; the first one has none.
-	Page(ctx context.Context, name string) (Page, error)
-}
-
 // Options configure a Discoverer.
 type Options struct {
-	Source Source
+	Source describer.Source
 	// Interval is the time between two readings; 0 means 700 ms.
 	Interval time.Duration
 	// Timeout bounds one page; 0 means 1 s.
@@ -143,8 +129,8 @@
 }
 
 // readPages reads every page.
-func (d *Discoverer) readPages(ctx context.Context) ([]Instance, error) {
-	var all []Instance
+func (d *Discoverer) readPages(ctx context.Context) ([]describer.Instance, error) {
+	var all []describer.Instance
 	name := ""
 	for range maxPages {
 		pageCtx, cancel := context.WithTimeout(ctx, d.opts.Timeout)
@@ -178,7 +164,7 @@
 
 // note logs which instances came, went or began to leave.
 func (d *Discoverer) note(before, now *Listing) {
-	known := make(map[string]Instance)
+	known := make(map[string]describer.Instance)
 	if before != nil {
 		for _, in := range before.Instances {
 			known[string(in.ID)] = in
--- a/discoverer/discoverer_test.go
+++ b/discoverer/discoverer_test.go
@@ -9,25 +9,26 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/timer"
 )
 
 // pages is a Source of named pages.
-type pages map[string]Page
+type pages map[string]describer.Page
 
-func (p pages) Page(_ context.Context, name string) (Page, error) {
+func (p pages) Page(_ context.Context, name string) (describer.Page, error) {
 	page, ok := p[name]
 	if !ok {
-		return Page{}, errors.New("no such page")
+		return describer.Page{}, errors.New("no such page")
 	}
 	return page, nil
 }
 
 func TestReadingsReplaceEachOther(t *testing.T) {
 	source := pages{
-		"":   {Instances: []Instance{{ID: "a"}, {ID: "b"}}, Next: "p2"},
-		"p2": {Instances: []Instance{{ID: "c", Draining: true}}},
+		"":   {Instances: []describer.Instance{{ID: "a"}, {ID: "b"}}, Next: "p2"},
+		"p2": {Instances: []describer.Instance{{ID: "c", Draining: true}}},
 	}
 	var changes int
 	d := New(Options{
@@ -48,7 +49,7 @@
 		t.Errorf("first reading differs (-want +got):\n%s", diff)
 	}
 
-	source["p2"] = Page{Instances: []Instance{{ID: "c", Draining: true, ColdFor: time.Second}}}
+	source["p2"] = describer.Page{Instances: []describer.Instance{{ID: "c", Draining: true, ColdFor: time.Second}}}
 	if err := d.read(t.Context()); err != nil || changes != 1 {
 		t.Errorf("an equal reading gave error %v and %d changes in all, want 1", err, changes)
 	}
@@ -61,7 +62,7 @@
 		t.Errorf("after a failed reading %d instances are listed, want the 3 of the last one", got)
 	}
 
-	source[""] = Page{Instances: []Instance{{ID: "b"}}}
+	source[""] = describer.Page{Instances: []describer.Instance{{ID: "b"}}}
 	if err := d.read(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -75,7 +76,7 @@
 func TestOfferedListingsSpareReadings(t *testing.T) {
 	clock := timer.NewManual(time.Unix(1000, 0))
 	d := New(Options{Source: pages{}, Clock: clock, Log: slog.New(slog.DiscardHandler)})
-	offered, err := DecodeListing((&Listing{Instances: []Instance{{ID: "a", Service: "model"}}}).Encode())
+	offered, err := DecodeListing((&Listing{Instances: []describer.Instance{{ID: "a", Service: "model"}}}).Encode())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/discoverer/listing.go
+++ b/discoverer/listing.go
@@ -5,31 +5,13 @@
 	"fmt"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
-// Instance is one listed backend server.
-type Instance struct {
-	ID            identifier.BackendServer `json:"id"`
-	Service       identifier.Service       `json:"service"`
-	Address       string                   `json:"address"`
-	FailureDomain identifier.FailureDomain `json:"failureDomain"`
-	Version       identifier.Version       `json:"version"`
-	// Slots is how many requests it runs side by side.
-	Slots int `json:"slots"`
-	// Draining tells that it is leaving and takes no new work.
-	Draining bool `json:"draining,omitempty"`
-	// Reclaimable tells that the platform may take it away at short notice.
-	Reclaimable bool `json:"reclaimable,omitempty"`
-	// ColdFor is how much longer it is slow after its start.
-	ColdFor time.Duration `json:"-"`
-	// Born is when it started, in milliseconds since 1970, or 0 where unknown.
-	Born int64 `json:"born,omitempty"`
-}
-
 // Listing is one reading of the whole list. It is immutable.
 type Listing struct {
-	Instances []Instance `json:"instances"`
+	Instances []describer.Instance `json:"instances"`
 	// At is when the reading began, by the clock of the process that read it.
 	At time.Time `json:"-"`
 }
@@ -71,7 +53,7 @@
 
 // sameInstances reports whether two readings say the same, but for how long
 // servers are cold.
-func sameInstances(a, b []Instance) bool {
+func sameInstances(a, b []describer.Instance) bool {
 	if len(a) != len(b) {
 		return false
 	}
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -12,7 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cyclamenhub.org/connector"
-	"cyclamenhub.org/matcher"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/placer"
 )
 
@@ -28,7 +28,7 @@
 
 // isStream reports whether an answer is a stream of events.
 func (x *exchange) isStream(res *connector.Response) bool {
-	if x.route.Kind != matcher.Streaming || res.Status != http.StatusOK {
+	if x.route.Kind != describer.Streaming || res.Status != http.StatusOK {
 		return false
 	}
 	t, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
@@ -37,7 +37,7 @@
 
 // whole reads an answer that is not a stream and delivers it, or holds it where
 // another backend server may do better.
-func (x *exchange) whole(conn *connector.Conn, res *connector.Response, reply Reply, choice *placer.Choice) (placer.Outcome, ending, string) {
+func (x *exchange) whole(conn *connector.Conn, res *connector.Response, reply describer.Reply, choice *placer.Choice) (placer.Outcome, ending, string) {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	switch {
 	case err != nil:
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cyclamenhub.org/connector"
-	"cyclamenhub.org/discoverer"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/placer"
 )
@@ -137,7 +137,7 @@
 }
 
 // exchangeWith sends the call to a backend server and handles its answer.
-func (x *exchange) exchangeWith(in discoverer.Instance, choice *placer.Choice) (placer.Outcome, ending, string) {
+func (x *exchange) exchangeWith(in describer.Instance, choice *placer.Choice) (placer.Outcome, ending, string) {
 	conn, err := x.f.opts.Pool.Open(x.ctx, in.Address, connector.Pooled)
 	if err != nil {
 		if x.r.Context().Err() != nil {
@@ -179,8 +179,8 @@
 }
 
 // message returns the attempt as it goes over the wire.
-func (x *exchange) message(in discoverer.Instance) *connector.Message {
-	a := &Attempt{Server: in.ID, Left: x.deadline.Sub(x.f.opts.Clock.Now()), LastEvent: x.lastEvent, Priority: x.route.Priority}
+func (x *exchange) message(in describer.Instance) *connector.Message {
+	a := &describer.Attempt{Server: in.ID, Left: x.deadline.Sub(x.f.opts.Clock.Now()), LastEvent: x.lastEvent, Priority: x.route.Priority}
 	if x.customer != nil {
 		a.Customer = x.customer.Name
 		if x.customer.Priority != nil {
@@ -189,7 +189,7 @@
 	}
 	return &connector.Message{
 		Method: x.call.method, Target: x.call.target, Host: x.call.host,
-		Header: x.f.opts.Codec.Encode(x.call, a), Body: x.call.body,
+		Header: x.f.opts.Codec.Encode(x.call.Call, a), Body: x.call.body,
 	}
 }
 
@@ -218,7 +218,7 @@
 
 // ownReply skips answers to other calls, which a faulty backend server may send
 // late, up to the one to this call.
-func (x *exchange) ownReply(conn *connector.Conn, res *connector.Response) (Reply, *connector.Response, error) {
+func (x *exchange) ownReply(conn *connector.Conn, res *connector.Response) (describer.Reply, *connector.Response, error) {
 	for {
 		reply := x.f.opts.Codec.Reply(res.Status, res.Header)
 		if reply.ID == "" || reply.ID == x.call.ID {
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -15,6 +15,7 @@
 
 	"cyclamenhub.org/accountant"
 	"cyclamenhub.org/connector"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/matcher"
@@ -36,12 +37,12 @@
 // testCodec speaks the headers above.
 type testCodec struct{}
 
-func (testCodec) Decode(r *http.Request) (*Call, error) {
+func (testCodec) Decode(r *http.Request) (*describer.Call, error) {
 	h := r.Header
-	return &Call{ID: identifier.AttemptID(h.Get(testID)), Key: h.Get(testKey), LastEvent: h.Get(testEvent), Header: h.Clone()}, nil
+	return &describer.Call{ID: identifier.AttemptID(h.Get(testID)), Key: h.Get(testKey), LastEvent: h.Get(testEvent), Header: h.Clone()}, nil
 }
 
-func (testCodec) Encode(c *Call, a *Attempt) http.Header {
+func (testCodec) Encode(c *describer.Call, a *describer.Attempt) http.Header {
 	h := c.Header.Clone()
 	h.Del("Content-Length")
 	h.Del("Accept-Encoding")
@@ -52,8 +53,8 @@
 	return h
 }
 
-func (testCodec) Reply(_ int, h http.Header) Reply {
-	return Reply{ID: identifier.AttemptID(h.Get(testID)), NotRun: h.Get(testNotRun) != "", Sealed: h.Get(testSeal) != ""}
+func (testCodec) Reply(_ int, h http.Header) describer.Reply {
+	return describer.Reply{ID: identifier.AttemptID(h.Get(testID)), NotRun: h.Get(testNotRun) != "", Sealed: h.Get(testSeal) != ""}
 }
 
 func (testCodec) RetryAfter(h http.Header, after time.Duration) { h.Set("Retry-After", after.String()) }
@@ -188,22 +189,22 @@
 		Meter: g.meter, Retries: RetryBudget{Ratio: 0.1, Reserve: 5},
 		Current: func() bool { return g.current }, Clock: clock, Log: slog.New(slog.DiscardHandler),
 	})
-	d := &matcher.Document{
-		Services: []matcher.Service{{Name: "cases"}},
-		Customers: []matcher.Customer{
+	d := &describer.Document{
+		Services: []describer.Service{{Name: "cases"}},
+		Customers: []describer.Customer{
 			{Name: "foodbank", Keys: []string{"key"}},
 			{Name: "choir", Keys: []string{"low"}, Rate: 0.001, Burst: 1},
 		},
 	}
-	for _, r := range []matcher.Route{
-		{Name: "look", Prefix: "/look/", Kind: matcher.Idempotent, MaxAttempts: 2},
-		{Name: "file", Prefix: "/file/", Kind: matcher.NonIdempotent, MaxAttempts: 1},
-		{Name: "draft", Prefix: "/draft/", Kind: matcher.Streaming, MaxAttempts: 1},
-		{Name: "edit", Prefix: "/edit/", Kind: matcher.Streaming, MaxAttempts: 2, Resumable: true},
-		{Name: "open", Prefix: "/open/", Kind: matcher.Idempotent, MaxAttempts: 1, Anonymous: true},
+	for _, r := range []describer.Route{
+		{Name: "look", Prefix: "/look/", Kind: describer.Idempotent, MaxAttempts: 2},
+		{Name: "file", Prefix: "/file/", Kind: describer.NonIdempotent, MaxAttempts: 1},
+		{Name: "draft", Prefix: "/draft/", Kind: describer.Streaming, MaxAttempts: 1},
+		{Name: "edit", Prefix: "/edit/", Kind: describer.Streaming, MaxAttempts: 2, Resumable: true},
+		{Name: "open", Prefix: "/open/", Kind: describer.Idempotent, MaxAttempts: 1, Anonymous: true},
 	} {
 		r.Host, r.Timeout, r.Target = "127.0.0.1", time.Minute, time.Minute
-		r.Split = []matcher.Destination{{Service: "cases", Weight: 1}}
+		r.Split = []describer.Destination{{Service: "cases", Weight: 1}}
 		d.Routes = append(d.Routes, r)
 	}
 	if err := d.Check(); err != nil {
@@ -212,7 +213,7 @@
 	g.SetTable(matcher.NewTable(1, d))
 	l := &discoverer.Listing{}
 	for i := range 3 {
-		l.Instances = append(l.Instances, discoverer.Instance{
+		l.Instances = append(l.Instances, describer.Instance{
 			ID: identifier.BackendServer(fmt.Sprint("b", i)), Service: "cases", Address: b.start(), Version: "v1", Slots: 4,
 		})
 	}
--- a/forwarder/fleet.go
+++ b/forwarder/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/matcher"
@@ -12,7 +13,7 @@
 // fleet is the listed backend servers, made ready for attempts. It is
 // immutable.
 type fleet struct {
-	servers  map[identifier.BackendServer]discoverer.Instance
+	servers  map[identifier.BackendServer]describer.Instance
 	versions map[identifier.Service]identifier.Version
 	// counts is how many servers of each version take work.
 	counts map[identifier.Service]map[identifier.Version]int
@@ -21,7 +22,7 @@
 // newFleet returns the fleet of a listing.
 func newFleet(l *discoverer.Listing) *fleet {
 	f := &fleet{
-		servers:  make(map[identifier.BackendServer]discoverer.Instance, len(l.Instances)),
+		servers:  make(map[identifier.BackendServer]describer.Instance, len(l.Instances)),
 		versions: make(map[identifier.Service]identifier.Version),
 		counts:   make(map[identifier.Service]map[identifier.Version]int),
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"cyclamenhub.org/accountant"
 	"cyclamenhub.org/connector"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/matcher"
@@ -27,7 +28,7 @@
 
 // Options configure a Forwarder.
 type Options struct {
-	Codec   Codec
+	Codec   describer.Codec
 	Pool    *connector.Pool
 	Placer  *placer.Placer
 	Limiter *sharer.Limiter
@@ -38,7 +39,7 @@
 	// Hosts is how many entry hosts there are thought to be until SetHosts.
 	Hosts int
 	// Tolerance is how far customers may exceed their rates.
-	Tolerance sharer.Tolerance
+	Tolerance describer.Tolerance
 	// Current reports whether this host surely knows the newest withdrawal of
 	// keys. Where it does not, calls with keys are refused.
 	Current func() bool
@@ -95,7 +96,7 @@
 }
 
 // RatesOf returns the rates of a document's customers within a tolerance.
-func RatesOf(d *matcher.Document, t sharer.Tolerance) map[identifier.Customer]sharer.Rate {
+func RatesOf(d *describer.Document, t describer.Tolerance) map[identifier.Customer]sharer.Rate {
 	rates := make(map[identifier.Customer]sharer.Rate, len(d.Customers))
 	for _, c := range d.Customers {
 		rates[c.Name] = sharer.Rate{PerSecond: c.Rate, Burst: c.Burst}.With(t)
@@ -132,10 +133,10 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	ctx      context.Context
-	call     *Call
+	call     *call
 	table    *matcher.Table
-	route    *matcher.Route
-	customer *matcher.Customer
+	route    *describer.Route
+	customer *describer.Customer
 	service  identifier.Service
 	start    time.Time
 	deadline time.Time
@@ -216,7 +217,7 @@
 		patience = min(patience, x.call.Patience)
 	}
 	x.deadline = x.start.Add(patience)
-	x.service = x.route.Service(hashOf(x.call.ID))
+	x.service = matcher.Draw(x.route, hashOf(x.call.ID))
 	return x.limit()
 }
 
@@ -233,12 +234,12 @@
 	case len(body) > most:
 		return &refusal{status: http.StatusRequestEntityTooLarge, why: "the body is too large"}
 	}
-	call, err := x.f.opts.Codec.Decode(x.r)
+	c, err := x.f.opts.Codec.Decode(x.r)
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, why: err.Error()}
 	}
-	call.method, call.target, call.host, call.body = x.r.Method, x.r.RequestURI, x.r.Host, body
-	x.call, x.lastEvent = call, call.LastEvent
+	x.call = &call{Call: c, method: x.r.Method, target: x.r.RequestURI, host: x.r.Host, body: body}
+	x.lastEvent = c.LastEvent
 	return nil
 }
 
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
 	"cyclamenhub.org/placer"
@@ -68,7 +68,7 @@
 }
 
 // encodeWindow returns the protobuf form of a window's counts.
-func encodeWindow(w accountant.Window, counts accountant.Counts) *wire.WindowCounts {
+func encodeWindow(w describer.Window, counts describer.Counts) *wire.WindowCounts {
 	out := &wire.WindowCounts{Window: int64(w), Counts: make(map[string]int64, len(counts))}
 	for c, n := range counts {
 		out.Counts[string(c)] = n
@@ -77,14 +77,14 @@
 }
 
 // decodeWindows returns the counts of windows.
-func decodeWindows(ws []*wire.WindowCounts) map[accountant.Window]accountant.Counts {
-	out := make(map[accountant.Window]accountant.Counts, len(ws))
+func decodeWindows(ws []*wire.WindowCounts) map[describer.Window]describer.Counts {
+	out := make(map[describer.Window]describer.Counts, len(ws))
 	for _, w := range ws {
-		counts := make(accountant.Counts, len(w.GetCounts()))
+		counts := make(describer.Counts, len(w.GetCounts()))
 		for c, n := range w.GetCounts() {
 			counts[identifier.Customer(c)] = n
 		}
-		out[accountant.Window(w.GetWindow())] = counts
+		out[describer.Window(w.GetWindow())] = counts
 	}
 	return out
 }
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/keeper"
 	"cyclamenhub.org/platform"
@@ -30,7 +30,7 @@
 	// lead.
 	since    time.Time
 	term     identifier.FencingNumber
-	reported map[accountant.Window]bool
+	reported map[describer.Window]bool
 	scaler   *scaler.Scaler
 	planned  time.Time
 }
@@ -60,7 +60,7 @@
 func (n *keeperNode) takeDuties(lease keeper.Lease) {
 	now := n.clock.Now()
 	n.duties = duties{
-		since: now, term: lease.Fencing(), reported: make(map[accountant.Window]bool),
+		since: now, term: lease.Fencing(), reported: make(map[describer.Window]bool),
 		scaler: scaler.New(lease.Fencing() == firstFencing),
 	}
 	n.mu.Lock()
@@ -78,14 +78,14 @@
 // closingWindow is a window that is due, with its counts, the hosts that told
 // them and the hosts that are silent.
 type closingWindow struct {
-	accountant.Window
-	sum          accountant.Counts
+	describer.Window
+	sum          describer.Counts
 	told, silent int
 }
 
 // closeWindows records the windows that are due.
 func (n *keeperNode) closeWindows(ctx context.Context) {
-	var last accountant.Window
+	var last describer.Window
 	if ws := n.view().Windows; len(ws) > 0 {
 		last = ws[len(ws)-1].Window
 	}
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -11,11 +11,11 @@
 
 	"cyclamenhub.org/accountant"
 	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/forwarder"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/keeper"
-	"cyclamenhub.org/matcher"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/platform"
 	"cyclamenhub.org/reducer"
@@ -70,7 +70,7 @@
 	// loads is what the hosts have at work.
 	loads loads
 	// document is the newest one, or nil before the first.
-	document *matcher.Document
+	document *describer.Document
 	// rollouts decides about the rollouts of the machine's book.
 	rollouts *roller.Controller
 	// listings is what this keeper reads of the list while it holds the duties.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
 	"cyclamenhub.org/placer"
@@ -151,7 +151,7 @@
 	if diff := cmp.Diff(grants, grantsOf(&resp)); diff != "" {
 		t.Errorf("grants differ (-want +got):\n%s", diff)
 	}
-	windows := map[accountant.Window]accountant.Counts{7: {"c": 3}}
+	windows := map[describer.Window]describer.Counts{7: {"c": 3}}
 	if diff := cmp.Diff(windows, decodeWindows([]*wire.WindowCounts{encodeWindow(7, windows[7])})); diff != "" {
 		t.Errorf("windows differ (-want +got):\n%s", diff)
 	}
--- a/matcher/table.go
+++ b/matcher/table.go
@@ -5,25 +5,26 @@
 	"slices"
 	"strings"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
 // Table is a Document made ready for lookups. It is immutable.
 type Table struct {
 	revision  identifier.Revision
-	routes    map[string][]*Route // by host, the longest prefix first
-	customers map[string]*Customer
-	services  map[identifier.Service]*Service
-	document  *Document
+	routes    map[string][]*describer.Route // by host, the longest prefix first
+	customers map[string]*describer.Customer
+	services  map[identifier.Service]*describer.Service
+	document  *describer.Document
 }
 
 // NewTable returns the table of a checked document, which it keeps.
-func NewTable(revision identifier.Revision, d *Document) *Table {
+func NewTable(revision identifier.Revision, d *describer.Document) *Table {
 	t := &Table{
 		revision: revision, document: d,
-		routes:    make(map[string][]*Route),
-		customers: make(map[string]*Customer),
-		services:  make(map[identifier.Service]*Service, len(d.Services)),
+		routes:    make(map[string][]*describer.Route),
+		customers: make(map[string]*describer.Customer),
+		services:  make(map[identifier.Service]*describer.Service, len(d.Services)),
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -31,7 +32,7 @@
 		t.routes[host] = append(t.routes[host], r)
 	}
 	for _, list := range t.routes {
-		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortFunc(list, func(a, b *describer.Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for i := range d.Customers {
 		for _, k := range d.Customers[i].Keys {
@@ -48,11 +49,11 @@
 func (t *Table) Revision() identifier.Revision { return t.revision }
 
 // Document returns the document, which must not be changed.
-func (t *Table) Document() *Document { return t.document }
+func (t *Table) Document() *describer.Document { return t.document }
 
 // Route returns the route of a call by its host, with or without a port, and
 // its path.
-func (t *Table) Route(host, path string) (*Route, bool) {
+func (t *Table) Route(host, path string) (*describer.Route, bool) {
 	host = strings.ToLower(host)
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
@@ -65,17 +66,34 @@
 	return nil, false
 }
 
+// Draw returns the service of a call on r with the given hash, by the weights of
+// the split.
+func Draw(r *describer.Route, hash uint64) identifier.Service {
+	var sum float64
+	for _, d := range r.Split {
+		sum += d.Weight
+	}
+	at := float64(hash>>11) / (1 << 53) * sum
+	for _, d := range r.Split {
+		if at < d.Weight {
+			return d.Service
+		}
+		at -= d.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
 // HasCustomers reports whether calls carry keys at all.
 func (t *Table) HasCustomers() bool { return len(t.document.Customers) > 0 }
 
 // Customer returns the customer that holds a key.
-func (t *Table) Customer(key string) (*Customer, bool) {
+func (t *Table) Customer(key string) (*describer.Customer, bool) {
 	c, ok := t.customers[key]
 	return c, ok
 }
 
 // Service returns a service by its name.
-func (t *Table) Service(name identifier.Service) (*Service, bool) {
+func (t *Table) Service(name identifier.Service) (*describer.Service, bool) {
 	s, ok := t.services[name]
 	return s, ok
 }
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -46,18 +47,12 @@
 	farMs = 3.0
 )
 
-// Part is a part of a prompt, which other prompts may share.
-type Part struct {
-	ID     string
-	Tokens identifier.Tokens
-}
-
 // Request is what the placer knows of a call.
 type Request struct {
 	Service identifier.Service
 	Version identifier.Version
 	// Parts are those of the prompt, in order. The last one is the call's own.
-	Parts []Part
+	Parts []describer.Part
 	// Prompt and Output are the tokens of the prompt and those expected to be
 	// generated.
 	Prompt, Output identifier.Tokens
@@ -66,7 +61,7 @@
 }
 
 // shared returns the parts that other prompts may share.
-func (r *Request) shared() []Part {
+func (r *Request) shared() []describer.Part {
 	if len(r.Parts) < 2 {
 		return nil
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/timer"
 )
@@ -63,7 +64,7 @@
 func draft(subject string) Request {
 	return Request{
 		Service: "model", Version: "v1", Prompt: 12000, Output: 400,
-		Parts: []Part{{"kind", 512}, {subject, 4870}, {"own", 6618}},
+		Parts: []describer.Part{{ID: "kind", Tokens: 512}, {ID: subject, Tokens: 4870}, {ID: "own", Tokens: 6618}},
 	}
 }
 
--- a/placer/server.go
+++ b/placer/server.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -155,7 +156,7 @@
 }
 
 // hold remembers the parts of a prompt.
-func (s *state) hold(parts []Part, now time.Time) {
+func (s *state) hold(parts []describer.Part, now time.Time) {
 	if len(s.held) >= heldParts {
 		for id, at := range s.held {
 			if now.Sub(at) >= heldFor {
--- a/reducer/documents_test.go
+++ b/reducer/documents_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -60,10 +60,10 @@
 func TestWindowsCloseOnce(t *testing.T) {
 	var s State
 	for _, ev := range []CloseWindow{
-		{Window: 7, Counts: accountant.Counts{"choir": 1}},
-		{Window: 7, Counts: accountant.Counts{"choir": 2}},
-		{Window: 8, Counts: accountant.Counts{"choir": 3}},
-		{Window: 6, Counts: accountant.Counts{"choir": 4}},
+		{Window: 7, Counts: describer.Counts{"choir": 1}},
+		{Window: 7, Counts: describer.Counts{"choir": 2}},
+		{Window: 8, Counts: describer.Counts{"choir": 3}},
+		{Window: 6, Counts: describer.Counts{"choir": 4}},
 	} {
 		Reduce(&s, ev)
 	}
@@ -71,7 +71,7 @@
 	if err := restored.Restore(s.Snapshot()); err != nil {
 		t.Fatal(err)
 	}
-	want := []ClosedWindow{{7, accountant.Counts{"choir": 1}}, {8, accountant.Counts{"choir": 3}}}
+	want := []ClosedWindow{{7, describer.Counts{"choir": 1}}, {8, describer.Counts{"choir": 3}}}
 	if diff := cmp.Diff(want, restored.View().Windows); diff != "" {
 		t.Errorf("windows differ (-want +got):\n%s", diff)
 	}
--- a/reducer/windows.go
+++ b/reducer/windows.go
@@ -4,7 +4,7 @@
 	"maps"
 	"time"
 
-	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -15,17 +15,17 @@
 // CloseWindow records what customers used in a window of time. The first record
 // of a window is final, so that two leaders in turn report the same.
 type CloseWindow struct {
-	Window accountant.Window `json:"window"`
-	Counts accountant.Counts `json:"counts"`
-	At     time.Time         `json:"at"`
+	Window describer.Window `json:"window"`
+	Counts describer.Counts `json:"counts"`
+	At     time.Time        `json:"at"`
 }
 
 func (CloseWindow) isEvent() {}
 
 // ClosedWindow is a window whose counts are final.
 type ClosedWindow struct {
-	Window accountant.Window `json:"window"`
-	Counts accountant.Counts `json:"counts"`
+	Window describer.Window `json:"window"`
+	Counts describer.Counts `json:"counts"`
 }
 
 // closeWindow applies ev.
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
-	"cyclamenhub.org/matcher"
 )
 
 // Interval is the time between two plans.
@@ -77,7 +77,7 @@
 }
 
 // Plan returns the orders that are due. Calls are those at work at each service.
-func (s *Scaler) Plan(now time.Time, services []matcher.Service, l *discoverer.Listing, calls map[identifier.Service]int) []Order {
+func (s *Scaler) Plan(now time.Time, services []describer.Service, l *discoverer.Listing, calls map[identifier.Service]int) []Order {
 	var out []Order
 	for i := range services {
 		if c := services[i].Scaling; c != nil {
@@ -139,7 +139,7 @@
 }
 
 // plan returns the orders for one service that needs a number of servers.
-func (s *Scaler) plan(now time.Time, service identifier.Service, c *matcher.Scaling, l *discoverer.Listing, needed int) []Order {
+func (s *Scaler) plan(now time.Time, service identifier.Service, c *describer.Scaling, l *discoverer.Listing, needed int) []Order {
 	domains := slices.SortedFunc(maps.Keys(c.Prices), func(a, b identifier.FailureDomain) int {
 		return cmp.Or(cmp.Compare(c.Prices[a], c.Prices[b]), cmp.Compare(a, b))
 	})
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
-	"cyclamenhub.org/matcher"
 )
 
 const service = identifier.Service("model")
@@ -18,7 +18,7 @@
 	t       *testing.T
 	now     time.Time
 	scaler  *Scaler
-	service matcher.Service
+	service describer.Service
 	have    map[Place][]time.Time // when each server is ready
 	dry     time.Time
 	calls   int
@@ -31,7 +31,7 @@
 // newMarket returns a market with nine servers at the full price.
 func newMarket(t *testing.T) *market {
 	m := &market{t: t, now: time.Unix(1000, 0), scaler: New(false), have: make(map[Place][]time.Time)}
-	m.service = matcher.Service{Name: service, Scaling: &matcher.Scaling{
+	m.service = describer.Service{Name: service, Scaling: &describer.Scaling{
 		Min: 1, Max: 6, BootTime: bootTime, ReclaimablePrice: 0.2,
 		Prices: map[identifier.FailureDomain]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
 	}}
@@ -45,7 +45,7 @@
 // run lets time pass.
 func (m *market) run(d time.Duration) {
 	for end := m.now.Add(d); m.now.Before(end); m.now = m.now.Add(Interval) {
-		for _, o := range m.scaler.Plan(m.now, []matcher.Service{m.service}, m.listing(), map[identifier.Service]int{service: m.calls}) {
+		for _, o := range m.scaler.Plan(m.now, []describer.Service{m.service}, m.listing(), map[identifier.Service]int{service: m.calls}) {
 			m.order(o)
 		}
 		for p, list := range m.have {
@@ -80,7 +80,7 @@
 	for p, list := range m.have {
 		for i, ready := range list {
 			if !m.now.Before(ready) {
-				l.Instances = append(l.Instances, discoverer.Instance{
+				l.Instances = append(l.Instances, describer.Instance{
 					ID: identifier.BackendServer(fmt.Sprint(p, i)), Service: service, FailureDomain: p.FailureDomain, Reclaimable: p.Reclaimable,
 				})
 			}
@@ -164,7 +164,7 @@
 	orders := 0
 	for i := range 60 {
 		m.calls = 60 + 40*(i%2)
-		before := len(m.scaler.Plan(m.now, []matcher.Service{m.service}, m.listing(), map[identifier.Service]int{service: m.calls}))
+		before := len(m.scaler.Plan(m.now, []describer.Service{m.service}, m.listing(), map[identifier.Service]int{service: m.calls}))
 		orders += before
 		m.run(2 * time.Second)
 	}
@@ -180,7 +180,7 @@
 	all := m.listing().Instances
 	for n := 0; n <= len(all); n += 3 {
 		part := &discoverer.Listing{Instances: all[:n], At: m.now}
-		for _, o := range m.scaler.Plan(m.now, []matcher.Service{m.service}, part, nil) {
+		for _, o := range m.scaler.Plan(m.now, []describer.Service{m.service}, part, nil) {
 			if listed(service, part)[o.Place].ready > o.Count {
 				t.Errorf("with %d of %d servers listed %d are ordered in %+v", n, len(all), o.Count, o.Place)
 			}
--- a/sharer/divider.go
+++ b/sharer/divider.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -26,20 +27,13 @@
 	Burst float64
 }
 
-// Tolerance is how far a customer may exceed its rate in any window of time.
-type Tolerance struct {
-	// Overrun is a part of the rate and the burst, and Slack is allowed besides.
-	Overrun, Slack float64
-	Window         time.Duration
-}
-
 // tolerancePart is the part of a tolerance that is given away, so that no call
 // is refused that is allowed. The rest covers what hosts take before they hear
 // of each other.
 const tolerancePart = 0.5
 
 // With returns the rate that makes use of a tolerance. A rate of 0 stays.
-func (r Rate) With(t Tolerance) Rate {
+func (r Rate) With(t describer.Tolerance) Rate {
 	if r.PerSecond <= 0 || t.Window <= 0 {
 		return r
 	}
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/timer"
 )
@@ -112,7 +113,7 @@
 // times its usual at all hosts: over eight seconds the fleet stays within a
 // tenth, and a fixed slack, above the rate and the burst.
 func TestSurgeStaysWithinTheOverrun(t *testing.T) {
-	tolerance := Tolerance{Overrun: 0.1, Slack: 140000, Window: 8 * time.Second}
+	tolerance := describer.Tolerance{Overrun: 0.1, Slack: 140000, Window: 8 * time.Second}
 	for _, n := range []int{hosts, grownHosts} {
 		for _, rate := range []float64{30000, 200000, 400000} {
 			for seed := range uint64(20) {
@@ -123,7 +124,7 @@
 }
 
 // surge plays a surge at n hosts.
-func surge(t *testing.T, n int, rate float64, seed uint64, tolerance Tolerance) {
+func surge(t *testing.T, n int, rate float64, seed uint64, tolerance describer.Tolerance) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	f := newFleet(n, Rate{PerSecond: rate, Burst: rate}.With(tolerance))
 	f.play(4, 0.55*rate, 3000, func() int { return rng.IntN(n) })
