timer: one loop that looks again after a while; accountant: silent hosts are counted in one place

pace (internal/node) and every (internal/daemon) were the same loop, and the ledger looked for silent hosts twice, of which one forgot those that are gone for good.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -145,15 +145,25 @@
 	if w.End(l.length).Before(l.began.Add(l.grace)) {
 		return l.patience
 	}
+	if l.silent(now) > 0 {
+		return l.patience
+	}
+	return l.grace
+}
+
+// silent returns how many of the hosts that counted lately are silent, and
+// forgets those that are gone for good.
+func (l *Ledger) silent(now time.Time) int {
+	n := 0
 	for host, at := range l.heard {
 		switch silence := now.Sub(at); {
 		case silence > 2*l.patience:
-			delete(l.heard, host) // It is gone for good.
+			delete(l.heard, host)
 		case silence > silentAfter:
-			return l.patience
+			n++
 		}
 	}
-	return l.grace
+	return n
 }
 
 // Hosts returns how many hosts told counts of a window, and how many of the hosts
@@ -163,12 +173,7 @@
 	for s := range l.counts[w] {
 		hosts[s.host] = true
 	}
-	for _, at := range l.heard {
-		if now.Sub(at) > silentAfter {
-			silent++
-		}
-	}
-	return len(hosts), silent
+	return len(hosts), l.silent(now)
 }
 
 // Sum returns the counts of all hosts in a window.
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -20,6 +20,7 @@
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/roller"
+	"cyclamenhub.org/timer"
 )
 
 var (
@@ -96,31 +97,20 @@
 
 // runJudges runs this host's tests and reports to the keepers until ctx ends.
 func (d *Daemon) runJudges(ctx context.Context) {
-	every(ctx, judgeInterval, d.judges.Running, func() {
+	timer.Repeat(ctx, 0, func() time.Duration {
 		for _, r := range d.judges.Tick(d.clock.Now(), d.dist.Confirmed()) {
 			d.reportRollout(ctx, r)
 		}
+		return pause(d.judges.Running(), judgeInterval)
 	})
 }
 
-// every calls f until ctx ends: once an interval while running says so, and
-// else once an idleInterval.
-func every(ctx context.Context, interval time.Duration, running func() bool, f func()) {
-	t := time.NewTimer(0)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		f()
-		if running() {
-			t.Reset(interval)
-		} else {
-			t.Reset(idleInterval)
-		}
+// pause returns the time until the next look at the rollouts.
+func pause(running bool, interval time.Duration) time.Duration {
+	if running {
+		return interval
 	}
+	return idleInterval
 }
 
 // reportRollout sends one report to every keeper.
@@ -175,10 +165,11 @@
 	if c.keeper == nil {
 		return
 	}
-	every(ctx, decideInterval, c.hasRollouts, func() {
+	timer.Repeat(ctx, 0, func() time.Duration {
 		for _, e := range c.decideRollouts(now()) {
 			c.proposeRollout(ctx, e)
 		}
+		return pause(c.hasRollouts(), decideInterval)
 	})
 }
 
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -17,6 +17,7 @@
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/roller"
+	"cyclamenhub.org/timer"
 )
 
 // rolloutTopic carries the directives of the rollouts.
@@ -169,7 +170,7 @@
 // runRollouts proposes the events that are due while this keeper leads, until
 // ctx ends.
 func (n *keeperNode) runRollouts(ctx context.Context) {
-	pace(ctx, 0, func() time.Duration {
+	timer.Repeat(ctx, 0, func() time.Duration {
 		events, running := n.dueRollouts()
 		for _, e := range events {
 			if err := n.propose(ctx, reducer.Rollout{Event: e}); err != nil {
@@ -249,7 +250,7 @@
 // runJudges runs this host's own tests and reports to the leading keeper until
 // ctx ends.
 func (e *entry) runJudges(ctx context.Context) {
-	pace(ctx, idleInterval, func() time.Duration {
+	timer.Repeat(ctx, idleInterval, func() time.Duration {
 		heard := e.steps.Now()
 		if age, ok := e.confirmed.age(e.steps); ok {
 			heard = heard.Add(-age)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -77,21 +77,6 @@
 	}
 }
 
-// pace calls f after a first wait, and then again and again after the time that it
-// returned, until ctx ends.
-func pace(ctx context.Context, first time.Duration, f func() time.Duration) {
-	t := time.NewTimer(first)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		t.Reset(f())
-	}
-}
-
 // newServer returns an HTTP server with bounded patience.
 func newServer(h http.Handler, log *slog.Logger) *http.Server {
 	return &http.Server{
--- a/timer/doc.go
+++ b/timer/doc.go
@@ -3,6 +3,7 @@
 //
 // Decision code never calls time.Now. It is handed a Clock, or the time comes
 // with the event. Tests hand over a Manual clock and advance it by hand.
+// Repeat is the loop of whatever looks again after a while.
 //
 // # Usage
 //
