messenger: calls on a session that is given up end before its connection is closed

SIGQUIT showed a call in yamux's Stream.Read and the watch of the silent session in Session.Close, waiting in the connection's Close for the connection's reader.

Cause: yamux wakes the readers of a session's streams when it begins to end the session, but ends the streams only after it has closed the connection below. Until then a reader looks again and again without a pause. With one processor and GODEBUG=asyncpreemptoff=1, as the platform runs its processes, the reader of the connection never gets to run, and the process never does anything else. Elsewhere it costs processor time until the scheduler steps in.

Ruled out: a loop of ours (the stack shows none); the loop in timer (the same code as before, and not on the stack).

The connection that yamux is handed ends the calls on its streams when it is closed, which is the first thing that yamux does after waking them. The test holds the connection's Close up and failed first: the call went on.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -167,30 +167,38 @@
 	defer cancel()
 	go s.watch(ctx, &m.opts)
 
-	st, err := s.mux.OpenStream()
+	st, err := s.openStream()
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = st.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	defer s.closeStream(st)
+	stop := context.AfterFunc(ctx, func() { expire(st) })
 	defer stop()
 
 	if err := writeFrame(st, &wire.Frame{Method: string(method), From: string(m.opts.Host), Body: body}); err != nil {
-		return nil, causeOf(ctx, err)
+		return nil, causeOf(ctx, s, err)
 	}
 	f, err := readFrame(st)
 	if err != nil {
-		return nil, causeOf(ctx, err)
+		return nil, causeOf(ctx, s, err)
 	}
 	return f, nil
 }
 
-// causeOf prefers the context's error to the I/O error that it brought about.
-func causeOf(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+// errSessionEnded is the error of calls whose session ended.
+var errSessionEnded = errors.New("the session ended before the answer came")
+
+// causeOf prefers the context's error and the end of the session to the I/O error
+// that they brought about.
+func causeOf(ctx context.Context, s *session, err error) error {
+	switch {
+	case ctx.Err() != nil:
 		return ctx.Err()
+	case s.closed():
+		return errSessionEnded
+	default:
+		return err
 	}
-	return err
 }
 
 // decodeAnswer decodes an answer frame into resp.
@@ -325,13 +333,14 @@
 	}()
 	running := make(chan struct{}, maxCallsPerSession)
 	for {
-		st, err := s.mux.AcceptStream()
+		st, err := s.acceptStream()
 		if err != nil {
 			return
 		}
 		running <- struct{}{}
 		go func() {
 			defer func() { <-running }()
+			defer s.closeStream(st)
 			m.serveStream(ctx, st)
 		}()
 	}
@@ -339,7 +348,6 @@
 
 // serveStream answers one call.
 func (m *Messenger) serveStream(ctx context.Context, st *yamux.Stream) {
-	defer func() { _ = st.Close() }()
 	f, err := readFrame(st)
 	if err != nil {
 		return
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -300,3 +300,52 @@
 		}
 	}
 }
+
+// heldConn is a connection whose Close waits, as one waits for a reader of the
+// same connection.
+type heldConn struct {
+	net.Conn
+	release chan struct{}
+}
+
+func (c *heldConn) Close() error {
+	<-c.release
+	return c.Conn.Close()
+}
+
+// TestCallsEndBeforeTheirConnectionIsClosed checks that the calls on a session
+// that is given up end at once. They must not read on, again and again, until
+// the connection below is closed: on one processor nothing else would run.
+func TestCallsEndBeforeTheirConnectionIsClosed(t *testing.T) {
+	a := newAlarm()
+	entered := make(chan struct{})
+	client, p := pair(t, a, func(ctx context.Context, _ *Call) (proto.Message, error) {
+		close(entered)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	release := make(chan struct{})
+	client.opts.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := p.dial(ctx, address)
+		return &heldConn{Conn: c, release: release}, err
+	}
+	done := make(chan error, 1)
+	go func() { done <- client.Call(t.Context(), "server", testMethod, &wire.Empty{}, &wire.Empty{}) }()
+	<-entered
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		client.sessions["server"].close()
+	}()
+	select {
+	case err := <-done:
+		var u *UnreachableError
+		if !errors.As(err, &u) || u.NotSent {
+			t.Errorf("the call ended with %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the call goes on while its connection is being closed")
+	}
+	close(release)
+	<-closed
+}
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,11 +13,59 @@
 	"cyclamenhub.org/timer"
 )
 
+// streams are those of one session that calls are using. When yamux begins to end
+// a session it wakes their readers and writers, which then look again and again,
+// without a pause, until the connection below is closed. Closing it waits for its
+// reader, which never gets to run where these keep the one processor busy: so
+// their calls are ended first.
+type streams struct {
+	mu    sync.Mutex
+	open  map[*yamux.Stream]struct{}
+	ended bool
+}
+
+// add notes a stream that a call begins to use.
+func (s *streams) add(st *yamux.Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = make(map[*yamux.Stream]struct{})
+	}
+	s.open[st] = struct{}{}
+	if s.ended {
+		expire(st)
+	}
+}
+
+// remove forgets a stream.
+func (s *streams) remove(st *yamux.Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, st)
+}
+
+// end ends the calls on all streams, and on those that are still to come.
+func (s *streams) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	for st := range s.open {
+		expire(st)
+	}
+}
+
+// expire ends reads and writes of st.
+func expire(st *yamux.Stream) {
+	// A stream takes any time.
+	_ = st.SetDeadline(time.Unix(1, 0))
+}
+
 // watchedConn is a connection that remembers when bytes last arrived.
 type watchedConn struct {
 	net.Conn
 	clock    timer.Clock
 	lastRead atomic.Int64 // Unix nanoseconds
+	streams  streams
 }
 
 // newWatchedConn wraps c; the wrap counts as an arrival.
@@ -43,6 +92,13 @@
 	return n, err
 }
 
+// Close ends the calls and closes the connection. yamux calls it as soon as it
+// begins to end the session.
+func (w *watchedConn) Close() error {
+	w.streams.end()
+	return w.Conn.Close()
+}
+
 // heardSince reports whether a byte arrived after t.
 func (w *watchedConn) heardSince(t time.Time) bool { return w.lastRead.Load() > t.UnixNano() }
 
@@ -80,6 +136,33 @@
 // streamCloseTimeout bounds how long a half-closed stream is kept.
 const streamCloseTimeout = 30 * time.Second
 
+// openStream opens a stream for a call to the peer.
+func (s *session) openStream() (*yamux.Stream, error) {
+	st, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	s.conn.streams.add(st)
+	return st, nil
+}
+
+// acceptStream waits for the stream of a call of the peer.
+func (s *session) acceptStream() (*yamux.Stream, error) {
+	st, err := s.mux.AcceptStream()
+	if err != nil {
+		return nil, err
+	}
+	s.conn.streams.add(st)
+	return st, nil
+}
+
+// closeStream ends a stream.
+func (s *session) closeStream(st *yamux.Stream) {
+	s.conn.streams.remove(st)
+	// It fails where the session has ended, and the stream with it.
+	_ = st.Close()
+}
+
 // close ends the session and its connection.
 func (s *session) close() { _ = s.mux.Close() }
 
