node: a host that stops leaves its last counts with any keeper that it reaches

They tell all keepers at once now; one that does not lead passes the counts on once it reaches the leader, and no window waits for a host that took its leave.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// Leave takes in the last counts of a run of a host, which stops: no window waits
+// for it any more.
+func (l *Ledger) Leave(now time.Time, host identifier.Host, run uint64, counts map[describer.Window]describer.Counts) {
+	l.Merge(now, host, run, counts)
+	delete(l.heard, host)
+}
+
 // join raises each count to the reported one.
 func (l *Ledger) join(w describer.Window, s source, c describer.Counts) {
 	held := l.counts[w][s]
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -103,3 +103,18 @@
 		t.Errorf("%d hosts told counts and %d are silent, want 1 and 1", told, silent)
 	}
 }
+
+// TestStoppedHostIsNotWaitedFor checks that the last word of a host that stops is
+// counted, and that no window waits for the host to speak again.
+func TestStoppedHostIsNotWaitedFor(t *testing.T) {
+	l := NewLedger(length, 2*time.Second, 8*time.Second)
+	end := describer.Window(101).End(length)
+	l.Merge(end.Add(-2*time.Second), "a", 1, map[describer.Window]describer.Counts{101: {"choir": 1}})
+	l.Leave(end.Add(-time.Second), "a", 1, map[describer.Window]describer.Counts{101: {"choir": 2}})
+	if diff := cmp.Diff([]describer.Window{101}, l.Due(end.Add(2*time.Second), 100)); diff != "" {
+		t.Errorf("due windows differ (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(describer.Counts{"choir": 2}, l.Sum(101)); diff != "" {
+		t.Errorf("sum differs (-want +got):\n%s", diff)
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -175,13 +175,6 @@
 	e.handOver()
 }
 
-// handOver tells the leader the last counts.
-func (e *entry) handOver() {
-	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
-	defer cancel()
-	e.syncOnce(ctx)
-}
-
 // closing asks callers to use another connection once the host stops.
 func (e *entry) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -77,6 +77,7 @@
 	listings listings
 
 	duties duties
+	left   leftCounts
 }
 
 // RunKeeper runs a keeper until ctx ends.
@@ -117,6 +118,7 @@
 	n.dist.Register(n.messenger)
 	n.peers = keeper.NewPeers(n.messenger, func(h identifier.Host) (string, bool) { return cfg.PeerAddress(h), true })
 	n.messenger.Handle(syncMethod, n.handleSync)
+	n.messenger.Handle(leaveMethod, n.handleLeave)
 	n.messenger.Handle(judgeMethod, n.handleJudgement)
 	return n
 }
@@ -153,6 +155,7 @@
 	wg.Go(func() { n.confirm(background) })
 	wg.Go(func() { n.reopen(background) })
 	wg.Go(func() { n.runDuties(background) })
+	wg.Go(func() { n.passOn(background) })
 	wg.Go(func() { n.runRollouts(background) })
 	wg.Go(func() { n.contacts.reload(background, opts) })
 	n.log.Info("started", "address", n.cfg.Host, "failureDomain", n.cfg.FailureDomain,
