forwarder: a generation that is stuck has not begun

The change before counted a generation without an event wherever it was sent long enough ago. Only one whose caller left counts now, and only within twice the time expected to the first token and 250 ms.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -265,19 +265,24 @@
 	}
 }
 
+// firstLeeway is how much longer than twice the time expected an engine may take
+// to its first event: one that takes longer is stuck, and has made no token.
+const firstLeeway = 250 * time.Millisecond
+
 // mayHaveRun notes an attempt without an answer that a backend server may have
 // run. A plain call begins when it arrives, and a generation with its first
-// token: one whose event did not come counts once that token is thought to have
-// been made.
+// token: one whose caller left before its first event counts where that token is
+// thought to have been made.
 func (x *exchange) mayHaveRun(sentAt time.Time, choice *placer.Choice) {
 	x.runs++
 	if x.route.Kind != describer.Streaming {
 		x.count(sentAt)
 		return
 	}
-	first := sentAt.Add(choice.ExpectedFirst())
-	if choice.ExpectedFirst() > 0 && !first.After(x.f.opts.TimeOfDay.Now()) {
-		x.count(first)
+	expected, passed := choice.ExpectedFirst(), x.f.opts.TimeOfDay.Now().Sub(sentAt)
+	hasLeft := x.r.Context().Err() != nil
+	if hasLeft && expected > 0 && passed >= expected && passed < 2*expected+firstLeeway {
+		x.count(sentAt.Add(expected))
 	}
 }
 
