scaler: the need is bounded by servers in use, not by those that were ready

Each batch raised the peak of ready servers that bounds the need, before it had worked anything off.

The bound follows the servers that were ready for 2 s and needed by the calls at work now, with three more, so that small services can still grow.

--- a/scaler/demand.go
+++ b/scaler/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cyclamenhub.org/discoverer"
@@ -20,19 +21,42 @@
 	// settleFor is how long the number of servers found has to stand before any
 	// is given up: a list that lags shows them one after the other.
 	settleFor = 1500 * time.Millisecond
-	// mostGrowth bounds the need by the recent peak of the servers that were
-	// ready: calls that queue at too few servers would have the need overshoot.
-	// readyHalf is the time in which that peak loses half its weight.
+	// mostGrowth bounds the need by the recent peak of the servers that were in
+	// use, those that were ready for steadyFor and needed: calls that queue at too
+	// few servers would have the need overshoot, and new servers have to work off
+	// what has queued before it tells of the load again. usedHalf is the time in
+	// which that peak loses half its weight.
 	mostGrowth = 1.6
-	readyHalf  = 20 * time.Second
+	steadyFor  = 2 * time.Second
+	usedHalf   = 20 * time.Second
 	// demandHalf is the time in which a higher load of the past loses half its
 	// weight. A rise counts at once.
 	demandHalf = 6 * time.Second
 )
 
-// demand is the recent peaks of the calls at work and of the servers that were
-// ready.
-type demand struct{ calls, ready peak }
+// demand is the recent peaks of the calls at work and of the servers in use.
+type demand struct {
+	calls, used peak
+	ready       []reading
+}
+
+// reading is how many servers were ready at a time.
+type reading struct {
+	at    time.Time
+	ready int
+}
+
+// steady takes in how many servers are ready and returns how many were all the
+// time since steadyFor ago.
+func (d *demand) steady(now time.Time, ready int) int {
+	d.ready = slices.DeleteFunc(d.ready, func(r reading) bool { return now.Sub(r.at) > steadyFor })
+	d.ready = append(d.ready, reading{now, ready})
+	least := ready
+	for _, r := range d.ready {
+		least = min(least, r.ready)
+	}
+	return least
+}
 
 // peak is a highest value that fades.
 type peak struct {
@@ -94,6 +118,8 @@
 		s.demand[service] = d
 	}
 	busiest := d.calls.raise(now, float64(calls), demandHalf)
-	most := max(int(mostGrowth*d.ready.raise(now, float64(ready), readyHalf)), leastNeeded)
+	present := max(int(math.Ceil(float64(calls)/callsPerServer)), 1)
+	used := d.used.raise(now, float64(min(d.steady(now, ready), present)), usedHalf)
+	most := int(mostGrowth*used) + leastNeeded
 	return min(max(int(math.Ceil(busiest/callsPerServer)), leastNeeded), most)
 }
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -191,3 +191,38 @@
 		t.Errorf("of %d servers found %d are needed", len(all), needed)
 	}
 }
+
+// TestBacklogOrdersNoMoreThanTheLoadNeeds takes most of the servers of a large
+// service while none can be had for a while. Calls pile up at those that are
+// left, and the pile is worked off soon after others have come: it must not be
+// taken for load, again and again, with every batch that comes.
+func TestBacklogOrdersNoMoreThanTheLoadNeeds(t *testing.T) {
+	m := newMarket(t)
+	m.service.Scaling.Max = 30
+	const needed = 40
+	m.calls = needed * callsPerServer
+	m.run(60 * time.Second)
+	for _, d := range []identifier.FailureDomain{"a", "b", "c", "d"} {
+		m.reclaim(d, 30*time.Second)
+	}
+	most := 0
+	for range 60 {
+		// What more than enough servers could not yet work off is still there.
+		m.calls = min(m.calls+needed*4, 3*needed*callsPerServer)
+		if m.ready() >= needed {
+			m.calls = max(m.calls-needed*16, needed*callsPerServer)
+		}
+		m.run(Interval)
+		total := 0
+		for _, list := range m.have {
+			total += len(list)
+		}
+		most = max(most, total)
+	}
+	if most > int(mostGrowth*needed)+leastNeeded {
+		t.Errorf("%d servers are ordered, the load needs %d", most, needed)
+	}
+	if m.ready() < needed {
+		t.Errorf("%d servers are ready, the load needs %d", m.ready(), needed)
+	}
+}
