soaker: faults by a seed on the real processes, and the promises checked meanwhile

internal/soaker plays the daemon's roles on the platform as separate processes behind harmed links, with callers and an operator at work; internal/soaker/soak is the command, docs/SOAK.md its page.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -26,10 +26,10 @@
 	s.start(entryA, RunEntry, false)
 	s.put(keeperB, standin.Document(3, `["k1","k2"]`))
 	s.await("the entry host is ready", func() bool {
-		status, _ := s.ask(http.MethodGet, entryA, readinessPort, standin.ReadinessPath, "", nil)
+		status, _ := s.ask(http.MethodGet, entryA, standin.ReadinessPort, standin.ReadinessPath, "", nil)
 		return status == http.StatusOK
 	})
-	if status, body := s.call("k1"); status != http.StatusOK || body != "for foodbank" {
+	if status, body := s.call("k1"); status != http.StatusOK || body != standin.Line("id-1", "foodbank") {
 		t.Errorf("a call gets %d with %q", status, body)
 	}
 	if status, _ := s.call("unknown"); status != http.StatusUnauthorized {
@@ -79,7 +79,7 @@
 	s.end(keeperB)
 	s.end(keeperC)
 	for _, method := range []string{http.MethodPut, http.MethodGet} {
-		if status, _ := s.ask(method, keeperA, operatorPort, standin.DocumentPath, standin.Document(2, `["k1"]`), nil); status == http.StatusOK {
+		if status, _ := s.ask(method, keeperA, standin.OperatorPort, standin.DocumentPath, standin.Document(2, `["k1"]`), nil); status == http.StatusOK {
 			t.Errorf("%s succeeds without a majority", method)
 		}
 	}
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -33,17 +32,13 @@
 const (
 	keeperA, keeperB, keeperC = "127.7.0.1", "127.7.0.2", "127.7.0.3"
 	entryA                    = "127.7.0.4"
-	operatorPort              = 1 // after the port of the processes' own calls
-	frontendPort              = 2
-	readinessPort             = 3
-	metricsPort               = 4
 )
 
 // newSystem returns a system whose processes do not run yet.
 func newSystem(t *testing.T) *system {
-	backend := httptest.NewServer(http.HandlerFunc(standin.Backend))
+	backend := httptest.NewServer(&standin.Backends{})
 	t.Cleanup(backend.Close)
-	c := &standin.Cloud{Server: strings.TrimPrefix(backend.URL, "http://")}
+	c := &standin.Cloud{Servers: []string{strings.TrimPrefix(backend.URL, "http://")}}
 	api := httptest.NewServer(c)
 	t.Cleanup(api.Close)
 	s := &system{
@@ -51,7 +46,7 @@
 		stop: make(map[string]context.CancelFunc), ended: make(map[string]chan error), folder: make(map[string]string),
 	}
 	for _, ip := range []string{keeperA, keeperB, keeperC} {
-		s.seeds = append(s.seeds, fmt.Sprintf("%s:%d", ip, s.port+operatorPort))
+		s.seeds = append(s.seeds, fmt.Sprintf("%s:%d", ip, s.port+standin.OperatorPort))
 	}
 	t.Cleanup(func() {
 		for ip := range s.stop {
@@ -81,18 +76,11 @@
 // settings returns the settings of a host.
 func (s *system) settings(ip string, founding bool) *platform.Settings {
 	s.t.Helper()
-	at := func(offset int) string { return fmt.Sprintf("%s:%d", ip, s.port+offset) }
 	if s.folder[ip] == "" {
 		s.folder[ip] = s.t.TempDir()
 	}
-	text, err := json.Marshal(map[string]any{"metricsPort": s.port + metricsPort, "platform": map[string]any{
-		"nodeName": "node-" + ip, "ip": ip, "zone": "a", "zones": map[string]string{"a": "r"},
-		"internalPorts": []int{s.port, s.port + metricsPort}, "seedNodes": s.seeds, "bootstrap": founding, "dataDir": s.folder[ip],
-		"listen": map[string]string{"controlPlane": at(operatorPort), "frontend": at(frontendPort), "readiness": at(readinessPort)},
-		"limits": map[string]any{"cores": 4}, "faultTolerance": map[string]int{"machines": 1},
-		"bounds":   map[string]any{"graceS": 4, "revokeMs": 60000, "leaseMs": 10, "reportWindowS": 1, "quotaWindowS": 8},
-		"cloudApi": map[string]string{"address": s.api},
-	}})
+	m := standin.Machine{IP: ip, Port: s.port, Seeds: s.seeds, Founding: founding, Folder: s.folder[ip], Cloud: s.api}
+	text, err := m.Settings()
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -150,7 +138,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	r.Host = "app.example"
+	r.Host = standin.CallHost
 	if header != nil {
 		r.Header = header
 	}
@@ -169,7 +157,7 @@
 func (s *system) put(ip, document string) {
 	s.t.Helper()
 	s.await("the document is acknowledged", func() bool {
-		status, _ := s.ask(http.MethodPut, ip, operatorPort, standin.DocumentPath, document, nil)
+		status, _ := s.ask(http.MethodPut, ip, standin.OperatorPort, standin.DocumentPath, document, nil)
 		return status == http.StatusOK
 	})
 }
@@ -179,7 +167,7 @@
 	s.t.Helper()
 	var document string
 	s.await("the document is read back", func() bool {
-		status, body := s.ask(http.MethodGet, ip, operatorPort, standin.DocumentPath, "", nil)
+		status, body := s.ask(http.MethodGet, ip, standin.OperatorPort, standin.DocumentPath, "", nil)
 		document = body
 		return status == http.StatusOK
 	})
@@ -188,5 +176,5 @@
 
 // call makes a caller's call with a key and returns its status and body.
 func (s *system) call(key string) (int, string) {
-	return s.ask(http.MethodPost, entryA, frontendPort, "/file/1", "x", standin.CallHeader("id-1", key, 5*time.Second))
+	return s.ask(http.MethodPost, entryA, standin.FrontendPort, "/file/1", "x", standin.CallHeader("id-1", key, 5*time.Second))
 }
--- /dev/null
+++ b/internal/soaker/soak/main.go
@@ -0,0 +1,85 @@
+// Command soak plays seeds of the fault soak, one after the other, and ends with
+// status 1 where a promise was broken:
+//
+//	go build -o target/ ./cmd/cyclamend ./internal/soaker/soak
+//	target/soak --binary target/cyclamend --seeds 50
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"cyclamenhub.org/internal/soaker"
+)
+
+// options are the flags.
+type options struct {
+	Binary  string        `long:"binary" required:"true" description:"path of cyclamend"`
+	Seed    uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds   uint64        `long:"seeds" default:"1" description:"how many seeds to play"`
+	Length  time.Duration `long:"length" default:"10s" description:"for how long faults begin in each run"`
+	Keepers int           `long:"keepers" default:"3" description:"number of keepers"`
+	Entries int           `long:"entries" default:"3" description:"number of entry hosts"`
+	Folder  string        `long:"folder" description:"where runs with broken promises leave their logs (a temporary folder)"`
+	Verbose bool          `long:"verbose" description:"show each fault as it is played"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	broken, err := play(ctx, &opts)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	fmt.Printf("%d of %d seeds broke a promise\n", broken, opts.Seeds)
+	if err != nil || broken > 0 {
+		stop()
+		os.Exit(1) //nolint:gocritic // stop was called
+	}
+}
+
+// play plays the seeds and returns how many broke a promise.
+func play(ctx context.Context, opts *options) (broken int, err error) {
+	folder := opts.Folder
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "soak-"); err != nil {
+			return 0, err
+		}
+	}
+	for seed := opts.Seed; seed < opts.Seed+opts.Seeds; seed++ {
+		run := soaker.Options{
+			Seed: seed, Binary: opts.Binary, Length: opts.Length, Keepers: opts.Keepers, Entries: opts.Entries,
+			Folder: filepath.Join(folder, fmt.Sprint("seed-", seed)),
+		}
+		if err := os.MkdirAll(run.Folder, 0o700); err != nil {
+			return broken, err
+		}
+		if opts.Verbose {
+			run.Progress = func(f soaker.Fault) { fmt.Println(f) }
+		}
+		r, err := soaker.Run(ctx, run)
+		if err != nil {
+			return broken, err
+		}
+		fmt.Print(r)
+		if len(r.Broken) > 0 {
+			broken++
+			continue
+		}
+		if err := os.RemoveAll(run.Folder); err != nil {
+			return broken, err
+		}
+	}
+	return broken, nil
+}
