messenger, distributor: a large fleet fetches its documents after a loss of power

Cause: after a change of leaders every host fetches the whole list of backend servers, 0.5 MB each, at once, and a host that needed the newest configuration within the time of one sync asked for everything newer and got that list with it, in vain, again and again.

- distributor: Refresh leaves out topics that are not waited for; a host that lacks the configuration asks for that.

--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -281,3 +281,28 @@
 		t.Error(diff)
 	}
 }
+
+// TestRefreshLeavesTopicsOut checks that a host that needs one document at once is
+// not sent another, large one with it. Load pattern: hundreds of hosts that need the
+// newest configuration after a loss of power, each within the time of one sync.
+func TestRefreshLeavesTopicsOut(t *testing.T) {
+	n := newTestNet()
+	k, a := n.add("k", "k"), n.add("a", "a", "k")
+	for _, name := range []TopicName{FleetTopic, "large"} {
+		if err := k.Offer(Topic{Name: name, Revision: 7, Body: []byte("x")}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := a.Refresh(t.Context(), "k", "large"); err != nil {
+		t.Fatal(err)
+	}
+	if f, l := a.Revision(FleetTopic), a.Revision("large"); f != 7 || l != 0 {
+		t.Errorf("the host has revision %d and %d of what it left out", f, l)
+	}
+	if err := a.Refresh(t.Context(), "k"); err != nil {
+		t.Fatal(err)
+	}
+	if l := a.Revision("large"); l != 7 {
+		t.Errorf("the host has revision %d after it asked for everything", l)
+	}
+}
--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,9 +22,14 @@
 	wg.Wait()
 }
 
-// Refresh asks one upstream once and takes its newer topics.
-func (d *Distributor) Refresh(ctx context.Context, address string) error {
-	_, err := d.watch(ctx, address, 0)
+// Refresh asks one upstream once and takes its newer topics but the ones named,
+// which may be large and are not waited for.
+func (d *Distributor) Refresh(ctx context.Context, address string, without ...TopicName) error {
+	have := slices.DeleteFunc(d.have(), func(t *wire.Topic) bool { return slices.Contains(without, TopicName(t.Name)) })
+	for _, name := range without {
+		have = append(have, &wire.Topic{Name: string(name), Revision: math.MaxUint64})
+	}
+	_, err := d.ask(ctx, address, have, 0)
 	return err
 }
 
@@ -80,9 +87,14 @@
 // watch makes one watch and takes its news. It reports whether the upstream's
 // own source is fresh.
 func (d *Distributor) watch(ctx context.Context, address string, hold time.Duration) (fresh bool, err error) {
+	return d.ask(ctx, address, d.have(), hold)
+}
+
+// ask makes one watch for what is newer than have, and takes its news.
+func (d *Distributor) ask(ctx context.Context, address string, have []*wire.Topic, hold time.Duration) (fresh bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+answerMargin)
 	defer cancel()
-	req := &wire.WatchRequest{Have: d.have(), Reports: d.outgoing(address), HoldMs: hold.Milliseconds()}
+	req := &wire.WatchRequest{Have: have, Reports: d.outgoing(address), HoldMs: hold.Milliseconds()}
 	var resp wire.WatchResponse
 	if err := d.opts.Call(ctx, address, WatchMethod, req, &resp); err != nil {
 		d.forgetSent()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -136,7 +136,7 @@
 		e.discoverer.Vouch()
 	}
 	if uint64(e.dist.Revision(distributor.FleetTopic)) < resp.GetRevision() {
-		if err := e.dist.Refresh(ctx, address); err != nil {
+		if err := e.dist.Refresh(ctx, address, listingTopic, rolloutTopic); err != nil {
 			e.log.Warn("newest document not fetched", "revision", resp.GetRevision(), "error", err)
 		}
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -72,6 +72,7 @@
 	handlers map[Method]Handler
 	ctx      context.Context // ends with Close; dials run under it
 	stop     context.CancelFunc
+	large    *gate // of the answers
 
 	mu       sync.Mutex
 	sessions map[string]*slot // by address
@@ -130,6 +131,7 @@
 		opts:     opts,
 		ctx:      ctx,
 		stop:     stop,
+		large:    newGate(answerBudget),
 		handlers: make(map[Method]Handler),
 		sessions: make(map[string]*slot),
 		accepted: make(map[*session]struct{}),
@@ -353,16 +355,25 @@
 		return
 	}
 	callsAnswered.Inc()
-	_ = writeFrame(st, m.answer(ctx, f))
+	resp, err := m.handle(ctx, f)
+	if n := proto.Size(resp); n >= largeAnswer {
+		m.large.enter(n)
+		defer m.large.leave(n)
+	}
+	_ = writeFrame(st, m.answer(resp, err))
 }
 
-// answer runs the handler of f and returns the answer frame.
-func (m *Messenger) answer(ctx context.Context, f *wire.Frame) *wire.Frame {
+// handle runs the handler of f.
+func (m *Messenger) handle(ctx context.Context, f *wire.Frame) (proto.Message, error) {
 	h, ok := m.handlers[Method(f.Method)]
 	if !ok {
-		return m.refusal(refuser.NotRun(refuser.NotFound, fmt.Sprintf("no method %q here", f.Method), "run the same release on all hosts"))
+		return nil, refuser.NotRun(refuser.NotFound, fmt.Sprintf("no method %q here", f.Method), "run the same release on all hosts")
 	}
-	resp, err := h(ctx, &Call{From: identifier.Host(f.From), body: f.Body})
+	return h(ctx, &Call{From: identifier.Host(f.From), body: f.Body})
+}
+
+// answer returns the answer frame to what a handler returned.
+func (m *Messenger) answer(resp proto.Message, err error) *wire.Frame {
 	if err != nil {
 		return m.refusal(refuser.From(err))
 	}
