--- a/internal/soaker/soak/main.go
+++ b/internal/soaker/soak/main.go
@@ -31,22 +31,25 @@
 	Verbose bool          `long:"verbose" description:"show each fault as it is played"`
 }
 
-func main() {
+func main() { os.Exit(run()) }
+
+// run plays what the flags say and returns the status to exit with.
+func run() int {
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
-		os.Exit(2)
+		return 2
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	broken, err := play(ctx, &opts)
+	fmt.Printf("%d of %d seeds broke a promise\n", broken, opts.Seeds)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
-	fmt.Printf("%d of %d seeds broke a promise\n", broken, opts.Seeds)
 	if err != nil || broken > 0 {
-		stop()
-		os.Exit(1) //nolint:gocritic // stop was called
+		return 1
 	}
+	return 0
 }
 
 // play plays the seeds and returns how many broke a promise.
