node: a search for the leader is answered once one is known

They look for it every 250 ms from their start on, in step, an election takes 0.54 s, and the look at 0.50 s just missed it. Calls with keys wait for the leader's word.

A keeper holds a search until it can name the leader or has the lease itself, for 0.4 s at the most. `leading keeper found` says how many searches it took.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -70,13 +70,52 @@
 	return v.Document, nil
 }
 
+const (
+	// searchHold is how long a search for the leader is held until one is known. It
+	// is shorter than a host waits for the answer.
+	searchHold = 400 * time.Millisecond
+	// searchLook is the time between two looks meanwhile.
+	searchLook = 20 * time.Millisecond
+)
+
+// awaitLeader waits until this keeper can name the leader, or holds the lease
+// itself, for searchHold at the most. The load pattern is hosts that all start
+// with the keepers after a loss of power: each search that comes too early costs
+// every call until the next one.
+func (n *keeperNode) awaitLeader(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, searchHold)
+	defer cancel()
+	t := time.NewTicker(searchLook)
+	defer t.Stop()
+	for !n.knowsLeader() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// knowsLeader reports whether another keeper is known to lead or this one holds
+// the lease.
+func (n *keeperNode) knowsLeader() bool {
+	s := n.keeper.Load().Status()
+	if s.Leader == s.ID {
+		return n.leads()
+	}
+	return s.Leader != 0
+}
+
 // handleSync answers a host's sync where this keeper leads, and else names the
-// leader.
-func (n *keeperNode) handleSync(_ context.Context, c *messenger.Call) (proto.Message, error) {
+// leader. A request without a host is a search for the leader.
+func (n *keeperNode) handleSync(ctx context.Context, c *messenger.Call) (proto.Message, error) {
 	var req wire.SyncRequest
 	if err := c.Decode(&req); err != nil {
 		return nil, err
 	}
+	if req.GetHost() == "" {
+		n.awaitLeader(ctx)
+	}
 	resp := n.word()
 	if !resp.Leads || req.GetHost() == "" {
 		return resp, nil
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -72,6 +72,7 @@
 	meter      *accountant.Meter
 	leader     atomic.Pointer[string] // its address
 	hosts      atomic.Int64           // how many hosts the leader counts, 0 before its first word
+	searches   int                    // for a leader, since the last was lost; only follow uses it
 	confirmed  moment
 	// firstWord is closed with the first confirmation.
 	firstWord chan struct{}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -151,6 +151,7 @@
 func (e *entry) findLeader(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
+	e.searches++
 	hosts := e.contacts.list()
 	found := make(chan identifier.Host, 2*len(hosts))
 	var wg sync.WaitGroup
@@ -176,7 +177,8 @@
 	}
 	address := e.cfg.PeerAddress(h)
 	e.leader.Store(&address)
-	e.log.Info("leading keeper found", "address", address)
+	e.log.Info("leading keeper found", "address", address, "searches", e.searches)
+	e.searches = 0
 	return true
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,6 +14,7 @@
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/placer"
 	"cyclamenhub.org/platform/standin"
 	"cyclamenhub.org/sharer"
@@ -111,6 +112,33 @@
 	}
 }
 
+// TestSearchWaitsForALeader checks that a search for the leader is answered once one
+// is known, and not at once and in vain.
+func TestSearchWaitsForALeader(t *testing.T) {
+	s := newSystem(t)
+	s.start(keeperA, RunKeeper, true)
+	m := messenger.New(messenger.Options{Host: "searcher"})
+	t.Cleanup(m.Close)
+	address := s.settings(keeperA, true).PeerAddress(keeperA)
+	searches := 0
+	search := func() string {
+		var resp wire.SyncResponse
+		if m.Call(t.Context(), address, syncMethod, &wire.SyncRequest{}, &resp) != nil {
+			return "" // The keeper does not listen yet.
+		}
+		searches++
+		return resp.GetLeader()
+	}
+	s.await("the first keeper answers", func() bool { search(); return searches > 0 })
+	s.start(keeperB, RunKeeper, true)
+	s.start(keeperC, RunKeeper, true)
+	for search() == "" {
+		if searches > 100 {
+			t.Fatal("100 searches were answered without a leader")
+		}
+	}
+}
+
 // decoded returns what a document says, whatever its white space.
 func decoded(t *testing.T, document string) any {
 	t.Helper()
