node: a host that stops does not race its own syncs

Found on the last read of the change: the last sync of a host that stops ran beside the regular ones, and both wrote the map of the use that no leader has been told yet. The race detector shows it in a test that plays both; a fatal error of the map was possible, none was seen. Syncs take a lock now.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -80,7 +80,10 @@
 	lease     time.Duration
 	stopping  atomic.Bool
 	isReady   atomic.Bool
-	// pending is the use that no leader has been told yet; only follow uses it.
+	// syncing is held by the one sync at a time: a host that stops makes its last
+	// one beside the others.
+	syncing sync.Mutex
+	// pending is the use that no leader has been told yet. syncing guards it.
 	pending map[identifier.Customer]sharer.Use
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -60,6 +60,8 @@
 
 // syncOnce syncs with the leader that is known and reports whether it leads.
 func (e *entry) syncOnce(ctx context.Context) bool {
+	e.syncing.Lock()
+	defer e.syncing.Unlock()
 	address := e.leader.Load()
 	if address == nil {
 		return false
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -63,3 +64,23 @@
 		t.Errorf("%d are passed on too late", n)
 	}
 }
+
+// TestHandOverBesideASync stops a host in the middle of a sync: both tell the use
+// that no leader has been told yet, one after the other.
+func TestHandOverBesideASync(t *testing.T) {
+	s := newSystem(t)
+	e := newEntry(s.settings(entryA, false), Options{Log: slog.New(slog.DiscardHandler)})
+	t.Cleanup(e.messenger.Close)
+	e.contacts.setSeeds(nil)
+	unreachable := "127.7.0.9:1"
+	var both sync.WaitGroup
+	for _, f := range []func(){e.handOver, func() { e.syncInTime(t.Context()) }} {
+		both.Go(func() {
+			for range 20 {
+				e.leader.Store(&unreachable)
+				f()
+			}
+		})
+	}
+	both.Wait()
+}
