--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -73,10 +73,10 @@
 }
 
 // add keeps a host's last word, the latest ones up to a bound.
-func (l *leftCounts) add(at time.Time, req *wire.SyncRequest) {
+func (l *leftCounts) add(c leftCount) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.list = append(l.list, leftCount{at, req})
+	l.list = append(l.list, c)
 	if n := len(l.list) - maxLeft; n > 0 {
 		l.list = l.list[n:]
 	}
@@ -96,13 +96,6 @@
 	return out
 }
 
-// putBack keeps what was not passed on.
-func (l *leftCounts) putBack(c leftCount) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.list = append(l.list, c)
-}
-
 // handleLeave takes the last counts of a host. They may be needed here, should
 // this keeper lead later; one that does not lead passes them on as well.
 func (n *keeperNode) handleLeave(_ context.Context, c *messenger.Call) (proto.Message, error) {
@@ -116,31 +109,34 @@
 	n.ledger.Leave(now, identifier.Host(req.GetHost()), req.GetRun(), decodeWindows(req.GetWindows()))
 	n.mu.Unlock()
 	if !resp.Leads {
-		n.left.add(now, &req)
+		n.left.add(leftCount{now, &req})
 	}
 	return resp, nil
 }
 
-// passOn passes the counts of stopped hosts on to the leader until ctx ends.
+// passOn passes the counts of stopped hosts on to the leader until ctx ends, and
+// keeps what it does not take.
 func (n *keeperNode) passOn(ctx context.Context) {
 	repeat(ctx, passOnInterval, func() {
-		if leader := n.word().GetLeader(); leader != "" {
-			n.passOnTo(ctx, n.cfg.PeerAddress(identifier.Host(leader)))
+		for _, c := range n.left.take(n.clock.Now()) {
+			if !n.passOnTo(ctx, n.word().GetLeader(), c) {
+				n.left.add(c)
+			}
 		}
 	})
 }
 
-// passOnTo passes counts on to the leader and keeps what it does not take.
-func (n *keeperNode) passOnTo(ctx context.Context, address string) {
-	for _, c := range n.left.take(n.clock.Now()) {
-		callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		var resp wire.SyncResponse
-		err := n.messenger.Call(callCtx, address, leaveMethod, c.req, &resp)
-		cancel()
-		if err != nil || !resp.GetLeads() {
-			n.left.putBack(c)
-			continue
-		}
-		n.log.Info("counts of a stopped host passed on", "from", c.req.GetHost(), "after", n.clock.Now().Sub(c.at))
+// passOnTo passes one host's counts on and reports whether the leader took them.
+func (n *keeperNode) passOnTo(ctx context.Context, leader string, c leftCount) bool {
+	if leader == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	var resp wire.SyncResponse
+	if n.messenger.Call(ctx, n.cfg.PeerAddress(identifier.Host(leader)), leaveMethod, c.req, &resp) != nil || !resp.GetLeads() {
+		return false
 	}
+	n.log.Info("counts of a stopped host passed on", "from", c.req.GetHost(), "after", n.clock.Now().Sub(c.at))
+	return true
 }
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -49,17 +49,17 @@
 	var l leftCounts
 	now := time.Unix(1000, 0)
 	for range maxLeft + 1 {
-		l.add(now, nil)
+		l.add(leftCount{at: now})
 	}
 	taken := l.take(now.Add(leftFor - 1))
 	if len(taken) != maxLeft {
 		t.Errorf("%d are passed on, want %d", len(taken), maxLeft)
 	}
-	l.putBack(taken[0])
+	l.add(taken[0])
 	if n := len(l.take(now.Add(leftFor - 1))); n != 1 {
 		t.Errorf("%d are kept for the next try, want 1", n)
 	}
-	l.putBack(taken[0])
+	l.add(taken[0])
 	if n := len(l.take(now.Add(leftFor))); n != 0 {
 		t.Errorf("%d are passed on too late", n)
 	}
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -101,20 +102,15 @@
 	l.look(now)
 	own := l.hosts[host].loads
 	out := make(map[identifier.BackendServer]placer.Load, min(len(l.total), mostTold))
-	add := func(id identifier.BackendServer) {
+	ids := maps.Keys(l.total)
+	if l.busiest != nil {
+		ids = slices.Values(l.busiest)
+	}
+	for id := range ids {
 		if v := l.total[id].Minus(own[id]); v != (placer.Load{}) {
 			out[id] = v
 		}
 	}
-	if l.busiest == nil {
-		for id := range l.total {
-			add(id)
-		}
-		return out
-	}
-	for _, id := range l.busiest {
-		add(id)
-	}
 	return out
 }
 
--- a/scaler/demand.go
+++ b/scaler/demand.go
@@ -106,6 +106,9 @@
 	f.settled = f.servers > 0 && now.Sub(f.since) >= settleFor
 }
 
+// serversFor returns how many servers are meant for so many calls at work.
+func serversFor(calls float64) int { return int(math.Ceil(calls / callsPerServer)) }
+
 // needed returns how many servers the load needs. The load counts with its
 // recent peak, since a server takes seconds to start.
 func (s *Scaler) needed(now time.Time, service identifier.Service, calls, ready int) int {
@@ -118,8 +121,8 @@
 		s.demand[service] = d
 	}
 	busiest := d.calls.raise(now, float64(calls), demandHalf)
-	present := max(int(math.Ceil(float64(calls)/callsPerServer)), 1)
+	present := max(serversFor(float64(calls)), 1)
 	used := d.used.raise(now, float64(min(d.steady(now, ready), present)), usedHalf)
 	most := int(mostGrowth*used) + leastNeeded
-	return min(max(int(math.Ceil(busiest/callsPerServer)), leastNeeded), most)
+	return min(max(serversFor(busiest), leastNeeded), most)
 }
