forwarder: a 500 counts as a failure where the call may not be sent again

Cause: a failure response to a call that may not be repeated was passed on as if the attempt had succeeded, so neither a rollout nor the placer saw it.

Change: the response is kept and returned at the end, as for other calls.

Ruled out: answers that are sent again (only the first attempt counts).

--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -37,8 +37,9 @@
 }
 
 // relayBuffered reads a response that is not a stream and writes it to the
-// caller. It keeps a 5xx response in heldResponse instead if another backend
-// server may still succeed.
+// caller. It keeps a 5xx response in heldResponse, since another backend server
+// may still succeed, and since it counts as a failure of the server also where
+// the call may not be repeated.
 func (x *exchange) relayBuffered(conn *connector.Conn, res *connector.Response, reply describer.Reply, choice *placer.Choice) (placer.Outcome, attemptResult, string) {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	switch {
@@ -61,9 +62,7 @@
 		return placer.Failed, broken, "a success without the backend server's seal"
 	case res.Status >= http.StatusInternalServerError && !x.headerSent:
 		x.heldResponse = buffered
-		if x.route.MayRepeat() {
-			return placer.Failed, failed, fmt.Sprintf("the backend server answered with status %d", res.Status)
-		}
+		return placer.Failed, failed, fmt.Sprintf("the backend server answered with status %d", res.Status)
 	case x.headerSent:
 		return placer.Failed, broken, "the stream was not resumed"
 	}
@@ -167,6 +166,9 @@
 func (x *exchange) recordFirstContent(choice *placer.Choice) {
 	choice.FirstContent()
 	x.firstAfter = x.f.opts.Clock.Now().Sub(x.start)
+	if x.assignmentOpen {
+		x.assignment.FirstContent(x.firstAfter)
+	}
 }
 
 // writeStreamHeader writes the header of a stream, unless an earlier attempt
