rollouts of seconds: share by the exposure, odds decide at the end

Cause: a rollout of 16 s kept 5% until its cutover and was done 0.7 s after it, whatever was known. A service with 25 requests a second had given the candidate 18 to 23 requests then; 5 failures among them are no verdict. Slow versions were not seen for three more reasons: one threshold for all routes, no thresholds and a fleet of one host where the order reached a keeper that does not lead, and streams that counted only at their end. After a revert the most common listed version became the current one, which could be the withdrawn one. The notice of the cutover showed 0 requests since its summary was filled only at the end.

Change: roller/cutover.go. The share before the cutover follows from the rate and the exposure that the platform allows; the cutover waits while the odds are 3 to 1 against the candidate; at the end of the time 10 to 1 take it back. Thresholds by route (six a service), slow streams count at their first content, hosts report every 5 s and during such a rollout every second, orders are passed on to the leading keeper, versions that are unproven or withdrawn are never the current one. The calls of the control count only while the candidate has servers. The bench of rollouts shares the report schedule with the hosts.

Ruled out: lower limits for verdicts (tests run every 200 ms), more shares between 10% and 100% (each event then tells less).

--- a/forwarder/version.go
+++ b/forwarder/version.go
@@ -28,11 +28,15 @@
 	}
 	x.assignment = x.f.opts.Versions.Pick(x.service, identifier.RequestID(x.call.ID), x.route.Name, roller.LightLoad)
 	x.assignmentOpen = true
-	if v := x.assignment.Version(); v != "" && fl.hasVersion(x.service, v) {
-		return v
+	if !fl.hasVersion(x.service, x.assignment.Version()) {
+		x.endAssignment(callerLeft, 0) // No attempt at this call uses the picked version.
+		return current
+	}
+	if c := x.assignment.Candidate(); c != "" && !fl.hasVersion(x.service, c) {
+		// Calls of the control would count while the candidate gets none.
+		x.endAssignment(callerLeft, 0)
 	}
-	x.endAssignment(callerLeft, 0) // No attempt at this call uses the picked version.
-	return current
+	return x.assignment.Version()
 }
 
 // endAssignment reports the result of the attempt with the picked version.
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -53,7 +53,9 @@
 
 // newEvaluators returns the evaluators of this process, one for each service.
 func newEvaluators(cfg *configurer.Settings, started time.Time) *roller.Evaluators {
-	return roller.NewEvaluators(roller.Source{Host: cfg.Host, Epoch: roller.Epoch(started.UnixNano())})
+	es := roller.NewEvaluators(roller.Source{Host: cfg.Host, Epoch: roller.Epoch(started.UnixNano())})
+	es.SetHosts(len(cfg.Hosts))
+	return es
 }
 
 // configureEvaluators passes the services of a fleet document to the
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -121,6 +121,7 @@
 	n.messenger.Handle(syncMethod, n.handleSync)
 	n.messenger.Handle(leaveMethod, n.handleLeave)
 	n.messenger.Handle(rolloutReportMethod, n.handleRolloutReport)
+	n.messenger.Handle(startRolloutMethod, n.handleStartRollout)
 	return n
 }
 
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -13,9 +13,7 @@
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
 	"cyclamenhub.org/messenger"
-	"cyclamenhub.org/platform"
 	"cyclamenhub.org/reducer"
-	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/roller"
 	"cyclamenhub.org/timer"
 )
@@ -32,126 +30,8 @@
 	// one is in progress, idlePollInterval the time otherwise.
 	activePollInterval = 200 * time.Millisecond
 	idlePollInterval   = time.Second
-	// initialShare is the share of traffic that an unproven version gets before
-	// the cutover: half of what the platform allows over a rollout.
-	initialShare identifier.Share = 0.05
-	// cutoverLeadDivisor divides a rollout's duration to get the time between the
-	// cutover and the end, within minCutoverLead and maxCutoverLead. In that time
-	// calls on the old version complete, or the new version is reverted.
-	cutoverLeadDivisor = 6
-	minCutoverLead     = 2 * time.Second
-	maxCutoverLead     = 30 * time.Second
-	// resendWindow is how long after the start of a rollout an equal order counts
-	// as the same order, sent again.
-	resendWindow = 15 * time.Second
-	// rolloutOperator is the operator that the audit trail names for a rollout.
-	rolloutOperator identifier.Operator = "platform"
 )
 
-// StartRollout starts to move a service to a version, unless that rollout is
-// already in progress. It implements platform.Control.
-func (n *keeperNode) StartRollout(ctx context.Context, s identifier.Service, to identifier.Version, within time.Duration) error {
-	v, err := n.readState(ctx)
-	if err != nil {
-		return err
-	}
-	now := n.clock.Now()
-	last := lastRollout(v, s)
-	if last != nil && last.Start.To == to && (!last.Phase.Ended() || now.Sub(last.Start.At) < resendWindow) {
-		return nil
-	}
-	if !n.hasService(s) {
-		return refuser.NotRun(refuser.NotFound, fmt.Sprintf("service %q is unknown", s), "name one of the document")
-	}
-	from, err := n.currentVersion(ctx, s, to, last)
-	if err != nil {
-		return err
-	}
-	cutoverLead := min(max(within/cutoverLeadDivisor, minCutoverLead), maxCutoverLead)
-	start := roller.StartRollout{
-		ID: identifier.RolloutID(fmt.Sprintf("%s-%s-%d", s, to, len(v.Rollouts))), Service: s, From: from, To: to, At: now,
-		Deadline: now.Add(within - cutoverLead/2), Cutover: now.Add(within - cutoverLead), Watch: cutoverLead / 4,
-		FirstLevel: roller.LevelOf(initialShare), Hosts: n.hostCount(now), Routes: 1,
-		Operator: rolloutOperator, Reason: "ordered by the platform",
-	}
-	n.mu.Lock()
-	start.Thresholds = n.rollouts.Baseline(s, from)
-	n.mu.Unlock()
-	return n.propose(ctx, reducer.Rollout{Event: start})
-}
-
-// lastRollout returns the last rollout of a service, or nil if there is none.
-func lastRollout(v reducer.View, s identifier.Service) *roller.Record {
-	for i := len(v.Rollouts) - 1; i >= 0; i-- {
-		if v.Rollouts[i].Start.Service == s {
-			return &v.Rollouts[i]
-		}
-	}
-	return nil
-}
-
-// hasService reports whether the document contains a service.
-func (n *keeperNode) hasService(s identifier.Service) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.document == nil {
-		return false
-	}
-	for i := range n.document.Services {
-		if n.document.Services[i].Name == s {
-			return true
-		}
-	}
-	return false
-}
-
-// hostCount returns the number of known entry hosts, at least 1.
-func (n *keeperNode) hostCount(now time.Time) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return max(n.divider.Hosts(now), 1)
-}
-
-// currentVersion returns the version that a service is moved from: that of its
-// last rollout or, without one, the most common listed version other than the
-// target.
-func (n *keeperNode) currentVersion(ctx context.Context, s identifier.Service, to identifier.Version, last *roller.Record) (identifier.Version, error) {
-	if last != nil && last.Phase == roller.Done {
-		return last.Start.To, nil
-	}
-	if last != nil {
-		return last.Start.From, nil
-	}
-	l, err := n.readList(ctx)
-	if err != nil {
-		return "", refuser.NotRun(refuser.NoBackendServer, "the list of backend servers is not read: "+err.Error(), "ask again later")
-	}
-	versions := l.Versions(s)
-	delete(versions, to)
-	return forwarder.CommonVersion(versions), nil
-}
-
-// Rollout returns the state and the target version of a service's last rollout.
-// It implements platform.Control.
-func (n *keeperNode) Rollout(ctx context.Context, s identifier.Service) (platform.RolloutState, identifier.Version, error) {
-	v, err := n.readState(ctx)
-	if err != nil {
-		return "", "", err
-	}
-	last := lastRollout(v, s)
-	if last == nil {
-		return "", "", refuser.NotRun(refuser.NotFound, fmt.Sprintf("service %q was never moved", s), "start a rollout")
-	}
-	switch last.Phase {
-	case roller.Done:
-		return platform.RolloutDone, last.Start.To, nil
-	case roller.Reverted:
-		return platform.RolloutReverted, last.Start.To, nil
-	default:
-		return platform.RolloutRunning, last.Start.To, nil
-	}
-}
-
 // performRollout carries out an effect of a rollout. The caller holds mu.
 func (n *keeperNode) performRollout(e roller.Effect) {
 	switch e := e.(type) {
@@ -164,7 +44,9 @@
 	case roller.Notify:
 		n.log.Info("rollout "+string(e.Notice.Phase), "rollout", e.Notice.Rollout, "service", e.Notice.Service, "from", e.Notice.From,
 			"to", e.Notice.To, "cause", e.Notice.Cause, "candidateRequests", e.Notice.Summary.Candidate.Requests,
-			"candidateFailed", e.Notice.Summary.Candidate.Failed, "controlRequests", e.Notice.Summary.Control.Requests)
+			"candidateFailed", e.Notice.Summary.Candidate.Failed, "candidateSlow", e.Notice.Summary.Candidate.Slow,
+			"controlRequests", e.Notice.Summary.Control.Requests, "controlFailed", e.Notice.Summary.Control.Failed,
+			"controlSlow", e.Notice.Summary.Control.Slow)
 	case roller.ReleaseVersion, roller.RecordAudit:
 		// The platform releases servers when it reads the rollout's state, and the
 		// reducer has written the audit record.
@@ -289,9 +171,9 @@
 	e.configureEvaluators()
 }
 
-// configureEvaluators sets the current version of each service in the
-// evaluators. Until a rollout moves the service, it is the most common listed
-// one.
+// configureEvaluators sets the current version and the routes of each service in
+// the evaluators. Until a rollout moves the service, the current version is the
+// most common listed one.
 func (e *entry) configureEvaluators() {
 	t, l := e.forwarder.Table(), e.discoverer.Listing()
 	if t == nil || l == nil {
@@ -299,8 +181,11 @@
 	}
 	services := t.Document().Services
 	for i := range services {
-		if versions := l.Versions(services[i].Name); len(versions) > 0 {
-			e.evaluators.Configure(services[i].Name, forwarder.CommonVersion(versions), nil)
+		name := services[i].Name
+		versions := l.Versions(name)
+		delete(versions, e.evaluators.Unproven(name))
+		if len(versions) > 0 {
+			e.evaluators.Configure(name, forwarder.CommonVersion(versions), rolloutRoutes(t.Document(), name))
 		}
 	}
 }
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -138,6 +138,7 @@
 	e.limiter.SetGrants(decodeGrants(resp))
 	e.hostCount.Store(int64(resp.GetHosts()))
 	e.forwarder.SetHosts(int(resp.GetHosts()))
+	e.evaluators.SetHosts(int(resp.GetHosts()))
 	e.placer.SetRemoteLoads(decodeLoads(resp.GetLoads()), int(resp.GetHosts()))
 	if l := resp.GetListing(); l != 0 && uint64(e.dist.Revision(listingTopic)) >= l {
 		e.discoverer.Confirm()
--- a/internal/rolloutbench/call.go
+++ b/internal/rolloutbench/call.go
@@ -13,7 +13,6 @@
 // The latency of a version without a fault is log-normal, and longer under
 // heavy load.
 const (
-	medianLatency  = 800 * time.Millisecond
 	latencySigma   = 0.5
 	heavySlowdown  = 1.6
 	failureLatency = 100 * time.Millisecond
@@ -94,7 +93,7 @@
 	if r, ok := s.sampleWaveResult(c, rng); ok {
 		return r
 	}
-	latency := sampleHealthyLatency(c.band, rng)
+	latency := s.sampleHealthyLatency(c.band, rng)
 	if c.candidate && s.hasFault(c) {
 		return s.sampleFaultyResult(c, latency, rng)
 	}
@@ -134,8 +133,8 @@
 	switch s.Kind {
 	case FailsAtOnce, SlowsDown, Hangs, Crashes:
 		return true
-	case BadAfterHour:
-		return c.at.Sub(rolloutStart) >= turnsBadAfter
+	case BadLater:
+		return c.at.Sub(rolloutStart) >= s.pace.turnsBadAfter
 	case BadUnderLoad:
 		return c.band == roller.HeavyLoad
 	case BadOnRoute:
@@ -177,10 +176,10 @@
 }
 
 // sampleHealthyLatency samples the latency of a version without a fault.
-func sampleHealthyLatency(b roller.Band, rng *rand.Rand) time.Duration {
+func (s *Scenario) sampleHealthyLatency(b roller.Band, rng *rand.Rand) time.Duration {
 	f := math.Exp(latencySigma * rng.NormFloat64())
 	if b == roller.HeavyLoad {
 		f *= heavySlowdown
 	}
-	return time.Duration(f * float64(medianLatency))
+	return time.Duration(f * float64(s.pace.medianLatency))
 }
--- a/internal/rolloutbench/fleet.go
+++ b/internal/rolloutbench/fleet.go
@@ -19,12 +19,7 @@
 // The intervals of the fleet's periodic tasks.
 const (
 	evaluateInterval = 200 * time.Millisecond
-	reportInterval   = time.Second
-	// idleReportInterval is the report interval of a host that saw no evidence
-	// against any version.
-	idleReportInterval = 30 * time.Second
-	decideInterval     = time.Second
-	inFlightPerHost    = 16
+	inFlightPerHost  = 16
 )
 
 // fleet runs the policy of package roller: an Evaluator on each host, a
@@ -43,21 +38,9 @@
 // fleetHost is one entry host.
 type fleetHost struct {
 	*roller.Evaluator
-	index int
-	// reportedAdverseCount is the value of Evaluator.AdverseCount at the last
-	// report.
-	reportedAdverseCount uint64
-	evaluationScheduled  bool
-	reportedAt           time.Time
-	// minInterval is the minimum time from the last report to the next.
-	minInterval time.Duration
-}
-
-// due reports whether the host's next report is due: after minInterval if
-// Evaluator.AdverseCount has changed, and after idleReportInterval in any case.
-func (m *fleetHost) due(now time.Time) bool {
-	waited := now.Sub(m.reportedAt)
-	return waited >= idleReportInterval || m.AdverseCount() != m.reportedAdverseCount && waited >= m.minInterval
+	index               int
+	evaluationScheduled bool
+	reports             roller.ReportSchedule
 }
 
 func newFleet(s *Scenario, q *eventQueue) *fleet {
@@ -71,7 +54,7 @@
 		src := roller.Source{Host: identifier.Host(fmt.Sprintf("h%d", i)), Epoch: 1}
 		m := &fleetHost{Evaluator: roller.NewEvaluator(src, service, currentVersion, names), index: i}
 		f.hosts = append(f.hosts, m)
-		f.callEvery(reportInterval, func(now time.Time) { f.report(m, now) })
+		f.callEvery(s.pace.reportInterval, func(now time.Time) { f.report(m, now) })
 	}
 	return f
 }
@@ -84,24 +67,28 @@
 		g(now)
 		f.q.add(now.Add(interval), again)
 	}
-	f.q.add(rolloutStart.Add(interval-f.s.warmUp()), again)
+	f.q.add(rolloutStart.Add(interval-f.s.pace.warmUp), again)
 }
 
 func (f *fleet) begin(now time.Time) {
-	rate := float64(f.controller.Requests(service, currentVersion)) / f.s.warmUp().Seconds()
-	f.apply(roller.StartRollout{
+	rate := float64(f.controller.Requests(service, currentVersion)) / f.s.pace.warmUp.Seconds()
+	start := roller.StartRollout{
 		ID: rolloutID, Service: service, From: currentVersion, To: candidateVersion, At: now,
-		Deadline: f.s.deadline(), Watch: watchPeriod, FirstLevel: roller.FirstLevel(rate),
+		Deadline: f.s.deadline(), Watch: f.s.pace.watch, FirstLevel: roller.FirstLevel(rate),
 		InFlight: inFlightPerHost, Hosts: f.s.Hosts, Routes: len(routes) + 1, Thresholds: f.controller.Baseline(service, currentVersion),
-	}, now)
-	f.q.add(now.Add(decideInterval), f.tick)
+	}
+	if f.s.exposure != (roller.Exposure{}) {
+		start.PlanCutover(f.s.Deadline, f.s.exposure)
+	}
+	f.apply(start, now)
+	f.q.add(now.Add(f.s.pace.decideInterval), f.tick)
 }
 
 // tick makes the controller decide, and repeats the directive to all hosts.
 func (f *fleet) tick(now time.Time) {
 	f.decide(now)
 	f.broadcast(now)
-	f.q.add(now.Add(decideInterval), f.tick)
+	f.q.add(now.Add(f.s.pace.decideInterval), f.tick)
 }
 
 func (f *fleet) decide(now time.Time) {
@@ -161,12 +148,10 @@
 // report sends a host's counters to the controller if a report is due.
 func (f *fleet) report(m *fleetHost, now time.Time) {
 	m.Tick(now)
-	if f.s.partitioned(m.index, now) || !m.due(now) {
+	if f.s.partitioned(m.index, now) || !m.reports.IsDue(m.Evaluator, now) {
 		return
 	}
-	m.reportedAdverseCount, m.reportedAt = m.AdverseCount(), now
-	r := m.Report()
-	m.minInterval = roller.ReportInterval(f.s.Hosts, len(r.Encode()))
+	r := m.reports.Report(m.Evaluator, now, f.s.Hosts)
 	f.q.add(now.Add(f.s.ReportLag), func(now time.Time) {
 		f.controller.Merge(r)
 		f.decide(now)
@@ -175,7 +160,7 @@
 
 func (f *fleet) pick(host int, id identifier.RequestID, route int, b roller.Band) pickedRequest {
 	assignment := f.hosts[host].Pick(id, routes[route].name, b)
-	return pickedRequest{host: host, route: route, candidate: assignment.Arm() == roller.Candidate, assignment: assignment}
+	return pickedRequest{host: host, route: route, candidate: assignment.Version() == candidateVersion, assignment: assignment}
 }
 
 func (f *fleet) observe(now time.Time, req pickedRequest, e roller.Result) {
@@ -200,7 +185,7 @@
 			f.out.stopped[m.index] = now
 		}
 	}
-	m.reportedAdverseCount, m.minInterval = 0, 0
+	m.reports = roller.ReportSchedule{}
 	f.report(m, now)
 }
 
--- a/internal/rolloutbench/policy.go
+++ b/internal/rolloutbench/policy.go
@@ -30,6 +30,13 @@
 	assignment roller.Assignment
 }
 
+// candidateRuns reports whether the servers of the candidate that the request
+// is compared with have started. A request outside a rollout is compared with
+// none.
+func (p *pickedRequest) candidateRuns(s *Scenario, now time.Time) bool {
+	return p.assignment.Candidate() == "" || !now.Before(rolloutStart.Add(s.pace.start))
+}
+
 // outcome is the outcome of a rollout. A time is zero until its event has
 // happened.
 type outcome struct {
--- a/internal/rolloutbench/run.go
+++ b/internal/rolloutbench/run.go
@@ -24,6 +24,10 @@
 	// Before counts the requests until the first evidence, After those from
 	// then until the last request to the candidate.
 	Before, After Exposure
+	// InTime counts the requests in the time of the rollout.
+	InTime Exposure
+	// ManyBadAnswers is when the candidate had given badAnswersToAct bad answers.
+	ManyBadAnswers time.Time
 	// LateRequests counts requests sent to the candidate more than two seconds
 	// after the verdict, on hosts that have been connected to the controller
 	// for as long. AfterOwnVerdict counts requests sent to the candidate on a
@@ -58,6 +62,7 @@
 	res           Result
 	afterEvidence Exposure
 	inFlight      int
+	badAnswers    int
 	sent          uint64
 }
 
@@ -66,8 +71,9 @@
 	q := &eventQueue{}
 	r := &runner{s: s, q: q, p: newPolicy(p, s, q), rng: rand.New(rand.NewPCG(s.Seed, 2)), res: Result{Scenario: s}}
 	q.add(rolloutStart, r.p.begin)
-	r.arrive(rolloutStart.Add(-s.warmUp()))
-	for t := rolloutStart; t.Before(s.end()) && !r.finished(t); t = t.Add(time.Minute) {
+	r.arrive(rolloutStart.Add(-s.pace.warmUp))
+	for t, end := rolloutStart, s.end(); t.Before(end) && !r.finished(t); {
+		t = t.Add(min(time.Minute, end.Sub(t)))
 		q.run(t)
 	}
 	out := r.p.outcome()
@@ -81,7 +87,7 @@
 // finished reports whether nothing more can happen in the run.
 func (r *runner) finished(now time.Time) bool {
 	out := r.p.outcome()
-	if !out.done.IsZero() && now.Sub(rolloutStart) > r.s.Deadline+watchPeriod {
+	if !out.done.IsZero() && now.Sub(rolloutStart) > r.s.Deadline+r.s.pace.watch {
 		return true
 	}
 	if out.reverted.IsZero() {
@@ -95,13 +101,6 @@
 	return now.Sub(out.reverted) > runAfterRevert
 }
 
-// The factors by which the request rate differs from the mean rate under heavy
-// and light load. Together they keep the mean.
-const (
-	heavyFactor = 2
-	lightFactor = (1 - heavyShare*heavyFactor) / (1 - heavyShare)
-)
-
 // arrive sends one request and schedules the next arrival. The first call, at
 // the start of the warm-up, only schedules.
 func (r *runner) arrive(now time.Time) {
@@ -109,10 +108,7 @@
 		r.send(now)
 	}
 	r.sent++
-	rate := float64(r.s.Rate) * lightFactor
-	if isHeavyLoad(now) {
-		rate = float64(r.s.Rate) * heavyFactor
-	}
+	rate := float64(r.s.Rate) * r.s.loadFactor(now)
 	wait := time.Duration(r.rng.ExpFloat64() / rate * float64(time.Second))
 	r.q.add(now.Add(wait), r.arrive)
 }
@@ -120,11 +116,15 @@
 // send picks the version for a request and schedules its answer.
 func (r *runner) send(now time.Time) {
 	c := call{at: now, host: r.rng.IntN(r.s.Hosts), route: r.pickRoute(), share: r.p.share()}
-	if isHeavyLoad(now) {
+	if r.s.isHeavyLoad(now) {
 		c.band = roller.HeavyLoad
 	}
 	id := identifier.RequestID(strconv.FormatUint(r.s.Seed, 36) + "-" + strconv.FormatUint(r.sent, 36))
 	req := r.p.pick(c.host, id, c.route, c.band)
+	if !req.candidateRuns(r.s, now) {
+		req.assignment.End(roller.Result{Outcome: roller.Withdrawn})
+		req = pickedRequest{host: req.host, route: req.route}
+	}
 	c.candidate = req.candidate
 	r.countRequest(now, req)
 	ans := r.s.sampleResult(&c, r.rng)
@@ -151,14 +151,34 @@
 	if ans.candidateFault && r.res.FirstEvidence.IsZero() {
 		r.res.FirstEvidence = now
 	}
+	r.countBadAnswer(now, req, ans)
 	r.p.observe(now, req, ans.Result)
 }
 
+// badAnswersToAct is the number of bad answers after which a candidate must
+// have been reverted within seconds.
+const badAnswersToAct = 50
+
+// countBadAnswer records when the candidate had given badAnswersToAct bad
+// answers.
+func (r *runner) countBadAnswer(now time.Time, req pickedRequest, ans callResult) {
+	if !req.candidate || !ans.candidateFault {
+		return
+	}
+	r.badAnswers++
+	if r.badAnswers == badAnswersToAct {
+		r.res.ManyBadAnswers = now
+	}
+}
+
 // countRequest adds a request to the result.
 func (r *runner) countRequest(now time.Time, req pickedRequest) {
 	if now.Before(rolloutStart) {
 		return
 	}
+	if now.Before(r.s.deadline()) {
+		r.res.InTime.add(req.candidate)
+	}
 	if r.res.FirstEvidence.IsZero() {
 		r.res.Before.add(req.candidate)
 	} else {
--- a/internal/rolloutbench/scenario.go
+++ b/internal/rolloutbench/scenario.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/roller"
 )
 
 // Kind is the behaviour of the candidate version.
@@ -15,7 +16,7 @@
 	Good         Kind = "good"
 	FailsAtOnce  Kind = "fails at once"
 	SlowsDown    Kind = "slows down"
-	BadAfterHour Kind = "bad after an hour"
+	BadLater     Kind = "bad later"
 	BadUnderLoad Kind = "bad only under load"
 	BadOnRoute   Kind = "bad on one route"
 	BadAtShare   Kind = "bad at larger share"
@@ -27,7 +28,7 @@
 // Kinds returns all kinds in the order of the table.
 func Kinds() []Kind {
 	return []Kind{
-		Good, ReclaimWaves, FailsAtOnce, SlowsDown, BadAfterHour, BadUnderLoad, BadOnRoute, BadAtShare, Hangs, Crashes,
+		Good, ReclaimWaves, FailsAtOnce, SlowsDown, BadLater, BadUnderLoad, BadOnRoute, BadAtShare, Hangs, Crashes,
 	}
 }
 
@@ -62,16 +63,9 @@
 	numDomains = 4
 	minHosts   = 4
 	maxHosts   = 9
-	// longWarmUp is how long the fleet runs before the rollout begins at
-	// EveningRate, and shortWarmUp at higher rates.
-	longWarmUp  = 2 * time.Hour
-	shortWarmUp = 20 * time.Minute
-	// watchPeriod is how long the old version stays loaded after all traffic
-	// has moved.
-	watchPeriod = 2 * time.Hour
-	// turnsBadAfter is how long after the start a candidate of kind
-	// BadAfterHour turns bad.
-	turnsBadAfter = time.Hour
+	// longWarmUp is how long the fleet runs before a staged rollout begins at
+	// EveningRate.
+	longWarmUp = 2 * time.Hour
 	// badFromShare is the share of requests from which a candidate of kind
 	// BadAtShare is bad.
 	badFromShare = 0.3
@@ -112,6 +106,37 @@
 	backgroundFailureProbability float64
 	waves                        []domainWindow
 	partitions                   []domainWindow
+	pace                         pace
+	// exposure bounds the requests that the candidate may get. If it is set, the
+	// rollout moves all traffic in one step.
+	exposure roller.Exposure
+}
+
+// pace holds the times of a scenario that depend on how long its rollout takes.
+type pace struct {
+	// warmUp is how long the fleet runs before the rollout begins.
+	warmUp time.Duration
+	// watch is how long the old version stays loaded after all traffic has moved.
+	watch time.Duration
+	// turnsBadAfter is how long after the start a candidate of kind BadLater
+	// turns bad.
+	turnsBadAfter time.Duration
+	// start is how long the candidate's servers take to start.
+	start         time.Duration
+	medianLatency time.Duration
+	// decideInterval is the time between two decisions of the controller, and
+	// reportInterval that between two checks of a host for a due report.
+	decideInterval, reportInterval time.Duration
+	// steadyLoad keeps the mean rate all the time.
+	steadyLoad bool
+	// tail is how long a run continues after the rollout's time.
+	tail time.Duration
+}
+
+// stagedPace is the pace of rollouts that move traffic in stages.
+var stagedPace = pace{
+	warmUp: 20 * time.Minute, watch: 2 * time.Hour, turnsBadAfter: time.Hour, medianLatency: 800 * time.Millisecond,
+	decideInterval: time.Second, reportInterval: time.Second, tail: 2*time.Hour + time.Minute,
 }
 
 // rolloutStart is when the rollout of every scenario begins.
@@ -121,7 +146,7 @@
 // 3, so that each rate has a third of the runs.
 func NewScenario(k Kind, seed uint64) *Scenario {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	s := &Scenario{Kind: k, Seed: seed}
+	s := &Scenario{Kind: k, Seed: seed, pace: stagedPace}
 	s.Rate = []Rate{EveningRate, DayRate, PeakRate}[seed%3]
 	s.Hosts = minHosts + rng.IntN(maxHosts-minHosts+1)
 	s.Deadline = []time.Duration{30 * time.Minute, time.Hour, 2 * time.Hour}[rng.IntN(3)]
@@ -132,6 +157,9 @@
 	s.backgroundFailureProbability = 0.01 * rng.Float64()
 	s.sampleWaves(rng)
 	s.samplePartition(rng)
+	if s.Rate == EveningRate {
+		s.pace.warmUp = longWarmUp
+	}
 	return s
 }
 
@@ -146,7 +174,7 @@
 		n = 4 + rng.IntN(5)
 	}
 	for range n {
-		from := rolloutStart.Add(time.Duration(rng.Float64() * float64(s.Deadline+watchPeriod/2)))
+		from := rolloutStart.Add(time.Duration(rng.Float64() * float64(s.Deadline+s.pace.watch/2)))
 		length := time.Minute + time.Duration(rng.IntN(240))*time.Second
 		s.waves = append(s.waves, domainWindow{from: from, to: from.Add(length), domain: rng.IntN(numDomains)})
 	}
@@ -165,15 +193,7 @@
 
 // end returns the time at which the run ends at the latest. The watch period
 // may last twice as long as planned.
-func (s *Scenario) end() time.Time { return rolloutStart.Add(s.Deadline + 2*watchPeriod + time.Minute) }
-
-// warmUp returns how long the fleet runs before the rollout begins.
-func (s *Scenario) warmUp() time.Duration {
-	if s.Rate == EveningRate {
-		return longWarmUp
-	}
-	return shortWarmUp
-}
+func (s *Scenario) end() time.Time { return s.deadline().Add(s.pace.watch + s.pace.tail) }
 
 // deadline returns the time by which all traffic must have moved.
 func (s *Scenario) deadline() time.Time { return rolloutStart.Add(s.Deadline) }
@@ -189,7 +209,30 @@
 }
 
 // isHeavyLoad reports whether the load is heavy at a time.
-func isHeavyLoad(now time.Time) bool {
+func (s *Scenario) isHeavyLoad(now time.Time) bool {
+	if s.pace.steadyLoad {
+		return false
+	}
 	phase := now.Sub(rolloutStart.Add(-longWarmUp)) % loadCycle
 	return float64(phase) > (1-heavyShare)*float64(loadCycle)
 }
+
+// The factors by which the request rate differs from the mean rate under heavy
+// and light load. Together they keep the mean.
+const (
+	heavyFactor = 2
+	lightFactor = (1 - heavyShare*heavyFactor) / (1 - heavyShare)
+)
+
+// loadFactor returns the factor by which the request rate differs from the mean
+// at a time.
+func (s *Scenario) loadFactor(now time.Time) float64 {
+	switch {
+	case s.pace.steadyLoad:
+		return 1
+	case s.isHeavyLoad(now):
+		return heavyFactor
+	default:
+		return lightFactor
+	}
+}
--- a/roller/assignment.go
+++ b/roller/assignment.go
@@ -1,6 +1,8 @@
 package roller
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"cyclamenhub.org/identifier"
@@ -16,6 +18,8 @@
 	shard uint8
 	// losses is the number of server losses before the request was assigned.
 	losses uint64
+	// begun is set once the first content has been observed.
+	begun bool
 }
 
 // Version returns the version to send the request to, or "" if the service is
@@ -27,10 +31,30 @@
 	return a.trial.version(a.arm)
 }
 
+// Candidate returns the version that a rollout in progress moves the service
+// to, or "" if there is none.
+func (a Assignment) Candidate() identifier.Version {
+	if a.trial == nil {
+		return ""
+	}
+	return a.trial.candidate
+}
+
 // Arm returns which of the two versions of a rollout the request is assigned
 // to.
 func (a Assignment) Arm() Arm { return a.arm }
 
+// FirstContent counts the request as slow if the first content of its answer took
+// longer than the threshold. It is optional: without it, End does so. A stream
+// may end long after its first content has shown that the version is slow.
+func (a *Assignment) FirstContent(latency time.Duration) {
+	if a.trial == nil || a.begun {
+		return
+	}
+	a.begun = true
+	a.trial.observeFirst(*a, latency)
+}
+
 // End counts how the request ended.
 func (a Assignment) End(e Result) {
 	if a.trial == nil {
--- a/roller/contact.go
+++ b/roller/contact.go
@@ -33,19 +33,23 @@
 	// minReportInterval is the time between two reports of a host in a small
 	// fleet.
 	minReportInterval = time.Second
-	// idleReportInterval is the time between two reports of a host while there
-	// are no new failures or slow answers.
-	idleReportInterval = 30 * time.Second
+	// idleReportInterval is the time between two reports of a host in a small
+	// fleet while there are no new failures or slow answers. The thresholds of a
+	// rollout that begins are as old.
+	idleReportInterval = 5 * time.Second
 	// reportBudget limits the reports of all hosts together on one service, in
 	// bytes per second. It is less than half of the 25 KB/s that a node may
 	// spend on control traffic.
 	reportBudget = 10 << 10
+	// cutoverReportBudget takes the place of reportBudget during a rollout that
+	// takes seconds.
+	cutoverReportBudget = 64 << 10
 )
 
-// ReportInterval returns the time between two reports of a host, given the
-// number of hosts and the size of its last report. A report with a new verdict
-// is sent without waiting for it.
-func ReportInterval(hosts, reportBytes int) time.Duration {
+// reportInterval returns the time between two reports of a host, given the
+// number of hosts, the size of its last report and the budget of all hosts in
+// bytes per second. A report with a new verdict is sent without waiting for it.
+func reportInterval(hosts, reportBytes, budget int) time.Duration {
 	all := time.Duration(hosts) * time.Duration(reportBytes) * time.Second
-	return max(minReportInterval, all/reportBudget)
+	return max(minReportInterval, all/time.Duration(budget))
 }
--- a/roller/controller.go
+++ b/roller/controller.go
@@ -21,6 +21,9 @@
 	localVerdicts map[identifier.RolloutID][]Source
 	alarmStates   alarmStates
 	rates         map[evidenceKey]*rateMeter
+	// firstReadings holds, for each rollout with a cutover, the first reading of
+	// its request counter.
+	firstReadings map[identifier.RolloutID]reading
 }
 
 // evidenceKey identifies the evidence of one rollout or, with an empty rollout
@@ -44,7 +47,7 @@
 		evidence:      make(map[evidenceKey]*Evidence),
 		changed:       make(map[evidenceKey]bool),
 		localVerdicts: make(map[identifier.RolloutID][]Source), alarmStates: make(alarmStates),
-		rates: make(map[evidenceKey]*rateMeter),
+		rates: make(map[evidenceKey]*rateMeter), firstReadings: make(map[identifier.RolloutID]reading),
 	}
 }
 
@@ -157,6 +160,7 @@
 			delete(c.changed, k)
 			delete(c.localVerdicts, k.rollout)
 			delete(c.alarmStates, k.rollout)
+			delete(c.firstReadings, k.rollout)
 		}
 	}
 }
@@ -167,13 +171,16 @@
 	if e, ok := c.findVerdict(r, k, now); ok {
 		return []Event{e}
 	}
-	as := c.alarmStates.get(r.Start.ID)
-	as.update(c.evidenceFor(k).Sum(), now)
+	as, sum := c.alarmStates.get(r.Start.ID), c.evidenceFor(k).Sum()
+	as.update(sum, now)
+	if v, ok := finalVerdict(r, sum, now); ok {
+		return []Event{VerdictReached{ID: r.Start.ID, Verdict: v, At: now, Summary: Summarize(sum)}}
+	}
 	if r.Phase == Watched && c.watchEnded(r, as, now) {
-		return []Event{WatchEnded{ID: r.Start.ID, At: now, Summary: Summarize(c.evidenceFor(k).Sum())}}
+		return []Event{WatchEnded{ID: r.Start.ID, At: now, Summary: Summarize(sum)}}
 	}
-	if l := targetLevel(r, as, now); l != r.Level {
-		return []Event{StageReached{ID: r.Start.ID, Level: l, At: now}}
+	if l := c.targetLevel(r, as, now); l != r.Level {
+		return []Event{StageReached{ID: r.Start.ID, Level: l, At: now, Summary: Summarize(sum)}}
 	}
 	return nil
 }
@@ -182,6 +189,9 @@
 // comparison and evidence near the limit prolong the watch period, at most to
 // twice its length.
 func (c *Controller) watchEnded(r *Record, as *alarmState, now time.Time) bool {
+	if r.Start.hasCutover() {
+		return !now.Before(r.Start.watchEnd())
+	}
 	if now.Before(r.MovedAt.Add(r.Start.Watch)) {
 		return false
 	}
@@ -199,9 +209,14 @@
 // targetLevel returns the level that is due: that of the schedule, or a lower
 // one during a comparison. The final step before the deadline ends a comparison
 // that led to no verdict.
-func targetLevel(r *Record, as *alarmState, now time.Time) Level {
+func (c *Controller) targetLevel(r *Record, as *alarmState, now time.Time) Level {
 	scheduled := TopLevel
-	if r.Phase == Staged {
+	switch {
+	case r.Phase != Staged:
+	case r.Start.hasCutover():
+		as.comparison.stop()
+		scheduled = c.cutoverLevel(r, now)
+	default:
 		scheduled = scheduledLevel(&r.Start, now)
 		if finalStepDue(&r.Start, now) {
 			as.comparison.stop()
--- a/roller/counters.go
+++ b/roller/counters.go
@@ -88,9 +88,6 @@
 	case Succeeded:
 		tally.requests.Add(1)
 		c.latency[a.arm][bucketOf(latency)].Add(1)
-		if s.isSlow(o, latency) {
-			tally.slow.Add(1)
-		}
 	case Failed:
 		tally.requests.Add(1)
 		tally.failed.Add(1)
@@ -101,8 +98,3 @@
 	case Withdrawn:
 	}
 }
-
-// isSlow reports whether a request counts as a slow answer.
-func (s *cellSlot) isSlow(o Outcome, latency time.Duration) bool {
-	return o == Succeeded && s.threshold > 0 && latency > s.threshold
-}
--- /dev/null
+++ b/roller/cutover.go
@@ -0,0 +1,183 @@
+package roller
+
+import (
+	"math"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// Exposure bounds the requests that an unproven version may get in one rollout:
+// a share of all requests of the service, and a number in addition.
+type Exposure struct {
+	Share    identifier.Share `json:"share"`
+	Requests float64          `json:"requests"`
+}
+
+// allowed returns the bound for a service that gets n requests.
+func (e Exposure) allowed(n float64) float64 { return float64(e.Share)*n + e.Requests }
+
+// canaryBudget is the fraction of the exposure that the share before the
+// cutover may use. The rest is for the requests between the first bad answers
+// and the revert.
+const canaryBudget = 0.5
+
+// maxCanaryLevel limits the share before the cutover to 20%, so that a rate
+// that rises after the level was chosen does not use up the exposure.
+const maxCanaryLevel Level = 8
+
+// minCanaryReading is the shortest time over which the request rate is measured
+// before the share is chosen.
+const minCanaryReading = 2 * time.Second
+
+// The time between the cutover and the end of a rollout's time, as a fraction
+// and within bounds. In that time calls on the old version complete, or the
+// candidate is reverted.
+const (
+	cutoverLeadDivisor = 6
+	minCutoverLead     = 2 * time.Second
+	maxCutoverLead     = 30 * time.Second
+)
+
+// completionMargin is how long before the end of its time a rollout with a
+// cutover is done. A change of leaders takes less.
+const completionMargin = 800 * time.Millisecond
+
+// firstShareDivisor divides the share of the exposure to get the share at the
+// start of a rollout with a cutover.
+const firstShareDivisor = 2
+
+// PlanCutover makes e a rollout whose traffic moves in one step, and which is
+// done within the given time from e.At.
+func (e *StartRollout) PlanCutover(within time.Duration, x Exposure) {
+	lead := min(max(within/cutoverLeadDivisor, minCutoverLead), maxCutoverLead)
+	e.Cutover = e.At.Add(within - lead)
+	e.Deadline = e.At.Add(within - lead/2)
+	e.Watch = lead/2 - completionMargin
+	e.FirstLevel = max(LevelOf(x.Share/firstShareDivisor), lowestFirstLevel)
+	e.Exposure = x
+}
+
+// hasCutover reports whether all traffic moves in one step.
+func (e *StartRollout) hasCutover() bool { return !e.Cutover.IsZero() }
+
+// watchEnd returns when the watch period of a rollout with a cutover ends.
+func (e *StartRollout) watchEnd() time.Time { return e.Deadline.Add(e.Watch) }
+
+// canaryLevel returns the level before the cutover of a service that gets rate
+// requests per second.
+//
+// It answers the load of a service with few requests and little time: at a
+// share that is safe for a busy service, it would move on evidence from a
+// handful of requests. Where the exposure allows, such a service gets a higher
+// share. The number of bad answers that the test needs hardly depends on the
+// share, so a higher share finds them earlier and spoils about as many answers.
+func canaryLevel(s *StartRollout, rate float64) Level {
+	n := rate * s.watchEnd().Sub(s.At).Seconds()
+	budget := canaryBudget * s.Exposure.allowed(n)
+	l := s.FirstLevel
+	for l < maxCanaryLevel && float64((l+1).Share())*n <= budget {
+		l++
+	}
+	return l
+}
+
+// The limits of the odds, in nats of log evidence, that decide a rollout with a
+// cutover when its time is up. They are lower than those of a verdict, which
+// may be reached at any time: a good version is held back by mistake in at most
+// one rollout of three, and taken back by mistake in at most one of ten.
+var (
+	logLimitHold   = math.Log(3)
+	logLimitRevert = math.Log(10)
+)
+
+// cutoverLevel returns the level of a rollout that moves in one step. The step
+// waits until the deadline while the candidate seems to answer worse than the
+// control.
+func (c *Controller) cutoverLevel(r *Record, now time.Time) Level {
+	s := &r.Start
+	sum := c.evidenceFor(keyOf(r)).Sum()
+	switch {
+	case now.Before(s.Cutover):
+		rate, ok := c.rateDuring(s.ID, sum, now)
+		if !ok || s.Exposure == (Exposure{}) {
+			return r.Level
+		}
+		return max(r.Level, canaryLevel(s, rate))
+	case now.Before(s.Deadline) && suspicion(sum).LogEvidence >= logLimitHold:
+		return r.Level
+	default:
+		return TopLevel
+	}
+}
+
+// rateDuring returns the request rate of a service since the first request of
+// its rollout was counted, and false before minCanaryReading has passed.
+func (c *Controller) rateDuring(id identifier.RolloutID, sum Cells, now time.Time) (float64, bool) {
+	n := sum.Total(Control).Requests + sum.Total(Candidate).Requests
+	first, ok := c.firstReadings[id]
+	if !ok && n > 0 {
+		c.firstReadings[id] = reading{now, n}
+	}
+	elapsed := now.Sub(first.at)
+	if !ok || elapsed < minCanaryReading {
+		return 0, false
+	}
+	return float64(n-first.n) / elapsed.Seconds(), true
+}
+
+// finalVerdict returns a verdict on a rollout with a cutover whose time is up,
+// at the deadline if its traffic has not moved and at the end of the watch
+// period otherwise. Without proof against the candidate, the odds decide: a
+// version that answers worse than the control is not promoted because the time
+// was too short.
+func finalVerdict(r *Record, sum Cells, now time.Time) (Verdict, bool) {
+	if !r.Start.hasCutover() {
+		return Verdict{}, false
+	}
+	last := r.Start.Deadline
+	if r.Phase == Watched {
+		last = r.Start.watchEnd()
+	}
+	v := suspicion(sum)
+	return v, !now.Before(last) && v.LogEvidence >= logLimitRevert
+}
+
+// suspicion returns the metric that speaks most against the candidate over all
+// requests. Failures count at all shares, also after all traffic has moved, and
+// are compared with those of the control before. Slow answers count only while
+// both versions got requests, since a version that all traffic has just moved
+// to has cold caches.
+func suspicion(cs Cells) Verdict {
+	all := scopeSums(cs)[Scope{AllRoutes: true, AllBands: true}]
+	if all == nil {
+		return Verdict{}
+	}
+	candidate, control := cs.Total(Candidate), cs.Total(Control)
+	failures := Verdict{
+		Scope: Scope{AllRoutes: true, AllBands: true}, Metric: Failures, Candidate: candidate.Failed, Control: control.Failed,
+		LogEvidence: pooledLogEvidence(candidate, control),
+	}
+	if slow, ok := examineScope(failures.Scope, SlowAnswers, all[SlowAnswers], 0, failures.LogEvidence); ok {
+		return slow
+	}
+	return failures
+}
+
+// pooledLogEvidence returns the log evidence of failures that two versions had
+// at any time, given how many requests each got. Unlike LogEvidence, it assumes
+// that the risk of both did not change in between.
+func pooledLogEvidence(candidate, control Tally) float64 {
+	n := candidate.Requests + control.Requests
+	if candidate.Requests == 0 || control.Requests == 0 {
+		return 0
+	}
+	share := identifier.Share(float64(candidate.Requests) / float64(n))
+	p := candidateEventShare(share, failureTolerance)
+	var sums [len(riskRatios)]float64
+	for i, r := range riskRatios {
+		q := candidateEventShare(share, failureTolerance*r)
+		sums[i] = float64(candidate.Failed)*math.Log(q/p) + float64(control.Failed)*math.Log((1-q)/(1-p))
+	}
+	return logMean(sums[:])
+}
--- a/roller/directive.go
+++ b/roller/directive.go
@@ -29,6 +29,12 @@
 	Hosts int `json:"hosts"`
 	// Thresholds are the latencies above which an answer counts as slow.
 	Thresholds []Threshold `json:"thresholds,omitempty"`
+	// Withdrawn is the version that a reverted rollout moved traffic to. Its
+	// servers stay listed for some time.
+	Withdrawn identifier.Version `json:"withdrawn,omitempty"`
+	// ReportAll makes the hosts report successes as often as failures. A short
+	// rollout needs the number of requests to choose its share.
+	ReportAll bool `json:"reportAll,omitempty"`
 }
 
 // check returns an error for a directive that no controller sends.
--- a/roller/evaluators.go
+++ b/roller/evaluators.go
@@ -1,6 +1,7 @@
 package roller
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -21,21 +22,14 @@
 
 	mu         sync.Mutex
 	directives map[identifier.Service]Directive
-	schedules  map[identifier.Service]*reportSchedule
-}
-
-// reportSchedule holds when a service's counters were last reported, the
-// minimum interval until the next report, and the adverse count at the last
-// report.
-type reportSchedule struct {
-	last     time.Time
-	interval time.Duration
-	adverse  uint64
+	schedules  map[identifier.Service]*ReportSchedule
+	// hosts is the number of hosts that share the budget of reports.
+	hosts int
 }
 
 // NewEvaluators returns an Evaluators without services.
 func NewEvaluators(s Source) *Evaluators {
-	es := &Evaluators{source: s, directives: make(map[identifier.Service]Directive), schedules: make(map[identifier.Service]*reportSchedule)}
+	es := &Evaluators{source: s, directives: make(map[identifier.Service]Directive), schedules: make(map[identifier.Service]*ReportSchedule)}
 	es.evaluators.Store(&map[identifier.Service]*Evaluator{})
 	return es
 }
@@ -56,7 +50,14 @@
 	m := maps.Clone(*es.evaluators.Load())
 	m[s] = e
 	es.evaluators.Store(&m)
-	es.schedules[s] = &reportSchedule{}
+	es.schedules[s] = &ReportSchedule{}
+}
+
+// SetHosts sets the number of hosts that share the budget of reports.
+func (es *Evaluators) SetHosts(n int) {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	es.hosts = n
 }
 
 // Pick returns the version that a request goes to. For an unknown service the
@@ -83,6 +84,16 @@
 	return e.split.Load().trial.control
 }
 
+// Unproven returns the version that a rollout in progress moves a service to, or
+// that a reverted one has withdrawn, or "" if there is none. However many of its
+// servers are listed, it is not the service's current version.
+func (es *Evaluators) Unproven(s identifier.Service) identifier.Version {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	d := es.directives[s]
+	return cmp.Or(d.Candidate, d.Withdrawn)
+}
+
 // ApplyDirectives applies the directives of a document that EncodeDirectives
 // returned.
 func (es *Evaluators) ApplyDirectives(document []byte, now time.Time) error {
@@ -127,8 +138,8 @@
 		e := (*es.evaluators.Load())[s]
 		e.RecordContact(lastContact)
 		e.Tick(now)
-		if newVerdict := e.Evaluate() != nil; newVerdict || es.schedules[s].isDue(e, now) {
-			due = append(due, es.schedules[s].report(e, now))
+		if newVerdict := e.Evaluate() != nil; newVerdict || es.schedules[s].IsDue(e, now) {
+			due = append(due, es.schedules[s].Report(e, now, es.hosts))
 		}
 	}
 	return due
@@ -151,17 +162,3 @@
 func (es *Evaluators) services() []identifier.Service {
 	return slices.Sorted(maps.Keys(*es.evaluators.Load()))
 }
-
-// isDue reports whether a report is due: after the minimum interval if there
-// were new failures or slow answers, and after idleReportInterval in any case.
-func (s *reportSchedule) isDue(e *Evaluator, now time.Time) bool {
-	elapsed := now.Sub(s.last)
-	return elapsed >= idleReportInterval || e.AdverseCount() != s.adverse && elapsed >= s.interval
-}
-
-// report returns a report and schedules the next one.
-func (s *reportSchedule) report(e *Evaluator, now time.Time) Report {
-	r := e.Report()
-	*s = reportSchedule{last: now, interval: ReportInterval(e.directive.Hosts, len(r.Encode())), adverse: e.AdverseCount()}
-	return r
-}
--- a/roller/evaluators_test.go
+++ b/roller/evaluators_test.go
@@ -64,3 +64,41 @@
 		t.Errorf("reports %v, want one with a verdict", rs)
 	}
 }
+
+// The version of a reverted rollout must not become the current one because
+// more of its servers are listed than of the version in use.
+func TestWithdrawnVersionIsUnproven(t *testing.T) {
+	r := Record{Start: StartRollout{ID: "m", Service: "drafting", From: "v1", To: "v2"}, Phase: Staged, Level: 6}
+	es := NewEvaluators(Source{Host: "a1", Epoch: 1})
+	for i, p := range []Phase{Staged, Watched, Reverted, Done} {
+		r.Phase, r.Sequence = p, uint64(i+1)
+		if err := es.ApplyDirectives(EncodeDirectives([]Directive{r.directive()}), testTime); err != nil {
+			t.Fatal(err)
+		}
+		want := identifier.Version("v2")
+		if p == Done {
+			want = ""
+		}
+		if got := es.Unproven("drafting"); got != want {
+			t.Errorf("%s: %q is unproven, want %q", p, got, want)
+		}
+	}
+}
+
+// A stream that begins late must count as slow before it ends, and once.
+func TestSlowStreamCountsAtFirstContent(t *testing.T) {
+	e := NewEvaluator(Source{Host: "a1", Epoch: 1}, "drafting", "v1", nil)
+	e.Apply(Directive{
+		Service: "drafting", Rollout: "m", Sequence: 1, Control: "v1", Candidate: "v2", Level: TopLevel, Hosts: 1,
+		Thresholds: []Threshold{{CellKey: CellKey{Route: OtherRoute, Band: LightLoad}, Latency: time.Second}},
+	}, testTime)
+	a := e.Pick("r-1", testRoute, LightLoad)
+	a.FirstContent(2 * time.Second)
+	if diff := cmp.Diff(Tally{Slow: 1}, e.Report().Cells.Total(Candidate)); diff != "" {
+		t.Errorf("before the end (-want +got):\n%s", diff)
+	}
+	a.End(Result{Outcome: Succeeded, Latency: 2 * time.Second})
+	if diff := cmp.Diff(Tally{Requests: 1, Slow: 1}, e.Report().Cells.Total(Candidate)); diff != "" {
+		t.Errorf("after the end (-want +got):\n%s", diff)
+	}
+}
--- a/roller/event.go
+++ b/roller/event.go
@@ -28,7 +28,12 @@
 	// level. It is set if the time is too short for stages, for example if the
 	// total number of requests on an unproven version is limited over the whole
 	// rollout. The zero value means that traffic moves in stages.
+	//
+	// Such a rollout ends Watch after Deadline, whenever its traffic moved.
 	Cutover time.Time `json:"leap,omitzero"`
+	// Exposure bounds the requests that the candidate may get in a rollout with
+	// a Cutover. The zero value keeps FirstLevel until then.
+	Exposure Exposure `json:"exposure,omitzero"`
 	// InFlight is the maximum number of in-flight requests on the candidate per
 	// host. It applies up to a share of 10%.
 	InFlight int `json:"inFlight"`
@@ -52,6 +57,8 @@
 	ID    identifier.RolloutID `json:"id"`
 	Level Level                `json:"level"`
 	At    time.Time            `json:"at"`
+	// Summary holds the evidence on which the level was reached.
+	Summary Summary `json:"summary,omitzero"`
 }
 
 // VerdictReached reverts a rollout because its candidate is bad.
--- a/roller/evidence.go
+++ b/roller/evidence.go
@@ -28,7 +28,8 @@
 	Requests uint64 `json:"requests,omitempty"`
 	// Failed counts the requests that ended in Failed.
 	Failed uint64 `json:"failed,omitempty"`
-	// Slow counts the successes that took longer than the cell's threshold.
+	// Slow counts the answers whose first content took longer than the cell's
+	// threshold.
 	Slow uint64 `json:"slow,omitempty"`
 }
 
--- a/roller/record.go
+++ b/roller/record.go
@@ -64,11 +64,12 @@
 		d.Control, d.Replaces = r.Start.To, r.Start.From
 		return d
 	case Reverted:
+		d.Withdrawn = r.Start.To
 		return d
 	case Staged, Watched:
 	}
 	d.Rollout, d.Candidate, d.Level = r.Start.ID, r.Start.To, r.Level
-	d.Hosts, d.Thresholds = r.Start.Hosts, r.Start.Thresholds
+	d.Hosts, d.Thresholds, d.ReportAll = r.Start.Hosts, r.Start.Thresholds, r.Start.hasCutover()
 	if r.Level <= highestCappedLevel {
 		d.InFlight = r.Start.InFlight
 	}
--- a/roller/schedule.go
+++ b/roller/schedule.go
@@ -48,12 +48,6 @@
 // receive more requests and therefore need less time to gather as much
 // evidence.
 func scheduledLevel(s *StartRollout, now time.Time) Level {
-	if !s.Cutover.IsZero() {
-		if now.Before(s.Cutover) {
-			return s.FirstLevel
-		}
-		return TopLevel
-	}
 	span := float64(s.Deadline.Sub(s.At)) * scheduleShare
 	elapsed := min(max(float64(now.Sub(s.At))/span, 0), 1)
 	steps := float64(TopLevel - s.FirstLevel)
--- a/roller/state.go
+++ b/roller/state.go
@@ -188,7 +188,7 @@
 
 // applyStage sets the level of a stage.
 func (st *State) applyStage(r *Record, e StageReached) []Effect {
-	r.Level = min(e.Level, TopLevel)
+	r.Level, r.Summary = min(e.Level, TopLevel), e.Summary
 	effects := []Effect{st.publish(r)}
 	if r.Phase == Staged && r.Level == TopLevel {
 		r.Phase, r.MovedAt = Watched, e.At
--- a/roller/trial.go
+++ b/roller/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"cyclamenhub.org/identifier"
 )
@@ -82,7 +83,20 @@
 	}
 	slot := &t.slots[a.slot]
 	slot.observe(a, e.Outcome, e.Latency)
-	if e.Outcome == Failed || slot.isSlow(e.Outcome, e.Latency) {
+	if e.Outcome == Failed {
+		t.adverse.Add(1)
+	}
+	if e.Outcome == Succeeded && !a.begun {
+		t.observeFirst(a, e.Latency)
+	}
+}
+
+// observeFirst counts a request whose first content took longer than the
+// threshold.
+func (t *trial) observeFirst(a Assignment, latency time.Duration) {
+	slot := &t.slots[a.slot]
+	if slot.threshold > 0 && latency > slot.threshold {
+		slot.shard(a.shard).tallies[a.arm][a.level].slow.Add(1)
 		t.adverse.Add(1)
 	}
 }
