scaler: the servers of a rollout are no surplus

Cause: the platform starts the servers of a new version beside the old ones and counts them in the places of the service. The scaler took them for a surplus and released them within 4 s, so that no version of the model engines, good ones included, was ever moved ("no backend server has the version").

Change: servers of the version that the last rollout of a service moves it to, or was moved back from, are not counted as ready; while they are listed none is released, and orders for more add them.

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -162,7 +162,7 @@
 	if !fresh {
 		return
 	}
-	for _, o := range d.scaler.Plan(now, document.Services, list, calls) {
+	for _, o := range d.scaler.Plan(now, document.Services, list, calls, candidatesOf(n.view(), document.Services)) {
 		err := n.callWithinLease(ctx, lease, func(ctx context.Context) error {
 			return n.client.OrderServers(ctx, lease.Fencing(), o.Service, o.FailureDomain, o.Reclaimable, o.Count)
 		})
--- a/internal/node/rolloutorders.go
+++ b/internal/node/rolloutorders.go
@@ -17,6 +17,7 @@
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/roller"
+	"cyclamenhub.org/scaler"
 )
 
 // startRolloutMethod is the call by which a keeper passes an operator's order to
@@ -126,6 +127,18 @@
 	return out
 }
 
+// candidatesOf returns the versions of services whose last rollout is in
+// progress or was reverted.
+func candidatesOf(v reducer.View, services []describer.Service) scaler.Candidates {
+	out := make(scaler.Candidates)
+	for i := range services {
+		if last := lastRollout(v, services[i].Name); last != nil && last.Phase != roller.Done {
+			out[services[i].Name] = last.Start.To
+		}
+	}
+	return out
+}
+
 // routesOf returns the number of routes of a service that the tests of a rollout
 // distinguish, and false if the document does not contain the service.
 func (n *keeperNode) routesOf(s identifier.Service) (int, bool) {
--- a/scaler/demand.go
+++ b/scaler/demand.go
@@ -90,7 +90,7 @@
 // not draining.
 func readyServers(service identifier.Service, l *discoverer.Listing) int {
 	n := 0
-	for _, c := range listed(service, l) {
+	for _, c := range listed(service, l, "") {
 		n += c.ready
 	}
 	return n
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -49,12 +49,16 @@
 type Order struct {
 	Place
 	Count int
+	// Candidates is the part of Count that has the version to which a rollout
+	// moves the service.
+	Candidates int
 	// Why describes the inputs of the decision, for the log.
 	Why string
 }
 
 // lastOrder is the last order for a place.
 type lastOrder struct {
+	// count is the number ordered, without the candidates of a rollout.
 	count int
 	at    time.Time
 	// accepted is whether the platform accepted the order.
@@ -82,26 +86,38 @@
 	return &Scaler{firstStart: firstStart, last: make(map[Place]lastOrder), surplus: make(map[Place]time.Time), initial: make(map[identifier.Service]*initialServers), demand: make(map[identifier.Service]*demand)}
 }
 
+// Candidates maps a service to the version to which its last rollout moves it,
+// or from which it was moved back.
+type Candidates map[identifier.Service]identifier.Version
+
 // Plan returns the orders that are due. The map calls holds the number of
 // running calls of each service.
-func (s *Scaler) Plan(now time.Time, services []describer.Service, l *discoverer.Listing, calls map[identifier.Service]int) []Order {
+//
+// The platform starts the servers of a rollout beside those in use, and counts
+// them in the places of the service. They are no surplus: releasing as many
+// would take the new version its servers before any traffic has moved. While
+// they are listed, no server of the service is released, and an order for more
+// adds them to its count.
+func (s *Scaler) Plan(now time.Time, services []describer.Service, l *discoverer.Listing, calls map[identifier.Service]int, candidates Candidates) []Order {
 	var out []Order
 	for i := range services {
 		if c := services[i].Scaling; c != nil {
 			name := services[i].Name
 			ready := readyServers(name, l)
 			s.observeInitial(now, name, ready)
-			out = append(out, s.plan(now, name, c, l, s.needed(now, name, calls[name], ready))...)
+			have := s.capacityOf(name, domainsByPrice(c), listed(name, l, candidates[name]))
+			out = append(out, s.plan(now, name, c, have, s.needed(now, name, calls[name], ready))...)
 		}
 	}
 	return out
 }
 
-// count is the number of listed servers of a place.
-type count struct{ ready, draining int }
+// count is the number of listed servers of a place. Those of the candidate of a
+// rollout are not counted as ready.
+type count struct{ ready, draining, candidates int }
 
 // listed counts the servers of a service by place.
-func listed(service identifier.Service, l *discoverer.Listing) map[Place]count {
+func listed(service identifier.Service, l *discoverer.Listing, candidate identifier.Version) map[Place]count {
 	out := make(map[Place]count)
 	for i := range l.Instances {
 		in := &l.Instances[i]
@@ -110,9 +126,12 @@
 		}
 		p := Place{service, in.FailureDomain, in.Reclaimable}
 		c := out[p]
-		if in.Draining {
+		switch {
+		case in.Draining:
 			c.draining++
-		} else {
+		case candidate != "" && in.Version == candidate:
+			c.candidates++
+		default:
 			c.ready++
 		}
 		out[p] = c
@@ -129,11 +148,24 @@
 	// availableDomains is the number of domains where the last order of
 	// reclaimable servers was accepted or none was sent yet.
 	availableDomains int
+	domains          []identifier.FailureDomain
+	// hasCandidates is whether servers of the candidate of a rollout are listed.
+	hasCandidates bool
+}
+
+// domainsByPrice returns the failure domains of a service, the cheapest first.
+func domainsByPrice(c *describer.Scaling) []identifier.FailureDomain {
+	return slices.SortedFunc(maps.Keys(c.Prices), func(a, b identifier.FailureDomain) int {
+		return cmp.Or(cmp.Compare(c.Prices[a], c.Prices[b]), cmp.Compare(a, b))
+	})
 }
 
-// capacityOf returns the capacity of a service.
-func (s *Scaler) capacityOf(service identifier.Service, domains []identifier.FailureDomain, l *discoverer.Listing) capacity {
-	c := capacity{counts: listed(service, l)}
+// capacityOf returns the capacity of a service in the given domains.
+func (s *Scaler) capacityOf(service identifier.Service, domains []identifier.FailureDomain, counts map[Place]count) capacity {
+	c := capacity{counts: counts, domains: domains}
+	for _, n := range counts {
+		c.hasCandidates = c.hasCandidates || n.candidates > 0
+	}
 	for _, d := range domains {
 		n := c.counts[Place{service, d, true}].ready
 		c.reclaimable += n
@@ -147,11 +179,8 @@
 }
 
 // plan returns the orders for a service that needs the given number of servers.
-func (s *Scaler) plan(now time.Time, service identifier.Service, c *describer.Scaling, l *discoverer.Listing, needed int) []Order {
-	domains := slices.SortedFunc(maps.Keys(c.Prices), func(a, b identifier.FailureDomain) int {
-		return cmp.Or(cmp.Compare(c.Prices[a], c.Prices[b]), cmp.Compare(a, b))
-	})
-	have := s.capacityOf(service, domains, l)
+func (s *Scaler) plan(now time.Time, service identifier.Service, c *describer.Scaling, have capacity, needed int) []Order {
+	domains := have.domains
 	// assured is the number of ready reclaimable servers that the plan relies on.
 	assured := have.reclaimable
 	if have.availableDomains < len(domains) {
@@ -170,7 +199,12 @@
 	wanted := spread(domains, max(minFullPrice, needed-assured), room)
 	var out []Order
 	add := func(p Place, want int) {
-		if o, due := s.due(now, p, s.delayScaleDown(now, p, want, have.counts[p]), have.counts[p], why); due {
+		n := have.counts[p]
+		if have.hasCandidates {
+			want = s.besideCandidates(p, want, c.Max, have.counts)
+		}
+		if o, due := s.due(now, p, s.delayScaleDown(now, p, want, n), n, why); due {
+			o.Count, o.Candidates = o.Count+n.candidates, n.candidates
 			out = append(out, o)
 		}
 	}
@@ -182,6 +216,16 @@
 	return out
 }
 
+// besideCandidates returns the number of servers to have in a place beside the
+// candidates of a rollout: at least the present ones, and more only within the
+// limit of the domain.
+func (s *Scaler) besideCandidates(p Place, want, limit int, counts map[Place]count) int {
+	for _, reclaimable := range []bool{true, false} {
+		limit -= counts[Place{p.Service, p.FailureDomain, reclaimable}].candidates
+	}
+	return max(min(want, limit), s.provisioned(p, counts[p]))
+}
+
 // provisioned returns the number of servers of a place, including those that are
 // starting.
 func (s *Scaler) provisioned(p Place, n count) int {
@@ -259,6 +303,6 @@
 // recorded, so that it stays due.
 func (s *Scaler) RecordResult(now time.Time, o Order, accepted, unavailable bool) {
 	if accepted || unavailable {
-		s.last[o.Place] = lastOrder{count: o.Count, at: now, accepted: accepted}
+		s.last[o.Place] = lastOrder{count: o.Count - o.Candidates, at: now, accepted: accepted}
 	}
 }
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -23,6 +23,10 @@
 	servers          map[Place][]time.Time // when each server is ready
 	unavailableUntil time.Time
 	calls            int
+	// started are the servers that the platform started for a rollout, by place.
+	// They are the newest of the place.
+	started    map[Place]int
+	candidates Candidates
 	// cost is in server seconds at the full price.
 	cost float64
 }
@@ -46,7 +50,7 @@
 // run advances the time by d and executes the plans.
 func (f *fakePlatform) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(Interval) {
-		for _, o := range f.scaler.Plan(f.now, []describer.Service{f.service}, f.listing(), map[identifier.Service]int{service: f.calls}) {
+		for _, o := range f.scaler.Plan(f.now, []describer.Service{f.service}, f.listing(), map[identifier.Service]int{service: f.calls}, f.candidates) {
 			f.order(o)
 		}
 		for p, list := range f.servers {
@@ -80,11 +84,16 @@
 	l := &discoverer.Listing{At: f.now}
 	for p, list := range f.servers {
 		for i, ready := range list {
-			if !f.now.Before(ready) {
-				l.Instances = append(l.Instances, describer.Instance{
-					ID: identifier.BackendServer(fmt.Sprint(p, i)), Service: service, FailureDomain: p.FailureDomain, Reclaimable: p.Reclaimable,
-				})
+			if f.now.Before(ready) {
+				continue
 			}
+			in := describer.Instance{
+				ID: identifier.BackendServer(fmt.Sprint(p, i)), Service: service, FailureDomain: p.FailureDomain, Reclaimable: p.Reclaimable, Version: "v1",
+			}
+			if i >= len(list)-f.started[p] {
+				in.Version = "v2"
+			}
+			l.Instances = append(l.Instances, in)
 		}
 	}
 	return l
@@ -166,7 +175,7 @@
 	orders := 0
 	for i := range 60 {
 		f.calls = 60 + 40*(i%2)
-		due := len(f.scaler.Plan(f.now, []describer.Service{f.service}, f.listing(), map[identifier.Service]int{service: f.calls}))
+		due := len(f.scaler.Plan(f.now, []describer.Service{f.service}, f.listing(), map[identifier.Service]int{service: f.calls}, nil))
 		orders += due
 		f.run(2 * time.Second)
 	}
@@ -182,8 +191,8 @@
 	all := f.listing().Instances
 	for n := 0; n <= len(all); n += 3 {
 		part := &discoverer.Listing{Instances: all[:n], At: f.now}
-		for _, o := range f.scaler.Plan(f.now, []describer.Service{f.service}, part, nil) {
-			if listed(service, part)[o.Place].ready > o.Count {
+		for _, o := range f.scaler.Plan(f.now, []describer.Service{f.service}, part, nil, nil) {
+			if listed(service, part, "")[o.Place].ready > o.Count {
 				t.Errorf("with %d of %d servers listed %d are ordered in %+v", n, len(all), o.Count, o.Place)
 			}
 		}
@@ -230,3 +239,41 @@
 		t.Errorf("%d servers are ready, the load needs %d", f.ready(), needed)
 	}
 }
+
+// startRollout starts a second set of servers at the full price beside those of
+// the service, as the platform does for a rollout to v2.
+func (f *fakePlatform) startRollout() {
+	f.candidates, f.started = Candidates{service: "v2"}, make(map[Place]int)
+	for i := range f.ready() {
+		p := Place{service, []identifier.FailureDomain{"a", "b", "c", "d"}[i%4], false}
+		f.servers[p] = append(f.servers[p], f.now.Add(bootTime))
+		f.started[p]++
+	}
+}
+
+// TestRolloutKeepsItsServers guards against releasing the servers of a new
+// version as a surplus before traffic moves to them. The load falls and rises
+// in the time of the rollout.
+func TestRolloutKeepsItsServers(t *testing.T) {
+	f := newFakePlatform(t)
+	f.service.Scaling.Max = 9
+	f.calls = 60
+	f.run(30 * time.Second)
+	f.startRollout()
+	for _, calls := range []int{60, 10, 90} {
+		f.calls = calls
+		f.run(10 * time.Second)
+		for p, n := range f.started {
+			if len(f.servers[p]) < n {
+				t.Errorf("with %d calls %d servers are left in %+v, where %d were started for the rollout", calls, len(f.servers[p]), p, n)
+			}
+		}
+	}
+	old := f.ready()
+	for _, n := range f.started {
+		old -= n
+	}
+	if need := serversFor(90); old < need {
+		t.Errorf("%d servers of the old version are ready, the load needs %d", old, need)
+	}
+}
