rollouts of seconds: slow versions, services with little traffic, late cutovers

Calls that are still pending are the slow ones, and counted only once content came; the 95th percentile over a few dozen answers tells little; the odds tolerated 1.5 times as many slow answers; the share rose only 2 s after the first counted call; with all traffic moved 2.7 s before the end a version that turned bad then got more than the exposure. One failure in 74 calls took a good version back.

Change: a call is slow as soon as its first content is overdue; 9th decile; odds without tolerance, 5 to 1, from two bad answers on; the first share follows from the rate of the last 10 to 20 s; the cutover waits until the exposure covers all that is left.

Ruled out: slow answers after the cutover (cold caches of a good version).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -167,6 +167,7 @@
 	// content.
 	assignment     roller.Assignment
 	assignmentOpen bool
+	watch          contentWatch
 	firstAfter     time.Duration
 }
 
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -166,9 +166,7 @@
 func (x *exchange) recordFirstContent(choice *placer.Choice) {
 	choice.FirstContent()
 	x.firstAfter = x.f.opts.Clock.Now().Sub(x.start)
-	if x.assignmentOpen {
-		x.assignment.FirstContent(x.firstAfter)
-	}
+	x.observeFirstContent()
 }
 
 // writeStreamHeader writes the header of a stream, unless an earlier attempt
--- a/forwarder/version.go
+++ b/forwarder/version.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"sync/atomic"
 	"time"
 
 	"cyclamenhub.org/identifier"
@@ -36,15 +37,55 @@
 		// Calls of the control would count while the candidate gets none.
 		x.endAssignment(callerLeft, 0)
 	}
+	x.watchFirstContent()
 	return x.assignment.Version()
 }
 
+// contentWatch counts an assignment as slow when its first content is overdue.
+// The calls of a slow version are pending longest: if they counted only once
+// content arrives, the version would look better than it is.
+type contentWatch struct {
+	// counted is set once the first content has arrived or is overdue.
+	counted atomic.Bool
+	timer   *time.Timer
+}
+
+// watchFirstContent starts the watch of the assignment, if a rollout is in
+// progress.
+func (x *exchange) watchFirstContent() {
+	after, ok := x.assignment.SlowAfter()
+	if !ok || !x.assignmentOpen {
+		return
+	}
+	a := x.assignment
+	left := after - x.f.opts.Clock.Now().Sub(x.start)
+	x.watch.timer = time.AfterFunc(left, func() {
+		if x.watch.counted.CompareAndSwap(false, true) {
+			a.FirstContent(after + 1)
+		}
+	})
+}
+
+// observeFirstContent counts the first content of the assignment, unless it was
+// overdue.
+func (x *exchange) observeFirstContent() {
+	if x.assignmentOpen && x.watch.counted.CompareAndSwap(false, true) {
+		x.assignment.FirstContent(x.firstAfter)
+	}
+}
+
 // endAssignment reports the result of the attempt with the picked version.
 func (x *exchange) endAssignment(result attemptResult, firstAfter time.Duration) {
 	if !x.assignmentOpen || x.sends > 1 {
 		return
 	}
 	x.assignmentOpen = false
+	if x.watch.timer != nil {
+		x.watch.timer.Stop()
+	}
+	if !x.watch.counted.CompareAndSwap(false, true) {
+		x.assignment.FirstContent(0) // It has been counted.
+	}
 	r := roller.Result{Server: x.server, Latency: firstAfter}
 	switch result {
 	case answered:
--- a/internal/node/rolloutorders.go
+++ b/internal/node/rolloutorders.go
@@ -92,7 +92,7 @@
 	}
 	start.PlanCutover(within, roller.Exposure{Share: identifier.Share(n.cfg.Bounds.ExposureShare), Requests: n.cfg.Bounds.ExposureSlack})
 	n.mu.Lock()
-	start.Thresholds = n.rollouts.Baseline(s, from)
+	n.rollouts.Prepare(&start, now)
 	n.mu.Unlock()
 	n.log.Info("rollout started", "rollout", start.ID, "service", s, "from", from, "to", to, "within", within, "hosts", start.Hosts,
 		"firstShare", start.FirstLevel.Share(), "thresholds", len(start.Thresholds))
--- a/internal/rolloutbench/cutover.go
+++ b/internal/rolloutbench/cutover.go
@@ -36,6 +36,9 @@
 	return s
 }
 
+// hasCutover reports whether the rollout moves all traffic in one step.
+func (s *Scenario) hasCutover() bool { return s.exposure != (roller.Exposure{}) }
+
 // rollbackBound is how long after the candidate's badAnswersToAct-th bad answer
 // requests may still reach it.
 const rollbackBound = 5 * time.Second
--- a/internal/rolloutbench/fleet.go
+++ b/internal/rolloutbench/fleet.go
@@ -56,6 +56,9 @@
 		f.hosts = append(f.hosts, m)
 		f.callEvery(s.pace.reportInterval, func(now time.Time) { f.report(m, now) })
 	}
+	if s.hasCutover() {
+		f.callEvery(s.pace.decideInterval, f.controller.Refresh)
+	}
 	return f
 }
 
@@ -77,8 +80,9 @@
 		Deadline: f.s.deadline(), Watch: f.s.pace.watch, FirstLevel: roller.FirstLevel(rate),
 		InFlight: inFlightPerHost, Hosts: f.s.Hosts, Routes: len(routes) + 1, Thresholds: f.controller.Baseline(service, currentVersion),
 	}
-	if f.s.exposure != (roller.Exposure{}) {
+	if f.s.hasCutover() {
 		start.PlanCutover(f.s.Deadline, f.s.exposure)
+		f.controller.Prepare(&start, now)
 	}
 	f.apply(start, now)
 	f.q.add(now.Add(f.s.pace.decideInterval), f.tick)
--- a/roller/assignment.go
+++ b/roller/assignment.go
@@ -44,6 +44,16 @@
 // to.
 func (a Assignment) Arm() Arm { return a.arm }
 
+// SlowAfter returns the time after which an answer without content counts as
+// slow, and false if there is no such time.
+func (a Assignment) SlowAfter() (time.Duration, bool) {
+	if a.trial == nil || a.trial.rollout == "" {
+		return 0, false
+	}
+	after := a.trial.slots[a.slot].threshold
+	return after, after > 0
+}
+
 // FirstContent counts the request as slow if the first content of its answer took
 // longer than the threshold. It is optional: without it, End does so. A stream
 // may end long after its first content has shown that the version is slow.
--- a/roller/controller.go
+++ b/roller/controller.go
@@ -20,7 +20,7 @@
 	// counters.
 	localVerdicts map[identifier.RolloutID][]Source
 	alarmStates   alarmStates
-	rates         map[evidenceKey]*rateMeter
+	rates         map[evidenceKey]*serviceRates
 	// firstReadings holds, for each rollout with a cutover, the first reading of
 	// its request counter.
 	firstReadings map[identifier.RolloutID]reading
@@ -47,7 +47,7 @@
 		evidence:      make(map[evidenceKey]*Evidence),
 		changed:       make(map[evidenceKey]bool),
 		localVerdicts: make(map[identifier.RolloutID][]Source), alarmStates: make(alarmStates),
-		rates: make(map[evidenceKey]*rateMeter), firstReadings: make(map[identifier.RolloutID]reading),
+		rates: make(map[evidenceKey]*serviceRates), firstReadings: make(map[identifier.RolloutID]reading),
 	}
 }
 
@@ -86,10 +86,10 @@
 	return e
 }
 
-// Baseline returns the latency thresholds of a service's version, computed from
-// the evidence gathered between rollouts.
+// Baseline returns the latency thresholds of a service's version for a rollout in
+// stages, computed from the evidence gathered between rollouts.
 func (c *Controller) Baseline(s identifier.Service, version identifier.Version) []Threshold {
-	return Thresholds(c.evidenceFor(evidenceKey{service: s, control: version}).Sum())
+	return Thresholds(c.evidenceFor(evidenceKey{service: s, control: version}).Sum(), slowQuantile)
 }
 
 // Refresh records the request rates that later decisions need and drops the
@@ -132,24 +132,40 @@
 		}
 		m := c.rates[k]
 		if m == nil {
-			m = &rateMeter{}
+			m = &serviceRates{staged: rateMeter{window: stagedRateWindow}, cutover: rateMeter{window: cutoverRateWindow}}
 			c.rates[k] = m
 		}
-		m.record(now, e.Sum().Total(Control).Requests)
+		n := e.Sum().Total(Control).Requests
+		m.staged.record(now, n)
+		m.cutover.record(now, n)
 	}
 }
 
+// serviceRates holds the request rates of a service outside rollouts.
+type serviceRates struct{ staged, cutover rateMeter }
+
 // Prepare sets the fields of a requested start that the controller knows: the
-// first level, the bound on in-flight requests and the thresholds.
+// first level, the bound on in-flight requests of a rollout in stages, and the
+// thresholds.
 func (c *Controller) Prepare(e *StartRollout, now time.Time) {
 	k := evidenceKey{service: e.Service, control: e.From}
-	e.FirstLevel, e.InFlight = unknownRateLevel, defaultInFlight
-	if m := c.rates[k]; m != nil {
-		if rate, ok := m.rate(now, c.evidenceFor(k).Sum().Total(Control).Requests); ok {
+	sum, m := c.evidenceFor(k).Sum(), c.rates[k]
+	n := sum.Total(Control).Requests
+	if m == nil {
+		m = &serviceRates{}
+	}
+	if e.hasCutover() {
+		e.Thresholds = Thresholds(sum, cutoverSlowQuantile)
+		if rate, ok := m.cutover.rate(now, n); ok {
+			e.FirstLevel = canaryLevel(e, rate)
+		}
+	} else {
+		e.FirstLevel, e.InFlight = unknownRateLevel, defaultInFlight
+		if rate, ok := m.staged.rate(now, n); ok {
 			e.FirstLevel = FirstLevel(rate)
 		}
+		e.Thresholds = Thresholds(sum, slowQuantile)
 	}
-	e.Thresholds = c.Baseline(e.Service, e.From)
 }
 
 // evictEnded drops the state of rollouts that have ended.
--- a/roller/cutover.go
+++ b/roller/cutover.go
@@ -82,28 +82,57 @@
 	return l
 }
 
+// cutoverWithin returns the time of the cutover of a service that gets rate
+// requests per second, of which the candidate has got the given number. It is
+// the first time from Cutover on after which the candidate gets no more requests
+// than the exposure allows, should it turn bad at the last moment. The cutover of
+// a service for which there is no such time before Deadline is not delayed: so
+// many requests show a fault early.
+func (e *StartRollout) cutoverWithin(rate, candidateRequests float64) time.Time {
+	end := e.watchEnd().Add(completionMargin)
+	left := e.Exposure.allowed(rate*end.Sub(e.At).Seconds()) - candidateRequests
+	at := end.Add(-time.Duration(left / max(rate, 1) * float64(time.Second)))
+	if at.Before(e.Cutover) || at.After(e.Deadline) {
+		return e.Cutover
+	}
+	return at
+}
+
+// minSuspectEvents is the number of bad answers of the candidate below which the
+// odds decide nothing.
+const minSuspectEvents = 2
+
 // The limits of the odds, in nats of log evidence, that decide a rollout with a
 // cutover when its time is up. They are lower than those of a verdict, which
-// may be reached at any time: a good version is held back by mistake in at most
-// one rollout of three, and taken back by mistake in at most one of ten.
+// may be reached at any time, and tolerate nothing: a version that is as good as
+// the control is held back by mistake in at most one rollout of two, and taken
+// back by mistake in at most one of five.
 var (
-	logLimitHold   = math.Log(3)
-	logLimitRevert = math.Log(10)
+	logLimitHold   = math.Log(2)
+	logLimitRevert = math.Log(5)
 )
 
+// oddsLikelihoods is the table for the odds that a candidate answers worse than
+// the control at all.
+var oddsLikelihoods = newLikelihoodTable(1)
+
 // cutoverLevel returns the level of a rollout that moves in one step. The step
 // waits until the deadline while the candidate seems to answer worse than the
 // control.
 func (c *Controller) cutoverLevel(r *Record, now time.Time) Level {
 	s := &r.Start
 	sum := c.evidenceFor(keyOf(r)).Sum()
+	rate, known := c.rateDuring(s.ID, sum, now)
+	known = known && s.Exposure != (Exposure{})
+	cutover := s.Cutover
+	if known {
+		cutover = s.cutoverWithin(rate, float64(sum.Total(Candidate).Requests))
+	}
 	switch {
-	case now.Before(s.Cutover):
-		rate, ok := c.rateDuring(s.ID, sum, now)
-		if !ok || s.Exposure == (Exposure{}) {
-			return r.Level
-		}
+	case now.Before(cutover) && known:
 		return max(r.Level, canaryLevel(s, rate))
+	case now.Before(cutover):
+		return r.Level
 	case now.Before(s.Deadline) && suspicion(sum).LogEvidence >= logLimitHold:
 		return r.Level
 	default:
@@ -149,16 +178,21 @@
 // both versions got requests, since a version that all traffic has just moved
 // to has cold caches.
 func suspicion(cs Cells) Verdict {
-	all := scopeSums(cs)[Scope{AllRoutes: true, AllBands: true}]
+	scope := Scope{AllRoutes: true, AllBands: true}
+	all := scopeSums(cs)[scope]
 	if all == nil {
 		return Verdict{}
 	}
 	candidate, control := cs.Total(Candidate), cs.Total(Control)
-	failures := Verdict{
-		Scope: Scope{AllRoutes: true, AllBands: true}, Metric: Failures, Candidate: candidate.Failed, Control: control.Failed,
-		LogEvidence: pooledLogEvidence(candidate, control),
+	failures := Verdict{Scope: scope, Metric: Failures, Candidate: candidate.Failed, Control: control.Failed}
+	if failures.Candidate >= minSuspectEvents {
+		failures.LogEvidence = pooledLogEvidence(candidate, control)
+	}
+	slow := Verdict{Scope: scope, Metric: SlowAnswers, Candidate: candidate.Slow, Control: control.Slow}
+	if slow.Candidate >= minSuspectEvents {
+		slow.LogEvidence = oddsLikelihoods.LogEvidence(all[SlowAnswers])
 	}
-	if slow, ok := examineScope(failures.Scope, SlowAnswers, all[SlowAnswers], 0, failures.LogEvidence); ok {
+	if slow.LogEvidence > failures.LogEvidence {
 		return slow
 	}
 	return failures
@@ -173,10 +207,10 @@
 		return 0
 	}
 	share := identifier.Share(float64(candidate.Requests) / float64(n))
-	p := candidateEventShare(share, failureTolerance)
+	p := candidateEventShare(share, 1)
 	var sums [len(riskRatios)]float64
 	for i, r := range riskRatios {
-		q := candidateEventShare(share, failureTolerance*r)
+		q := candidateEventShare(share, r)
 		sums[i] = float64(candidate.Failed)*math.Log(q/p) + float64(control.Failed)*math.Log((1-q)/(1-p))
 	}
 	return logMean(sums[:])
--- a/roller/directive.go
+++ b/roller/directive.go
@@ -54,21 +54,24 @@
 	Latency time.Duration `json:"latency"`
 }
 
-// slowQuantile is the quantile of the control's latency above which an answer
-// counts as slow.
-const slowQuantile = 0.95
+// The quantiles of the control's latency above which an answer counts as slow. A
+// rollout with a cutover sees few answers, of which a lower quantile counts more.
+const (
+	slowQuantile        = 0.95
+	cutoverSlowQuantile = 0.9
+)
 
 // minThresholdCount is the minimum number of answers that a threshold is
 // computed from.
 const minThresholdCount = 40
 
-// Thresholds returns the control's slowQuantile in each cell with enough
-// answers. It must be given evidence from before the rollout: the test is valid
+// Thresholds returns quantile q of the control's latency in each cell with
+// enough answers. It must be given evidence from before the rollout: the test is valid
 // only if the thresholds are fixed before the events that it counts.
-func Thresholds(cs Cells) []Threshold {
+func Thresholds(cs Cells, q float64) []Threshold {
 	var out []Threshold
 	for k, c := range cs {
-		if d, ok := quantile(c.Latency[Control], slowQuantile); ok {
+		if d, ok := quantile(c.Latency[Control], q); ok {
 			out = append(out, Threshold{CellKey: k, Latency: d})
 		}
 	}
--- a/roller/rate.go
+++ b/roller/rate.go
@@ -2,13 +2,19 @@
 
 import "time"
 
-// rateWindow is the approximate length of the period over which a request rate
-// is measured.
-const rateWindow = 5 * time.Minute
+// The approximate lengths of the periods over which a request rate is measured:
+// for rollouts in stages and for those with a cutover.
+const (
+	stagedRateWindow  = 5 * time.Minute
+	cutoverRateWindow = 10 * time.Second
+)
 
-// rateMeter measures the rate at which a counter increases. Its zero value is
-// ready to use.
-type rateMeter struct{ older, newer reading }
+// rateMeter measures the rate at which a counter increases, over one to two
+// windows.
+type rateMeter struct {
+	window       time.Duration
+	older, newer reading
+}
 
 // reading is the value of a counter at a time.
 type reading struct {
@@ -16,12 +22,12 @@
 	n  uint64
 }
 
-// record records a reading, at most one per rateWindow.
+// record records a reading, at most one per window.
 func (m *rateMeter) record(now time.Time, n uint64) {
 	switch {
 	case m.older.at.IsZero():
 		m.older, m.newer = reading{now, n}, reading{now, n}
-	case now.Sub(m.newer.at) >= rateWindow:
+	case now.Sub(m.newer.at) >= m.window:
 		m.older, m.newer = m.newer, reading{now, n}
 	}
 }
@@ -30,11 +36,12 @@
 // if the readings do not allow a rate.
 func (m *rateMeter) rate(now time.Time, n uint64) (float64, bool) {
 	elapsed := now.Sub(m.older.at)
-	if m.older.at.IsZero() || elapsed < minRateTime || n < m.older.n {
+	if m.older.at.IsZero() || elapsed < m.window/minRateDivisor || n < m.older.n {
 		return 0, false
 	}
 	return float64(n-m.older.n) / elapsed.Seconds(), true
 }
 
-// minRateTime is the shortest period over which a rate is measured.
-const minRateTime = time.Minute
+// minRateDivisor divides the window to get the shortest period over which a rate
+// is measured.
+const minRateDivisor = 5
