roller: the odds on slow answers count all requests that both versions got

Change: the odds at the end compare slow answers by the requests counted, at the levels at which both versions get some.

--- a/roller/cutover.go
+++ b/roller/cutover.go
@@ -112,10 +112,6 @@
 	logLimitRevert = math.Log(5)
 )
 
-// oddsLikelihoods is the table for the odds that a candidate answers worse than
-// the control at all.
-var oddsLikelihoods = newLikelihoodTable(1)
-
 // cutoverLevel returns the level of a rollout that moves in one step. The step
 // waits until the deadline while the candidate seems to answer worse than the
 // control.
@@ -178,40 +174,36 @@
 // both versions got requests, since a version that all traffic has just moved
 // to has cold caches.
 func suspicion(cs Cells) Verdict {
-	scope := Scope{AllRoutes: true, AllBands: true}
-	all := scopeSums(cs)[scope]
-	if all == nil {
-		return Verdict{}
-	}
 	candidate, control := cs.Total(Candidate), cs.Total(Control)
-	failures := Verdict{Scope: scope, Metric: Failures, Candidate: candidate.Failed, Control: control.Failed}
-	if failures.Candidate >= minSuspectEvents {
-		failures.LogEvidence = pooledLogEvidence(candidate, control)
-	}
-	slow := Verdict{Scope: scope, Metric: SlowAnswers, Candidate: candidate.Slow, Control: control.Slow}
-	if slow.Candidate >= minSuspectEvents {
-		slow.LogEvidence = oddsLikelihoods.LogEvidence(all[SlowAnswers])
-	}
+	failures := newSuspicion(Failures, candidate.Requests, control.Requests, candidate.Failed, control.Failed)
+	candidate, control = cs.totalBelowTop(Candidate), cs.totalBelowTop(Control)
+	slow := newSuspicion(SlowAnswers, candidate.Requests, control.Requests, candidate.Slow, control.Slow)
 	if slow.LogEvidence > failures.LogEvidence {
 		return slow
 	}
 	return failures
 }
 
-// pooledLogEvidence returns the log evidence of failures that two versions had
-// at any time, given how many requests each got. Unlike LogEvidence, it assumes
-// that the risk of both did not change in between.
-func pooledLogEvidence(candidate, control Tally) float64 {
-	n := candidate.Requests + control.Requests
-	if candidate.Requests == 0 || control.Requests == 0 {
-		return 0
+// newSuspicion returns what the bad answers of a metric say, given how many
+// requests each version got.
+func newSuspicion(m Metric, candidateRequests, controlRequests, candidate, control uint64) Verdict {
+	v := Verdict{Scope: Scope{AllRoutes: true, AllBands: true}, Metric: m, Candidate: candidate, Control: control}
+	if candidate >= minSuspectEvents && candidateRequests > 0 && controlRequests > 0 {
+		share := float64(candidateRequests) / float64(candidateRequests+controlRequests)
+		v.LogEvidence = pooledLogEvidence(identifier.Share(share), float64(candidate), float64(control))
 	}
-	share := identifier.Share(float64(candidate.Requests) / float64(n))
+	return v
+}
+
+// pooledLogEvidence returns the log evidence of bad answers that two versions gave
+// at any time, given the candidate's share of the requests in all that time.
+// Unlike LogEvidence, it assumes that the risk of both did not change in between.
+func pooledLogEvidence(share identifier.Share, candidate, control float64) float64 {
 	p := candidateEventShare(share, 1)
 	var sums [len(riskRatios)]float64
 	for i, r := range riskRatios {
 		q := candidateEventShare(share, r)
-		sums[i] = float64(candidate.Failed)*math.Log(q/p) + float64(control.Failed)*math.Log((1-q)/(1-p))
+		sums[i] = candidate*math.Log(q/p) + control*math.Log((1-q)/(1-p))
 	}
 	return logMean(sums[:])
 }
--- a/roller/evidence.go
+++ b/roller/evidence.go
@@ -126,10 +126,14 @@
 }
 
 // Total returns the sum of all tallies of an arm.
-func (cs Cells) Total(a Arm) Tally {
+func (cs Cells) Total(a Arm) Tally { return cs.sum(a, NoLevel, numLevels) }
+
+// sum returns the sum of the tallies of an arm from level from up to, but not
+// including, level to.
+func (cs Cells) sum(a Arm, from, to Level) Tally {
 	var sum Tally
 	for _, c := range cs {
-		for _, t := range c.Tallies[a] {
+		for _, t := range c.Tallies[a][from:to] {
 			sum.Requests += t.Requests
 			sum.Failed += t.Failed
 			sum.Slow += t.Slow
@@ -138,6 +142,12 @@
 	return sum
 }
 
+// totalBelowTop returns the sum of the tallies of an arm at the levels at which
+// both arms get requests.
+func (cs Cells) totalBelowTop(a Arm) Tally {
+	return cs.sum(a, NoLevel+1, TopLevel)
+}
+
 // Epoch numbers the starts of a host's process. The counters are reset at each
 // start.
 type Epoch uint64
