scaler: nothing is ordered before the first listing has settled

Cause: an order sets the number of servers of a place.

Change: after the first start no order until the number of listed servers has been the same for 2.5 s (10 s at most); servers at the full price go only as far as the ready ones cover the need, since a limit of both kinds leaves no room to order all replacements first; in the first 8 s of load the calls in progress are extrapolated, up to three quarters of the initial servers. TestFirstSeconds replays it (golden).

--- a/scaler/demand.go
+++ b/scaler/demand.go
@@ -16,13 +16,18 @@
 	// minNeeded is the number of servers needed at any load.
 	minNeeded = 3
 	// initialRatio is the fraction of the initial servers that is needed until
-	// the load is known. The initial number reflects the load that the operator
-	// expected.
+	// the load is known.
 	initialRatio = 0.75
 	// settleTime is how long the number of initial servers must stay the same
 	// before any server is released, because a listing that lags shows the
 	// servers one after the other.
-	settleTime = 1500 * time.Millisecond
+	settleTime = 2500 * time.Millisecond
+	// maxSettleTime is how long after the first start the listing is awaited at
+	// most.
+	maxSettleTime = 10 * time.Second
+	// learnTime is how long after the first call the load is extrapolated: the
+	// number of calls in progress grows evenly until the first long ones end.
+	learnTime = 8 * time.Second
 	// maxGrowth limits the need to a multiple of the recent peak of the servers
 	// in use, which are those that were needed and had been ready for
 	// sustainedFor. Without the limit, calls that queue at too few servers make
@@ -40,6 +45,8 @@
 // demand holds the recent peaks of the concurrent calls and of the servers in
 // use.
 type demand struct {
+	// since is when the first call was seen.
+	since        time.Time
 	calls, used  decayingPeak
 	readySamples []readySample
 }
@@ -79,11 +86,13 @@
 }
 
 // initialServers is the number of servers that a service had before the first
-// order.
+// order. It reflects the load that the operator expected.
 type initialServers struct {
-	servers   int
-	changedAt time.Time
-	settled   bool
+	servers int
+	// since is when the servers were first counted, changedAt when their number
+	// last changed.
+	since, changedAt time.Time
+	settled          bool
 }
 
 // readyServers returns the number of servers of a service that are ready and
@@ -97,20 +106,28 @@
 }
 
 // observeInitial updates the number of initial servers of a service until it
-// has settled.
-func (s *Scaler) observeInitial(now time.Time, service identifier.Service, ready int) {
+// has settled, and reports whether servers may be ordered.
+//
+// It answers the first start of a system: the platform starts all servers of the
+// operator together with this process and lists them one after the other as they
+// get ready. An order sets the number of servers of a place, so one that is based
+// on a listing with a few of them takes the others away before any call has come.
+// After the first start nothing is ordered until no server has been added for
+// some time.
+func (s *Scaler) observeInitial(now time.Time, service identifier.Service, ready int) bool {
 	initial := s.initial[service]
 	if initial == nil {
-		initial = &initialServers{changedAt: now}
+		initial = &initialServers{since: now, changedAt: now}
 		s.initial[service] = initial
 	}
 	if initial.settled {
-		return
+		return true
 	}
 	if ready != initial.servers {
 		initial.servers, initial.changedAt = ready, now
 	}
 	initial.settled = initial.servers > 0 && now.Sub(initial.changedAt) >= settleTime
+	return initial.settled || !s.firstStart || now.Sub(initial.since) >= maxSettleTime
 }
 
 // serversFor returns the target number of servers for a number of concurrent
@@ -121,16 +138,22 @@
 // peak of the load, since a server takes seconds to start.
 func (s *Scaler) needed(now time.Time, service identifier.Service, calls, ready int) int {
 	d := s.demand[service]
+	initial := int(math.Ceil(initialRatio * float64(s.initial[service].servers)))
 	if d == nil {
 		if calls == 0 {
-			return max(int(math.Ceil(initialRatio*float64(s.initial[service].servers))), minNeeded)
+			return max(initial, minNeeded)
 		}
-		d = &demand{}
+		d = &demand{since: now}
 		s.demand[service] = d
 	}
 	peakCalls := d.calls.add(now, float64(calls), demandHalfLife)
 	current := max(serversFor(float64(calls)), 1)
 	used := d.used.add(now, float64(min(d.sustainedReady(now, ready), current)), usedHalfLife)
 	limit := int(maxGrowth*used) + minNeeded
-	return min(max(serversFor(peakCalls), minNeeded), limit)
+	need := min(max(serversFor(peakCalls), minNeeded), limit)
+	if elapsed := now.Sub(d.since); s.firstStart && elapsed < learnTime {
+		expected := serversFor(float64(calls) * learnTime.Seconds() / max(elapsed, Interval).Seconds())
+		return max(need, min(expected, initial))
+	}
+	return need
 }
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -73,7 +73,6 @@
 	// needed.
 	surplus map[Place]time.Time
 	demand  map[identifier.Service]*demand
-	// initial is the number of servers that each service had at first.
 	initial map[identifier.Service]*initialServers
 	// firstStart is whether the system starts for the first time and has served
 	// nothing yet.
@@ -104,7 +103,9 @@
 		if c := services[i].Scaling; c != nil {
 			name := services[i].Name
 			ready := readyServers(name, l)
-			s.observeInitial(now, name, ready)
+			if !s.observeInitial(now, name, ready) {
+				continue
+			}
 			have := s.capacityOf(name, domainsByPrice(c), listed(name, l, candidates[name]))
 			out = append(out, s.plan(now, name, c, have, s.needed(now, name, calls[name], ready))...)
 		}
@@ -196,7 +197,7 @@
 		p := Place{service, d, true}
 		room[d] = c.Max - max(s.reserved(p, reclaimable[d]), have.counts[p].ready)
 	}
-	wanted := spread(domains, max(minFullPrice, needed-assured), room)
+	wanted := s.keepUntilReplaced(service, have, spread(domains, max(minFullPrice, needed-assured), room), needed-assured)
 	var out []Order
 	add := func(p Place, want int) {
 		n := have.counts[p]
@@ -216,6 +217,27 @@
 	return out
 }
 
+// keepUntilReplaced returns the numbers of servers at the full price to have in
+// each domain, raised so that of those in use at least needed stay. The limit of
+// a domain leaves no room for both kinds, so that servers at the full price must
+// go before all reclaimable ones are ordered; they go only as others get ready.
+func (s *Scaler) keepUntilReplaced(service identifier.Service, have capacity, wanted map[identifier.FailureDomain]int, needed int) map[identifier.FailureDomain]int {
+	if s.neverLoaded(service) {
+		return wanted
+	}
+	spare := have.full - needed
+	for _, d := range slices.Backward(have.domains) {
+		p := Place{service, d, false}
+		release := min(have.counts[p].ready-wanted[d], max(spare, 0))
+		if release < 0 {
+			continue
+		}
+		spare -= release
+		wanted[d] = have.counts[p].ready - release
+	}
+	return wanted
+}
+
 // besideCandidates returns the number of servers to have in a place beside the
 // candidates of a rollout: at least the present ones, and more only within the
 // limit of the domain.
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -1,10 +1,16 @@
 package scaler
 
 import (
+	"errors"
+	"flag"
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
@@ -277,3 +283,63 @@
 		t.Errorf("%d servers of the old version are ready, the load needs %d", old, need)
 	}
 }
+
+// TestFirstSeconds replays the first start of a system of 60 servers: the
+// listing fills up for 4 s, calls come 12 s later, and the reclaimable servers
+// of two domains are taken in the seconds after. Before the listing was awaited,
+// all but 11 servers were released before the first call.
+func TestFirstSeconds(t *testing.T) {
+	f := newFakePlatform(t)
+	f.scaler = New(true)
+	f.service.Scaling.Max = 30
+	f.service.Scaling.Prices = map[identifier.FailureDomain]float64{"a": 1, "b": 0.8, "c": 1.25}
+	f.servers = make(map[Place][]time.Time)
+	start := f.now
+	for i := range 60 {
+		p := Place{service, []identifier.FailureDomain{"a", "b", "c"}[i%3], false}
+		f.servers[p] = append(f.servers[p], start.Add(time.Duration(i)*70*time.Millisecond))
+	}
+	var out strings.Builder
+	for second := range 36 {
+		switch second {
+		case 14:
+			f.reclaim("b", 14*time.Second)
+		case 20:
+			f.reclaim("a", 14*time.Second)
+		}
+		f.calls = min(max(second-12, 0)*120, 480)
+		f.run(time.Second)
+		full, reclaimable := 0, 0
+		for p, list := range f.servers {
+			if p.Reclaimable {
+				reclaimable += len(list)
+			} else {
+				full += len(list)
+			}
+		}
+		fmt.Fprintf(&out, "%2d s: %3d calls, %2d servers ready, %2d at the full price and %2d reclaimable kept\n", second+1, f.calls, f.ready(), full, reclaimable)
+		if ready, need := f.ready(), serversFor(float64(f.calls)); second > 5 && ready < need {
+			t.Errorf("after %d s %d servers are ready, %d calls need %d", second+1, ready, f.calls, need)
+		}
+	}
+	compareGolden(t, "testdata/firstseconds.golden", out.String())
+}
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// compareGolden compares a text with a golden file.
+func compareGolden(t *testing.T, golden, got string) {
+	t.Helper()
+	if *update {
+		if err := errors.Join(os.MkdirAll("testdata", 0o755), os.WriteFile(golden, []byte(got), 0o644)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("(-golden +now):\n%s", diff)
+	}
+}
