scaler: calls a server follow from its slots

Cause: the need was reckoned with 16 calls a server on every deployment. Engines of 12 slots were planned to run 4 calls more than they can, so that 27 to 40 of them were kept for 480 calls, and each reclaim left a queue.

Change: at most three quarters of the slots that the document names, and no more than 16. TestSmallEnginesAreNotOverloaded failed before with 41 engines for a need of 54.

Engines of the other deployments have 32 slots and more: no change there.

--- a/scaler/demand.go
+++ b/scaler/demand.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// callsPerServer is the target number of concurrent calls per server. A
-	// server can run more, but each call is then slower.
-	callsPerServer = 16.0
+	// maxCallsPerServer is the highest target number of concurrent calls per
+	// server. A server can run more, but each call is then slower.
+	maxCallsPerServer = 16.0
+	// targetUse is the highest target fraction of a server's slots. The rest is
+	// for uneven placement: a call that finds no free slot waits.
+	targetUse = 0.75
 	// minNeeded is the number of servers needed at any load.
 	minNeeded = 3
 	// initialRatio is the fraction of the initial servers that is needed until
@@ -130,13 +133,22 @@
 	return initial.settled || !s.firstStart || now.Sub(initial.since) >= maxSettleTime
 }
 
-// serversFor returns the target number of servers for a number of concurrent
-// calls.
-func serversFor(calls float64) int { return int(math.Ceil(calls / callsPerServer)) }
+// callsPerServer returns the target number of concurrent calls of a server with
+// the given number of slots, or with an unknown one if it is 0.
+func callsPerServer(slots int) float64 {
+	if slots <= 0 {
+		return maxCallsPerServer
+	}
+	return max(min(targetUse*float64(slots), maxCallsPerServer), 1)
+}
+
+// serversFor returns the target number of servers with the given number of slots
+// for a number of concurrent calls.
+func serversFor(calls float64, slots int) int { return int(math.Ceil(calls / callsPerServer(slots))) }
 
 // needed returns the number of servers that the load needs. It uses the recent
 // peak of the load, since a server takes seconds to start.
-func (s *Scaler) needed(now time.Time, service identifier.Service, calls, ready int) int {
+func (s *Scaler) needed(now time.Time, service identifier.Service, calls, ready, slots int) int {
 	d := s.demand[service]
 	initial := int(math.Ceil(initialRatio * float64(s.initial[service].servers)))
 	if d == nil {
@@ -147,12 +159,12 @@
 		s.demand[service] = d
 	}
 	peakCalls := d.calls.add(now, float64(calls), demandHalfLife)
-	current := max(serversFor(float64(calls)), 1)
+	current := max(serversFor(float64(calls), slots), 1)
 	used := d.used.add(now, float64(min(d.sustainedReady(now, ready), current)), usedHalfLife)
 	limit := int(maxGrowth*used) + minNeeded
-	need := min(max(serversFor(peakCalls), minNeeded), limit)
+	need := min(max(serversFor(peakCalls, slots), minNeeded), limit)
 	if elapsed := now.Sub(d.since); s.firstStart && elapsed < learnTime {
-		expected := serversFor(float64(calls) * learnTime.Seconds() / max(elapsed, Interval).Seconds())
+		expected := serversFor(float64(calls)*learnTime.Seconds()/max(elapsed, Interval).Seconds(), slots)
 		return max(need, min(expected, initial))
 	}
 	return need
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -107,12 +107,21 @@
 				continue
 			}
 			have := s.capacityOf(name, domainsByPrice(c), listed(name, l, candidates[name]))
-			out = append(out, s.plan(now, name, c, have, s.needed(now, name, calls[name], ready))...)
+			out = append(out, s.plan(now, name, c, have, s.needed(now, name, calls[name], ready, slotsOf(&services[i])))...)
 		}
 	}
 	return out
 }
 
+// slotsOf returns the number of calls that a server of a service runs
+// concurrently, or 0 if the document does not say.
+func slotsOf(s *describer.Service) int {
+	if s.Engine == nil {
+		return 0
+	}
+	return s.Engine.Slots
+}
+
 // count is the number of listed servers of a place. Those of the candidate of a
 // rollout are not counted as ready.
 type count struct{ ready, draining, candidates int }
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -204,7 +204,7 @@
 		}
 		f.now = f.now.Add(time.Second)
 	}
-	if needed := f.scaler.needed(f.now, service, 0, len(all)); needed != 7 {
+	if needed := f.scaler.needed(f.now, service, 0, len(all), 0); needed != 7 {
 		t.Errorf("of %d initial servers %d are needed", len(all), needed)
 	}
 }
@@ -218,7 +218,7 @@
 	f := newFakePlatform(t)
 	f.service.Scaling.Max = 30
 	const needed = 40
-	f.calls = needed * callsPerServer
+	f.calls = needed * maxCallsPerServer
 	f.run(60 * time.Second)
 	for _, d := range []identifier.FailureDomain{"a", "b", "c", "d"} {
 		f.reclaim(d, 30*time.Second)
@@ -227,9 +227,9 @@
 	for range 60 {
 		// The backlog grows each interval and shrinks faster once enough
 		// servers are ready.
-		f.calls = min(f.calls+needed*4, 3*needed*callsPerServer)
+		f.calls = min(f.calls+needed*4, 3*needed*maxCallsPerServer)
 		if f.ready() >= needed {
-			f.calls = max(f.calls-needed*16, needed*callsPerServer)
+			f.calls = max(f.calls-needed*16, needed*maxCallsPerServer)
 		}
 		f.run(Interval)
 		total := 0
@@ -279,7 +279,7 @@
 	for _, n := range f.started {
 		old -= n
 	}
-	if need := serversFor(90); old < need {
+	if need := serversFor(90, 0); old < need {
 		t.Errorf("%d servers of the old version are ready, the load needs %d", old, need)
 	}
 }
@@ -318,7 +318,7 @@
 			}
 		}
 		fmt.Fprintf(&out, "%2d s: %3d calls, %2d servers ready, %2d at the full price and %2d reclaimable kept\n", second+1, f.calls, f.ready(), full, reclaimable)
-		if ready, need := f.ready(), serversFor(float64(f.calls)); second > 5 && ready < need {
+		if ready, need := f.ready(), serversFor(float64(f.calls), 0); second > 5 && ready < need {
 			t.Errorf("after %d s %d servers are ready, %d calls need %d", second+1, ready, f.calls, need)
 		}
 	}
@@ -343,3 +343,22 @@
 		t.Errorf("(-golden +now):\n%s", diff)
 	}
 }
+
+// TestSmallEnginesAreNotOverloaded guards against reckoning with more calls a
+// server than it has slots. The load of 480 calls needs 54 engines of 12 slots,
+// which three reclaims in a row must not leave with less than a slot a call.
+func TestSmallEnginesAreNotOverloaded(t *testing.T) {
+	f := newFakePlatform(t)
+	f.service.Scaling.Max = 30
+	f.service.Engine = &describer.Engine{Slots: 12}
+	f.calls = 480
+	f.run(60 * time.Second)
+	if ready, need := f.ready(), 54; ready < need {
+		t.Errorf("%d engines are ready, 480 calls need %d", ready, need)
+	}
+	f.reclaim("d", 14*time.Second)
+	f.run(2 * bootTime)
+	if places := f.ready() * 12; places < f.calls {
+		t.Errorf("after a reclaim %d slots are left for %d calls", places, f.calls)
+	}
+}
