--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -19,9 +19,12 @@
 	defaultInterval = 700 * time.Millisecond
 	// failureDelay is the pause after a reading that failed.
 	failureDelay = 500 * time.Millisecond
-	// confirmationTTL is how long a confirmation that the listing is current
-	// remains valid.
-	confirmationTTL = 1500 * time.Millisecond
+	// defaultConfirmationTTL is how long a confirmation that the listing is
+	// current remains valid unless Options say otherwise.
+	defaultConfirmationTTL = 1500 * time.Millisecond
+	// offerPollInterval is the time between two checks for the first listing that
+	// another process offers.
+	offerPollInterval = 100 * time.Millisecond
 	// maxPages bounds the pages of one reading.
 	maxPages = 1000
 )
@@ -31,6 +34,11 @@
 	Source describer.Source
 	// Interval is the pause between two readings; 0 means 700 ms.
 	Interval time.Duration
+	// StartWait is how long a process that has just started waits for a listing
+	// that another process offers before it reads the list itself.
+	StartWait time.Duration
+	// ConfirmationTTL is how long a confirmation remains valid; 0 means 1.5 s.
+	ConfirmationTTL time.Duration
 	// Timeout bounds the time to read one page; 0 means 1 s.
 	Timeout time.Duration
 	// OnChange is called with every listing that differs from the previous one.
@@ -54,6 +62,8 @@
 	confirmedAt atomic.Int64
 	mu          sync.Mutex // serializes apply
 	failing     bool
+	// startedAt is when Run was called.
+	startedAt time.Time
 }
 
 // New returns a Discoverer that has no listing yet.
@@ -61,6 +71,9 @@
 	if opts.Interval <= 0 {
 		opts.Interval = defaultInterval
 	}
+	if opts.ConfirmationTTL <= 0 {
+		opts.ConfirmationTTL = defaultConfirmationTTL
+	}
 	if opts.Timeout <= 0 {
 		opts.Timeout = time.Second
 	}
@@ -76,10 +89,11 @@
 // Listing returns the latest listing, or nil before the first.
 func (d *Discoverer) Listing() *Listing { return d.listing.Load() }
 
-// Offer applies a listing that another process has read.
+// Offer applies a listing that another process has read, and confirms it.
 func (d *Discoverer) Offer(l *Listing) {
 	l.At = d.opts.Clock.Now()
 	d.apply(l)
+	d.Confirm()
 }
 
 // Confirm records that another process is reading the list and has offered its
@@ -87,17 +101,31 @@
 func (d *Discoverer) Confirm() { d.confirmedAt.Store(d.opts.Clock.Now().UnixNano()) }
 
 // isConfirmed reports whether another process has confirmed the listing within
-// confirmationTTL.
+// the ConfirmationTTL.
 func (d *Discoverer) isConfirmed() bool {
-	return time.Duration(d.opts.Clock.Now().UnixNano()-d.confirmedAt.Load()) < confirmationTTL
+	return time.Duration(d.opts.Clock.Now().UnixNano()-d.confirmedAt.Load()) < d.opts.ConfirmationTTL
+}
+
+// awaitsOffer reports whether the process has started less than StartWait ago and
+// has no listing yet.
+//
+// It answers the start of many processes at once, at first or after a loss of
+// power: each of them would read the whole list, although one process reads it
+// for all as soon as a leader is elected.
+func (d *Discoverer) awaitsOffer() bool {
+	return d.listing.Load() == nil && d.opts.Clock.Now().Sub(d.startedAt) < d.opts.StartWait
 }
 
 // Run reads the list until ctx ends. It skips readings while another process
 // confirms the listing.
 func (d *Discoverer) Run(ctx context.Context) {
+	d.startedAt = d.opts.Clock.Now()
 	for ctx.Err() == nil {
 		pause := d.opts.Interval
-		if d.listing.Load() == nil || !d.isConfirmed() {
+		switch {
+		case d.awaitsOffer():
+			pause = offerPollInterval
+		case d.listing.Load() == nil, !d.isConfirmed():
 			if err := d.read(ctx); err != nil {
 				pause = failureDelay
 			}
--- a/discoverer/discoverer_test.go
+++ b/discoverer/discoverer_test.go
@@ -89,7 +89,7 @@
 	if !d.isConfirmed() {
 		t.Error("the list is read although another process has just done so")
 	}
-	clock.Advance(confirmationTTL)
+	clock.Advance(defaultConfirmationTTL)
 	if d.isConfirmed() {
 		t.Error("an expired confirmation still prevents a reading")
 	}
@@ -123,3 +123,27 @@
 		}
 	}
 }
+
+// TestStartWaitsForOffer checks that a process that has just started leaves the
+// list to another one for StartWait, and no longer.
+func TestStartWaitsForOffer(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	d := New(Options{Source: pages{}, Clock: clock, StartWait: 2 * time.Second, Log: slog.New(slog.DiscardHandler)})
+	d.startedAt = clock.Now()
+	if !d.awaitsOffer() {
+		t.Error("the list is read at once after a start")
+	}
+	clock.Advance(2*time.Second - 1)
+	if !d.awaitsOffer() {
+		t.Error("the list is read before the wait has ended")
+	}
+	clock.Advance(1)
+	if d.awaitsOffer() {
+		t.Error("the list is not read after the wait")
+	}
+	d.startedAt = clock.Now()
+	d.Offer(&Listing{})
+	if d.awaitsOffer() || !d.isConfirmed() {
+		t.Error("an offered listing does not end the wait, or is read again at once")
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -39,6 +39,10 @@
 	// entryListingInterval is the time between two listings that an entry host
 	// reads itself.
 	entryListingInterval = 700 * time.Millisecond
+	// listingStartWait is how long a host that has just started leaves the list of
+	// backend servers to the leading keeper. Until there is one, the host serves
+	// no call with a key anyway.
+	listingStartWait = 2 * time.Second
 	// dialTimeout bounds a new connection to a backend server, which takes a few
 	// milliseconds unless packets are lost.
 	dialTimeout = 250 * time.Millisecond
@@ -133,6 +137,7 @@
 	})
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: entryListingInterval,
+		StartWait: listingStartWait, ConfirmationTTL: cfg.Bounds.LeaveNotice / 2,
 		OnChange: e.applyListing, Log: opts.Log,
 	})
 	return e
