distributor: large updates are compressed, once for all hosts

Change: updates of 4 KB and more are packed with DEFLATE, once for all hosts with the same revision, where the host says that it can unpack them. A damaged one makes the host ask for the whole document.

Ruled out: relays (48 hosts behind a link of 10 Mbit/s).

--- a/distributor/delta_test.go
+++ b/distributor/delta_test.go
@@ -30,7 +30,7 @@
 				downstream.offer(topic)
 			}
 		}
-		updates, _ := upstream.newer(downstream.have())
+		updates, _ := upstream.newer(downstream.have(), rapid.Bool().Draw(t, "packed"))
 		for _, w := range updates {
 			// The newest revision may arrive from another upstream first.
 			if rapid.Bool().Draw(t, "overtaken") {
@@ -56,7 +56,7 @@
 	changed[500_000] = 'x'
 	s.offer(Topic{Name: FleetTopic, Revision: 1, Body: old})
 	s.offer(Topic{Name: FleetTopic, Revision: 2, Body: changed})
-	updates, _ := s.newer([]*wire.Topic{{Name: string(FleetTopic), Revision: 1}})
+	updates, _ := s.newer([]*wire.Topic{{Name: string(FleetTopic), Revision: 1}}, false)
 	if diff := cmp.Diff([]byte("x"), updates[0].Deltas[0].Middle); diff != "" || len(updates[0].Body) != 0 {
 		t.Errorf("body of %d bytes, delta %s", len(updates[0].Body), diff)
 	}
@@ -86,7 +86,7 @@
 		s.offer(Topic{Name: FleetTopic, Revision: 1, Body: list(false)})
 	}
 	upstream.offer(Topic{Name: FleetTopic, Revision: 2, Body: list(true)})
-	updates, _ := upstream.newer(downstream.have())
+	updates, _ := upstream.newer(downstream.have(), true)
 	if n := proto.Size(updates[0]); n > 500 {
 		t.Errorf("update for three changes has %d bytes, want at most 500", n)
 	}
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -186,7 +186,7 @@
 	t := time.NewTimer(hold)
 	defer t.Stop()
 	for {
-		updates, changed := d.topics.newer(req.Have)
+		updates, changed := d.topics.newer(req.Have, req.AcceptsPacked)
 		if len(updates) > 0 {
 			return &wire.WatchResponse{News: updates, ConfirmedAgoMs: d.confirmationAgeMs()}
 		}
--- a/distributor/topics.go
+++ b/distributor/topics.go
@@ -27,6 +27,7 @@
 type heldTopic struct {
 	Topic
 	history history
+	packed  packedUpdates
 }
 
 // topics holds the newest revision of each topic.
@@ -51,7 +52,7 @@
 		if len(s.byName) >= MaxTopics {
 			return
 		}
-		held = &heldTopic{Topic: Topic{Name: t.Name}}
+		held = &heldTopic{Topic: Topic{Name: t.Name}, packed: make(packedUpdates)}
 		s.byName[t.Name] = held
 	}
 	if t.Revision <= held.Revision {
@@ -61,13 +62,14 @@
 		held.history.add(newDeltas(held.Topic, t)...)
 	}
 	held.Topic = t
+	clear(held.packed)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// newer returns the topics with a higher revision than in have, and a channel
-// that is closed on the next change.
-func (s *topics) newer(have []*wire.Topic) ([]*wire.Topic, <-chan struct{}) {
+// newer returns the topics with a higher revision than in have, packed if that is
+// accepted, and a channel that is closed on the next change.
+func (s *topics) newer(have []*wire.Topic, acceptsPacked bool) ([]*wire.Topic, <-chan struct{}) {
 	known := make(map[TopicName]identifier.Revision, len(have))
 	for _, h := range have {
 		known[TopicName(h.Name)] = identifier.Revision(h.Revision)
@@ -76,9 +78,14 @@
 	defer s.mu.Unlock()
 	var updates []*wire.Topic
 	for _, t := range s.byName {
-		if t.Revision > known[t.Name] {
-			updates = append(updates, t.encodeFor(known[t.Name]))
+		if t.Revision <= known[t.Name] {
+			continue
 		}
+		w := t.encodeFor(known[t.Name])
+		if acceptsPacked {
+			w = t.packed.pack(w, known[t.Name])
+		}
+		updates = append(updates, w)
 	}
 	return updates, s.changed
 }
@@ -98,8 +105,13 @@
 }
 
 // decode returns the topic in w. If w carries deltas, it applies them to the held
-// document; errDeltaMismatch means that they do not apply.
+// document; errDeltaMismatch means that they do not apply, and errUnpackable that
+// w is damaged.
 func (s *topics) decode(w *wire.Topic) (Topic, error) {
+	w, err := unpack(w)
+	if err != nil {
+		return Topic{}, err
+	}
 	t := Topic{Name: TopicName(w.Name), Revision: identifier.Revision(w.Revision), Body: w.Body}
 	if len(w.Deltas) == 0 {
 		return t, nil
--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -99,7 +99,7 @@
 func (d *Distributor) fetch(ctx context.Context, address string, have []*wire.Topic, hold time.Duration) (fresh bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+responseMargin)
 	defer cancel()
-	req := &wire.WatchRequest{Have: have, Reports: d.reportsFor(address), HoldMs: hold.Milliseconds()}
+	req := &wire.WatchRequest{Have: have, Reports: d.reportsFor(address), HoldMs: hold.Milliseconds(), AcceptsPacked: true}
 	var resp wire.WatchResponse
 	if err := d.opts.Call(ctx, address, WatchMethod, req, &resp); err != nil {
 		d.clearSentReports()
