--- a/configurer/faults_test.go
+++ b/configurer/faults_test.go
@@ -1,17 +1,14 @@
 package configurer
 
 import (
-	"flag"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"cyclamenhub.org/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write golden files and generated pages instead of comparing them")
-
 // decodeNamed decodes a fleet document if name begins with "fleet", and settings
 // otherwise.
 func decodeNamed(name string, b []byte) error {
@@ -23,24 +20,6 @@
 	return err
 }
 
-// compareGolden compares got with the golden file at path. With -update it
-// writes the file first.
-func compareGolden(t *testing.T, path, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s differs (-want +got):\n%s", path, diff)
-	}
-}
-
 // readFiles returns the contents of the files that match pattern, by path.
 func readFiles(t testing.TB, pattern string) map[string][]byte {
 	t.Helper()
@@ -65,7 +44,7 @@
 			if err == nil {
 				t.Fatal("accepted")
 			}
-			compareGolden(t, strings.TrimSuffix(path, ".json")+".golden", err.Error()+"\n")
+			golden.Compare(t, strings.TrimSuffix(path, ".json")+".golden", err.Error()+"\n")
 		})
 	}
 }
--- a/configurer/reference_test.go
+++ b/configurer/reference_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"cyclamenhub.org/internal/documenter"
+	"cyclamenhub.org/internal/golden"
 )
 
 // referenceIntro is the introduction of docs/SETTINGS.md.
@@ -27,5 +28,5 @@
 	page := referenceIntro +
 		"## Settings of one process\n\nRead at start from the file that the command line names.\n\n" + types.Tables("Settings") +
 		"## The fleet document\n\nShared by all hosts, and changed with `cyclamenctl config set` and `cyclamenctl exceptions`.\n\n" + types.Tables("Fleet")
-	compareGolden(t, "../docs/SETTINGS.md", page)
+	golden.Compare(t, "../docs/SETTINGS.md", page)
 }
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sys/unix"
 
 	"cyclamenhub.org/connector"
 )
@@ -124,6 +125,8 @@
 	address := startScriptedServer(t, func(c net.Conn, r *bufio.Reader) {
 		readRequest(r)
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_ = c.(*net.TCPConn).CloseWrite()
+		awaitEndReceived(t, c.(*net.TCPConn))
 		_ = c.Close()
 		closed <- struct{}{}
 	})
@@ -141,6 +144,36 @@
 	}
 }
 
+// awaitEndReceived waits until the kernel of the other side has acknowledged the
+// end of the data. Before that, no pool can know that the connection is closed.
+func awaitEndReceived(t *testing.T, c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	const established, finWait1 = 1, 4 // enum of the kernel, include/net/tcp_states.h
+	for range 10_000 {
+		var state uint8
+		var infoErr error
+		err := raw.Control(func(fd uintptr) {
+			var info *unix.TCPInfo
+			if info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
+				state = info.State
+			}
+		})
+		if err := errors.Join(err, infoErr); err != nil {
+			t.Error(err)
+			return
+		}
+		if state != established && state != finWait1 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Error("the end of a response is never acknowledged")
+}
+
 // awaitClosed waits until the pool has discarded its connection as closed.
 func awaitClosed(t *testing.T, p *connector.Pool, address string, set *metrics.Set) {
 	t.Helper()
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -3,16 +3,13 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
 	"os"
 	"path/filepath"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"cyclamenhub.org/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // TestExplain checks the output for three failed calls against golden files.
 // The logs are those of two entry hosts and a keeper.
 func TestExplain(t *testing.T) {
@@ -35,19 +32,7 @@
 		if err := e.Explain(&got, id); err != nil {
 			t.Fatal(err)
 		}
-		path := filepath.Join("testdata", id+".golden")
-		if *update {
-			if err := os.WriteFile(path, got.Bytes(), 0o600); err != nil {
-				t.Fatal(err)
-			}
-		}
-		want, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if diff := cmp.Diff(string(want), got.String()); diff != "" {
-			t.Errorf("%s differs (-want +got):\n%s", path, diff)
-		}
+		golden.Compare(t, filepath.Join("testdata", id+".golden"), got.String())
 	}
 	var unknown *NotFoundError
 	if err := e.Explain(&bytes.Buffer{}, "nowhere"); !errors.As(err, &unknown) {
--- a/internal/rolloutbench/cutover_test.go
+++ b/internal/rolloutbench/cutover_test.go
@@ -1,19 +1,15 @@
 package rolloutbench
 
 import (
-	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
-)
 
-var update = flag.Bool("update", false, "rewrite the golden files")
+	"cyclamenhub.org/internal/golden"
+)
 
 // cutoverSeeds is the number of seeds per row of the golden table.
 const cutoverSeeds = 40
@@ -57,19 +53,7 @@
 			out.WriteString(tabulateCutover(k, rate))
 		}
 	}
-	const golden = "testdata/cutover.golden"
-	if *update {
-		if err := errors.Join(os.MkdirAll("testdata", 0o755), os.WriteFile(golden, []byte(out.String()), 0o644)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), out.String()); diff != "" {
-		t.Errorf("(-golden +now):\n%s", diff)
-	}
+	golden.Compare(t, "testdata/cutover.golden", out.String())
 }
 
 // Whatever the rate of a service, a version that fails a third of its requests
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -41,11 +41,12 @@
 	}
 }
 
-// TestConcurrentProposalsShareSyncs guards group commit: many concurrent
-// proposals must need far fewer syncs than there are proposals.
+// TestConcurrentProposalsShareSyncs guards group commit: proposals that arrive
+// while a sync is in progress must share the next one. With syncs that take no
+// time the number would depend on the order in which goroutines run.
 func TestConcurrentProposalsShareSyncs(t *testing.T) {
 	const proposals = 200
-	count := &countingStorage{}
+	count := &countingStorage{took: time.Millisecond}
 	runWithFakeTime(t, 1, func(o *Options) {
 		o.wrapStorage = func(s storage) storage { count.storage = s; return count }
 	}, func(t *testing.T, c *cluster) {
@@ -62,15 +63,17 @@
 	})
 }
 
-// countingStorage counts the calls of Save and can make them fail.
+// countingStorage counts the calls of Save and can make them slow or fail.
 type countingStorage struct {
 	storage
+	took time.Duration
 	mu   sync.Mutex
 	n    int
 	fail error
 }
 
 func (s *countingStorage) Save(effects []replicator.Effect) error {
+	time.Sleep(s.took)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.n++
--- a/messenger/semaphore_test.go
+++ b/messenger/semaphore_test.go
@@ -68,7 +68,16 @@
 		})
 	}
 	wg.Wait()
-	if p.server.largeResponses.inUse != 0 {
-		t.Errorf("%d bytes still acquired at the end", p.server.largeResponses.inUse)
+	// The server releases the bytes of a response after it has written it, so the
+	// client may have all responses before that.
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		p.server.largeResponses.acquire(largeResponseBytes)
+	}()
+	select {
+	case <-released:
+	case <-time.After(time.Minute):
+		t.Error("the bytes of some response are never released")
 	}
 }
--- a/roller/state_test.go
+++ b/roller/state_test.go
@@ -2,19 +2,14 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"cyclamenhub.org/internal/golden"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // eventHistory returns the events of a rollout that is done and of one that a
 // verdict reverts, with refused events in between.
 func eventHistory() []Event {
@@ -52,17 +47,5 @@
 			fmt.Fprintf(&out, "  %T %s\n", f, j)
 		}
 	}
-	const golden = "testdata/story.golden"
-	if *update {
-		if err := errors.Join(os.MkdirAll("testdata", 0o755), os.WriteFile(golden, []byte(out.String()), 0o644)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), out.String()); diff != "" {
-		t.Errorf("(-golden +now):\n%s", diff)
-	}
+	golden.Compare(t, "testdata/story.golden", out.String())
 }
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -1,19 +1,15 @@
 package scaler
 
 import (
-	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/golden"
 )
 
 const service = identifier.Service("model")
@@ -322,26 +318,7 @@
 			t.Errorf("after %d s %d servers are ready, %d calls need %d", second+1, ready, f.calls, need)
 		}
 	}
-	compareGolden(t, "testdata/firstseconds.golden", out.String())
-}
-
-var update = flag.Bool("update", false, "rewrite the golden files")
-
-// compareGolden compares a text with a golden file.
-func compareGolden(t *testing.T, golden, got string) {
-	t.Helper()
-	if *update {
-		if err := errors.Join(os.MkdirAll("testdata", 0o755), os.WriteFile(golden, []byte(got), 0o644)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("(-golden +now):\n%s", diff)
-	}
+	golden.Compare(t, "testdata/firstseconds.golden", out.String())
 }
 
 // TestSmallEnginesAreNotOverloaded guards against reckoning with more calls a
