sharer: a host may take what it needs of a bucket that is full

Cause: with 294 hosts the part of a customer's bucket that one host might take between two grants was 1.2/294 of it, less than the cost of one generation.

Change: the leader says which part of the level a host may take: 0.3 while the level covers twice what all hosts are expected to take until they report, otherwise as before. A refusal while the bucket is not empty says to come back when the next grant is due.

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -24,7 +24,7 @@
 		Others:    identifier.Share(resp.GetOthers()),
 	}
 	for c, v := range resp.GetGrants() {
-		g.Customers[identifier.Customer(c)] = sharer.Grant{Level: v.GetLevel(), Share: identifier.Share(v.GetShare())}
+		g.Customers[identifier.Customer(c)] = sharer.Grant{Level: v.GetLevel(), Share: identifier.Share(v.GetShare()), Part: identifier.Share(v.GetPart())}
 	}
 	return g
 }
@@ -34,7 +34,7 @@
 	resp.Others = float64(g.Others)
 	resp.Grants = make(map[string]*wire.Grant, len(g.Customers))
 	for c, v := range g.Customers {
-		resp.Grants[string(c)] = &wire.Grant{Level: v.Level, Share: float64(v.Share)}
+		resp.Grants[string(c)] = &wire.Grant{Level: v.Level, Share: float64(v.Share), Part: float64(v.Part)}
 	}
 }
 
--- a/sharer/divider.go
+++ b/sharer/divider.go
@@ -54,6 +54,8 @@
 	// Share is the host's share of the rate, by its share of the customer's
 	// demand.
 	Share identifier.Share
+	// Part is the part of Level that the host may take until its next grant.
+	Part identifier.Share
 }
 
 // Grants are the grants of one host. Others is its share for a customer that is
@@ -75,6 +77,9 @@
 	// demand is the sum over all hosts. Each report updates it, since the
 	// leader of 300 hosts computes 1,200 grants per second.
 	demand map[identifier.Customer]float64
+	// reportInterval is the moving average of the time between two reports of a
+	// host.
+	reportInterval time.Duration
 }
 
 // bucket is a token bucket whose level may become negative.
@@ -122,6 +127,9 @@
 // Report records what customers used at a host since its last report.
 func (d *Divider) Report(now time.Time, host identifier.Host, use map[identifier.Customer]Use) {
 	h := d.hosts[host]
+	if h != nil {
+		d.reportInterval += (now.Sub(h.lastReport) - d.reportInterval) / reportIntervalSamples
+	}
 	if h == nil {
 		h = &hostDemand{lastReport: now, level: make(map[identifier.Customer]float64)}
 		d.hosts[host] = h
@@ -195,7 +203,8 @@
 	out := Grants{Customers: make(map[identifier.Customer]Grant, len(d.rates)), Others: equal}
 	for c := range d.rates {
 		if b := d.bucketOf(now, c); b != nil {
-			out.Customers[c] = Grant{Level: b.level, Share: d.shareOf(host, c, equal)}
+			share := d.shareOf(host, c, equal)
+			out.Customers[c] = Grant{Level: b.level, Share: share, Part: d.partOf(c, b.level, share, equal)}
 		}
 	}
 	return out
@@ -212,6 +221,47 @@
 	return equalPart*equal + (1-equalPart)*identifier.Share(own/sum)
 }
 
+// The limits of the part of a bucket's level that a host may take between two
+// grants. maxHostPart applies while the level is ample, and in small fleets.
+// maxTotalPart limits the sum over all hosts otherwise. It exceeds 1 because all
+// hosts seldom take their parts simultaneously, and what they take in excess is
+// repaid afterwards.
+const (
+	maxHostPart  identifier.Share = 0.3
+	maxTotalPart identifier.Share = 1.2
+)
+
+// ampleFactor is the multiple of a customer's expected use between two reports
+// from which on the level of its bucket is ample.
+const ampleFactor = 2
+
+// reportIntervalSamples is the number of reports over which the time between two
+// reports is averaged.
+const reportIntervalSamples = 64
+
+// partOf returns the part of a bucket's level that a host may take until its next
+// grant.
+//
+// It answers a customer well within its rate whose calls reach hundreds of hosts.
+// Each host sees a few of them, at times several in a row, and an equal part of
+// the level does not cover one call. As long as the level covers a multiple of
+// what all hosts together are expected to take until they have reported it, a
+// host may take what it needs. Where the level is scarce, each is held to its
+// share of the demand.
+func (d *Divider) partOf(c identifier.Customer, level float64, share, equal identifier.Share) identifier.Share {
+	if level < 0 {
+		return 1 // No host admits calls until the overdraft is repaid.
+	}
+	expected := d.demand[c] / demandSeconds * d.reportInterval.Seconds()
+	if level >= ampleFactor*expected {
+		return max(share, maxHostPart)
+	}
+	return max(share, min(maxHostPart, maxTotalPart*equal))
+}
+
+// demandSeconds is how many seconds of a steady use the demand contains.
+const demandSeconds = float64(demandHalfLife) / float64(time.Second) / math.Ln2
+
 // Hosts returns the number of hosts that reported within hostTimeout.
 func (d *Divider) Hosts(now time.Time) int {
 	d.removeSilent(now)
--- a/sharer/limiter.go
+++ b/sharer/limiter.go
@@ -9,16 +9,6 @@
 	"cyclamenhub.org/timer"
 )
 
-// maxHostPart is the largest part of a bucket's level that a host may take
-// between two grants if its share of the demand is smaller. maxTotalPart limits
-// the sum of these parts over all hosts. It exceeds 1 because all hosts seldom
-// take their parts simultaneously, and what they take in excess is repaid
-// afterwards.
-const (
-	maxHostPart  = 0.3
-	maxTotalPart = 1.2
-)
-
 // maxWait caps the wait that a refusal reports.
 const maxWait = 5 * time.Second
 
@@ -32,6 +22,10 @@
 	others     identifier.Share
 	allowances map[identifier.Customer]*allowance
 	use        map[identifier.Customer]Use
+	// grantedAt is when the last grants arrived, grantInterval the time between
+	// the last two.
+	grantedAt     time.Time
+	grantInterval time.Duration
 }
 
 // allowance is what the host may still admit for a customer until the next
@@ -42,6 +36,9 @@
 	// granted is when the grant of the leader arrived, refilledAt when left was
 	// last refilled.
 	granted, refilledAt time.Time
+	// renewable is whether the customer's bucket was not empty, so that the next
+	// grant allows more calls.
+	renewable bool
 }
 
 // NewLimiter returns a Limiter without rates.
@@ -71,12 +68,18 @@
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	l.others = g.Others
+	if !l.grantedAt.IsZero() {
+		l.grantInterval = now.Sub(l.grantedAt)
+	}
+	l.grantedAt = now
 	for c, v := range g.Customers {
-		part := max(float64(v.Share), min(maxHostPart, maxTotalPart*float64(g.Others)))
-		if v.Level < 0 {
-			part = 1 // No host admits calls until the overdraft is repaid.
+		part := v.Part
+		if part == 0 {
+			part = max(v.Share, g.Others) // The leader is of an older release.
+		}
+		l.allowances[c] = &allowance{
+			left: float64(part)*v.Level - l.use[c].Taken, share: v.Share, granted: now, refilledAt: now, renewable: v.Level > 0,
 		}
-		l.allowances[c] = &allowance{left: part*v.Level - l.use[c].Taken, share: v.Share, granted: now, refilledAt: now}
 	}
 }
 
@@ -111,7 +114,7 @@
 	a := l.allowanceOf(c, r)
 	if r.PerSecond > 0 && a.left < min(cost, minLeft) {
 		l.use[c] = u
-		return &Refusal{Wait: a.wait(r), Left: a.left, PerSecond: r.PerSecond, Share: a.share, Age: a.refilledAt.Sub(a.granted)}
+		return &Refusal{Wait: l.wait(a, r), Left: a.left, PerSecond: r.PerSecond, Share: a.share, Age: a.refilledAt.Sub(a.granted)}
 	}
 	a.left -= cost
 	u.Taken += cost
@@ -122,14 +125,18 @@
 // minLeft is the allowance that suffices to admit a call of any cost.
 const minLeft = 1
 
-// wait returns the time until the allowance admits a call.
-func (a *allowance) wait(r Rate) time.Duration {
-	perSecond := r.PerSecond * float64(a.share)
-	if perSecond <= 0 {
-		return maxWait
+// wait returns the time until the allowance admits a call: when the host's share
+// of the rate has refilled it or, if the customer's bucket is not empty, when the
+// next grant is due. The caller holds mu.
+func (l *Limiter) wait(a *allowance, r Rate) time.Duration {
+	wait := maxWait
+	if perSecond := r.PerSecond * float64(a.share); perSecond > 0 {
+		wait = min(wait, time.Duration((minLeft-a.left)/perSecond*float64(time.Second)))
+	}
+	if untilGrant := l.grantInterval - l.clock.Now().Sub(a.granted); a.renewable && untilGrant > 0 {
+		wait = min(wait, untilGrant)
 	}
-	wait := time.Duration((minLeft - a.left) / perSecond * float64(time.Second))
-	return min(max(wait, time.Millisecond), maxWait)
+	return max(wait, time.Millisecond)
 }
 
 // Return gives back what was taken for a call that certainly did not run.
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -15,14 +15,16 @@
 	hostTimeout = 3 * time.Second
 	interval    = 250 * time.Millisecond
 	customer    = identifier.Customer("foodbank")
-	// hosts is the number of entry hosts of the first deployments, grownHosts
-	// the number after two years of growth.
-	hosts, grownHosts = 8, 69
+	// hosts and grownHosts are the numbers of entry hosts of small and grown
+	// deployments, largeHosts that of a large one, which report less often.
+	hosts, grownHosts, largeHosts = 8, 69, 294
+	largeInterval                 = 588 * time.Millisecond
 )
 
 // fleet is a set of hosts that report to one divider every interval.
 type fleet struct {
 	clock    *timer.Manual
+	interval time.Duration
 	divider  *Divider
 	names    []identifier.Host
 	limiters []*Limiter
@@ -33,8 +35,11 @@
 // newFleet returns a fleet whose hosts have received their first grants.
 func newFleet(hosts int, r Rate) *fleet {
 	rates := map[identifier.Customer]Rate{customer: r}
-	f := &fleet{clock: timer.NewManual(time.Unix(1000, 0)), divider: NewDivider(hostTimeout)}
+	f := &fleet{clock: timer.NewManual(time.Unix(1000, 0)), interval: interval, divider: NewDivider(hostTimeout)}
 	f.divider.Configure(rates)
+	if hosts >= largeHosts {
+		f.interval = largeInterval
+	}
 	for i := range hosts {
 		l := NewLimiter(f.clock)
 		l.Configure(rates)
@@ -42,7 +47,7 @@
 	}
 	for range 8 {
 		f.sync()
-		f.clock.Advance(interval)
+		f.clock.Advance(f.interval)
 	}
 	return f
 }
@@ -73,16 +78,16 @@
 // for some seconds to the hosts that pickHost returns.
 func (f *fleet) sendCalls(seconds int, perSecond, cost float64, pickHost func() int) {
 	due := 0.0
-	for range seconds * int(time.Second/interval) {
+	for range int(time.Duration(seconds) * time.Second / f.interval) {
 		for step := range steps {
-			for due += perSecond * interval.Seconds() / steps; due >= cost; due -= cost {
+			for due += perSecond * f.interval.Seconds() / steps; due >= cost; due -= cost {
 				if f.limiters[pickHost()].Take(customer, cost) == nil {
 					f.admitted += cost
 				} else {
 					f.refused++
 				}
 			}
-			f.clock.Advance(interval / steps)
+			f.clock.Advance(f.interval / steps)
 			f.syncSome(step)
 		}
 	}
@@ -99,6 +104,27 @@
 	}
 }
 
+// TestNoRefusalsOnManyHosts replays the calls of a customer at half of its rate
+// on hundreds of hosts that each see a call of it now and then, and some of them
+// several in a row, since callers keep their connections. An equal part of the
+// bucket is less than the cost of one call then.
+func TestNoRefusalsOnManyHosts(t *testing.T) {
+	for _, rate := range []float64{130000, 400000, 1200000} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		f := newFleet(largeHosts, Rate{PerSecond: rate, Burst: rate})
+		host := 0
+		f.sendCalls(20, 0.5*rate, 4000, func() int {
+			if rng.IntN(3) == 0 {
+				host = rng.IntN(largeHosts)
+			}
+			return host
+		})
+		if f.refused > 0 {
+			t.Errorf("%d calls are refused at half of a rate of %v", f.refused, rate)
+		}
+	}
+}
+
 // TestSingleHostGetsFullRate checks that a customer whose calls all reach one
 // host gets its full rate there, not an eighth of it.
 func TestSingleHostGetsFullRate(t *testing.T) {
@@ -115,7 +141,7 @@
 // the rate and the burst plus a tenth and a fixed slack.
 func TestSurgeStaysWithinTolerance(t *testing.T) {
 	tolerance := describer.Tolerance{Overrun: 0.1, Slack: 140000, Window: 8 * time.Second}
-	for _, n := range []int{hosts, grownHosts} {
+	for _, n := range []int{hosts, grownHosts, largeHosts} {
 		for _, rate := range []float64{30000, 200000, 400000} {
 			for seed := range uint64(20) {
 				surge(t, n, rate, seed, tolerance)
