discovery: hosts that have lost the keepers read the list as often as needed

Change: the pause between two such readings is 0.3 of the time within which a leaving server must be known (1.2 s there, 0.9 s on small deployments), so that confirmation, pause and reading stay within it. TestOwnListingsKeepLeaveNotice.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -36,9 +36,11 @@
 	// peerProbeDelay is how long a call between the system's processes waits
 	// without receiving a byte before it probes the connection.
 	peerProbeDelay = 500 * time.Millisecond
-	// entryListingInterval is the time between two listings that an entry host
-	// reads itself.
-	entryListingInterval = 700 * time.Millisecond
+	// ownListingPercent is the time between two listings that an entry host reads
+	// itself, as a percentage of the time within which it must know that a server
+	// leaves, and minOwnListingInterval the shortest such time.
+	ownListingPercent     = 30
+	minOwnListingInterval = 700 * time.Millisecond
 	// listingStartWait is how long a host that has just started leaves the list of
 	// backend servers to the leading keeper. Until there is one, the host serves
 	// no call with a key anyway.
@@ -136,13 +138,21 @@
 		Limiter: e.limiter, Meter: e.meter, Versions: e.evaluators, Retries: retriesOf(cfg), Hosts: defaultHosts, Tolerance: cfg.Bounds.Rates, Current: e.hasLease, BecameCurrent: e.firstLease, TimeOfDay: boot, Log: opts.Log,
 	})
 	e.discoverer = discoverer.New(discoverer.Options{
-		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: entryListingInterval,
+		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: ownListingInterval(cfg.Bounds.LeaveNotice),
 		StartWait: listingStartWait, ConfirmationTTL: cfg.Bounds.LeaveNotice / 2,
 		OnChange: e.applyListing, Log: opts.Log,
 	})
 	return e
 }
 
+// ownListingInterval returns the time between two listings that an entry host
+// reads itself. With the ConfirmationTTL and one reading, a host that has lost the
+// keepers learns of a leaving server within the given time, and a fleet that loses
+// its leader calls the platform no more often than that needs.
+func ownListingInterval(leaveNotice time.Duration) time.Duration {
+	return max(leaveNotice*ownListingPercent/100, minOwnListingInterval)
+}
+
 // retriesOf returns the retry budget of all entry hosts together.
 func retriesOf(cfg *platform.Settings) forwarder.RetryBudget {
 	return forwarder.RetryBudget{Ratio: retryFraction * cfg.Bounds.RetryRatio, Reserve: retryFraction * cfg.Bounds.RetrySlack}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -243,3 +243,15 @@
 		t.Errorf("loads expire after %v, but hosts report them only every %v", loadsMaxAge, most)
 	}
 }
+
+// TestOwnListingsKeepLeaveNotice checks that a host that has lost the keepers
+// learns in time that a server leaves: after the last confirmation has expired, a
+// pause between two readings, and a reading.
+func TestOwnListingsKeepLeaveNotice(t *testing.T) {
+	const reading = 500 * time.Millisecond
+	for _, notice := range []time.Duration{3 * time.Second, 4 * time.Second, 8 * time.Second} {
+		if known := notice/2 + ownListingInterval(notice) + reading; known > notice {
+			t.Errorf("a leaving server is known after %v, want at most %v", known, notice)
+		}
+	}
+}
