--- a/roller/doc.go
+++ b/roller/doc.go
@@ -27,6 +27,13 @@
 // LogEvidence. A cause of failure that affects both versions alike is therefore
 // evidence against neither.
 //
+// # Rollouts of seconds
+//
+// A rollout that has only seconds keeps one share and then moves all traffic in
+// one step, the cutover. The share follows from the request rate and from the
+// Exposure that is allowed. Without a verdict when the time is up, the odds decide
+// whether the candidate is promoted; see finalVerdict.
+//
 // # Usage
 //
 //	e := roller.NewEvaluator(source, service, currentVersion, routes)
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -1,10 +1,7 @@
 package scaler
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"cyclamenhub.org/describer"
@@ -113,81 +110,6 @@
 	return out
 }
 
-// slotsOf returns the number of calls that a server of a service runs
-// concurrently, or 0 if the document does not say.
-func slotsOf(s *describer.Service) int {
-	if s.Engine == nil {
-		return 0
-	}
-	return s.Engine.Slots
-}
-
-// count is the number of listed servers of a place. Those of the candidate of a
-// rollout are not counted as ready.
-type count struct{ ready, draining, candidates int }
-
-// listed counts the servers of a service by place.
-func listed(service identifier.Service, l *discoverer.Listing, candidate identifier.Version) map[Place]count {
-	out := make(map[Place]count)
-	for i := range l.Instances {
-		in := &l.Instances[i]
-		if in.Service != service {
-			continue
-		}
-		p := Place{service, in.FailureDomain, in.Reclaimable}
-		c := out[p]
-		switch {
-		case in.Draining:
-			c.draining++
-		case candidate != "" && in.Version == candidate:
-			c.candidates++
-		default:
-			c.ready++
-		}
-		out[p] = c
-	}
-	return out
-}
-
-// capacity is the number of servers of a service.
-type capacity struct {
-	counts map[Place]count
-	// reclaimable and full are the numbers of ready servers. largestDomain is
-	// the largest number of ready reclaimable servers in a domain.
-	reclaimable, full, largestDomain int
-	// availableDomains is the number of domains where the last order of
-	// reclaimable servers was accepted or none was sent yet.
-	availableDomains int
-	domains          []identifier.FailureDomain
-	// hasCandidates is whether servers of the candidate of a rollout are listed.
-	hasCandidates bool
-}
-
-// domainsByPrice returns the failure domains of a service, the cheapest first.
-func domainsByPrice(c *describer.Scaling) []identifier.FailureDomain {
-	return slices.SortedFunc(maps.Keys(c.Prices), func(a, b identifier.FailureDomain) int {
-		return cmp.Or(cmp.Compare(c.Prices[a], c.Prices[b]), cmp.Compare(a, b))
-	})
-}
-
-// capacityOf returns the capacity of a service in the given domains.
-func (s *Scaler) capacityOf(service identifier.Service, domains []identifier.FailureDomain, counts map[Place]count) capacity {
-	c := capacity{counts: counts, domains: domains}
-	for _, n := range counts {
-		c.hasCandidates = c.hasCandidates || n.candidates > 0
-	}
-	for _, d := range domains {
-		n := c.counts[Place{service, d, true}].ready
-		c.reclaimable += n
-		c.largestDomain = max(c.largestDomain, n)
-		c.full += c.counts[Place{service, d, false}].ready
-		if last, ok := s.last[Place{service, d, true}]; !ok || last.accepted {
-			c.availableDomains++
-		}
-	}
-	return c
-}
-
 // plan returns the orders for a service that needs the given number of servers.
 func (s *Scaler) plan(now time.Time, service identifier.Service, c *describer.Scaling, have capacity, needed int) []Order {
 	domains := have.domains
@@ -226,37 +148,6 @@
 	return out
 }
 
-// keepUntilReplaced returns the numbers of servers at the full price to have in
-// each domain, raised so that of those in use at least needed stay. The limit of
-// a domain leaves no room for both kinds, so that servers at the full price must
-// go before all reclaimable ones are ordered; they go only as others get ready.
-func (s *Scaler) keepUntilReplaced(service identifier.Service, have capacity, wanted map[identifier.FailureDomain]int, needed int) map[identifier.FailureDomain]int {
-	if s.neverLoaded(service) {
-		return wanted
-	}
-	spare := have.full - needed
-	for _, d := range slices.Backward(have.domains) {
-		p := Place{service, d, false}
-		release := min(have.counts[p].ready-wanted[d], max(spare, 0))
-		if release < 0 {
-			continue
-		}
-		spare -= release
-		wanted[d] = have.counts[p].ready - release
-	}
-	return wanted
-}
-
-// besideCandidates returns the number of servers to have in a place beside the
-// candidates of a rollout: at least the present ones, and more only within the
-// limit of the domain.
-func (s *Scaler) besideCandidates(p Place, want, limit int, counts map[Place]count) int {
-	for _, reclaimable := range []bool{true, false} {
-		limit -= counts[Place{p.Service, p.FailureDomain, reclaimable}].candidates
-	}
-	return max(min(want, limit), s.provisioned(p, counts[p]))
-}
-
 // provisioned returns the number of servers of a place, including those that are
 // starting.
 func (s *Scaler) provisioned(p Place, n count) int {
@@ -276,42 +167,6 @@
 	return want
 }
 
-// neverLoaded reports whether the service has never had a running call since
-// the first start of the system. A surplus is then released without delay.
-func (s *Scaler) neverLoaded(service identifier.Service) bool {
-	return s.firstStart && s.demand[service] == nil
-}
-
-// delayScaleDown returns want, or the provisioned number while the surplus is
-// recent or the number of initial servers has not settled.
-func (s *Scaler) delayScaleDown(now time.Time, p Place, want int, n count) int {
-	current := s.provisioned(p, n)
-	if want >= current {
-		delete(s.surplus, p)
-		return want
-	}
-	if !s.initial[p.Service].settled {
-		return current
-	}
-	since, ok := s.surplus[p]
-	if !ok {
-		since = now
-		s.surplus[p] = now
-	}
-	if now.Sub(since) < scaleDownDelay(p) && !s.neverLoaded(p.Service) {
-		return current
-	}
-	return want
-}
-
-// scaleDownDelay returns how long a surplus is kept.
-func scaleDownDelay(p Place) time.Duration {
-	if p.Reclaimable {
-		return reclaimableScaleDownDelay
-	}
-	return fullPriceScaleDownDelay
-}
-
 // due returns the order that brings a place to want, and whether to send it
 // now.
 func (s *Scaler) due(now time.Time, p Place, want int, n count, why string) (Order, bool) {
