--- a/scaler/demand.go
+++ b/scaler/demand.go
@@ -15,7 +15,7 @@
 	maxCallsPerServer = 16.0
 	// targetUse is the highest target fraction of a server's slots. The rest is
 	// for uneven placement: a call that finds no free slot waits.
-	targetUse = 0.75
+	targetUse = 0.6
 	// minNeeded is the number of servers needed at any load.
 	minNeeded = 3
 	// initialRatio is the fraction of the initial servers that is needed until
