--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -322,7 +322,7 @@
 }
 
 // TestSmallEnginesAreNotOverloaded guards against reckoning with more calls a
-// server than it has slots. The load of 480 calls needs 54 engines of 12 slots,
+// server than it has slots. The load of 480 calls needs 67 engines of 12 slots,
 // which three reclaims in a row must not leave with less than a slot a call.
 func TestSmallEnginesAreNotOverloaded(t *testing.T) {
 	f := newFakePlatform(t)
@@ -330,7 +330,7 @@
 	f.service.Engine = &describer.Engine{Slots: 12}
 	f.calls = 480
 	f.run(60 * time.Second)
-	if ready, need := f.ready(), 54; ready < need {
+	if ready, need := f.ready(), 67; ready < need {
 		t.Errorf("%d engines are ready, 480 calls need %d", ready, need)
 	}
 	f.reclaim("d", 14*time.Second)
