discovery: a host that was restarted reads the list at once

Change: only hosts of a system that starts for the first time wait. TestRestartedHostReadsListAtOnce.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -41,10 +41,9 @@
 	// leaves, and minOwnListingInterval the shortest such time.
 	ownListingPercent     = 30
 	minOwnListingInterval = 700 * time.Millisecond
-	// listingStartWait is how long a host that has just started leaves the list of
-	// backend servers to the leading keeper. Until there is one, the host serves
-	// no call with a key anyway.
-	listingStartWait = 2 * time.Second
+	// foundingListingWait is how long a host leaves the list of backend servers to
+	// the leading keeper when the system starts for the first time.
+	foundingListingWait = 2 * time.Second
 	// dialTimeout bounds a new connection to a backend server, which takes a few
 	// milliseconds unless packets are lost.
 	dialTimeout = 250 * time.Millisecond
@@ -139,12 +138,23 @@
 	})
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: ownListingInterval(cfg.Bounds.LeaveNotice),
-		StartWait: listingStartWait, ConfirmationTTL: cfg.Bounds.LeaveNotice / 2,
+		StartWait: listingWait(cfg.Founding), ConfirmationTTL: cfg.Bounds.LeaveNotice / 2,
 		OnChange: e.applyListing, Log: opts.Log,
 	})
 	return e
 }
 
+// listingWait returns how long a host that has just started leaves the list of
+// backend servers to the leading keeper. Only at the first start of the system
+// are there no calls yet: after a kill or a loss of power of all processes, a
+// host must know the servers as soon as it has its lease.
+func listingWait(founding bool) time.Duration {
+	if founding {
+		return foundingListingWait
+	}
+	return 0
+}
+
 // ownListingInterval returns the time between two listings that an entry host
 // reads itself. With the ConfirmationTTL and one reading, a host that has lost the
 // keepers learns of a leaving server within the given time, and a fleet that loses
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -255,3 +255,14 @@
 		}
 	}
 }
+
+// TestRestartedHostReadsListAtOnce guards against a host that waits for the
+// keepers' listing after all processes were killed, while calls come.
+func TestRestartedHostReadsListAtOnce(t *testing.T) {
+	if wait := listingWait(false); wait != 0 {
+		t.Errorf("a host that was restarted waits %v for the listing", wait)
+	}
+	if listingWait(true) <= 0 {
+		t.Error("all hosts of a new system read the list at once")
+	}
+}
