roller, scaler: one sum of tallies, one pass over the listing

- armTotal in alarm.go and Cells.sum had the same loop: Cell.sum and Tally.add serve both.
- Prepare calls Baseline for the thresholds of a rollout in stages.
- finalVerdict looks at the time before it computes the odds, which it did every 200 ms of a rollout.
- Plan walked the listing twice for each service: the ready servers follow from the counts by place.

--- a/roller/alarm.go
+++ b/roller/alarm.go
@@ -49,8 +49,8 @@
 // and true if the alarm was raised, and then resets the sums.
 func (a *alarm) add(k CellKey, c *Cell) (alarmCause, bool) {
 	seen := a.seen.cell(k)
-	after, before := armTotal(c, Candidate), armTotal(seen, Candidate)
-	ctrl := armTotal(c, Control)
+	after, before := c.sum(Candidate, NoLevel, numLevels), seen.sum(Candidate, NoLevel, numLevels)
+	ctrl := c.sum(Control, NoLevel, numLevels)
 	*seen = *c
 	requests := float64(after.Requests - before.Requests)
 	if requests == 0 {
@@ -101,14 +101,3 @@
 	rate := (float64(events) + referencePrior*usual) / (float64(requests) + referencePrior)
 	return max(rate, minReferenceRate)
 }
-
-// armTotal sums the tallies of an arm over all levels.
-func armTotal(c *Cell, a Arm) Tally {
-	var sum Tally
-	for _, t := range c.Tallies[a] {
-		sum.Requests += t.Requests
-		sum.Failed += t.Failed
-		sum.Slow += t.Slow
-	}
-	return sum
-}
--- a/roller/controller.go
+++ b/roller/controller.go
@@ -164,7 +164,7 @@
 		if rate, ok := m.staged.rate(now, n); ok {
 			e.FirstLevel = FirstLevel(rate)
 		}
-		e.Thresholds = Thresholds(sum, slowQuantile)
+		e.Thresholds = c.Baseline(e.Service, e.From)
 	}
 }
 
--- a/roller/cutover.go
+++ b/roller/cutover.go
@@ -164,8 +164,11 @@
 	if r.Phase == Watched {
 		last = r.Start.watchEnd()
 	}
+	if now.Before(last) {
+		return Verdict{}, false
+	}
 	v := suspicion(sum)
-	return v, !now.Before(last) && v.LogEvidence >= logLimitRevert
+	return v, v.LogEvidence >= logLimitRevert
 }
 
 // suspicion returns the metric that speaks most against the candidate over all
--- a/roller/evidence.go
+++ b/roller/evidence.go
@@ -33,6 +33,13 @@
 	Slow uint64 `json:"slow,omitempty"`
 }
 
+// add adds the counts of o, which must be of other requests.
+func (t *Tally) add(o Tally) {
+	t.Requests += o.Requests
+	t.Failed += o.Failed
+	t.Slow += o.Slow
+}
+
 // Cell is the evidence of one route in one load band. All its fields are
 // counters that only increase.
 type Cell struct {
@@ -57,6 +64,16 @@
 	c.combine(o, func(a, b uint64) uint64 { return a + b })
 }
 
+// sum returns the sum of the tallies of an arm from level from up to, but not
+// including, level to.
+func (c *Cell) sum(a Arm, from, to Level) Tally {
+	var sum Tally
+	for _, t := range c.Tallies[a][from:to] {
+		sum.add(t)
+	}
+	return sum
+}
+
 func (c *Cell) combine(o *Cell, f func(a, b uint64) uint64) {
 	for a := range numArms {
 		for l := range numLevels {
@@ -133,11 +150,7 @@
 func (cs Cells) sum(a Arm, from, to Level) Tally {
 	var sum Tally
 	for _, c := range cs {
-		for _, t := range c.Tallies[a][from:to] {
-			sum.Requests += t.Requests
-			sum.Failed += t.Failed
-			sum.Slow += t.Slow
-		}
+		sum.add(c.sum(a, from, to))
 	}
 	return sum
 }
--- a/scaler/demand.go
+++ b/scaler/demand.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -99,11 +98,11 @@
 }
 
 // readyServers returns the number of servers of a service that are ready and
-// not draining.
-func readyServers(service identifier.Service, l *discoverer.Listing) int {
+// not draining, candidates included.
+func readyServers(counts map[Place]count) int {
 	n := 0
-	for _, c := range listed(service, l, "") {
-		n += c.ready
+	for _, c := range counts {
+		n += c.ready + c.candidates
 	}
 	return n
 }
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -99,11 +99,12 @@
 	for i := range services {
 		if c := services[i].Scaling; c != nil {
 			name := services[i].Name
-			ready := readyServers(name, l)
+			counts := listed(name, l, candidates[name])
+			ready := readyServers(counts)
 			if !s.observeInitial(now, name, ready) {
 				continue
 			}
-			have := s.capacityOf(name, domainsByPrice(c), listed(name, l, candidates[name]))
+			have := s.capacityOf(name, domainsByPrice(c), counts)
 			out = append(out, s.plan(now, name, c, have, s.needed(now, name, calls[name], ready, slotsOf(&services[i])))...)
 		}
 	}
