forwarder: log and count the request limits that backend servers announce

Now the adapter decodes it, and each entry host logs every change of what it knows of a server with the id of the call whose answer said so. A malformed value leaves the known limit as it is and is logged once a server. A gauge counts the servers with a limit.

No decision reads the limit yet.

--- a/describer/call.go
+++ b/describer/call.go
@@ -61,6 +61,12 @@
 	Sealed bool
 	// Load is the load that the backend server reports, or nil.
 	Load *Load
+	// Limit is the rate of requests that the backend server accepts from all
+	// hosts together, or nil if it announces none.
+	Limit *identifier.RequestRate
+	// LimitUnreadable is set if the backend server announces a limit that cannot
+	// be decoded. It says nothing about the limit then.
+	LimitUnreadable bool
 }
 
 // Load is the load of a backend server, in requests.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -166,6 +166,9 @@
 		conn.Close()
 		return x.classifySendError(err, sentAt, choice)
 	}
+	if res.Status != http.StatusMisdirectedRequest { // That status comes from another server.
+		x.recordLimit(&reply, choice)
+	}
 	if reply.NotRun || res.Status == http.StatusMisdirectedRequest {
 		x.f.opts.Pool.Release(conn)
 		return refusalOutcome(res.Status), refused, "the backend server refused the call"
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +33,7 @@
 	testNotRun = "X-Not-Run"
 	testEvent  = "X-After"
 	testServer = "X-Server"
+	testLimit  = "X-Limit"
 )
 
 // testCodec encodes and decodes the headers above.
@@ -54,7 +56,13 @@
 }
 
 func (testCodec) Reply(_ int, h http.Header) describer.Reply {
-	return describer.Reply{ID: identifier.AttemptID(h.Get(testID)), NotRun: h.Get(testNotRun) != "", Sealed: h.Get(testSeal) != ""}
+	reply := describer.Reply{ID: identifier.AttemptID(h.Get(testID)), NotRun: h.Get(testNotRun) != "", Sealed: h.Get(testSeal) != ""}
+	if s := h.Get(testLimit); s != "" {
+		n, err := strconv.ParseFloat(s, 64)
+		limit := identifier.RequestRate(n)
+		reply.Limit, reply.LimitUnreadable = &limit, err != nil
+	}
+	return reply
 }
 
 func (testCodec) RetryAfter(h http.Header, after time.Duration) { h.Set("Retry-After", after.String()) }
@@ -218,17 +226,22 @@
 		t.Fatal(err)
 	}
 	h.SetTable(matcher.NewTable(1, d))
+	h.useServers(3)
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	h.url = s.URL
+	return h
+}
+
+// useServers starts n fake backend servers and lists them alone.
+func (h *harness) useServers(n int) {
 	l := &discoverer.Listing{}
-	for i := range 3 {
+	for i := range n {
 		l.Instances = append(l.Instances, describer.Instance{
-			ID: identifier.BackendServer(fmt.Sprint("b", i)), Service: "cases", Address: b.start(), Version: "v1", Slots: 4,
+			ID: identifier.BackendServer(fmt.Sprint("b", i)), Service: "cases", Address: h.backends.start(), Version: "v1", Slots: 4,
 		})
 	}
 	h.SetListing(l)
-	s := httptest.NewServer(h)
-	t.Cleanup(s.Close)
-	h.url = s.URL
-	return h
 }
 
 // response is what the caller received.
--- a/identifier/ids.go
+++ b/identifier/ids.go
@@ -52,6 +52,9 @@
 // Share is a fraction from 0 to 1.
 type Share float64
 
+// RequestRate is a number of requests per second.
+type RequestRate float64
+
 // Check returns an error if s is not between 0 and 1.
 func (s Share) Check() error {
 	if s >= 0 && s <= 1 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -69,13 +69,15 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
-	return &Placer{
+	p := &Placer{
 		opts: opts, hosts: 1, servers: make(map[identifier.BackendServer]*serverState),
 		unreachable: make(map[identifier.FailureDomain]*domainFailures),
 		atHome:      opts.Metrics.GetOrCreateCounter(`cyclamen_placer_choices_total{at="home"}`),
 		elsewhere:   opts.Metrics.GetOrCreateCounter(`cyclamen_placer_choices_total{at="elsewhere"}`),
 		noServer:    opts.Metrics.GetOrCreateCounter(`cyclamen_placer_none_total`),
 	}
+	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_limited_servers`, func() float64 { return float64(p.limitedServers()) })
+	return p
 }
 
 // Publish replaces the list of servers. The state of a server with the same id
--- a/placer/server.go
+++ b/placer/server.go
@@ -86,6 +86,12 @@
 	// content of a plain call; 0 means not measured.
 	callSeconds float64
 
+	// limit is the rate of requests that the server accepts from all hosts
+	// together, by its last response; nil means that it announces none.
+	limit *identifier.RequestRate
+	// limitUnreadable is set once a response had a limit that cannot be decoded.
+	limitUnreadable bool
+
 	connectFailures int
 	backoffUntil    time.Time
 	// awaitingFirst are the choices whose first content has not arrived, oldest
