scaler: servers that announce limits are replaced by others

A service whose servers all announce limits refuses most calls. The scaler reckons with the number of running calls, takes the fall for a load that has gone, and counts the servers with limits as whole ones: it orders nothing and releases servers after a while, just when the service needs more.

Change: the leader tells the scaler which servers have limits, what runs at them, and whether calls were refused a permit within the last two seconds. Servers with limits are planned apart, others are ordered for the rest, and the peak of the load does not decay while calls are refused. No server of a place with limits is released, since the platform chooses which one goes.

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -157,12 +157,12 @@
 	d.lastPlan = now
 	n.mu.Lock()
 	list, fresh := n.listings.last, n.listings.current(now) != 0
-	calls := n.loads.runningByService(now, list)
+	loads := n.serviceLoads(now, list, document.Services)
 	n.mu.Unlock()
 	if !fresh {
 		return
 	}
-	for _, o := range d.scaler.Plan(now, document.Services, list, calls, candidatesOf(n.view(), document.Services)) {
+	for _, o := range d.scaler.Plan(now, document.Services, list, loads, candidatesOf(n.view(), document.Services)) {
 		err := n.callWithinLease(ctx, lease, func(ctx context.Context) error {
 			return n.client.OrderServers(ctx, lease.Fencing(), o.Service, o.FailureDomain, o.Reclaimable, o.Count)
 		})
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -9,6 +9,7 @@
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/placer"
+	"cyclamenhub.org/scaler"
 )
 
 const (
@@ -116,16 +117,23 @@
 	return out
 }
 
-// runningByService returns the number of running calls of each service.
-func (l *loads) runningByService(now time.Time, list *discoverer.Listing) map[identifier.Service]int {
+// byService returns the load of each service. The given servers have announced
+// limits.
+func (l *loads) byService(now time.Time, list *discoverer.Listing, limited map[identifier.BackendServer]bool) map[identifier.Service]scaler.Load {
 	l.refresh(now)
-	out := make(map[identifier.Service]int)
+	out := make(map[identifier.Service]scaler.Load)
 	if list == nil {
 		return out
 	}
 	for i := range list.Instances {
 		in := &list.Instances[i]
-		out[in.Service] += l.total[in.ID].Running
+		load, running := out[in.Service], l.total[in.ID].Running
+		load.Calls += running
+		if limited[in.ID] {
+			load.LimitedCalls += running
+		}
+		load.Limited = limited
+		out[in.Service] = load
 	}
 	return out
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -203,12 +203,12 @@
 	if _, ok := shared["s79"]; ok {
 		t.Error("host receives its own load")
 	}
-	if n := l.runningByService(clock.Now(), list)["model"]; n != 300*55 {
+	if n := l.byService(clock.Now(), list, nil)["model"].Calls; n != 300*55 {
 		t.Errorf("%d running calls, want %d", n, 300*55)
 	}
 	clock.Advance(loadsMaxAge + 1)
 	l.report(clock.Now(), "h0", map[identifier.BackendServer]placer.Load{"s0": {Running: 1}})
-	if n := l.runningByService(clock.Now(), list)["model"]; n != 1 {
+	if n := l.byService(clock.Now(), list, nil)["model"].Calls; n != 1 {
 		t.Errorf("%d running calls after the reports of all hosts but one expired, want 1", n)
 	}
 }
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"cyclamenhub.org/describer"
+	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
 	"cyclamenhub.org/permitter"
+	"cyclamenhub.org/scaler"
 )
 
 const (
@@ -64,6 +67,27 @@
 	return encodePermitGrant(n.permits.Exchange(now, host, decodePermitReport(r)))
 }
 
+// serviceLoads returns the loads of the services, with what the issuer of permits
+// knows of limits. The caller holds mu.
+func (n *keeperNode) serviceLoads(now time.Time, list *discoverer.Listing, services []describer.Service) map[identifier.Service]scaler.Load {
+	limited := make(map[identifier.BackendServer]bool)
+	if n.permits != nil {
+		for _, s := range n.permits.Limited() {
+			limited[s.ID] = true
+		}
+	}
+	loads := n.loads.byService(now, list, limited)
+	for i := range services {
+		name := services[i].Name
+		if n.permits != nil && n.permits.HasRefused(now, name) {
+			load := loads[name]
+			load.Refused = true
+			loads[name] = load
+		}
+	}
+	return loads
+}
+
 // encodeNotice converts a notice to protobuf.
 func encodeNotice(n permitter.Notice) *wire.LimitNotice {
 	out := &wire.LimitNotice{AgeMillis: uint64(n.Age.Milliseconds())}
--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -25,18 +25,22 @@
 	minRate identifier.RequestRate = 0.1
 	// maxWait caps the time after which a refused call may come back.
 	maxWait = 5 * time.Second
+	// refusedPeriod is how long a service counts as one whose calls are refused.
+	refusedPeriod = 2 * time.Second
 )
 
 // Issuer issues permits on the leader.
 type Issuer struct {
 	servers map[Server]*bucket
 	last    GrantID
+	// refused is when a call of a service last got no permit.
+	refused map[identifier.Service]time.Time
 }
 
 // NewIssuer returns an Issuer that knows no limits. Its first grant follows the
 // given one, which must be higher than those of all former leaders.
 func NewIssuer(last GrantID) *Issuer {
-	return &Issuer{servers: make(map[Server]*bucket), last: last}
+	return &Issuer{servers: make(map[Server]*bucket), last: last, refused: make(map[identifier.Service]time.Time)}
 }
 
 // Exchange records the report of a host and returns its next grant, which holds
@@ -73,8 +77,10 @@
 			g.add(s, b.issue(now, host, i.last, min(sr.Wanted, b.spare())))
 		}
 	}
-	for _, n := range needs {
-		i.serve(now, host, n, &g)
+	for service, n := range needs {
+		if !i.serve(now, host, n, &g) {
+			i.refused[service] = now
+		}
 	}
 	return g
 }
@@ -87,9 +93,9 @@
 }
 
 // serve issues permits for waiting calls, each at the server with the fullest
-// bucket. If there are fewer permits than calls, it sets the time after which
-// the others may come back.
-func (i *Issuer) serve(now time.Time, host identifier.Host, n *need, g *Grant) {
+// bucket, and reports whether there is one for each of them. If not, it sets the
+// time after which the others may come back.
+func (i *Issuer) serve(now time.Time, host identifier.Host, n *need, g *Grant) bool {
 	slices.SortFunc(n.servers, func(a, b Server) int { return a.compare(b) })
 	fullest := func(a, b Server) int {
 		if i.servers[a].level < i.servers[b].level {
@@ -105,7 +111,7 @@
 		g.add(s, i.servers[s].issue(now, host, g.ID, 1))
 	}
 	if n.calls == 0 {
-		return
+		return true
 	}
 	wait := i.returnTime(now, n)
 	for _, s := range n.servers {
@@ -113,6 +119,7 @@
 		sg.Wait = wait
 		g.Servers[s] = sg
 	}
+	return false
 }
 
 // returnTime returns the time after which calls without a permit may come back.
@@ -130,6 +137,24 @@
 	return wait
 }
 
+// Limited returns the servers that are known to have limits.
+func (i *Issuer) Limited() []Server {
+	var out []Server
+	for s, b := range i.servers {
+		if b.known.limit != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// HasRefused reports whether a call of a service got no permit within the last
+// refusedPeriod.
+func (i *Issuer) HasRefused(now time.Time, service identifier.Service) bool {
+	at, ok := i.refused[service]
+	return ok && now.Sub(at) < refusedPeriod
+}
+
 // add adds permits of a server to a grant.
 func (g *Grant) add(s Server, permits int) {
 	sg := g.Servers[s]
--- a/scaler/capacity.go
+++ b/scaler/capacity.go
@@ -20,11 +20,14 @@
 }
 
 // count is the number of listed servers of a place. Those of the candidate of a
-// rollout are not counted as ready.
-type count struct{ ready, draining, candidates int }
+// rollout are not counted as ready. Those with a limit of requests are.
+type count struct{ ready, limited, draining, candidates int }
+
+// unlimited returns the number of ready servers without a limit.
+func (c count) unlimited() int { return c.ready - c.limited }
 
 // listed counts the servers of a service by place.
-func listed(service identifier.Service, l *discoverer.Listing, candidate identifier.Version) map[Place]count {
+func listed(service identifier.Service, l *discoverer.Listing, candidate identifier.Version, limited map[identifier.BackendServer]bool) map[Place]count {
 	out := make(map[Place]count)
 	for i := range l.Instances {
 		in := &l.Instances[i]
@@ -40,6 +43,9 @@
 			c.candidates++
 		default:
 			c.ready++
+			if limited[in.ID] {
+				c.limited++
+			}
 		}
 		out[p] = c
 	}
@@ -49,8 +55,8 @@
 // capacity is the number of servers of a service.
 type capacity struct {
 	counts map[Place]count
-	// reclaimable and full are the numbers of ready servers. largestDomain is
-	// the largest number of ready reclaimable servers in a domain.
+	// reclaimable and full are the numbers of ready servers without limits.
+	// largestDomain is the largest number of reclaimable ones in a domain.
 	reclaimable, full, largestDomain int
 	// availableDomains is the number of domains where the last order of
 	// reclaimable servers was accepted or none was sent yet.
@@ -67,6 +73,16 @@
 	})
 }
 
+// roomFor returns how many servers each domain may have beside those with
+// limits, if it may have the given number in all.
+func (c *capacity) roomFor(service identifier.Service, limit int) map[identifier.FailureDomain]int {
+	room := make(map[identifier.FailureDomain]int, len(c.domains))
+	for _, d := range c.domains {
+		room[d] = max(limit-c.counts[Place{service, d, true}].limited-c.counts[Place{service, d, false}].limited, 0)
+	}
+	return room
+}
+
 // capacityOf returns the capacity of a service in the given domains.
 func (s *Scaler) capacityOf(service identifier.Service, domains []identifier.FailureDomain, counts map[Place]count) capacity {
 	c := capacity{counts: counts, domains: domains}
@@ -74,10 +90,10 @@
 		c.hasCandidates = c.hasCandidates || n.candidates > 0
 	}
 	for _, d := range domains {
-		n := c.counts[Place{service, d, true}].ready
+		n := c.counts[Place{service, d, true}].unlimited()
 		c.reclaimable += n
 		c.largestDomain = max(c.largestDomain, n)
-		c.full += c.counts[Place{service, d, false}].ready
+		c.full += c.counts[Place{service, d, false}].unlimited()
 		if last, ok := s.last[Place{service, d, true}]; !ok || last.accepted {
 			c.availableDomains++
 		}
--- a/scaler/demand.go
+++ b/scaler/demand.go
@@ -87,6 +87,13 @@
 	return p.value
 }
 
+// hold keeps the peak from decaying until now.
+func (p *decayingPeak) hold(now time.Time) {
+	if !p.at.IsZero() {
+		p.at = now
+	}
+}
+
 // initialServers is the number of servers that a service had before the first
 // order. It reflects the load that the operator expected.
 type initialServers struct {
@@ -145,10 +152,10 @@
 // for a number of concurrent calls.
 func serversFor(calls float64, slots int) int { return int(math.Ceil(calls / callsPerServer(slots))) }
 
-// needed returns the number of servers that the load needs. It uses the recent
-// peak of the load, since a server takes seconds to start.
-func (s *Scaler) needed(now time.Time, service identifier.Service, calls, ready, slots int) int {
-	d := s.demand[service]
+// needed returns the number of servers without limits that the load needs. It
+// uses the recent peak of the load, since a server takes seconds to start.
+func (s *Scaler) needed(now time.Time, service identifier.Service, load Load, ready, slots int) int {
+	d, calls := s.demand[service], load.Calls
 	initial := int(math.Ceil(initialRatio * float64(s.initial[service].servers)))
 	if d == nil {
 		if calls == 0 {
@@ -157,7 +164,10 @@
 		d = &demand{since: now}
 		s.demand[service] = d
 	}
-	peakCalls := d.calls.add(now, float64(calls), demandHalfLife)
+	if load.Refused {
+		d.calls.hold(now)
+	}
+	peakCalls := max(d.calls.add(now, float64(calls), demandHalfLife)-float64(load.LimitedCalls), 0)
 	current := max(serversFor(float64(calls), slots), 1)
 	used := d.used.add(now, float64(min(d.sustainedReady(now, ready), current)), usedHalfLife)
 	limit := int(maxGrowth*used) + minNeeded
--- a/scaler/doc.go
+++ b/scaler/doc.go
@@ -15,13 +15,16 @@
 //   - more servers at the full price while reclaims leave fewer than the load
 //     needs, until reclaimable servers are back.
 //
+// Servers that have announced a limit of requests are planned apart: others are
+// ordered beside them for the calls that they do not take.
+//
 // Servers that are no longer needed are kept for some time before they are
 // released, so that orders do not oscillate.
 //
 // # Usage
 //
 //	s := scaler.New(false)
-//	for _, o := range s.Plan(now, services, listing, runningCalls) {
+//	for _, o := range s.Plan(now, services, listing, loads, candidates) {
 //		err := order(o)
 //		s.RecordResult(now, o, err == nil, isUnavailable(err))
 //	}
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -86,26 +86,42 @@
 // or from which it was moved back.
 type Candidates map[identifier.Service]identifier.Version
 
-// Plan returns the orders that are due. The map calls holds the number of
-// running calls of each service.
+// Load is the load of a service.
+type Load struct {
+	// Calls is the number of running calls, LimitedCalls the part of it at the
+	// servers in Limited.
+	Calls, LimitedCalls int
+	// Limited are the servers that have announced a limit of requests.
+	Limited map[identifier.BackendServer]bool
+	// Refused is whether calls were recently refused because of these limits.
+	Refused bool
+}
+
+// Plan returns the orders that are due under the loads of the services.
+//
+// Servers that have announced limits are planned apart: they run what they run,
+// and the others have to carry the rest. Refused calls do not run, so that the
+// number of running calls understates the load; while calls are refused, the
+// recent peak of the load stands.
 //
 // The platform starts the servers of a rollout beside those in use, and counts
 // them in the places of the service. They are no surplus: releasing as many
 // would take the new version its servers before any traffic has moved. While
 // they are listed, no server of the service is released, and an order for more
 // adds them to its count.
-func (s *Scaler) Plan(now time.Time, services []describer.Service, l *discoverer.Listing, calls map[identifier.Service]int, candidates Candidates) []Order {
+func (s *Scaler) Plan(now time.Time, services []describer.Service, l *discoverer.Listing, loads map[identifier.Service]Load, candidates Candidates) []Order {
 	var out []Order
 	for i := range services {
 		if c := services[i].Scaling; c != nil {
 			name := services[i].Name
-			counts := listed(name, l, candidates[name])
+			load := loads[name]
+			counts := listed(name, l, candidates[name], load.Limited)
 			ready := readyServers(counts)
 			if !s.observeInitial(now, name, ready) {
 				continue
 			}
 			have := s.capacityOf(name, domainsByPrice(c), counts)
-			out = append(out, s.plan(now, name, c, have, s.needed(now, name, calls[name], ready, slotsOf(&services[i])))...)
+			out = append(out, s.plan(now, name, c, have, s.needed(now, name, load, ready, slotsOf(&services[i])))...)
 		}
 	}
 	return out
@@ -123,16 +139,24 @@
 	}
 	why := fmt.Sprintf("%d needed, %d reclaimable ready, %d domains with reclaimable servers available, %d reclaimable assumed to stay, %d at the full price",
 		needed, have.reclaimable, have.availableDomains, assured, have.full)
-	reclaimable := reclaimablePerDomain(domains, needed, c.Max-minFullPrice)
+	reclaimable := reclaimablePerDomain(domains, needed, have.roomFor(service, c.Max-minFullPrice))
 	room := make(map[identifier.FailureDomain]int, len(domains))
 	for _, d := range domains {
 		p := Place{service, d, true}
-		room[d] = c.Max - max(s.reserved(p, reclaimable[d]), have.counts[p].ready)
+		reclaimable[d] += have.counts[p].limited
+		room[d] = c.Max - max(s.reserved(p, reclaimable[d]), have.counts[p].ready) - have.counts[Place{service, d, false}].limited
 	}
-	wanted := s.keepUntilReplaced(service, have, spread(domains, max(minFullPrice, needed-assured), room), needed-assured)
+	wanted := spread(domains, max(minFullPrice, needed-assured), room)
+	for _, d := range domains {
+		wanted[d] += have.counts[Place{service, d, false}].limited
+	}
+	wanted = s.keepUntilReplaced(service, have, wanted, needed-assured)
 	var out []Order
 	add := func(p Place, want int) {
 		n := have.counts[p]
+		if n.limited > 0 {
+			want = max(want, n.ready) // The platform might release one without a limit.
+		}
 		if have.hasCandidates {
 			want = s.besideCandidates(p, want, c.Max, have.counts)
 		}
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -25,6 +25,11 @@
 	servers          map[Place][]time.Time // when each server is ready
 	unavailableUntil time.Time
 	calls            int
+	// limited are the servers with limits, limitedCalls the calls at them, and
+	// refused is whether calls are refused because of the limits.
+	limited      map[identifier.BackendServer]bool
+	limitedCalls int
+	refused      bool
 	// started are the servers that the platform started for a rollout, by place.
 	// They are the newest of the place.
 	started    map[Place]int
@@ -49,10 +54,15 @@
 	return f
 }
 
+// load returns the load that the scaler is told.
+func (f *fakePlatform) load() Load {
+	return Load{Calls: f.calls, LimitedCalls: f.limitedCalls, Limited: f.limited, Refused: f.refused}
+}
+
 // run advances the time by d and executes the plans.
 func (f *fakePlatform) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(Interval) {
-		for _, o := range f.scaler.Plan(f.now, []describer.Service{f.service}, f.listing(), map[identifier.Service]int{service: f.calls}, f.candidates) {
+		for _, o := range f.scaler.Plan(f.now, []describer.Service{f.service}, f.listing(), map[identifier.Service]Load{service: f.load()}, f.candidates) {
 			f.order(o)
 		}
 		for p, list := range f.servers {
@@ -177,7 +187,7 @@
 	orders := 0
 	for i := range 60 {
 		f.calls = 60 + 40*(i%2)
-		due := len(f.scaler.Plan(f.now, []describer.Service{f.service}, f.listing(), map[identifier.Service]int{service: f.calls}, nil))
+		due := len(f.scaler.Plan(f.now, []describer.Service{f.service}, f.listing(), map[identifier.Service]Load{service: f.load()}, nil))
 		orders += due
 		f.run(2 * time.Second)
 	}
@@ -194,13 +204,13 @@
 	for n := 0; n <= len(all); n += 3 {
 		part := &discoverer.Listing{Instances: all[:n], At: f.now}
 		for _, o := range f.scaler.Plan(f.now, []describer.Service{f.service}, part, nil, nil) {
-			if listed(service, part, "")[o.Place].ready > o.Count {
+			if listed(service, part, "", nil)[o.Place].ready > o.Count {
 				t.Errorf("with %d of %d servers listed %d are ordered in %+v", n, len(all), o.Count, o.Place)
 			}
 		}
 		f.now = f.now.Add(time.Second)
 	}
-	if needed := f.scaler.needed(f.now, service, 0, len(all), 0); needed != 7 {
+	if needed := f.scaler.needed(f.now, service, Load{}, len(all), 0); needed != 7 {
 		t.Errorf("of %d initial servers %d are needed", len(all), needed)
 	}
 }
@@ -339,3 +349,34 @@
 		t.Errorf("after a reclaim %d slots are left for %d calls", places, f.calls)
 	}
 }
+
+// TestLimitedServersAreReplaced replays a service whose servers all announce
+// limits at once. Most calls are refused, so that few run, and the scaler must
+// not take that for a load that has fallen: others are ordered beside them, and
+// released once the limits have ended.
+func TestLimitedServersAreReplaced(t *testing.T) {
+	f := newFakePlatform(t)
+	f.service.Scaling.Max = 9
+	f.calls = 100
+	f.run(30 * time.Second)
+	before := f.ready()
+	f.limited, f.refused = make(map[identifier.BackendServer]bool), true
+	for _, in := range f.listing().Instances {
+		f.limited[in.ID] = true
+	}
+	f.calls, f.limitedCalls = 25, 25
+	f.run(2 * bootTime)
+	if others, need := f.ready()-before, serversFor(100-25, 0); others < need {
+		t.Errorf("%d servers are ready beside %d with limits, the load needs %d", others, before, need)
+	}
+	f.calls, f.refused = 100, false
+	f.run(20 * time.Second)
+	if f.ready() < before {
+		t.Errorf("%d servers are ready, of %d with limits", f.ready(), before)
+	}
+	f.limited, f.limitedCalls = nil, 0
+	f.run(40 * time.Second)
+	if f.ready() > before {
+		t.Errorf("%d servers are ready after the limits have ended, %d were enough before", f.ready(), before)
+	}
+}
--- a/scaler/spread.go
+++ b/scaler/spread.go
@@ -4,14 +4,10 @@
 
 // reclaimablePerDomain returns the number of reclaimable servers of each
 // domain, so that those of all domains but one are sufficient.
-func reclaimablePerDomain(domains []identifier.FailureDomain, needed, limit int) map[identifier.FailureDomain]int {
+func reclaimablePerDomain(domains []identifier.FailureDomain, needed int, room map[identifier.FailureDomain]int) map[identifier.FailureDomain]int {
 	n := len(domains)
 	others := max(n-1, 1)
 	total := max((needed*n+others-1)/others, minReclaimablePerDomain*n)
-	room := make(map[identifier.FailureDomain]int, n)
-	for _, d := range domains {
-		room[d] = limit
-	}
 	return spread(domains, total, room)
 }
 
