scaler: orders await the listing of a rollout's servers

The rollout is taken back since no backend server has the version; a good one would have been missed.

Cause: the platform counts the servers of a rollout in their places as soon as it starts them. The scaler leaves them out of its orders once they are listed, and does not know their number before. Class: an order that sets a total from a stale listing, as at the first start of a system.

Change: from the start of a rollout until its servers are listed, for the time of a start and 2 s at most, nothing is ordered for the service. Weighed: holding back releases alone; an order for more sets a total too.

Test: TestRolloutKeepsStartingServers fails without the change (the servers of rollouts started 2 s and later are gone).

--- a/internal/node/rolloutorders.go
+++ b/internal/node/rolloutorders.go
@@ -133,7 +133,11 @@
 	out := make(scaler.Candidates)
 	for i := range services {
 		if last := lastRollout(v, services[i].Name); last != nil && last.Phase != roller.Done {
-			out[services[i].Name] = last.Start.To
+			c := scaler.Candidate{Version: last.Start.To}
+			if last.EndedAt.IsZero() {
+				c.StartedAt = last.Start.At
+			}
+			out[services[i].Name] = c
 		}
 	}
 	return out
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -82,9 +82,26 @@
 	return &Scaler{firstStart: firstStart, last: make(map[Place]lastOrder), surplus: make(map[Place]time.Time), initial: make(map[identifier.Service]*initialServers), demand: make(map[identifier.Service]*demand)}
 }
 
-// Candidates maps a service to the version to which its last rollout moves it,
-// or from which it was moved back.
-type Candidates map[identifier.Service]identifier.Version
+// Candidate is the version to which the last rollout of a service moves it, or
+// from which it was moved back.
+type Candidate struct {
+	Version identifier.Version
+	// StartedAt is when the rollout was started, or zero if it has ended.
+	StartedAt time.Time
+}
+
+// Candidates are the candidates of services.
+type Candidates map[identifier.Service]Candidate
+
+// candidateListingLag is how long after its start a server of a rollout may be
+// missing in the listing.
+const candidateListingLag = 2 * time.Second
+
+// isAwaited reports whether servers of the candidate may be starting that are
+// not listed yet.
+func (c Candidate) isAwaited(now time.Time, bootTime time.Duration) bool {
+	return !c.StartedAt.IsZero() && now.Sub(c.StartedAt) < bootTime+candidateListingLag
+}
 
 // Load is the load of a service.
 type Load struct {
@@ -108,20 +125,26 @@
 // them in the places of the service. They are no surplus: releasing as many
 // would take the new version its servers before any traffic has moved. While
 // they are listed, no server of the service is released, and an order for more
-// adds them to its count.
+// adds them to its count. Between the start of the rollout and their listing
+// their number is not known, and nothing is ordered for the service.
 func (s *Scaler) Plan(now time.Time, services []describer.Service, l *discoverer.Listing, loads map[identifier.Service]Load, candidates Candidates) []Order {
 	var out []Order
 	for i := range services {
 		if c := services[i].Scaling; c != nil {
 			name := services[i].Name
 			load := loads[name]
-			counts := listed(name, l, candidates[name], load.Limited)
+			candidate := candidates[name]
+			counts := listed(name, l, candidate.Version, load.Limited)
 			ready := readyServers(counts)
 			if !s.observeInitial(now, name, ready) {
 				continue
 			}
 			have := s.capacityOf(name, domainsByPrice(c), counts)
-			out = append(out, s.plan(now, name, c, have, s.needed(now, name, load, ready, slotsOf(&services[i])))...)
+			needed := s.needed(now, name, load, ready, slotsOf(&services[i]))
+			if !have.hasCandidates && candidate.isAwaited(now, c.BootTime) {
+				continue
+			}
+			out = append(out, s.plan(now, name, c, have, needed)...)
 		}
 	}
 	return out
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -255,7 +255,7 @@
 // startRollout starts a second set of servers at the full price beside those of
 // the service, as the platform does for a rollout to v2.
 func (f *fakePlatform) startRollout() {
-	f.candidates, f.started = Candidates{service: "v2"}, make(map[Place]int)
+	f.candidates, f.started = Candidates{service: {Version: "v2", StartedAt: f.now}}, make(map[Place]int)
 	for i := range f.ready() {
 		p := Place{service, []identifier.FailureDomain{"a", "b", "c", "d"}[i%4], false}
 		f.servers[p] = append(f.servers[p], f.now.Add(bootTime))
@@ -290,6 +290,26 @@
 	}
 }
 
+// TestRolloutKeepsStartingServers guards against an order that takes the servers
+// of a new version away before they are listed. An order sets the number of
+// servers of a place, and full-price servers are released here at some time
+// between the start of the rollout and the listing of its servers.
+func TestRolloutKeepsStartingServers(t *testing.T) {
+	for after := 2 * time.Second; after < 20*time.Second; after += Interval {
+		f := newFakePlatform(t)
+		f.service.Scaling.Max = 9
+		f.calls = 60
+		f.run(after)
+		f.startRollout()
+		f.run(2 * bootTime)
+		for p, n := range f.started {
+			if len(f.servers[p]) < n {
+				t.Errorf("rollout after %v: %d servers are left in %+v, where %d were started for it", after, len(f.servers[p]), p, n)
+			}
+		}
+	}
+}
+
 // TestFirstSeconds replays the first start of a system of 60 servers: the
 // listing fills up for 4 s, calls come 12 s later, and the reclaimable servers
 // of two domains are taken in the seconds after. Before the listing was awaited,
