roller: the share of a rollout of seconds falls when the rate proves higher

Cause: the share before the cutover follows from the request rate, and is only raised later. The rollout begins 4 s after callers have begun to call: few answers have ended, and the rate of about 50 a second is taken for one at which a fifth of all requests keeps within the exposure. Class: a decision from a reading that is not settled yet, and never taken back.

Change: with the rate of the rollout itself the share also falls, once the candidate would use 65% of the exposure; it rises while it would use half of it.

Test: TestCanaryLevelFollowsRisingRate fails without the change (the share stays at a fifth).

--- a/roller/cutover.go
+++ b/roller/cutover.go
@@ -22,6 +22,11 @@
 // and the revert.
 const canaryBudget = 0.5
 
+// maxCanaryUse is the fraction of the exposure that the candidate may be about
+// to use before its share is lowered. It lies above canaryBudget, so that the
+// share does not change with each reading of the rate.
+const maxCanaryUse = 0.65
+
 // maxCanaryLevel limits the share before the cutover to 20%, so that a rate
 // that rises after the level was chosen does not use up the exposure.
 const maxCanaryLevel Level = 8
@@ -82,6 +87,32 @@
 	return l
 }
 
+// canaryUse returns the fraction of the exposure that the candidate will have used
+// at the end of the watch period, if it has got the given number of requests by
+// now and stays at level l.
+func canaryUse(s *StartRollout, l Level, rate, candidateRequests float64, now time.Time) float64 {
+	end := s.watchEnd()
+	expected := candidateRequests + float64(l.Share())*rate*max(end.Sub(now).Seconds(), 0)
+	return expected / max(s.Exposure.allowed(rate*end.Sub(s.At).Seconds()), 1)
+}
+
+// adjustedLevel returns the level of a rollout at level l, now that the rate is
+// known.
+//
+// It answers a rate that rises as the rollout begins, for example a few seconds
+// after callers have begun to call: the first share was chosen from a rate that
+// is too low. The share rises to that of canaryLevel if the candidate keeps
+// within its budget, and falls if the candidate would leave it by far.
+func adjustedLevel(s *StartRollout, l Level, rate, candidateRequests float64, now time.Time) Level {
+	if higher := canaryLevel(s, rate); higher > l && canaryUse(s, higher, rate, candidateRequests, now) <= canaryBudget {
+		return higher
+	}
+	for l > lowestFirstLevel && canaryUse(s, l, rate, candidateRequests, now) > maxCanaryUse {
+		l--
+	}
+	return l
+}
+
 // cutoverWithin returns the time of the cutover of a service that gets rate
 // requests per second, of which the candidate has got the given number. It is
 // the first time from Cutover on after which the candidate gets no more requests
@@ -126,7 +157,7 @@
 	}
 	switch {
 	case now.Before(cutover) && known:
-		return max(r.Level, canaryLevel(s, rate))
+		return adjustedLevel(s, r.Level, rate, float64(sum.Total(Candidate).Requests), now)
 	case now.Before(cutover):
 		return r.Level
 	case now.Before(s.Deadline) && suspicion(sum).LogEvidence >= logLimitHold:
--- a/roller/cutover_test.go
+++ b/roller/cutover_test.go
@@ -101,3 +101,24 @@
 		}
 	}
 }
+
+// A share that was chosen at a low rate must fall once the rate is known to be
+// higher, and must not change with each reading.
+func TestCanaryLevelFollowsRisingRate(t *testing.T) {
+	r := cutoverRecord()
+	r.Level = maxCanaryLevel
+	c := NewController(&State{})
+	n := uint64(0)
+	var got []float64
+	for after := time.Second; after < r.Start.Cutover.Sub(r.Start.At); after += time.Second {
+		n += 60
+		c.Merge(cutoverReport(r, n, 0))
+		if l := c.cutoverLevel(r, testTime.Add(after)); l != r.Level {
+			r.Level = l
+			got = append(got, float64(l.Share()))
+		}
+	}
+	if diff := cmp.Diff([]float64{0.05}, got); diff != "" {
+		t.Errorf("changes of the share differ (-want +got):\n%s", diff)
+	}
+}
