roller: a rollout of seconds compares the latencies of both versions

Cause: an answer counts as slow above a threshold from before the rollout. It begins 4 s after the first call, so that most routes have no threshold (fewer than 40 answers) and one has that of cold caches: 524 ms, where the control's 90th percentile in the rollout is 163 ms. 26 of 41 answers of the candidate lie above that, and none counts. Class: a decision from a reading that has not settled.

Change: hosts report latencies in rollouts with a cutover, and the controller compares both versions' with the control's quantile in the rollout. It counts at the end of the time with the strength of a verdict, before with twice that, and holds back the cutover like other suspicions.

Ruled out: too few requests at the lower share (41 and more in a route); cold caches of good versions (their latencies do not differ from the control's in three trials).

TestCutoverOfServiceWithRisingRate failed before: slow versions reverted 0, 0 and 36 of 40 at 12, 25 and 50 requests a second; good ones are reverted as often as before.

--- a/internal/rolloutbench/cutover_test.go
+++ b/internal/rolloutbench/cutover_test.go
@@ -19,11 +19,14 @@
 	return !r.Done.IsZero() && !r.Done.After(r.Scenario.deadline())
 }
 
-// tabulateCutover runs the seeds of one kind at one rate and returns a row.
-func tabulateCutover(k Kind, rate Rate) string {
+// tabulateCutover runs the seeds of one kind at one rate and returns a row. Before
+// the rollout the service gets the given fraction of the rate.
+func tabulateCutover(k Kind, rate Rate, before float64) string {
 	var reverted, done, kept int
 	for seed := range uint64(cutoverSeeds) {
-		r := Run(NewCutoverScenario(k, seed, rate, 16*time.Second, 0.5), Cyclamen)
+		s := NewCutoverScenario(k, seed, rate, 16*time.Second, 0.5)
+		s.rateBefore = before
+		r := Run(s, Cyclamen)
 		if !r.Reverted.IsZero() {
 			reverted++
 		}
@@ -50,7 +53,7 @@
 	var out strings.Builder
 	for _, k := range []Kind{Good, FailsAtOnce, BadLater, SlowsDown} {
 		for _, rate := range []Rate{1, 5, 12, 25, 50} {
-			out.WriteString(tabulateCutover(k, rate))
+			out.WriteString(tabulateCutover(k, rate, 1))
 		}
 	}
 	golden.Compare(t, "testdata/cutover.golden", out.String())
@@ -76,3 +79,18 @@
 		}
 	})
 }
+
+// TestCutoverOfServiceWithRisingRate plays rollouts that begin as callers begin
+// to call: before, the service gets a tenth of its requests, so that its rate and
+// the usual latency of its routes are not known. Before slow answers were told
+// by the latencies of the rollout itself, all slow versions of services with up
+// to 25 requests a second were promoted.
+func TestCutoverOfServiceWithRisingRate(t *testing.T) {
+	var out strings.Builder
+	for _, k := range []Kind{Good, FailsAtOnce, SlowsDown} {
+		for _, rate := range []Rate{12, 25, 50, 200} {
+			out.WriteString(tabulateCutover(k, rate, 0.1))
+		}
+	}
+	golden.Compare(t, "testdata/risingrate.golden", out.String())
+}
--- a/internal/rolloutbench/scenario.go
+++ b/internal/rolloutbench/scenario.go
@@ -110,6 +110,9 @@
 	// exposure bounds the requests that the candidate may get. If it is set, the
 	// rollout moves all traffic in one step.
 	exposure roller.Exposure
+	// rateBefore is the fraction of the rate that the fleet gets before the
+	// rollout begins; 0 and 1 mean the same rate.
+	rateBefore float64
 }
 
 // pace holds the times of a scenario that depend on how long its rollout takes.
@@ -228,6 +231,8 @@
 // at a time.
 func (s *Scenario) loadFactor(now time.Time) float64 {
 	switch {
+	case s.rateBefore > 0 && now.Before(rolloutStart):
+		return s.rateBefore
 	case s.pace.steadyLoad:
 		return 1
 	case s.isHeavyLoad(now):
--- a/roller/cutover.go
+++ b/roller/cutover.go
@@ -160,7 +160,7 @@
 		return adjustedLevel(s, r.Level, rate, float64(sum.Total(Candidate).Requests), now)
 	case now.Before(cutover):
 		return r.Level
-	case now.Before(s.Deadline) && suspicion(sum).LogEvidence >= logLimitHold:
+	case now.Before(s.Deadline) && max(suspicion(sum).LogEvidence, latencySuspicion(sum).LogEvidence) >= logLimitHold:
 		return r.Level
 	default:
 		return TopLevel
@@ -195,13 +195,24 @@
 	if r.Phase == Watched {
 		last = r.Start.watchEnd()
 	}
+	if v := suspicion(sum); !now.Before(last) && v.LogEvidence >= logLimitRevert {
+		return v, true
+	}
+	if r.Phase != Staged {
+		return Verdict{}, false // The latencies of all traffic count, with cold caches.
+	}
+	limit := logLimitMerged()
 	if now.Before(last) {
-		return Verdict{}, false
+		limit *= earlyFactor
 	}
-	v := suspicion(sum)
-	return v, v.LogEvidence >= logLimitRevert
+	v := latencySuspicion(sum)
+	return v, v.LogEvidence >= limit
 }
 
+// earlyFactor is how much stronger than for a verdict the evidence of latencies
+// must be before the time is up.
+const earlyFactor = 2
+
 // suspicion returns the metric that speaks most against the candidate over all
 // requests. Failures count at all shares, also after all traffic has moved, and
 // are compared with those of the control before. Slow answers count only while
@@ -218,6 +229,42 @@
 	return failures
 }
 
+// latencySuspicion returns what the latencies say that both versions have shown in
+// the rollout. An answer is slow if it is above the control's quantile in its cell.
+//
+// It answers a rollout that begins as callers begin to call: the thresholds from
+// before are missing, or are those of a service that has just started, and a
+// version that answers several times slower would be promoted unseen. A quantile
+// that is not fixed before the events allows no test that may be looked at at any
+// time, and the share may have changed together with the load. What it says
+// therefore needs the strength of a verdict at the end of the rollout's time, and
+// a multiple before.
+func latencySuspicion(cs Cells) Verdict {
+	var candidate, control Tally
+	for _, c := range cs {
+		if limit, ok := quantileBucket(c.Latency[Control], cutoverSlowQuantile); ok {
+			candidate.add(c.Latency[Candidate].tallyAbove(limit))
+			control.add(c.Latency[Control].tallyAbove(limit))
+		}
+	}
+	return newSuspicion(SlowAnswers, candidate.Requests, control.Requests, candidate.Slow, control.Slow)
+}
+
+// tallyAbove returns the number of answers, and as slow ones those above a bucket.
+func (h *Histogram) tallyAbove(bucket int) Tally {
+	var t Tally
+	if h == nil {
+		return t
+	}
+	for i, n := range h {
+		t.Requests += n
+		if i > bucket {
+			t.Slow += n
+		}
+	}
+	return t
+}
+
 // newSuspicion returns what the bad answers of a metric say, given how many
 // requests each version got.
 func newSuspicion(m Metric, candidateRequests, controlRequests, candidate, control uint64) Verdict {
--- a/roller/directive.go
+++ b/roller/directive.go
@@ -32,8 +32,9 @@
 	// Withdrawn is the version that a reverted rollout moved traffic to. Its
 	// servers stay listed for some time.
 	Withdrawn identifier.Version `json:"withdrawn,omitempty"`
-	// ReportAll makes the hosts report successes as often as failures. A short
-	// rollout needs the number of requests to choose its share.
+	// ReportAll makes the hosts report successes as often as failures, and with
+	// latencies. A short rollout needs the number of requests to choose its share,
+	// and the latencies where thresholds are not known.
 	ReportAll bool `json:"reportAll,omitempty"`
 }
 
@@ -87,6 +88,16 @@
 // quantile returns the upper bound of the bucket that contains quantile q, and
 // false if the histogram has fewer than minThresholdCount answers.
 func quantile(h *Histogram, q float64) (time.Duration, bool) {
+	i, ok := quantileBucket(h, q)
+	if !ok {
+		return 0, false
+	}
+	return bucketEnd(i), true
+}
+
+// quantileBucket returns the bucket that contains quantile q, and false if the
+// histogram has fewer than minThresholdCount answers.
+func quantileBucket(h *Histogram, q float64) (int, bool) {
 	if h == nil {
 		return 0, false
 	}
@@ -102,8 +113,8 @@
 	for i, c := range h {
 		seen += c
 		if seen > rank {
-			return bucketEnd(i), true
+			return i, true
 		}
 	}
-	return bucketEnd(numBuckets - 1), true
+	return numBuckets - 1, true
 }
--- a/roller/trial.go
+++ b/roller/trial.go
@@ -21,6 +21,8 @@
 	// adverse counts failures and slow answers, so that the tests are skipped
 	// while there are no new ones.
 	adverse atomic.Uint64
+	// hasLatency is whether the cells that are read contain the latencies.
+	hasLatency bool
 }
 
 // cacheLine is padding that separates frequently written counters from the
@@ -34,6 +36,8 @@
 		rollout: d.Rollout, control: d.Control, candidate: d.Candidate,
 		routes: make(map[identifier.Route]int, len(routes)+1),
 		slots:  make([]cellSlot, 0, (len(routes)+1)*numBands),
+
+		hasLatency: d.Rollout == "" || d.ReportAll,
 	}
 	for _, r := range append([]identifier.Route{OtherRoute}, routes...) {
 		if _, ok := t.routes[r]; ok {
@@ -101,12 +105,13 @@
 	}
 }
 
-// cells reads the counters. It includes the latency histograms only between
-// rollouts, when the thresholds of the next rollout are computed from them.
+// cells reads the counters. It includes the latency histograms between rollouts,
+// when the thresholds of the next rollout are computed from them, and in a
+// rollout with a cutover, which may begin before any threshold is known.
 func (t *trial) cells() Cells {
 	out := make(Cells)
 	for i := range t.slots {
-		if c, ok := t.slots[i].read(t.rollout == ""); ok {
+		if c, ok := t.slots[i].read(t.hasLatency); ok {
 			out[t.slots[i].key] = c
 		}
 	}
