placer: servers that leave or ask for a pause in their answers get no calls

The placer sends no new call to a server that leaves, and none in a pause; after it one call probes, and others follow once it has succeeded. A call that no server takes is refused at once, with the earliest end of the pauses as its Retry-After.

--- a/describer/call.go
+++ b/describer/call.go
@@ -64,11 +64,26 @@
 	// Limit is the rate of requests that the backend server accepts from all
 	// hosts together, or nil if it announces none.
 	Limit *identifier.RequestRate
-	// LimitUnreadable is set if the backend server announces a limit that cannot
-	// be decoded. It says nothing about the limit then.
-	LimitUnreadable bool
+	// Leaving is set if the backend server announces that it leaves.
+	Leaving bool
+	// Pause is the time for which the backend server wants no calls from this
+	// host, 0 if it announces none.
+	Pause time.Duration
+	// Unreadable names the fields above whose announcement cannot be decoded. The
+	// answer says nothing about them then.
+	Unreadable []Announcement
 }
 
+// Announcement names something that a backend server announces in its answers.
+type Announcement string
+
+// The announcements.
+const (
+	AnnouncedLimit   Announcement = "limit"
+	AnnouncedLeaving Announcement = "leaving"
+	AnnouncedPause   Announcement = "pause"
+)
+
 // Load is the load of a backend server, in requests.
 type Load struct{ Running, Waiting, Slots int }
 
--- a/forwarder/limit_test.go
+++ b/forwarder/announcements_test.go
@@ -37,13 +37,13 @@
 	}
 	var got []string
 	for line := range strings.Lines(log.String()) {
-		if m := regexp.MustCompile(`msg="(request limit of a backend server .*)" id=id-1 server=b0(.*)\n`).FindStringSubmatch(line); m != nil {
+		if m := regexp.MustCompile(`msg="((?:request limit|announcement) of a backend server .*)" id=id-1 server=b0(.*)\n`).FindStringSubmatch(line); m != nil {
 			got = append(got, m[1]+m[2])
 		}
 	}
 	want := []string{
 		"request limit of a backend server changed before=none perSecond=1.5",
-		"request limit of a backend server cannot be read, the known one stands",
+		"announcement of a backend server cannot be read, what is known stands announcement=limit",
 		"request limit of a backend server changed before=1.5 perSecond=2",
 		"request limit of a backend server changed before=2 perSecond=none",
 	}
@@ -90,3 +90,45 @@
 		t.Errorf("the leader was asked %d times, want twice after a sync period", asked)
 	}
 }
+
+// TestAllServersWantNoCalls checks a service whose servers all turn calls away
+// and ask for a pause: the next call reaches none of them, and is refused at once
+// with the time at which the first one takes calls again.
+func TestAllServersWantNoCalls(t *testing.T) {
+	const pause = 4 * time.Second
+	full := "HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\n" + testPause + ": 4s\r\nContent-Length: 0\r\n\r\n"
+	h := newHarness(t, full, full, full)
+	for range 2 {
+		res := h.call(t, http.MethodPost, "/file/1", "key", "")
+		after, err := time.ParseDuration(res.header.Get("Retry-After"))
+		if res.status != http.StatusServiceUnavailable || err != nil || after < pause-time.Second || after > 2*pause {
+			t.Errorf("status %d, Retry-After %v (error %v), want 503 and about %v", res.status, after, err, pause)
+		}
+	}
+	if n := len(h.backends.requests()); n != 3 {
+		t.Errorf("the servers got %d requests, want one each", n)
+	}
+}
+
+// TestLeavingServerGetsNoFurtherCalls checks that a server that announces in an
+// answer that it leaves gets no further call, though the list says nothing yet.
+func TestLeavingServerGetsNoFurtherCalls(t *testing.T) {
+	leaving := sealedResponse(http.StatusOK, testLeaving+": 1\r\n", "done")
+	h := newHarness(t, leaving, leaving, leaving)
+	for i := range 4 {
+		want := http.StatusOK
+		if i == 3 {
+			want = http.StatusServiceUnavailable
+		}
+		if res := h.call(t, http.MethodPost, "/file/1", "key", ""); res.status != want {
+			t.Errorf("call %d: status %d, want %d", i+1, res.status, want)
+		}
+	}
+	seen := make(map[string]bool)
+	for _, r := range h.backends.requests() {
+		seen[r.header.Get(testServer)] = true
+	}
+	if len(seen) != 3 {
+		t.Errorf("the calls reached %d servers, want each once", len(seen))
+	}
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -96,6 +96,7 @@
 			return
 		case refused, unsent, failed, broken:
 			if !x.mayRetry(result) {
+				x.returnAfter = x.f.opts.Placer.Wait(x.service, x.currentVersion(x.f.fleet.Load()))
 				x.fail(reason)
 				return
 			}
@@ -150,8 +151,12 @@
 		x.f.opts.RequestPermits(x.ctx)
 		choice, err = x.f.opts.Placer.Choose(r)
 	}
-	if errors.As(err, &limited) {
+	var none *placer.NoServerError
+	switch {
+	case errors.As(err, &limited):
 		x.returnAfter = limited.Wait
+	case errors.As(err, &none):
+		x.returnAfter = none.Wait
 	}
 	return choice, err
 }
@@ -194,7 +199,7 @@
 		return x.classifySendError(err, sentAt, choice)
 	}
 	if res.Status != http.StatusMisdirectedRequest { // That status comes from another server.
-		x.recordLimit(&reply, choice)
+		x.recordAnnouncements(&reply, choice)
 	}
 	if reply.NotRun || res.Status == http.StatusMisdirectedRequest {
 		x.f.opts.Pool.Release(conn)
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -29,13 +29,15 @@
 
 // The headers of testCodec.
 const (
-	testID     = "X-Id"
-	testKey    = "X-Key"
-	testSeal   = "X-Seal"
-	testNotRun = "X-Not-Run"
-	testEvent  = "X-After"
-	testServer = "X-Server"
-	testLimit  = "X-Limit"
+	testID      = "X-Id"
+	testKey     = "X-Key"
+	testSeal    = "X-Seal"
+	testNotRun  = "X-Not-Run"
+	testEvent   = "X-After"
+	testServer  = "X-Server"
+	testLimit   = "X-Limit"
+	testLeaving = "X-Leaving"
+	testPause   = "X-Pause"
 )
 
 // testCodec encodes and decodes the headers above.
@@ -62,7 +64,14 @@
 	if s := h.Get(testLimit); s != "" {
 		n, err := strconv.ParseFloat(s, 64)
 		limit := identifier.RequestRate(n)
-		reply.Limit, reply.LimitUnreadable = &limit, err != nil
+		reply.Limit = &limit
+		if err != nil {
+			reply.Limit, reply.Unreadable = nil, []describer.Announcement{describer.AnnouncedLimit}
+		}
+	}
+	reply.Leaving = h.Get(testLeaving) != ""
+	if d, err := time.ParseDuration(h.Get(testPause)); err == nil {
+		reply.Pause = d
 	}
 	return reply
 }
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -71,6 +71,7 @@
 	took := now.Sub(c.chosenAt)
 	c.state.clearBackoff()
 	c.state.removeAwaiting(c)
+	c.state.announced.end(c, now, true)
 	c.state.lastContent = now
 	delete(c.p.unreachable, c.state.FailureDomain)
 	if c.state.Engine {
@@ -99,6 +100,7 @@
 	defer c.p.mu.Unlock()
 	now := c.p.opts.Clock.Now()
 	c.state.removeAwaiting(c)
+	c.state.announced.end(c, now, o == Succeeded)
 	c.state.own = c.state.own.Plus(Load{-c.load.Running, -c.load.Unread, -c.load.Context})
 	switch o {
 	case Succeeded:
--- a/placer/limits.go
+++ b/placer/limits.go
@@ -98,17 +98,6 @@
 	return c.p.permits.Record(c.p.opts.Clock.Now(), c.state.permitKey(), limit)
 }
 
-// RecordUnreadableLimit records that a response of the chosen server announces a
-// limit that cannot be decoded. It returns true at the first such response of
-// the server.
-func (c *Choice) RecordUnreadableLimit() bool {
-	c.p.mu.Lock()
-	defer c.p.mu.Unlock()
-	first := !c.state.limitUnreadable
-	c.state.limitUnreadable = true
-	return first
-}
-
 // limitedServers returns the number of servers that are known to announce a
 // limit.
 func (p *Placer) limitedServers() int {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -81,6 +81,8 @@
 		limited:     opts.Metrics.GetOrCreateCounter(`cyclamen_placer_limited_total`),
 	}
 	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_limited_servers`, func() float64 { return float64(p.limitedServers()) })
+	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_paused_servers`, func() float64 { paused, _ := p.announcedCounts(); return float64(paused) })
+	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_leaving_servers`, func() float64 { _, leaving := p.announcedCounts(); return float64(leaving) })
 	return p
 }
 
@@ -154,14 +156,18 @@
 	Service identifier.Service
 	Version identifier.Version
 	// Listed is the number of servers of that version, Excluded the number of
-	// servers that the request excluded.
-	Listed, Excluded int
+	// servers that the request excluded, and Paused the number of the others that
+	// want no calls for some time.
+	Listed, Excluded, Paused int
+	// Wait is the time after which the first of the paused servers takes calls
+	// again, 0 if there is none.
+	Wait time.Duration
 }
 
 // Error returns the message with the counts and a remedy.
 func (e *NoServerError) Error() string {
-	return fmt.Sprintf("no backend server of %s version %s can take the call (%d listed, %d tried already): order more or wait for one that starts",
-		e.Service, e.Version, e.Listed, e.Excluded)
+	return fmt.Sprintf("no backend server of %s version %s can take the call (%d listed, %d tried already, %d want no calls for %v): order more or wait for one that starts",
+		e.Service, e.Version, e.Listed, e.Excluded, e.Paused, e.Wait.Round(time.Millisecond))
 }
 
 // Choose returns the server for a call and adds the load of the call to it
@@ -171,10 +177,9 @@
 	defer p.mu.Unlock()
 	now := p.opts.Clock.Now()
 	all := p.pools[pool{r.Service, r.Version}]
-	usable := eligible(all, &r, func(s *serverState) bool { return !s.Leaving })
+	usable := eligible(all, &r, func(s *serverState) bool { return !s.Leaving && s.announced.takesCalls(now) })
 	if len(usable) == 0 {
-		p.noServer.Inc()
-		return nil, &NoServerError{Service: r.Service, Version: r.Version, Listed: len(all), Excluded: len(r.Exclude)}
+		return nil, p.noServerError(all, &r, now)
 	}
 	permitted := eligible(usable, &r, func(s *serverState) bool { return p.permits.Available(now, s.permitKey()) })
 	if len(permitted) == 0 {
@@ -280,6 +285,7 @@
 	if !e.state.Engine {
 		c.load = Load{Running: 1}
 	}
+	e.state.announced.begin(c)
 	c.permit = p.permits.Spend(now, e.state.permitKey())
 	e.state.own = e.state.own.Plus(c.load)
 	e.state.sinceReport = e.state.sinceReport.Plus(c.load)
--- a/placer/server.go
+++ b/placer/server.go
@@ -86,8 +86,7 @@
 	// content of a plain call; 0 means not measured.
 	callSeconds float64
 
-	// limitUnreadable is set once a response had a limit that cannot be decoded.
-	limitUnreadable bool
+	announced announced
 
 	connectFailures int
 	backoffUntil    time.Time
