--- a/placer/announced_test.go
+++ b/placer/announced_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"errors"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -103,8 +104,8 @@
 		c.End(Full)
 	}
 	_, err := p.Choose(r)
-	none, ok := err.(*NoServerError)
-	if !ok || none.Paused != 2 || none.Wait < 2*time.Second || none.Wait > 2*time.Second+2*time.Second/pauseJitterDivisor {
+	var none *NoServerError
+	if !errors.As(err, &none) || none.Paused != 2 || none.Wait < 2*time.Second || none.Wait > 2*time.Second+2*time.Second/pauseJitterDivisor {
 		t.Fatalf("error %v, want two paused servers and a wait of 2 s or a little more", err)
 	}
 	servers[0].Incarnation = 1
