permitter: the order of return is bounded after an overload

Each refused call takes a place in the order in which calls come back, without a bound: after some seconds of overload all later calls were told to come back in 5 s, minutes after it had ended. The order now reaches 5 s ahead at most. TestReturnTimesAfterOverload fails without the change.

Comments of placer say what ends a probe: its first content.

--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -131,8 +131,8 @@
 	for ; n.calls > 0; n.calls-- {
 		first := slices.MinFunc(n.servers, func(a, b Server) int { return i.servers[a].nextReturn(now).Compare(i.servers[b].nextReturn(now)) })
 		b := i.servers[first]
-		b.returns = b.nextReturn(now)
-		wait = min(b.returns.Sub(now), maxWait)
+		wait = min(b.nextReturn(now).Sub(now), maxWait)
+		b.returns = now.Add(wait)
 	}
 	return wait
 }
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -139,3 +139,25 @@
 		t.Error("an older notice brings the limit back")
 	}
 }
+
+// TestReturnTimesAfterOverload checks that calls come back one after the other,
+// and that an overload does not lengthen the waits of calls long after it.
+func TestReturnTimesAfterOverload(t *testing.T) {
+	now := time.Unix(1000, 0)
+	server, limit := Server{ID: "s", Incarnation: 1}, identifier.RequestRate(1)
+	need := func(calls int) time.Duration {
+		report := Report{Servers: map[Server]ServerReport{server: {Notice: &Notice{Limit: &limit}, Needed: calls}}}
+		return NewIssuer(0).Exchange(now, "a", report).Servers[server].Wait
+	}
+	if first, third := need(1), need(3); first != time.Second || third != 3*time.Second {
+		t.Errorf("waits of one and three calls: %v and %v, want 1 s and 3 s", first, third)
+	}
+	i := NewIssuer(0)
+	report := Report{Servers: map[Server]ServerReport{server: {Notice: &Notice{Limit: &limit}, Needed: 1000}}}
+	i.Exchange(now, "a", report)
+	now = now.Add(maxWait + time.Second)
+	report.Servers[server] = ServerReport{Needed: 4}
+	if g := i.Exchange(now, "b", report); g.Servers[server].Wait > 3*time.Second {
+		t.Errorf("wait long after an overload: %v, want at most 3 s", g.Servers[server].Wait)
+	}
+}
--- a/placer/announced.go
+++ b/placer/announced.go
@@ -25,9 +25,10 @@
 	isLeaving bool
 	leavingAt time.Time
 	// pausedUntil is the end of the time for which the server wants no calls. It
-	// is zero again once a call after that has succeeded.
+	// is zero again once a call after that has got its first content.
 	pausedUntil time.Time
-	// probe is the one call that is sent after a pause, until it is answered.
+	// probe is the one call that is sent after a pause, until it has its first
+	// content or ends.
 	probe *Choice
 	// unreadable are the announcements that could not be decoded.
 	unreadable map[string]bool
@@ -75,7 +76,7 @@
 
 // RecordPause records that the chosen server wants no calls of this host for the
 // given time. No call is sent there until the time is over. Then one is, and
-// others once it has succeeded.
+// others once it has got its first content.
 func (c *Choice) RecordPause(d time.Duration) {
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
--- a/placer/server.go
+++ b/placer/server.go
@@ -86,6 +86,7 @@
 	// content of a plain call; 0 means not measured.
 	callSeconds float64
 
+	// announced is what the responses of the server said about taking calls.
 	announced announced
 
 	connectFailures int
