--- a/forwarder/announcements.go
+++ b/forwarder/announcements.go
@@ -15,7 +15,7 @@
 // decoded changes nothing.
 func (x *exchange) recordAnnouncements(reply *describer.Reply, choice *placer.Choice) {
 	for _, a := range reply.Unreadable {
-		if choice.RecordUnreadable(string(a)) {
+		if choice.RecordUnreadable(a) {
 			x.logAnnouncement(slog.LevelWarn, "announcement of a backend server cannot be read, what is known stands", slog.String("announcement", string(a)))
 		}
 	}
--- a/placer/announced.go
+++ b/placer/announced.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -31,7 +32,7 @@
 	// content or ends.
 	probe *Choice
 	// unreadable are the announcements that could not be decoded.
-	unreadable map[string]bool
+	unreadable map[describer.Announcement]bool
 }
 
 // takesCalls reports whether the server has announced nothing that forbids a new
@@ -98,7 +99,7 @@
 // RecordUnreadable records that a response of the chosen server announced
 // something that cannot be decoded. It returns true at the first such response
 // of the server.
-func (c *Choice) RecordUnreadable(what string) bool {
+func (c *Choice) RecordUnreadable(what describer.Announcement) bool {
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	a := &c.state.announced
@@ -106,7 +107,7 @@
 		return false
 	}
 	if a.unreadable == nil {
-		a.unreadable = make(map[string]bool)
+		a.unreadable = make(map[describer.Announcement]bool)
 	}
 	a.unreadable[what] = true
 	return true
