placer: the servers of a call are classified in one pass

Choosing a server filtered the list three times and asked each server twice whether it has a permit, also where no server has a limit. Order and outcome are the same.

The two gauges that each counted both kinds of announcements share one count.

--- a/placer/announced.go
+++ b/placer/announced.go
@@ -41,7 +41,7 @@
 	return !a.isLeaving && !now.Before(a.pausedUntil) && (a.pausedUntil.IsZero() || a.probe == nil)
 }
 
-// begin records that a call was chosen for the server.
+// begin records that a call was assigned to the server.
 func (a *announced) begin(c *Choice) {
 	if !a.pausedUntil.IsZero() {
 		a.probe = c
@@ -155,20 +155,3 @@
 	_, wait := pausesOf(p.pools[pool{s, v}], p.opts.Clock.Now())
 	return wait
 }
-
-// announcedCounts returns the number of servers that want no calls for some time
-// and of those that have announced that they leave.
-func (p *Placer) announcedCounts() (paused, leaving int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.opts.Clock.Now()
-	for _, s := range p.servers {
-		if now.Before(s.announced.pausedUntil) {
-			paused++
-		}
-		if s.announced.isLeaving {
-			leaving++
-		}
-	}
-	return paused, leaving
-}
--- a/placer/limits.go
+++ b/placer/limits.go
@@ -49,17 +49,6 @@
 	return e
 }
 
-// wantPermits counts a call that another server takes as one that those of the
-// given servers could have taken for which there is no permit. The caller holds
-// mu.
-func (p *Placer) wantPermits(servers []*serverState, now time.Time) {
-	for _, s := range servers {
-		if key := s.permitKey(); !p.permits.Available(now, key) {
-			p.permits.Want(key)
-		}
-	}
-}
-
 // PermitReport returns the report on servers with limits for the next sync.
 func (p *Placer) PermitReport() permitter.Report {
 	p.mu.Lock()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -81,11 +81,29 @@
 		limited:     opts.Metrics.GetOrCreateCounter(`cyclamen_placer_limited_total`),
 	}
 	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_limited_servers`, func() float64 { return float64(p.limitedServers()) })
-	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_paused_servers`, func() float64 { paused, _ := p.announcedCounts(); return float64(paused) })
-	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_leaving_servers`, func() float64 { _, leaving := p.announcedCounts(); return float64(leaving) })
+	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_paused_servers`, func() float64 {
+		now := p.opts.Clock.Now()
+		return p.countServers(func(s *serverState) bool { return now.Before(s.announced.pausedUntil) })
+	})
+	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_leaving_servers`, func() float64 {
+		return p.countServers(func(s *serverState) bool { return s.announced.isLeaving })
+	})
 	return p
 }
 
+// countServers returns the number of servers that satisfy ok.
+func (p *Placer) countServers(ok func(*serverState) bool) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.servers {
+		if ok(s) {
+			n++
+		}
+	}
+	return float64(n)
+}
+
 // Publish replaces the list of servers. The state of a server with the same id
 // and incarnation is kept.
 func (p *Placer) Publish(servers []Server) {
@@ -177,33 +195,48 @@
 	defer p.mu.Unlock()
 	now := p.opts.Clock.Now()
 	all := p.pools[pool{r.Service, r.Version}]
-	usable := eligible(all, &r, func(s *serverState) bool { return !s.Leaving && s.announced.takesCalls(now) })
-	if len(usable) == 0 {
-		return nil, p.noServerError(all, &r, now)
+	c := p.classify(all, &r, now)
+	candidates := c.healthy
+	if len(candidates) == 0 {
+		candidates = c.suspect
 	}
-	permitted := eligible(usable, &r, func(s *serverState) bool { return p.permits.Available(now, s.permitKey()) })
-	if len(permitted) == 0 {
-		return nil, p.limitedError(usable, &r, now)
+	switch {
+	case len(candidates) > 0:
+	case len(c.withheld) > 0:
+		return nil, p.limitedError(c.withheld, &r, now)
+	default:
+		return nil, p.noServerError(all, &r, now)
 	}
-	p.wantPermits(usable, now)
-	candidates := eligible(permitted, &r, func(s *serverState) bool {
-		return !s.inBackoff(now) && !s.isUnresponsive(now) && !p.unreachable[s.FailureDomain].isCutOff(now)
-	})
-	if len(candidates) == 0 {
-		candidates = permitted
+	for _, s := range c.withheld {
+		p.permits.Want(s.permitKey())
 	}
 	return p.assign(p.cheapest(candidates, &r, now), &r, now), nil
 }
 
-// eligible returns the servers that satisfy ok and are not excluded.
-func eligible(all []*serverState, r *Request, ok func(*serverState) bool) []*serverState {
-	var out []*serverState
+// classes are the servers that take calls and are not excluded, each in one
+// class.
+type classes struct {
+	// healthy servers can be chosen, suspect ones only if there is no other.
+	healthy, suspect []*serverState
+	// withheld servers have a limit, and this host has no permit for them.
+	withheld []*serverState
+}
+
+// classify returns the classes of the servers of a version. The caller holds mu.
+func (p *Placer) classify(all []*serverState, r *Request, now time.Time) classes {
+	c := classes{healthy: make([]*serverState, 0, len(all))}
 	for _, s := range all {
-		if ok(s) && !slices.Contains(r.Exclude, s.ID) {
-			out = append(out, s)
+		switch {
+		case s.Leaving, !s.announced.takesCalls(now), slices.Contains(r.Exclude, s.ID):
+		case !p.permits.Available(now, s.permitKey()):
+			c.withheld = append(c.withheld, s)
+		case s.inBackoff(now), s.isUnresponsive(now), p.unreachable[s.FailureDomain].isCutOff(now):
+			c.suspect = append(c.suspect, s)
+		default:
+			c.healthy = append(c.healthy, s)
 		}
 	}
-	return out
+	return c
 }
 
 // estimate is the estimated cost of a call at a server.
