node: one position of the term, and always an issuer of permits

The ids of grants shifted the term by a constant of their own beside that of the listings; both use termShift now. A keeper has an issuer from its start, which the first sync of a term replaces as before, so that nothing asks for nil.

--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -112,6 +112,7 @@
 		contacts: contacts{self: cfg.Host, seeds: cfg.Seeds},
 		divider:  sharer.NewDivider(time.Duration(leaseFraction * float64(cfg.Bounds.WithdrawKeys))),
 		ledger:   accountant.NewLedger(cfg.Bounds.Window, usageGrace, cfg.Bounds.UseDue-usageMargin),
+		permits:  permitter.NewIssuer(0),
 		client:   platform.NewClient(cfg.API.Address, cfg.Name),
 	}
 	n.messenger = messenger.New(messenger.Options{Host: cfg.Host, ReadIdleTimeout: peerProbeDelay, Clock: clock})
--- a/internal/node/listings.go
+++ b/internal/node/listings.go
@@ -24,9 +24,9 @@
 	listingMaxAge = 1200 * time.Millisecond
 	// maxListPages bounds the pages of one listing.
 	maxListPages = 100
-	// termShift is the position of the term in a listing's revision. With the term
-	// in the high bits, the listings of a new leader are newer than those of its
-	// predecessors.
+	// termShift is the position of the term in a listing's revision and in the id
+	// of a grant of permits. With the term in the high bits, those of a new leader
+	// are higher than those of its predecessors.
 	termShift = 32
 )
 
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -12,14 +12,9 @@
 	"cyclamenhub.org/scaler"
 )
 
-const (
-	// permitWait is how long a call waits for a permit that its host has asked the
-	// leader for. A sync takes a few milliseconds.
-	permitWait = 250 * time.Millisecond
-	// termBits is how far the term of a leader is shifted in the ids of its
-	// grants, so that those of a later leader are higher.
-	termBits = 32
-)
+// permitWait is how long a call waits for a permit that its host has asked the
+// leader for. A sync takes a few milliseconds.
+const permitWait = 250 * time.Millisecond
 
 // requestPermits syncs with the leader to get permits for the calls that need
 // them, and returns once that is done, or after permitWait.
@@ -61,8 +56,8 @@
 	if err != nil {
 		return nil
 	}
-	if term := lease.Fencing(); n.permits == nil || n.permitsTerm != term {
-		n.permits, n.permitsTerm = permitter.NewIssuer(permitter.GrantID(term)<<termBits), term
+	if term := lease.Fencing(); n.permitsTerm != term {
+		n.permits, n.permitsTerm = permitter.NewIssuer(permitter.GrantID(term)<<termShift), term
 	}
 	return encodePermitGrant(n.permits.Exchange(now, host, decodePermitReport(r)))
 }
@@ -71,19 +66,15 @@
 // knows of limits. The caller holds mu.
 func (n *keeperNode) serviceLoads(now time.Time, list *discoverer.Listing, services []describer.Service) map[identifier.Service]scaler.Load {
 	limited := make(map[identifier.BackendServer]bool)
-	if n.permits != nil {
-		for _, s := range n.permits.Limited() {
-			limited[s.ID] = true
-		}
+	for _, s := range n.permits.Limited() {
+		limited[s.ID] = true
 	}
 	loads := n.loads.byService(now, list, limited)
 	for i := range services {
 		name := services[i].Name
-		if n.permits != nil && n.permits.HasRefused(now, name) {
-			load := loads[name]
-			load.Refused = true
-			loads[name] = load
-		}
+		load := loads[name]
+		load.Refused = n.permits.HasRefused(now, name)
+		loads[name] = load
 	}
 	return loads
 }
