--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -31,8 +31,12 @@
 }
 
 // refuseNotRun returns a refusal of a call that certainly did not run.
-func refuseNotRun(reason string) *refusal {
-	return &refusal{http.StatusServiceUnavailable, reason, jitteredRetryAfter(minRetryAfter)}
+func refuseNotRun(reason string) *refusal { return refuseNotRunFor(reason, minRetryAfter) }
+
+// refuseNotRunFor returns a refusal of a call that certainly did not run and may
+// come back after the given time, or minRetryAfter if that is longer.
+func refuseNotRunFor(reason string, after time.Duration) *refusal {
+	return &refusal{http.StatusServiceUnavailable, reason, jitteredRetryAfter(max(after, minRetryAfter))}
 }
 
 // refuse writes a refusal to the caller.
@@ -59,7 +63,7 @@
 		x.writeResponse(x.heldResponse)
 	case x.runs == 0:
 		x.refundCost()
-		x.refuse(&refusal{http.StatusServiceUnavailable, reason, jitteredRetryAfter(max(x.returnAfter, minRetryAfter))})
+		x.refuse(refuseNotRunFor(reason, x.returnAfter))
 	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		x.refuse(&refusal{status: http.StatusGatewayTimeout, reason: reason})
 	default:
