permitter, placer: one margin for announcements that end, one lookup of a state

The margin by which a response must be newer to end an announcement stood twice, for limits and for leaving servers. Holder looked a state up and added it in two places. Holder.Limited counted and Issuer.Limited listed; the first is LimitedCount now. Comments of roller on shares are plainer.

--- a/permitter/bucket.go
+++ b/permitter/bucket.go
@@ -67,8 +67,8 @@
 	}
 	b.level -= float64(n)
 	// The host may still have permits of a grant whose response was lost.
-	n0 := b.outstanding[host].count
-	b.outstanding[host] = permits{grant: g, count: n0 + n, until: now.Add(permitTTL)}
+	earlier := b.outstanding[host].count
+	b.outstanding[host] = permits{grant: g, count: earlier + n, until: now.Add(permitTTL)}
 	return n
 }
 
--- a/permitter/holder.go
+++ b/permitter/holder.go
@@ -55,17 +55,23 @@
 // isLimited reports whether requests to the server need permits.
 func (h *held) isLimited() bool { return h != nil && h.known.limit != nil }
 
+// state returns the state of a server, adding an empty one if there is none.
+func (h *Holder) state(s Server) *held {
+	k := h.servers[s]
+	if k == nil {
+		k = &held{}
+		h.servers[s] = k
+	}
+	return k
+}
+
 // Record records what a response of a server said about its limit. It returns
 // the limit known before and whether the known limit has changed.
 func (h *Holder) Record(now time.Time, s Server, limit *identifier.RequestRate) (before *identifier.RequestRate, changed bool) {
 	if limit == nil && !h.servers[s].isLimited() {
 		return nil, false
 	}
-	k := h.servers[s]
-	if k == nil {
-		k = &held{}
-		h.servers[s] = k
-	}
+	k := h.state(s)
 	o := observation{limit, now}
 	if o.supersedes(k.own) {
 		k.own = o
@@ -98,8 +104,8 @@
 	return *a == *b
 }
 
-// Limited returns the number of servers with a limit.
-func (h *Holder) Limited() int {
+// LimitedCount returns the number of servers with a limit.
+func (h *Holder) LimitedCount() int {
 	n := 0
 	for _, s := range h.servers {
 		if s.isLimited() {
@@ -272,11 +278,7 @@
 func (h *Holder) Apply(g Grant) {
 	h.grant, h.appliedAt = g.ID, h.reportedAt
 	for s, sg := range g.Servers {
-		k := h.servers[s]
-		if k == nil {
-			k = &held{}
-			h.servers[s] = k
-		}
+		k := h.state(s)
 		k.merge(sg.Notice.asOf(h.reportedAt))
 		k.permits, k.spent, k.expires = sg.Permits, 0, h.reportedAt.Add(permitTTL)
 		k.soloAt = time.Time{}
--- a/permitter/notice.go
+++ b/permitter/notice.go
@@ -46,15 +46,16 @@
 	return Notice{Limit: o.limit, Age: max(now.Sub(o.at), 0)}
 }
 
-// endMargin is how much newer a response without a limit must be than the last
-// one with a limit. Responses overtake each other on their way to a host, and
-// their times at other hosts are known only within the time of a message.
-const endMargin = 500 * time.Millisecond
+// EndMargin is how much newer a response without an announcement must be than the
+// last one with it to end it. Responses overtake each other on their way to a
+// host, and their times at other hosts are known only within the time of a
+// message.
+const EndMargin = 500 * time.Millisecond
 
 // supersedes reports whether o is newer than the known observation.
 func (o observation) supersedes(known observation) bool {
 	if o.limit == nil && known.limit != nil {
-		return o.at.Sub(known.at) > endMargin
+		return o.at.Sub(known.at) > EndMargin
 	}
 	return o.at.After(known.at)
 }
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -118,14 +118,14 @@
 	b.Report(start)
 	i := NewIssuer(0)
 	a.Record(start, server, &limit)
-	if _, changed := a.Record(start.Add(endMargin), server, nil); changed {
+	if _, changed := a.Record(start.Add(EndMargin), server, nil); changed {
 		t.Error("a response at the margin ends the limit")
 	}
 	b.Apply(i.Exchange(start, "a", a.Report(start)))
 	if b.Available(start, server) {
 		t.Error("a host that learned of the limit from the leader needs no permit")
 	}
-	ended := start.Add(endMargin + 1)
+	ended := start.Add(EndMargin + 1)
 	if before, changed := a.Record(ended, server, nil); !changed || *before != limit {
 		t.Errorf("a later response does not end the limit: before %v, changed %v", before, changed)
 	}
--- a/placer/announced.go
+++ b/placer/announced.go
@@ -6,13 +6,10 @@
 
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/permitter"
 )
 
 const (
-	// leavingMargin is how much newer a response without an announcement must be
-	// than the last one that announced that the server leaves, for the server to
-	// be chosen again. Responses overtake each other.
-	leavingMargin = 500 * time.Millisecond
 	// pauseJitterDivisor and minPauseJitter give the longest random time that is
 	// added to a pause, so that not all hosts come back at its end.
 	pauseJitterDivisor = 8
@@ -69,7 +66,7 @@
 	switch {
 	case leaving:
 		a.isLeaving, a.leavingAt = true, now
-	case now.Sub(a.leavingAt) > leavingMargin:
+	case now.Sub(a.leavingAt) > permitter.EndMargin:
 		a.isLeaving = false
 	}
 	return was != a.isLeaving
--- a/placer/announced_test.go
+++ b/placer/announced_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/permitter"
 	"cyclamenhub.org/timer"
 )
 
@@ -125,7 +126,7 @@
 	if _, err := f.hosts[0].Choose(longPrompt("a")); err == nil {
 		t.Error("the server is chosen after a response that was overtaken")
 	}
-	f.clock.Advance(leavingMargin + 1)
+	f.clock.Advance(permitter.EndMargin + 1)
 	c.RecordLeaving(false)
 	place(t, f.hosts[0], longPrompt("a"))
 }
--- a/placer/limits.go
+++ b/placer/limits.go
@@ -92,5 +92,5 @@
 func (p *Placer) limitedServers() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.permits.Limited()
+	return p.permits.LimitedCount()
 }
--- a/roller/cutover.go
+++ b/roller/cutover.go
@@ -28,7 +28,7 @@
 const maxCanaryUse = 0.65
 
 // maxCanaryLevel limits the share before the cutover to 20%, so that a rate
-// that rises after the level was chosen does not use up the exposure.
+// that rises afterwards does not use up the exposure.
 const maxCanaryLevel Level = 8
 
 // minCanaryReading is the shortest time over which the request rate is measured
@@ -100,8 +100,8 @@
 // known.
 //
 // It answers a rate that rises as the rollout begins, for example a few seconds
-// after callers have begun to call: the first share was chosen from a rate that
-// is too low. The share rises to that of canaryLevel if the candidate keeps
+// after callers have begun to call: the first share follows from a rate that is
+// too low. The share rises to that of canaryLevel if the candidate keeps
 // within its budget, and falls if the candidate would leave it by far.
 func adjustedLevel(s *StartRollout, l Level, rate, candidateRequests float64, now time.Time) Level {
 	if higher := canaryLevel(s, rate); higher > l && canaryUse(s, higher, rate, candidateRequests, now) <= canaryBudget {
--- a/roller/cutover_test.go
+++ b/roller/cutover_test.go
@@ -102,8 +102,8 @@
 	}
 }
 
-// A share that was chosen at a low rate must fall once the rate is known to be
-// higher, and must not change with each reading.
+// The share of a low rate must fall once the rate is known to be higher, and must
+// not change with each reading.
 func TestCanaryLevelFollowsRisingRate(t *testing.T) {
 	r := cutoverRecord()
 	r.Level = maxCanaryLevel
