sequencer: one queue of events for the three simulations

The simulation of permits wrote the heap of timed events a third time, beside those of rolloutbench and loadbench; its own kept events of one time in no order, since it numbered them by the length of the heap. The queue of rolloutbench becomes a package that all three use.

--- a/internal/rolloutbench/canary.go
+++ b/internal/rolloutbench/canary.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/sequencer"
 	"cyclamenhub.org/roller"
 )
 
@@ -26,7 +27,7 @@
 // step.
 type canary struct {
 	s        *Scenario
-	q        *eventQueue
+	q        *sequencer.Queue
 	rng      *rand.Rand
 	step     int
 	requests int
@@ -34,13 +35,13 @@
 	out      outcome
 }
 
-func newCanary(s *Scenario, q *eventQueue) *canary {
+func newCanary(s *Scenario, q *sequencer.Queue) *canary {
 	return &canary{s: s, q: q, rng: rand.New(rand.NewPCG(s.Seed, 3)), step: -1}
 }
 
 func (c *canary) begin(now time.Time) {
 	c.step = 0
-	c.q.add(now.Add(canaryInterval), c.check)
+	c.q.Add(now.Add(canaryInterval), c.check)
 }
 
 func (c *canary) share() float64 {
@@ -83,5 +84,5 @@
 		c.out.done = now
 		return
 	}
-	c.q.add(now.Add(canaryInterval), c.check)
+	c.q.Add(now.Add(canaryInterval), c.check)
 }
--- a/internal/rolloutbench/fleet.go
+++ b/internal/rolloutbench/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/sequencer"
 	"cyclamenhub.org/roller"
 )
 
@@ -27,7 +28,7 @@
 // network partition lasts.
 type fleet struct {
 	s          *Scenario
-	q          *eventQueue
+	q          *sequencer.Queue
 	hosts      []*fleetHost
 	state      roller.State
 	controller *roller.Controller
@@ -43,7 +44,7 @@
 	reports             roller.ReportSchedule
 }
 
-func newFleet(s *Scenario, q *eventQueue) *fleet {
+func newFleet(s *Scenario, q *sequencer.Queue) *fleet {
 	f := &fleet{s: s, q: q, out: outcome{stopped: make(map[int]time.Time)}}
 	f.controller = roller.NewController(&f.state)
 	names := make([]identifier.Route, len(routes))
@@ -68,9 +69,9 @@
 	var again func(now time.Time)
 	again = func(now time.Time) {
 		g(now)
-		f.q.add(now.Add(interval), again)
+		f.q.Add(now.Add(interval), again)
 	}
-	f.q.add(rolloutStart.Add(interval-f.s.pace.warmUp), again)
+	f.q.Add(rolloutStart.Add(interval-f.s.pace.warmUp), again)
 }
 
 func (f *fleet) begin(now time.Time) {
@@ -85,14 +86,14 @@
 		f.controller.Prepare(&start, now)
 	}
 	f.apply(start, now)
-	f.q.add(now.Add(f.s.pace.decideInterval), f.tick)
+	f.q.Add(now.Add(f.s.pace.decideInterval), f.tick)
 }
 
 // tick makes the controller decide, and repeats the directive to all hosts.
 func (f *fleet) tick(now time.Time) {
 	f.decide(now)
 	f.broadcast(now)
-	f.q.add(now.Add(f.s.pace.decideInterval), f.tick)
+	f.q.Add(now.Add(f.s.pace.decideInterval), f.tick)
 }
 
 func (f *fleet) decide(now time.Time) {
@@ -145,7 +146,7 @@
 		if f.s.partitioned(m.index, now) || !m.NeedsDirective(d.Sequence, now) {
 			continue
 		}
-		f.q.add(now.Add(f.s.ReportLag), func(now time.Time) { m.Apply(d, now) })
+		f.q.Add(now.Add(f.s.ReportLag), func(now time.Time) { m.Apply(d, now) })
 	}
 }
 
@@ -156,7 +157,7 @@
 		return
 	}
 	r := m.reports.Report(m.Evaluator, now, f.s.Hosts)
-	f.q.add(now.Add(f.s.ReportLag), func(now time.Time) {
+	f.q.Add(now.Add(f.s.ReportLag), func(now time.Time) {
 		f.controller.Merge(r)
 		f.decide(now)
 	})
@@ -172,7 +173,7 @@
 	m.Observe(req.assignment, e)
 	if !m.evaluationScheduled && f.out.reverted.IsZero() {
 		m.evaluationScheduled = true
-		f.q.add(now.Add(evaluateInterval), func(now time.Time) { f.evaluate(m, now) })
+		f.q.Add(now.Add(evaluateInterval), func(now time.Time) { f.evaluate(m, now) })
 	}
 }
 
--- a/internal/rolloutbench/policy.go
+++ b/internal/rolloutbench/policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/sequencer"
 	"cyclamenhub.org/roller"
 )
 
@@ -65,7 +66,7 @@
 )
 
 // newPolicy returns the policy of the given name.
-func newPolicy(p Policy, s *Scenario, q *eventQueue) policy {
+func newPolicy(p Policy, s *Scenario, q *sequencer.Queue) policy {
 	if p == Canary {
 		return newCanary(s, q)
 	}
--- a/internal/rolloutbench/run.go
+++ b/internal/rolloutbench/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/sequencer"
 	"cyclamenhub.org/roller"
 )
 
@@ -56,7 +57,7 @@
 // runner is the state of a run.
 type runner struct {
 	s             *Scenario
-	q             *eventQueue
+	q             *sequencer.Queue
 	p             policy
 	rng           *rand.Rand
 	res           Result
@@ -68,13 +69,13 @@
 
 // Run runs a scenario under a policy.
 func Run(s *Scenario, p Policy) Result {
-	q := &eventQueue{}
+	q := &sequencer.Queue{}
 	r := &runner{s: s, q: q, p: newPolicy(p, s, q), rng: rand.New(rand.NewPCG(s.Seed, 2)), res: Result{Scenario: s}}
-	q.add(rolloutStart, r.p.begin)
+	q.Add(rolloutStart, r.p.begin)
 	r.arrive(rolloutStart.Add(-s.pace.warmUp))
 	for t, end := rolloutStart, s.end(); t.Before(end) && !r.finished(t); {
 		t = t.Add(min(time.Minute, end.Sub(t)))
-		q.run(t)
+		q.Run(t)
 	}
 	out := r.p.outcome()
 	r.res.Moved, r.res.Done, r.res.Reverted, r.res.Cause = out.moved, out.done, out.reverted, out.cause
@@ -110,7 +111,7 @@
 	r.sent++
 	rate := float64(r.s.Rate) * r.s.loadFactor(now)
 	wait := time.Duration(r.rng.ExpFloat64() / rate * float64(time.Second))
-	r.q.add(now.Add(wait), r.arrive)
+	r.q.Add(now.Add(wait), r.arrive)
 }
 
 // send picks the version for a request and schedules its answer.
@@ -128,7 +129,7 @@
 	c.candidate = req.candidate
 	r.countRequest(now, req)
 	ans := r.s.sampleResult(&c, r.rng)
-	r.q.add(now.Add(ans.Latency), func(now time.Time) { r.finishCall(now, req, ans) })
+	r.q.Add(now.Add(ans.Latency), func(now time.Time) { r.finishCall(now, req, ans) })
 }
 
 // pickRoute samples a route by the routes' shares.
--- a/permitter/simulation_test.go
+++ b/permitter/simulation_test.go
@@ -1,12 +1,12 @@
 package permitter
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/sequencer"
 )
 
 // The users' bound: in any window, a server gets at most ratio times what its
@@ -79,37 +79,13 @@
 	rng     *rand.Rand
 	now     time.Time
 	start   time.Time
-	events  events
+	queue   sequencer.Queue
 	issuer  *Issuer
 	hosts   []*simHost
 	servers []Server
 	got     map[Server][]request
 }
 
-// event is something that happens at a time. order keeps events of one time in
-// the order in which they were added.
-type event struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-// events is a heap of events.
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
-
 // simulate plays a scenario.
 func simulate(sc scenario) *simulation {
 	start := time.Unix(1000, 0)
@@ -136,17 +112,16 @@
 	if sc.restartAt > 0 {
 		s.after(sc.restartAt, func() { s.restart(s.hosts[0]) })
 	}
-	for len(s.events) > 0 && s.now.Sub(start) < sc.length {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.do()
-	}
+	s.queue.Run(start.Add(sc.length))
 	return s
 }
 
 // after adds an event.
 func (s *simulation) after(d time.Duration, do func()) {
-	heap.Push(&s.events, event{at: s.now.Add(d), order: len(s.events), do: do})
+	s.queue.Add(s.now.Add(d), func(now time.Time) {
+		s.now = now
+		do()
+	})
 }
 
 // period returns the time between two syncs of a host.
