forwarder, node: logs tell a stale decision from a stale lease

A withdrawn key that is accepted can come from a call decided by an older document than the one in force when it is sent, or from a lease renewed without the document. The line of a call named the first revision only, and no line said that a lease had expired and began again. A call now logs revisionAtSend where it differs and counts such attempts; an entry host logs a lease that begins again, with the revisions of the leader and its own. No decision changes.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -187,6 +187,7 @@
 		x.unsent++
 		return placer.Unreachable, unsent, err.Error()
 	}
+	x.recordRevisionAtSend()
 	sentAt := x.f.opts.TimeOfDay.Now()
 	res, err := conn.Send(x.ctx, x.message(in), x.limits())
 	if err != nil {
@@ -213,6 +214,15 @@
 	return x.relayBuffered(conn, res, reply, choice)
 }
 
+// recordRevisionAtSend records which revision is in force when an attempt is
+// sent, and counts the attempt if an older one decided the call.
+func (x *exchange) recordRevisionAtSend() {
+	x.revisionAtSend = x.f.table.Load().Revision()
+	if x.revisionAtSend != x.table.Revision() {
+		sentByOlderDoc.Inc()
+	}
+}
+
 // refusalOutcome returns the outcome that a refusal with the given status has
 // for the placer: a full server is healthy, while 421 (misdirected request)
 // means that another server answers at the address and the listed one is not
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -162,6 +162,8 @@
 	// usage.
 	usageCounted bool
 	lastEvent    string
+	// revisionAtSend is the revision in force when the last attempt was sent.
+	revisionAtSend identifier.Revision
 	// returnAfter is the time after which the call may come back if it is refused;
 	// 0 means that no such time is known.
 	returnAfter time.Duration
@@ -314,6 +316,7 @@
 var (
 	streamsBrokenOff = metrics.NewCounter("cyclamen_forwarder_streams_broken_off_total")
 	streamsResumed   = metrics.NewCounter("cyclamen_forwarder_streams_resumed_total")
+	sentByOlderDoc   = metrics.NewCounter("cyclamen_forwarder_attempts_by_older_document_total")
 	retriesTotal     = metrics.NewCounter("cyclamen_forwarder_retries_total")
 	callSeconds      = metrics.NewHistogram("cyclamen_forwarder_call_seconds")
 )
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -152,11 +152,22 @@
 		}
 	}
 	if uint64(e.dist.Revision(distributor.FleetTopic)) >= resp.GetRevision() {
-		e.leaseStart.advance(sent)
+		e.renewLease(sent, identifier.Revision(resp.GetRevision()))
 		e.firstLeaseOnce.Do(func() { close(e.firstLease) })
 	}
 }
 
+// renewLease starts the lease at the time when the sync request was sent. It logs
+// a lease that begins after the former one has expired.
+func (e *entry) renewLease(sent time.Time, vouched identifier.Revision) {
+	age, ok := e.leaseStart.age(e.clock)
+	e.leaseStart.advance(sent)
+	if ok && age >= e.leaseDuration {
+		e.log.Info("lease begins again", "expiredFor", age-e.leaseDuration, "leaderRevision", vouched,
+			"revision", e.dist.Revision(distributor.FleetTopic))
+	}
+}
+
 // findLeader queries all known keepers concurrently for the leader, uses the
 // first one that a response names and reports whether there is one.
 func (e *entry) findLeader(ctx context.Context) bool {
