forwarder: the document is looked up after the lease that vouches for it

Cause: a call loaded the document first, read its body, and checked the lease later. A host that returns from a freeze or a cut gets its new lease and the newer document in between, so the check passed for a document that no lease covered any more (time of check to time of use). The same check decided between 404 or 401 and 503 for unknown routes and keys.

Now the lease is checked and then the document is loaded; an entry host puts a document in force before the lease that comes with it begins. Before the first byte is sent the key is looked up again, and a key that was withdrawn while the call waited gets 401. A call that may have run is completed under the key with which it was admitted.

Ruled out: the clock of the lease includes suspension and has no steps; a sync answer that arrives late does not prolong the lease, which counts from the request.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -249,9 +249,30 @@
 	}
 }
 
-// errNotCurrent stops an attempt whose key may have been withdrawn while the
-// attempt waited to be sent.
-var errNotCurrent = errors.New("this host may not know which keys were withdrawn")
+var (
+	// errNotCurrent stops an attempt whose key may have been withdrawn while the
+	// attempt waited to be sent.
+	errNotCurrent = errors.New("this host may not know which keys were withdrawn")
+	// errKeyWithdrawn stops the first attempt of a call whose key was withdrawn
+	// meanwhile.
+	errKeyWithdrawn = errors.New("the key was withdrawn while the call waited")
+)
+
+// checkKey returns an error if the call must not be sent because its key may
+// have been withdrawn. A call that may have run already is completed under the
+// key with which it was admitted.
+func (x *exchange) checkKey() error {
+	if !x.f.opts.Current() {
+		return errNotCurrent
+	}
+	if x.runs > 0 {
+		return nil
+	}
+	if c, ok := x.f.table.Load().Customer(x.call.Key); !ok || c.Name != x.customer.Name {
+		return errKeyWithdrawn
+	}
+	return nil
+}
 
 // limits returns the time limits of an attempt. If the call may be sent to
 // another backend server, one that does not respond is abandoned before the
@@ -259,12 +280,7 @@
 func (x *exchange) limits() connector.Limits {
 	l := connector.Limits{Deadline: x.deadline}
 	if x.customer != nil {
-		l.BeforeSend = func() error {
-			if !x.f.opts.Current() {
-				return errNotCurrent
-			}
-			return nil
-		}
+		l.BeforeSend = x.checkKey
 	}
 	if x.route.MayRepeat() && x.runs+1 < max(x.route.MaxAttempts, 1) {
 		l.FirstByte = max(firstByteFactor*x.route.Target, minFirstByteTimeout)
@@ -307,8 +323,9 @@
 			x.recordPossibleRun(sentAt, choice)
 		}
 		return placer.Cancelled, callerLeft, ""
-	case !sent && errors.Is(err, errNotCurrent):
+	case !sent && (errors.Is(err, errNotCurrent) || errors.Is(err, errKeyWithdrawn)):
 		x.unsent = maxUnreachable // No other attempt may be made.
+		x.keyWithdrawn = errors.Is(err, errKeyWithdrawn)
 		return placer.Cancelled, unsent, err.Error()
 	case !sent:
 		x.unsent++
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -152,6 +152,9 @@
 	// sends counts all attempts, unsent those that reached no backend server,
 	// and runs those that may have run.
 	sends, unsent, runs int
+	// keyWithdrawn is set once the call's key was found to be withdrawn before the
+	// call was sent.
+	keyWithdrawn bool
 	// heldResponse is a failure response of a backend server. It is returned if
 	// no later attempt answers the call.
 	heldResponse *bufferedResponse
@@ -228,7 +231,11 @@
 	if r := x.readCall(); r != nil {
 		return r
 	}
-	if r := x.match(); r != nil {
+	// The table is loaded again after the lease check: a lease that begins while
+	// the call is read vouches only for the document that came with it.
+	current := x.f.opts.Current()
+	x.table = x.f.table.Load()
+	if r := x.match(current); r != nil {
 		return r
 	}
 	timeout := x.route.Timeout
@@ -262,32 +269,32 @@
 	return nil
 }
 
-// match finds the route and the customer.
-func (x *exchange) match() *refusal {
+// match finds the route and the customer in the table. current states whether
+// the table is certainly the latest one.
+func (x *exchange) match(current bool) *refusal {
 	path, _, _ := strings.Cut(x.call.target, "?")
 	route, ok := x.table.Route(x.call.host, path)
 	if !ok {
-		return x.refuseUnknown(http.StatusNotFound, "no route matches")
+		return refuseUnknown(current, http.StatusNotFound, "no route matches")
 	}
 	x.route = route
 	if route.Anonymous || !x.table.HasCustomers() {
 		return nil
 	}
-	if !x.f.opts.Current() {
-		return refuseNotRun("this host may not know which keys were withdrawn")
+	if !current {
+		return refuseNotRun(errNotCurrent.Error())
 	}
 	x.customer, ok = x.table.Customer(x.call.Key)
 	if !ok {
-		return x.refuseUnknown(http.StatusUnauthorized, "the key is unknown")
+		return refuseUnknown(current, http.StatusUnauthorized, "the key is unknown")
 	}
 	return nil
 }
 
-// refuseUnknown refuses a route or key that the document does not contain. If
-// this host may not have the latest document, it returns a refusal with status
-// 503 instead.
-func (x *exchange) refuseUnknown(status int, reason string) *refusal {
-	if !x.f.opts.Current() {
+// refuseUnknown refuses a route or key that the document does not contain, with
+// status 503 if that document may not be the latest one.
+func refuseUnknown(current bool, status int, reason string) *refusal {
+	if !current {
 		return refuseNotRun(reason + ", but this host may not have the newest document")
 	}
 	return &refusal{status: status, reason: reason}
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -61,6 +61,9 @@
 	case x.heldResponse != nil:
 		x.reason = reason
 		x.writeResponse(x.heldResponse)
+	case x.keyWithdrawn:
+		x.refundCost()
+		x.refuse(&refusal{status: http.StatusUnauthorized, reason: reason})
 	case x.runs == 0:
 		x.refundCost()
 		x.refuse(refuseNotRunFor(reason, x.returnAfter))
