node: a keeper vouches only for what it read under its lease

Looked for beside the withdrawn key: a sync answer names the revision of the leader, from which the host's lease follows. The keeper read its revision and checked its lease afterwards. A keeper that stood still in between and was elected meanwhile, or whose lease began then, vouched for a revision that it had read as a follower, possibly without the latest withdrawal.

The lease is now held before the read and must still be the one of the same term after it. With the former order TestReadBeforeLeaseIsNotVouchedFor fails: the read that began without a lease counts as one under it.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -8,6 +8,7 @@
 
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/keeper"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/platform"
 	"cyclamenhub.org/reducer"
@@ -152,12 +153,23 @@
 			resp.Leader = string(m.Host)
 		}
 	}
-	n.mu.Lock()
-	revision := n.machine.Revision()
-	n.mu.Unlock()
-	// The lease is checked last, so that everything read above was read under it.
-	if lease, err := k.Lease(); err == nil && lease.Check() == nil {
+	var revision identifier.Revision
+	readRevision := func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		revision = n.machine.Revision()
+	}
+	if underLease(k, readRevision) {
 		resp.Leads, resp.Revision = true, uint64(revision)
 	}
 	return resp
 }
+
+// underLease calls read and reports whether a keeper held the lease of one term
+// from before the call until after it. What is read before a lease begins may
+// lack entries that another leader committed.
+func underLease(k *keeper.Keeper, read func()) bool {
+	lease, err := k.Lease()
+	read()
+	return err == nil && lease.Check() == nil
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -115,6 +115,27 @@
 	}
 }
 
+// TestReadBeforeLeaseIsNotVouchedFor checks a keeper whose lease begins while it
+// reads its state for a sync: what it read may be older than its lease.
+func TestReadBeforeLeaseIsNotVouchedFor(t *testing.T) {
+	s := newSystem(t)
+	s.seeds = s.seeds[:1]
+	cfg := s.settings(keeperA, true)
+	cfg.LostMachines = 0
+	n := newKeeperNode(cfg, Options{Log: slog.New(slog.DiscardHandler)})
+	if err := n.open(); err != nil {
+		t.Fatal(err)
+	}
+	k := n.keeper.Load()
+	t.Cleanup(func() { _ = k.Close() })
+	if underLease(k, func() { s.await("lease begins", n.holdsLease) }) {
+		t.Error("a read that began without a lease counts as one under the lease")
+	}
+	if !underLease(k, func() {}) {
+		t.Error("a read under the lease does not count as one")
+	}
+}
+
 // TestLeaderSearchWaitsForElection checks that a leader search is answered once
 // a leader is known, instead of immediately without a leader.
 func TestLeaderSearchWaitsForElection(t *testing.T) {
