--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -235,7 +235,7 @@
 	if x.route != nil {
 		attrs = append(attrs, slog.String("route", string(x.route.Name)), slog.Uint64("revision", uint64(x.table.Revision())))
 	}
-	if x.sends > 0 && x.revisionAtSend != x.table.Revision() {
+	if x.revisionAtSend != 0 && x.revisionAtSend != x.table.Revision() {
 		attrs = append(attrs, slog.Uint64("revisionAtSend", uint64(x.revisionAtSend)))
 	}
 	if x.customer != nil {
