forwarder: a broken attempt logs the shared parts of its prompt and how long content came

The lines of the incident named neither, so that a query of death could not be told from an overload: which part the calls on ended engines had in common, and which of them had only begun to be answered.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -167,6 +167,7 @@
 	x.server = choice.Server
 	x.tried = append(x.tried, choice.Server)
 	x.sends++
+	x.contentAt = time.Time{}
 	in, ok := x.f.fleet.Load().servers[choice.Server]
 	if !ok {
 		choice.End(placer.Unreachable)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -181,6 +181,8 @@
 	assignmentOpen bool
 	watch          contentWatch
 	firstAfter     time.Duration
+	// contentAt is when the first content of the current attempt arrived, or zero.
+	contentAt time.Time
 }
 
 // serve runs the call from its admission to its result.
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"mime"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -165,7 +166,8 @@
 // and records how long it took since the start of the call.
 func (x *exchange) recordFirstContent(choice *placer.Choice) {
 	choice.FirstContent()
-	x.firstAfter = x.f.opts.Clock.Now().Sub(x.start)
+	x.contentAt = x.f.opts.Clock.Now()
+	x.firstAfter = x.contentAt.Sub(x.start)
 	x.observeFirstContent()
 }
 
@@ -218,8 +220,32 @@
 	if result == answered || result == callerLeft {
 		return // The log line of the call covers these.
 	}
-	x.f.opts.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "attempt failed", slog.String("id", string(x.call.ID)),
-		slog.String("server", string(x.server)), slog.Duration("after", after), slog.String("end", result.String()), slog.String("why", reason))
+	attrs := []slog.Attr{
+		slog.String("id", string(x.call.ID)), slog.String("server", string(x.server)),
+		slog.Duration("after", after), slog.String("end", result.String()), slog.String("why", reason),
+	}
+	if result == broken {
+		attrs = append(attrs, x.brokenAttrs()...)
+	}
+	x.f.opts.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "attempt failed", attrs...)
+}
+
+// brokenAttrs returns the attributes that tell whether a call can have ended its
+// backend server: the shared parts of its prompt, and for how long its content
+// had been arriving.
+func (x *exchange) brokenAttrs() []slog.Attr {
+	var attrs []slog.Attr
+	if parts := x.call.SharedParts(); len(parts) > 0 {
+		ids := make([]string, len(parts))
+		for i, p := range parts {
+			ids[i] = p.ID
+		}
+		attrs = append(attrs, slog.String("parts", strings.Join(ids, ",")))
+	}
+	if !x.contentAt.IsZero() {
+		attrs = append(attrs, slog.Duration("contentFor", x.f.opts.Clock.Now().Sub(x.contentAt)))
+	}
+	return attrs
 }
 
 // logCall logs the result of the call and the inputs that decided it, and
