node: failing test of a part in prompts that ends server after server

The stand-in gets backend servers whose process ends when they answer a call with a fatal part: connections break, new ones are refused, and a new process starts later at the same address.

--- /dev/null
+++ b/internal/node/quarantine_test.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/platform/standin"
+)
+
+// What the users allow: once fatalCrashes backend servers have ended under calls
+// with one part in their prompts, and contactTime has passed, at most
+// fatalArrivals more such calls reach backend servers.
+const (
+	fatalCrashes  = 5
+	fatalArrivals = 3
+	contactTime   = 3 * time.Second
+)
+
+// fatalPart is the part of a prompt that ends the backend servers of a
+// fatalSystem.
+const fatalPart = "bad0"
+
+// fatalSystem is a system whose backend servers end on calls with fatalPart.
+type fatalSystem struct {
+	*system
+	servers []*standin.CrashingServer
+	entries []string
+	calls   atomic.Int64
+}
+
+// newFatalSystem starts keepers, entry hosts and backend servers and waits until
+// the entry hosts are ready.
+func newFatalSystem(t *testing.T) *fatalSystem {
+	s := &fatalSystem{system: newSystem(t)}
+	s.cloud.Servers = nil
+	for range 6 {
+		server, err := standin.NewCrashingServer(&standin.Backends{Delay: 10 * time.Millisecond}, fatalPart, 700*time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+		s.servers = append(s.servers, server)
+		s.cloud.Servers = append(s.cloud.Servers, server.Address())
+	}
+	s.cloud.Born = func(i int) time.Time { return s.servers[i].Born() }
+	for i := range 3 {
+		s.entries = append(s.entries, fmt.Sprint("127.7.0.", 4+i))
+	}
+	s.startKeepers(true)
+	s.put(keeperA, standin.Document(1, `["k1"]`))
+	s.startEntries()
+	return s
+}
+
+// startEntries starts the entry hosts and waits until they are ready.
+func (s *fatalSystem) startEntries() {
+	for _, ip := range s.entries {
+		s.start(ip, RunEntry, false)
+	}
+	for _, ip := range s.entries {
+		s.await("entry host is ready", func() bool {
+			status, _ := s.request(http.MethodGet, ip, standin.ReadinessPort, standin.ReadinessPath, "", nil)
+			return status == http.StatusOK
+		})
+	}
+}
+
+// callWith makes a call with the given shared parts in its prompt and returns
+// its status.
+func (s *fatalSystem) callWith(ip string, shared ...string) int {
+	n := s.calls.Add(1)
+	id := identifier.RequestID(fmt.Sprint("id-", n))
+	h := standin.PromptHeader(id, "k1", 5*time.Second, append(shared, fmt.Sprintf("e%x", n))...)
+	status, _ := s.request(http.MethodPost, ip, standin.FrontendPort, "/draft/1", "x", h)
+	return status
+}
+
+// crashes returns when servers ended, and arrivals when calls with fatalPart
+// reached them, both in order.
+func (s *fatalSystem) crashes() []time.Time {
+	return s.times((*standin.CrashingServer).Crashes)
+}
+
+func (s *fatalSystem) arrivals() []time.Time {
+	return s.times((*standin.CrashingServer).FatalArrivals)
+}
+
+// times returns the sorted times of all servers.
+func (s *fatalSystem) times(of func(*standin.CrashingServer) []time.Time) []time.Time {
+	var out []time.Time
+	for _, server := range s.servers {
+		out = append(out, of(server)...)
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// lateArrivals returns the number of calls with fatalPart that reached servers
+// later than contactTime after crash fatalCrashes.
+func (s *fatalSystem) lateArrivals() int {
+	crashes := s.crashes()
+	if len(crashes) < fatalCrashes {
+		return 0
+	}
+	late := 0
+	for _, at := range s.arrivals() {
+		if at.Sub(crashes[fatalCrashes-1]) > contactTime {
+			late++
+		}
+	}
+	return late
+}
+
+// TestPartThatEndsServersIsIsolated guards against calls with one part in their
+// prompts that end server after server. Sound calls with the same first part are
+// served again, and the part stays isolated after a restart of all processes.
+func TestPartThatEndsServersIsIsolated(t *testing.T) {
+	const (
+		length     = 8 * time.Second
+		soundPause = 40 * time.Millisecond
+		fatalPause = 150 * time.Millisecond
+		settled    = 6 * time.Second // from then on sound calls are counted
+	)
+	s := newFatalSystem(t)
+	start := time.Now()
+	var served, sent atomic.Int64
+	var wg sync.WaitGroup
+	for i, ip := range s.entries {
+		wg.Go(func() {
+			for time.Since(start) < length {
+				status := s.callWith(ip, "f1", fmt.Sprint("c", i))
+				if time.Since(start) > settled {
+					sent.Add(1)
+					if status == http.StatusOK {
+						served.Add(1)
+					}
+				}
+				time.Sleep(soundPause)
+			}
+		})
+		wg.Go(func() {
+			for n := i; time.Since(start) < length; n++ {
+				s.callWith(ip, "f1", fatalPart, fmt.Sprint("c", n%3))
+				time.Sleep(fatalPause)
+			}
+		})
+	}
+	wg.Wait()
+	if len(s.crashes()) == 0 {
+		t.Fatal("no server ended")
+	}
+	if n := s.lateArrivals(); n > fatalArrivals {
+		t.Errorf("%d calls with the part reached servers after %d had ended, and %d ended in all; %d calls are allowed",
+			n, fatalCrashes, len(s.crashes()), fatalArrivals)
+	}
+	if served.Load() < sent.Load()*9/10 {
+		t.Errorf("%d of %d sound calls were served", served.Load(), sent.Load())
+	}
+
+	for _, ip := range slices.Concat(s.entries, []string{keeperA, keeperB, keeperC}) {
+		s.end(ip)
+	}
+	before := len(s.arrivals())
+	s.startKeepers(false)
+	s.startEntries()
+	for i := range 2 * fatalCrashes {
+		s.callWith(s.entries[i%len(s.entries)], "f1", fatalPart)
+	}
+	if n := len(s.arrivals()) - before; n > fatalArrivals {
+		t.Errorf("%d calls with the part reached servers after a restart of all processes, at most %d are allowed", n, fatalArrivals)
+	}
+}
