identifier: the parts of prompts and the runs of backend servers have their types

Ids of prompt parts were strings, the run of a server was a type of permitter that other packages would need, and the shared parts of a prompt were computed in placer and describer. No behaviour changes.

--- a/describer/call.go
+++ b/describer/call.go
@@ -31,18 +31,18 @@
 	LastEvent string
 }
 
-// SharedParts returns the parts of the prompt that other prompts may contain: all
+// SharedParts returns the parts of a prompt that other prompts may contain: all
 // but the last, which is unique to the call or its session.
-func (c *Call) SharedParts() []PromptPart {
-	if len(c.Parts) < 2 {
+func SharedParts(parts []PromptPart) []PromptPart {
+	if len(parts) < 2 {
 		return nil
 	}
-	return c.Parts[:len(c.Parts)-1]
+	return parts[:len(parts)-1]
 }
 
 // PromptPart is a part of a prompt. Other prompts may contain the same part.
 type PromptPart struct {
-	ID     string
+	ID     identifier.PartID
 	Tokens identifier.Tokens
 }
 
--- a/forwarder/announcements_test.go
+++ b/forwarder/announcements_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/permitter"
 )
 
@@ -64,7 +65,7 @@
 	asked := 0
 	h.opts.RequestPermits = func(context.Context) {
 		asked++
-		g := permitter.Grant{ID: 1, Servers: make(map[permitter.Server]permitter.ServerGrant)}
+		g := permitter.Grant{ID: 1, Servers: make(map[identifier.ServerRun]permitter.ServerGrant)}
 		for s, sr := range h.opts.Placer.PermitReport().Servers {
 			g.Servers[s] = permitter.ServerGrant{Notice: *sr.Notice, Wait: wait}
 		}
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -262,7 +262,7 @@
 	h.opts.Placer = placer.New(placer.Options{Clock: clock})
 	h.opts.RequestPermits = func(context.Context) {
 		r := h.opts.Placer.PermitReport()
-		g := permitter.Grant{ID: r.Grant + 1, Servers: make(map[permitter.Server]permitter.ServerGrant)}
+		g := permitter.Grant{ID: r.Grant + 1, Servers: make(map[identifier.ServerRun]permitter.ServerGrant)}
 		for s, sr := range r.Servers {
 			if sr.Needed > 0 {
 				g.Servers[s] = permitter.ServerGrant{Notice: *sr.Notice, Permits: 1}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -235,10 +235,10 @@
 // had been arriving.
 func (x *exchange) brokenAttrs() []slog.Attr {
 	var attrs []slog.Attr
-	if parts := x.call.SharedParts(); len(parts) > 0 {
+	if parts := describer.SharedParts(x.call.Parts); len(parts) > 0 {
 		ids := make([]string, len(parts))
 		for i, p := range parts {
-			ids[i] = p.ID
+			ids[i] = string(p.ID)
 		}
 		attrs = append(attrs, slog.String("parts", strings.Join(ids, ",")))
 	}
--- a/identifier/ids.go
+++ b/identifier/ids.go
@@ -12,6 +12,10 @@
 // AttemptID identifies one attempt to run a request on one backend server.
 type AttemptID string
 
+// PartID identifies a part of prompts. Prompts with the same part have its id in
+// common.
+type PartID string
+
 // ChangeID identifies a configuration change. A retry of the change carries the
 // same id.
 type ChangeID string
--- a/identifier/names.go
+++ b/identifier/names.go
@@ -1,6 +1,9 @@
 package identifier
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
 
 // MaxNameBytes is the maximum length of a name in bytes.
 const MaxNameBytes = 64
@@ -31,6 +34,20 @@
 // Check returns an error if b is not a well-formed name.
 func (b BackendServer) Check() error { return checkName("backend server", string(b)) }
 
+// ServerRun identifies one run of a backend server. A server that has started anew
+// under the same name is another run, which knows nothing of the one before.
+type ServerRun struct {
+	ID BackendServer
+	// Incarnation is when the run started, in milliseconds since 1970, or 0 if that
+	// is not known.
+	Incarnation uint64
+}
+
+// Compare orders runs by name and incarnation.
+func (r ServerRun) Compare(o ServerRun) int {
+	return cmp.Or(cmp.Compare(r.ID, o.ID), cmp.Compare(r.Incarnation, o.Incarnation))
+}
+
 // Service is the name of a set of backend servers that serve the same calls.
 type Service string
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -247,8 +247,8 @@
 	if diff := cmp.Diff(grants, decodeGrants(&resp)); diff != "" {
 		t.Errorf("grants differ (-want +got):\n%s", diff)
 	}
-	limit, server := identifier.RequestRate(1.5), permitter.Server{ID: "s", Incarnation: 7}
-	report := permitter.Report{Grant: 4, Servers: map[permitter.Server]permitter.ServerReport{
+	limit, server := identifier.RequestRate(1.5), identifier.ServerRun{ID: "s", Incarnation: 7}
+	report := permitter.Report{Grant: 4, Servers: map[identifier.ServerRun]permitter.ServerReport{
 		server:    {Notice: &permitter.Notice{Limit: &limit, Age: time.Second}, Service: "model", Needed: 1, Wanted: 2, Spent: 3},
 		{ID: "u"}: {Notice: &permitter.Notice{Age: time.Minute}},
 		{ID: "v"}: {Wanted: 1},
@@ -256,7 +256,7 @@
 	if diff := cmp.Diff(report, decodePermitReport(encodePermitReport(report))); diff != "" {
 		t.Errorf("permit reports differ (-want +got):\n%s", diff)
 	}
-	permits := permitter.Grant{ID: 5, Servers: map[permitter.Server]permitter.ServerGrant{
+	permits := permitter.Grant{ID: 5, Servers: map[identifier.ServerRun]permitter.ServerGrant{
 		server:    {Notice: permitter.Notice{Limit: &limit, Age: time.Second}, Permits: 2},
 		{ID: "u"}: {Notice: permitter.Notice{Age: time.Minute}, Wait: 3 * time.Second},
 	}}
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -117,7 +117,7 @@
 
 // decodePermitReport converts a report from protobuf.
 func decodePermitReport(w *wire.PermitReport) permitter.Report {
-	r := permitter.Report{Grant: permitter.GrantID(w.GetGrant()), Servers: make(map[permitter.Server]permitter.ServerReport, len(w.GetServers()))}
+	r := permitter.Report{Grant: permitter.GrantID(w.GetGrant()), Servers: make(map[identifier.ServerRun]permitter.ServerReport, len(w.GetServers()))}
 	for _, ws := range w.GetServers() {
 		sr := permitter.ServerReport{
 			Service: identifier.Service(ws.GetService()),
@@ -127,7 +127,7 @@
 			n := decodeNotice(ws.GetNotice())
 			sr.Notice = &n
 		}
-		r.Servers[permitter.Server{ID: identifier.BackendServer(ws.GetServer()), Incarnation: ws.GetIncarnation()}] = sr
+		r.Servers[identifier.ServerRun{ID: identifier.BackendServer(ws.GetServer()), Incarnation: ws.GetIncarnation()}] = sr
 	}
 	return r
 }
@@ -145,9 +145,9 @@
 
 // decodePermitGrant converts a grant from protobuf.
 func decodePermitGrant(w *wire.PermitGrant) permitter.Grant {
-	g := permitter.Grant{ID: permitter.GrantID(w.GetId()), Servers: make(map[permitter.Server]permitter.ServerGrant, len(w.GetServers()))}
+	g := permitter.Grant{ID: permitter.GrantID(w.GetId()), Servers: make(map[identifier.ServerRun]permitter.ServerGrant, len(w.GetServers()))}
 	for _, ws := range w.GetServers() {
-		s := permitter.Server{ID: identifier.BackendServer(ws.GetServer()), Incarnation: ws.GetIncarnation()}
+		s := identifier.ServerRun{ID: identifier.BackendServer(ws.GetServer()), Incarnation: ws.GetIncarnation()}
 		g.Servers[s] = permitter.ServerGrant{
 			Notice: decodeNotice(ws.GetNotice()), Permits: int(ws.GetPermits()), Wait: time.Duration(ws.GetWaitMillis()) * time.Millisecond,
 		}
--- a/permitter/holder.go
+++ b/permitter/holder.go
@@ -19,7 +19,7 @@
 // Holder holds the permits of one entry host.
 type Holder struct {
 	random  *rand.Rand
-	servers map[Server]*held
+	servers map[identifier.ServerRun]*held
 	grant   GrantID
 	// reportedAt is when the last report was made, appliedAt when that of the last
 	// grant was, or the first report without any grant.
@@ -29,7 +29,7 @@
 
 // NewHolder returns a Holder that knows no limits.
 func NewHolder(random *rand.Rand) *Holder {
-	return &Holder{random: random, servers: make(map[Server]*held)}
+	return &Holder{random: random, servers: make(map[identifier.ServerRun]*held)}
 }
 
 // held is the state of a server of which a notice is known.
@@ -56,7 +56,7 @@
 func (h *held) isLimited() bool { return h != nil && h.known.limit != nil }
 
 // state returns the state of a server, adding an empty one if there is none.
-func (h *Holder) state(s Server) *held {
+func (h *Holder) state(s identifier.ServerRun) *held {
 	k := h.servers[s]
 	if k == nil {
 		k = &held{}
@@ -67,7 +67,7 @@
 
 // Record records what a response of a server said about its limit. It returns
 // the limit known before and whether the known limit has changed.
-func (h *Holder) Record(now time.Time, s Server, limit *identifier.RequestRate) (before *identifier.RequestRate, changed bool) {
+func (h *Holder) Record(now time.Time, s identifier.ServerRun, limit *identifier.RequestRate) (before *identifier.RequestRate, changed bool) {
 	if limit == nil && !h.servers[s].isLimited() {
 		return nil, false
 	}
@@ -116,7 +116,7 @@
 }
 
 // Retain forgets all servers but those for which keep returns true.
-func (h *Holder) Retain(keep func(Server) bool) {
+func (h *Holder) Retain(keep func(identifier.ServerRun) bool) {
 	for s := range h.servers {
 		if !keep(s) {
 			delete(h.servers, s)
@@ -125,7 +125,7 @@
 }
 
 // Available reports whether a request may be sent to a server now.
-func (h *Holder) Available(now time.Time, s Server) bool {
+func (h *Holder) Available(now time.Time, s identifier.ServerRun) bool {
 	k := h.servers[s]
 	if !k.isLimited() || k.permits > 0 && now.Before(k.expires) {
 		return true
@@ -163,7 +163,7 @@
 const maxSoloInterval = 10 * time.Minute
 
 // Want counts a call that would have been sent to a server with a permit.
-func (h *Holder) Want(s Server) {
+func (h *Holder) Want(s identifier.ServerRun) {
 	if k := h.servers[s]; k.isLimited() {
 		k.wanted++
 	}
@@ -171,7 +171,7 @@
 
 // Need counts a call that waits for a permit of one of the servers, all of a
 // service. If the leader recently had none, it counts nothing and returns false.
-func (h *Holder) Need(now time.Time, service identifier.Service, servers []Server) bool {
+func (h *Holder) Need(now time.Time, service identifier.Service, servers []identifier.ServerRun) bool {
 	for _, s := range servers {
 		if k := h.servers[s]; k.isLimited() && now.Before(k.askAt) {
 			return false
@@ -198,7 +198,7 @@
 
 // Spend spends a permit, which Available has reported. It returns the grant of
 // the permit, for Refund.
-func (h *Holder) Spend(now time.Time, s Server) GrantID {
+func (h *Holder) Spend(now time.Time, s identifier.ServerRun) GrantID {
 	k := h.servers[s]
 	switch {
 	case !k.isLimited():
@@ -214,7 +214,7 @@
 
 // Refund gives back a permit of a request that certainly did not reach the
 // server. A permit of an earlier grant has been reported as spent and is lost.
-func (h *Holder) Refund(s Server, g GrantID) {
+func (h *Holder) Refund(s identifier.ServerRun, g GrantID) {
 	if k := h.servers[s]; k != nil && g != 0 && g == h.grant && k.spent > 0 {
 		k.permits++
 		k.spent--
@@ -223,7 +223,7 @@
 
 // Wait returns the time after which a call that can only be sent to a server
 // with a limit may come back, 0 if that is not known.
-func (h *Holder) Wait(now time.Time, s Server) time.Duration {
+func (h *Holder) Wait(now time.Time, s identifier.ServerRun) time.Duration {
 	k := h.servers[s]
 	if !k.isLimited() {
 		return 0
@@ -241,7 +241,7 @@
 	if h.appliedAt.IsZero() {
 		h.appliedAt = now
 	}
-	r := Report{Grant: h.grant, Servers: make(map[Server]ServerReport, len(h.servers))}
+	r := Report{Grant: h.grant, Servers: make(map[identifier.ServerRun]ServerReport, len(h.servers))}
 	for s, k := range h.servers {
 		if !k.isLimited() && now.Sub(k.known.at) > forgetAfter {
 			delete(h.servers, s)
--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -31,7 +31,7 @@
 
 // Issuer issues permits on the leader.
 type Issuer struct {
-	servers map[Server]*bucket
+	servers map[identifier.ServerRun]*bucket
 	last    GrantID
 	// refused is when a call of a service last got no permit.
 	refused map[identifier.Service]time.Time
@@ -40,7 +40,7 @@
 // NewIssuer returns an Issuer that knows no limits. Its first grant follows the
 // given one, which must be higher than those of all former leaders.
 func NewIssuer(last GrantID) *Issuer {
-	return &Issuer{servers: make(map[Server]*bucket), last: last, refused: make(map[identifier.Service]time.Time)}
+	return &Issuer{servers: make(map[identifier.ServerRun]*bucket), last: last, refused: make(map[identifier.Service]time.Time)}
 }
 
 // Exchange records the report of a host and returns its next grant, which holds
@@ -50,7 +50,7 @@
 	for s, sr := range r.Servers {
 		i.record(now, s, sr.Notice)
 	}
-	g := Grant{ID: i.last, Servers: make(map[Server]ServerGrant, len(i.servers))}
+	g := Grant{ID: i.last, Servers: make(map[identifier.ServerRun]ServerGrant, len(i.servers))}
 	needs := make(map[identifier.Service]*need)
 	for s, b := range i.servers {
 		if now.Sub(b.reportedAt) > forgetAfter {
@@ -89,15 +89,15 @@
 // the servers that can take them.
 type need struct {
 	calls   int
-	servers []Server
+	servers []identifier.ServerRun
 }
 
 // serve issues permits for waiting calls, each at the server with the fullest
 // bucket, and reports whether there is one for each of them. If not, it sets the
 // time after which the others may come back.
 func (i *Issuer) serve(now time.Time, host identifier.Host, n *need, g *Grant) bool {
-	slices.SortFunc(n.servers, func(a, b Server) int { return a.compare(b) })
-	fullest := func(a, b Server) int {
+	slices.SortFunc(n.servers, func(a, b identifier.ServerRun) int { return a.Compare(b) })
+	fullest := func(a, b identifier.ServerRun) int {
 		if i.servers[a].level < i.servers[b].level {
 			return -1
 		}
@@ -129,7 +129,9 @@
 func (i *Issuer) returnTime(now time.Time, n *need) time.Duration {
 	var wait time.Duration
 	for ; n.calls > 0; n.calls-- {
-		first := slices.MinFunc(n.servers, func(a, b Server) int { return i.servers[a].nextReturn(now).Compare(i.servers[b].nextReturn(now)) })
+		first := slices.MinFunc(n.servers, func(a, b identifier.ServerRun) int {
+			return i.servers[a].nextReturn(now).Compare(i.servers[b].nextReturn(now))
+		})
 		b := i.servers[first]
 		wait = min(b.nextReturn(now).Sub(now), maxWait)
 		b.returns = now.Add(wait)
@@ -138,8 +140,8 @@
 }
 
 // Limited returns the servers that are known to have limits.
-func (i *Issuer) Limited() []Server {
-	var out []Server
+func (i *Issuer) Limited() []identifier.ServerRun {
+	var out []identifier.ServerRun
 	for s, b := range i.servers {
 		if b.known.limit != nil {
 			out = append(out, s)
@@ -156,14 +158,14 @@
 }
 
 // add adds permits of a server to a grant.
-func (g *Grant) add(s Server, permits int) {
+func (g *Grant) add(s identifier.ServerRun, permits int) {
 	sg := g.Servers[s]
 	sg.Permits += permits
 	g.Servers[s] = sg
 }
 
 // record records that a host has reported a server, with a notice or nil.
-func (i *Issuer) record(now time.Time, s Server, n *Notice) {
+func (i *Issuer) record(now time.Time, s identifier.ServerRun, n *Notice) {
 	b := i.servers[s]
 	if b != nil {
 		b.reportedAt = now
--- a/permitter/notice.go
+++ b/permitter/notice.go
@@ -1,24 +1,11 @@
 package permitter
 
 import (
-	"cmp"
 	"time"
 
 	"cyclamenhub.org/identifier"
 )
 
-// Server identifies one run of a backend server. A server that has started anew
-// under the same id has no limit until it announces one.
-type Server struct {
-	ID          identifier.BackendServer
-	Incarnation uint64
-}
-
-// compare orders servers.
-func (s Server) compare(o Server) int {
-	return cmp.Or(cmp.Compare(s.ID, o.ID), cmp.Compare(s.Incarnation, o.Incarnation))
-}
-
 // Notice is what a response said about the limit of a server.
 type Notice struct {
 	// Limit is the number of requests per second that the server accepts from
@@ -64,7 +51,7 @@
 type Report struct {
 	// Grant identifies the last grant that the host has applied.
 	Grant   GrantID
-	Servers map[Server]ServerReport
+	Servers map[identifier.ServerRun]ServerReport
 }
 
 // ServerReport is the part of a Report about one server.
@@ -92,7 +79,7 @@
 // Grant is the leader's response to a Report.
 type Grant struct {
 	ID      GrantID
-	Servers map[Server]ServerGrant
+	Servers map[identifier.ServerRun]ServerGrant
 }
 
 // ServerGrant is the part of a Grant about one server.
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -97,8 +97,8 @@
 // of the former one issues none at once.
 func TestNewLeaderStartsEmpty(t *testing.T) {
 	now := time.Unix(1000, 0)
-	server, limit := Server{ID: "s", Incarnation: 1}, identifier.RequestRate(1)
-	report := Report{Servers: map[Server]ServerReport{server: {Notice: &Notice{Limit: &limit, Age: time.Minute}, Needed: 1}}}
+	server, limit := identifier.ServerRun{ID: "s", Incarnation: 1}, identifier.RequestRate(1)
+	report := Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &Notice{Limit: &limit, Age: time.Minute}, Needed: 1}}}
 	i := NewIssuer(7)
 	if g := i.Exchange(now, "h", report); g.Servers[server].Permits != 0 || g.Servers[server].Wait != time.Second || g.ID <= 7 {
 		t.Errorf("first grant of a new leader: %+v, want no permits and a wait of 1 s", g)
@@ -113,7 +113,7 @@
 // leader.
 func TestEndOfLimit(t *testing.T) {
 	start := time.Unix(1000, 0)
-	server, limit := Server{ID: "s", Incarnation: 1}, identifier.RequestRate(2)
+	server, limit := identifier.ServerRun{ID: "s", Incarnation: 1}, identifier.RequestRate(2)
 	a, b := NewHolder(nil), NewHolder(nil)
 	b.Report(start)
 	i := NewIssuer(0)
@@ -135,7 +135,7 @@
 		t.Error("the other host does not learn that the limit has ended")
 	}
 	// The older notice of the other host does not bring the limit back.
-	if g := i.Exchange(ended, "b", Report{Servers: map[Server]ServerReport{server: {Notice: &Notice{Limit: &limit, Age: ended.Sub(start)}}}}); g.Servers[server].Notice.Limit != nil {
+	if g := i.Exchange(ended, "b", Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &Notice{Limit: &limit, Age: ended.Sub(start)}}}}); g.Servers[server].Notice.Limit != nil {
 		t.Error("an older notice brings the limit back")
 	}
 }
@@ -144,16 +144,16 @@
 // and that an overload does not lengthen the waits of calls long after it.
 func TestReturnTimesAfterOverload(t *testing.T) {
 	now := time.Unix(1000, 0)
-	server, limit := Server{ID: "s", Incarnation: 1}, identifier.RequestRate(1)
+	server, limit := identifier.ServerRun{ID: "s", Incarnation: 1}, identifier.RequestRate(1)
 	need := func(calls int) time.Duration {
-		report := Report{Servers: map[Server]ServerReport{server: {Notice: &Notice{Limit: &limit}, Needed: calls}}}
+		report := Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &Notice{Limit: &limit}, Needed: calls}}}
 		return NewIssuer(0).Exchange(now, "a", report).Servers[server].Wait
 	}
 	if first, third := need(1), need(3); first != time.Second || third != 3*time.Second {
 		t.Errorf("waits of one and three calls: %v and %v, want 1 s and 3 s", first, third)
 	}
 	i := NewIssuer(0)
-	report := Report{Servers: map[Server]ServerReport{server: {Notice: &Notice{Limit: &limit}, Needed: 1000}}}
+	report := Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &Notice{Limit: &limit}, Needed: 1000}}}
 	i.Exchange(now, "a", report)
 	now = now.Add(maxWait + time.Second)
 	report.Servers[server] = ServerReport{Needed: 4}
--- a/permitter/simulation_test.go
+++ b/permitter/simulation_test.go
@@ -54,7 +54,7 @@
 type simHost struct {
 	name   identifier.Host
 	holder *Holder
-	told   map[Server]time.Time
+	told   map[identifier.ServerRun]time.Time
 	synced bool
 	cut    bool
 	// syncing is whether a sync is in progress, waiting what runs after it.
@@ -82,8 +82,8 @@
 	queue   sequencer.Queue
 	issuer  *Issuer
 	hosts   []*simHost
-	servers []Server
-	got     map[Server][]request
+	servers []identifier.ServerRun
+	got     map[identifier.ServerRun][]request
 }
 
 // simulate plays a scenario.
@@ -91,10 +91,10 @@
 	start := time.Unix(1000, 0)
 	s := &simulation{
 		scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), now: start, start: start,
-		issuer: NewIssuer(0), got: make(map[Server][]request),
+		issuer: NewIssuer(0), got: make(map[identifier.ServerRun][]request),
 	}
 	for i := range sc.servers {
-		s.servers = append(s.servers, Server{ID: identifier.BackendServer(fmt.Sprint("s", i)), Incarnation: 1})
+		s.servers = append(s.servers, identifier.ServerRun{ID: identifier.BackendServer(fmt.Sprint("s", i)), Incarnation: 1})
 	}
 	for i := range sc.hosts {
 		h := &simHost{name: identifier.Host(fmt.Sprint("h", i))}
@@ -138,7 +138,7 @@
 // restart starts a host without any knowledge.
 func (s *simulation) restart(h *simHost) {
 	h.holder = NewHolder(rand.New(rand.NewPCG(s.seed, uint64(h.run))))
-	h.told, h.synced = make(map[Server]time.Time), false
+	h.told, h.synced = make(map[identifier.ServerRun]time.Time), false
 	h.run++
 }
 
@@ -268,7 +268,7 @@
 }
 
 // send sends a request, which may find the server unreachable.
-func (s *simulation) send(h *simHost, server Server) {
+func (s *simulation) send(h *simHost, server identifier.ServerRun) {
 	grant := h.holder.Spend(s.now, server)
 	if s.lost() {
 		h.holder.Refund(server, grant)
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -69,19 +69,11 @@
 	Exclude []identifier.BackendServer
 }
 
-// shared returns the parts that other prompts may share.
-func (r *Request) shared() []describer.PromptPart {
-	if len(r.Parts) < 2 {
-		return nil
-	}
-	return r.Parts[:len(r.Parts)-1]
-}
-
 // uniqueTokens returns the number of prompt tokens outside the shared parts, at
 // least 1.
 func (r *Request) uniqueTokens() identifier.Tokens {
 	left := r.Prompt
-	for _, p := range r.shared() {
+	for _, p := range describer.SharedParts(r.Parts) {
 		left -= p.Tokens
 	}
 	return max(left, 1)
@@ -93,7 +85,7 @@
 // all hosts prefer it for such prompts.
 func (r *Request) uncachedTokens(s *serverState, isHome bool, now time.Time) identifier.Tokens {
 	left := r.Prompt
-	for _, p := range r.shared() {
+	for _, p := range describer.SharedParts(r.Parts) {
 		if !isHome && !s.hasCached(p.ID, now) {
 			break
 		}
@@ -106,7 +98,7 @@
 // uses rendezvous hashing (Thaler and Ravishankar, 1998), so that all hosts
 // agree without communication. It returns "" for a prompt without shared parts.
 func (r *Request) home(candidates []*serverState) identifier.BackendServer {
-	shared := r.shared()
+	shared := describer.SharedParts(r.Parts)
 	if len(shared) == 0 {
 		return ""
 	}
@@ -114,7 +106,7 @@
 	var best identifier.BackendServer
 	var maxHash uint64
 	for _, s := range candidates {
-		if h := xxhash.Sum64String(key + "\x00" + string(s.ID)); h >= maxHash {
+		if h := xxhash.Sum64String(string(key) + "\x00" + string(s.ID)); h >= maxHash {
 			best, maxHash = s.ID, h
 		}
 	}
--- a/placer/limits.go
+++ b/placer/limits.go
@@ -29,8 +29,8 @@
 }
 
 // permitKey returns the key of a server in the permitter.
-func (s *serverState) permitKey() permitter.Server {
-	return permitter.Server{ID: s.ID, Incarnation: s.Incarnation}
+func (s *serverState) permitKey() identifier.ServerRun {
+	return identifier.ServerRun{ID: s.ID, Incarnation: s.Incarnation}
 }
 
 // limitedError returns the error of a call that only the given servers could
@@ -38,7 +38,7 @@
 func (p *Placer) limitedError(servers []*serverState, r *Request, now time.Time) *LimitedError {
 	p.limited.Inc()
 	e := &LimitedError{Service: r.Service, Version: r.Version, Limited: len(servers)}
-	keys := make([]permitter.Server, len(servers))
+	keys := make([]identifier.ServerRun, len(servers))
 	for i, s := range servers {
 		keys[i] = s.permitKey()
 		if wait := p.permits.Wait(now, keys[i]); i == 0 || wait < e.Wait {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/permitter"
 	"cyclamenhub.org/timer"
@@ -130,7 +131,7 @@
 		})
 	}
 	p.servers, p.pools = next, pools
-	p.permits.Retain(func(key permitter.Server) bool {
+	p.permits.Retain(func(key identifier.ServerRun) bool {
 		s, ok := next[key.ID]
 		return ok && s.Incarnation == key.Incarnation
 	})
@@ -283,7 +284,7 @@
 	if len(candidates) <= sampleSize {
 		return candidates
 	}
-	shared := r.shared()
+	shared := describer.SharedParts(r.Parts)
 	first := p.opts.Random.IntN(len(candidates))
 	var out []*serverState
 	random := 0
@@ -324,7 +325,7 @@
 	e.state.sinceReport = e.state.sinceReport.Plus(c.load)
 	e.state.awaitingFirst = append(e.state.awaitingFirst, c)
 	if e.state.Engine {
-		e.state.recordCached(r.shared(), now)
+		e.state.recordCached(describer.SharedParts(r.Parts), now)
 	}
 	if e.isHome {
 		p.atHome.Inc()
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -65,7 +65,7 @@
 func longPrompt(subject string) Request {
 	return Request{
 		Service: "model", Version: "v1", Prompt: 12000, Output: 400,
-		Parts: []describer.PromptPart{{ID: "kind", Tokens: 512}, {ID: subject, Tokens: 4870}, {ID: "own", Tokens: 6618}},
+		Parts: []describer.PromptPart{{ID: "kind", Tokens: 512}, {ID: identifier.PartID(subject), Tokens: 4870}, {ID: "own", Tokens: 6618}},
 	}
 }
 
--- a/placer/server.go
+++ b/placer/server.go
@@ -78,7 +78,7 @@
 	own, sinceReport, others Load
 	// cachedParts maps the id of a prompt part to the time of its last use at
 	// the server.
-	cachedParts map[string]time.Time
+	cachedParts map[identifier.PartID]time.Time
 	// slowness is the ratio of the measured to the expected time to the first
 	// token. failureRate is the fraction of calls that failed. Both decay.
 	slowness, failureRate decayingAverage
@@ -120,7 +120,7 @@
 
 // newServerState returns the state of a new server.
 func newServerState(s Server) *serverState {
-	return &serverState{Server: s, cachedParts: make(map[string]time.Time), slowness: decayingAverage{baseline: 1}, failureRate: decayingAverage{}}
+	return &serverState{Server: s, cachedParts: make(map[identifier.PartID]time.Time), slowness: decayingAverage{baseline: 1}, failureRate: decayingAverage{}}
 }
 
 // inBackoff reports whether the server is avoided after a connection failure.
@@ -167,7 +167,7 @@
 
 // hasCached reports whether a part is assumed to be in the prefix cache of the
 // server.
-func (s *serverState) hasCached(id string, now time.Time) bool {
+func (s *serverState) hasCached(id identifier.PartID, now time.Time) bool {
 	at, ok := s.cachedParts[id]
 	return ok && now.Sub(at) < cachedPartTTL
 }
