connector: interim responses are bounded with the header that they precede

A backend server that writes interim responses without end held a call until its deadline and took a core: each had a small header, and the bound of 64 KiB began anew with each. They now share it. TestEndlessAnswersAreClosed: before, the server wrote the 67 MB of the test, now at most what a connection's buffers hold.

TestUndelimitedAnswers and TestCutStreamResumes pass without a change: answers with neither a length nor chunks end with their connection, and a stream that ends inside an event is broken off or resumed.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -21,7 +21,8 @@
 	// connection.
 	readBufferBytes  = 8 << 10
 	writeBufferBytes = 4 << 10
-	// maxHeaderBytes is the largest accepted size of a response header.
+	// maxHeaderBytes is the largest accepted size of a response header, with those of
+	// the interim responses before it.
 	maxHeaderBytes = 64 << 10
 	// drainTimeout is how long Release waits for the end of a response body,
 	// and for the end of sending a large request body.
@@ -164,12 +165,12 @@
 }
 
 // receive reads response headers up to that of the final response and skips
-// interim (1xx) responses.
+// interim (1xx) responses. All of them together are bounded like one header.
 func (c *Conn) receive(req *http.Request) (*Response, error) {
+	c.headerBytesLeft = maxHeaderBytes
+	defer func() { c.headerBytesLeft = 0 }()
 	for {
-		c.headerBytesLeft = maxHeaderBytes
 		res, err := http.ReadResponse(c.br, req) //nolint:bodyclose // The connection is released or closed as a whole.
-		c.headerBytesLeft = 0
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/forwarder/endless_test.go
@@ -0,0 +1,132 @@
+package forwarder
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"cyclamenhub.org/describer"
+	"cyclamenhub.org/discoverer"
+)
+
+const (
+	// endlessBytes is what an endlessServer writes at most in one answer.
+	endlessBytes = 64 << 20
+	// inTransitBytes is what the buffers of a connection may hold.
+	inTransitBytes = 8 << 20
+)
+
+// endlessServer is a backend server that writes a head and then the same bytes
+// without end, until its connection is closed.
+type endlessServer struct {
+	head, repeated string
+	written        atomic.Int64
+	answers        sync.WaitGroup
+}
+
+// serve answers the requests that arrive at a listener.
+func (s *endlessServer) serve(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		s.answers.Go(func() { s.answer(c) })
+	}
+}
+
+// answer answers one request.
+func (s *endlessServer) answer(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	block := strings.Repeat(s.repeated, max(4096/len(s.repeated), 1))
+	_, err := io.WriteString(c, s.head)
+	for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
+		_, err = io.WriteString(c, block)
+		s.written.Add(int64(len(block)))
+	}
+}
+
+// useEndless lists an endless server alone and returns it.
+func (h *harness) useEndless(t *testing.T, head, repeated string) *endlessServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	s := &endlessServer{head: head, repeated: repeated}
+	go s.serve(ln)
+	h.SetListing(&discoverer.Listing{Instances: []describer.Instance{
+		{ID: "endless", Service: "cases", Address: ln.Addr().String(), Version: "v1", Slots: 4},
+	}})
+	return s
+}
+
+// TestEndlessAnswersAreClosed checks that a host closes an answer that is none and
+// goes on without end, after a bounded number of bytes.
+func TestEndlessAnswersAreClosed(t *testing.T) {
+	undelimited := strings.Replace(streamHead, "Transfer-Encoding: chunked\r\n", "", 1)
+	for _, tc := range []struct{ name, path, head, repeated string }{
+		{"interim responses", "/file/1", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"one event", "/draft/1", undelimited + event(1) + "data: ", "x"},
+		{"a header line", "/file/1", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			s := h.useEndless(t, tc.head, tc.repeated)
+			res := h.call(t, http.MethodPost, tc.path, "key", "x")
+			s.answers.Wait()
+			if n := s.written.Load(); n > inTransitBytes {
+				t.Errorf("the server wrote %d bytes, at most %d may be in transit", n, inTransitBytes)
+			}
+			if res.complete && res.status == http.StatusOK {
+				t.Errorf("the caller got a complete answer of %d bytes", len(res.body))
+			}
+		})
+	}
+}
+
+// TestUndelimitedAnswers checks answers with neither a length nor chunks, which end
+// with their connection.
+func TestUndelimitedAnswers(t *testing.T) {
+	sealed := "HTTP/1.1 200 OK\r\n" + testSeal + ": s\r\n" + testID + ": id-1\r\n"
+	stream := sealed + "Content-Type: text/event-stream\r\n\r\n"
+	for _, tc := range []struct {
+		name, path, answer string
+		body               string
+		complete           bool
+	}{
+		{"body", "/file/1", sealed + "\r\nwhole" + closeAfter, "whole", true},
+		{"stream", "/draft/1", stream + event(1) + event(2) + closeAfter, event(1) + event(2), true},
+		{"stream cut inside an event", "/draft/1", stream + event(1) + "id: 2\ndata: to" + closeAfter, event(1), false},
+		{"stream cut inside a line end", "/draft/1", stream + event(1) + "id: 2\ndata: token-2\n" + closeAfter, event(1), false},
+		{"stream cut in the version line", "/draft/1", stream + event(1) + "weights: 1" + closeAfter, event(1), false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, tc.answer)
+			res := h.call(t, http.MethodPost, tc.path, "key", "x")
+			if res.status != http.StatusOK || res.body != tc.body || res.complete != tc.complete {
+				t.Errorf("the caller got %+v, want %q, complete %v", res, tc.body, tc.complete)
+			}
+		})
+	}
+}
+
+// TestCutStreamResumes checks that a resumable stream without length that is cut
+// inside an event goes on at another server.
+func TestCutStreamResumes(t *testing.T) {
+	stream := "HTTP/1.1 200 OK\r\n" + testSeal + ": s\r\n" + testID + ": id-1\r\nContent-Type: text/event-stream\r\n\r\n"
+	h := newHarness(t, stream+event(1)+"id: 2\nda"+closeAfter, stream+event(2)+closeAfter)
+	res := h.call(t, http.MethodPost, "/edit/1", "key", "x")
+	if want := event(1) + event(2); res.body != want || !res.complete {
+		t.Errorf("the caller got %+v, want %q", res, want)
+	}
+}
