forwarder: few responses to other calls may precede the one to a call

A faulty backend server that answers other calls without end held a call until its deadline, 32 MB a response. Two such responses of at most 1 MB each are skipped; with a further one the attempt ends as broken.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -35,6 +36,10 @@
 	minGapTimeout  = time.Second
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 32 << 20
+	// maxForeignReplies is how many responses to other calls may precede the one to a
+	// call, and maxForeignBytes bounds the body of each.
+	maxForeignReplies = 2
+	maxForeignBytes   = 1 << 20
 	// minTimeLeft is the minimum time before the deadline that must remain for
 	// an attempt to be started.
 	minTimeLeft = 5 * time.Millisecond
@@ -298,19 +303,20 @@
 	return l
 }
 
-// matchingReply returns the response to this call. It discards responses to
-// other calls, which a faulty backend server may send late.
+// matchingReply returns the response to this call. It discards up to
+// maxForeignReplies responses to other calls, which a faulty backend server may send
+// late.
 func (x *exchange) matchingReply(conn *connector.Conn, res *connector.Response) (describer.Reply, *connector.Response, error) {
-	for {
+	for foreign := 0; ; foreign++ {
 		reply := x.f.opts.Codec.Reply(res.Status, res.Header)
 		if reply.ID == "" || reply.ID == x.call.ID {
 			return reply, res, nil
 		}
-		if !res.Delimited {
+		if !res.Delimited || foreign == maxForeignReplies {
 			return reply, res, errMismatchedReply
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxResponseBytes)); err != nil {
-			return reply, res, err
+		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxForeignBytes)); err != nil || n == maxForeignBytes {
+			return reply, res, cmp.Or(err, errMismatchedReply)
 		}
 		next, err := conn.Next(x.call.method)
 		if err != nil {
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -73,9 +73,11 @@
 // TestEndlessAnswersAreClosed checks that a host closes an answer that is none and
 // goes on without end, after a bounded number of bytes.
 func TestEndlessAnswersAreClosed(t *testing.T) {
+	foreign := "HTTP/1.1 200 OK\r\n" + testID + ": other\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("x", 1000)
 	undelimited := strings.Replace(streamHead, "Transfer-Encoding: chunked\r\n", "", 1)
 	for _, tc := range []struct{ name, path, head, repeated string }{
 		{"interim responses", "/file/1", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"answers to other calls", "/file/1", "", foreign},
 		{"one event", "/draft/1", undelimited + event(1) + "data: ", "x"},
 		{"a header line", "/file/1", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
 	} {
