forwarder: a stream that goes on without data is broken off

Comments, empty lines and events without data were passed on as fast as they came until the deadline, and a resumable stream was not resumed.

--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -78,6 +78,9 @@
 	for _, tc := range []struct{ name, path, head, repeated string }{
 		{"interim responses", "/file/1", "", "HTTP/1.1 102 Processing\r\n\r\n"},
 		{"answers to other calls", "/file/1", "", foreign},
+		{"comments in a stream", "/draft/1", undelimited + event(1), ": wait\n\n"},
+		{"empty lines in a stream", "/draft/1", undelimited + event(1), "\n"},
+		{"events without data", "/draft/1", undelimited + event(1), "id: 1\n\n"},
 		{"one event", "/draft/1", undelimited + event(1) + "data: ", "x"},
 		{"a header line", "/file/1", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
 	} {
