forwarder: large bodies of answers share a bound on a host

A body without length that does not end was kept up to 32 MB, so that a few such calls exceed what an entry host should hold.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -34,8 +34,6 @@
 	// is eventGapFactor times the route's EventGap, but at least minGapTimeout.
 	eventGapFactor = 3
 	minGapTimeout  = time.Second
-	// maxResponseBytes bounds the body of a response that is not a stream.
-	maxResponseBytes = 32 << 20
 	// maxForeignReplies is how many responses to other calls may precede the one to a
 	// call, and maxForeignBytes bounds the body of each.
 	maxForeignReplies = 2
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
@@ -25,8 +26,13 @@
 // without end, until its connection is closed.
 type endlessServer struct {
 	head, repeated string
-	written        atomic.Int64
-	answers        sync.WaitGroup
+	// pauseAt, if not 0, is the number of bytes after which an answer pauses until
+	// resume is closed, and then ends.
+	pauseAt int
+	resume  chan struct{}
+	paused  atomic.Int64
+	written atomic.Int64
+	answers sync.WaitGroup
 }
 
 // serve answers the requests that arrive at a listener.
@@ -51,6 +57,11 @@
 	for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
 		_, err = io.WriteString(c, block)
 		s.written.Add(int64(len(block)))
+		if s.pauseAt > 0 && sent >= s.pauseAt {
+			s.paused.Add(1)
+			<-s.resume
+			return
+		}
 	}
 }
 
@@ -99,6 +110,35 @@
 	}
 }
 
+// TestLargeBodiesShareABound checks that a host does not hold the bodies of several
+// large answers at once.
+func TestLargeBodiesShareABound(t *testing.T) {
+	const (
+		calls   = 6
+		size    = 20 << 20
+		maxHeld = 64 << 20
+	)
+	h := newHarness(t)
+	s := h.useEndless(t, "HTTP/1.1 200 OK\r\n"+testSeal+": s\r\n"+testID+": id-1\r\n\r\n", "x")
+	s.pauseAt, s.resume = size, make(chan struct{})
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() {
+			h.call(t, http.MethodPost, "/file/1", "key", "x")
+			answered.Add(1)
+		})
+	}
+	for answered.Load()+s.paused.Load() < calls {
+		time.Sleep(time.Millisecond)
+	}
+	if n := calls - answered.Load(); n > maxHeld/size {
+		t.Errorf("the host holds %d answers of %d bytes each, at most %d bytes are allowed", n, size, maxHeld)
+	}
+	close(s.resume)
+	wg.Wait()
+}
+
 // TestUndelimitedAnswers checks answers with neither a length nor chunks, which end
 // with their connection.
 func TestUndelimitedAnswers(t *testing.T) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -71,6 +71,7 @@
 	table   atomic.Pointer[matcher.Table]
 	fleet   atomic.Pointer[fleet]
 	retries *retryBudgets
+	bodies  bodyBudget
 	// active counts the calls in progress.
 	active atomic.Int64
 }
@@ -182,6 +183,8 @@
 	// heldResponse is a failure response of a backend server. It is returned if
 	// no later attempt answers the call.
 	heldResponse *bufferedResponse
+	// heldBytes is what the bodies of this call have taken from the host's budget.
+	heldBytes int64
 	// headerSent is set once the header of a stream has been written to the
 	// caller.
 	headerSent bool
@@ -224,6 +227,7 @@
 	x.ctx = ctx
 	x.track(isolate)
 	defer x.untrack()
+	defer func() { x.f.bodies.release(x.heldBytes) }()
 	x.f.retries.deposit(x.service)
 	x.run()
 }
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -42,14 +42,18 @@
 // may still succeed, and since it counts as a failure of the server also where
 // the call may not be repeated.
 func (x *exchange) relayBuffered(conn *connector.Conn, res *connector.Response, reply describer.Reply, choice *placer.Choice) (placer.Outcome, attemptResult, string) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
+	body, taken, err := x.f.bodies.read(res.Body)
+	x.heldBytes += taken
 	switch {
+	case errors.Is(err, errTooManyBodies):
+		conn.Close()
+		return placer.Cancelled, broken, err.Error()
+	case errors.Is(err, errBodyTooLarge):
+		conn.Close()
+		return placer.Failed, broken, err.Error()
 	case err != nil:
 		conn.Close()
 		return x.classifyReadError(err)
-	case len(body) > maxResponseBytes:
-		conn.Close()
-		return placer.Failed, broken, "the answer is too large"
 	}
 	x.recordFirstContent(choice)
 	x.recordSurvival(res.Status < http.StatusInternalServerError)
