isolator: a few probes end an isolation that is no longer due

A part that callers go on asking for stayed isolated for good, also one that was isolated by bad luck or is mended at its servers. The leader now lets one host pass one call after a minute, and another after ten; if one is answered, nothing remains of the isolation. There are two probes for a version, counted in the replicated book, so that neither restarts nor renewals allow more.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -89,7 +89,7 @@
 		opts.Log = slog.Default()
 	}
 	if opts.Isolation == nil {
-		opts.Isolation = isolator.NewWatcher(opts.Clock)
+		opts.Isolation = isolator.NewWatcher("", opts.Clock)
 	}
 	if opts.EndConfirmed == nil {
 		opts.EndConfirmed = func() {}
@@ -170,6 +170,8 @@
 	// counts the attempts whose connections broke.
 	survived bool
 	losses   int
+	// isProbe is set if the call may pass although a part of its prompt is isolated.
+	isProbe bool
 	// lost is set if the connection of the current attempt broke.
 	lost bool
 
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -24,6 +24,14 @@
 // refuseIsolated returns a refusal if a part of the prompt is isolated, or nil. It
 // gives no time to come back, since the same call will not be served later.
 func (x *exchange) refuseIsolated() *refusal {
+	if x.isProbe {
+		return nil
+	}
+	if x.f.opts.Isolation.UseProbe(x.service, x.shared) {
+		x.isProbe = true
+		x.f.opts.Log.Info("a call with an isolated prompt part is let through", "id", x.call.ID)
+		return nil
+	}
 	id, ok := x.f.opts.Isolation.Isolated(x.service, x.shared)
 	if !ok {
 		return nil
@@ -35,6 +43,10 @@
 // track makes the call end when one of its parts is isolated, until it has
 // survived or untrack is called.
 func (x *exchange) track(cancel context.CancelCauseFunc) {
+	if x.isProbe {
+		x.untrack = func() {}
+		return
+	}
 	x.untrack = x.f.opts.Isolation.Track(x.service, x.shared, func() { cancel(errIsolated) })
 }
 
@@ -97,5 +109,5 @@
 // maySendAfterLoss reports whether a call may be sent to another backend server
 // although it lost the connection to one or more.
 func (x *exchange) maySendAfterLoss() bool {
-	return x.losses == 0 || x.losses < maxEndsOfCall && !x.f.opts.Isolation.IsSuspect(x.service, x.shared)
+	return x.losses == 0 || !x.isProbe && x.losses < maxEndsOfCall && !x.f.opts.Isolation.IsSuspect(x.service, x.shared)
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -130,7 +130,7 @@
 		contacts: contacts{self: cfg.Host, seeds: cfg.Seeds},
 		limiter:  sharer.NewLimiter(timer.System{}), meter: accountant.NewMeter(cfg.Bounds.Window),
 		placer:        placer.New(placer.Options{FailureDomain: cfg.FailureDomain, Metrics: metrics.GetDefaultSet()}),
-		isolation:     isolator.NewWatcher(boot),
+		isolation:     isolator.NewWatcher(cfg.Host, boot),
 		newEvidence:   make(chan struct{}, 1),
 		firstLease:    make(chan struct{}),
 		leaseDuration: time.Duration(leaseFraction * float64(cfg.Bounds.WithdrawKeys)),
--- a/internal/node/isolation.go
+++ b/internal/node/isolation.go
@@ -38,11 +38,11 @@
 // recordEvidence records the report of a host and returns the suspects about which
 // the leader asks the hosts. The evidence of an earlier term is dropped, since the
 // hosts report it again. The caller holds mu.
-func (n *keeperNode) recordEvidence(now time.Time, term uint64, r isolator.Report) []isolator.Key {
+func (n *keeperNode) recordEvidence(now time.Time, term uint64, host identifier.Host, r isolator.Report) []isolator.Key {
 	if n.isolation.investigator == nil || uint64(n.isolation.term) != term {
 		n.isolation = isolation{isolator.NewInvestigator(), identifier.FencingNumber(term)}
 	}
-	n.isolation.investigator.Record(now, r)
+	n.isolation.investigator.Record(now, host, r)
 	return n.isolation.investigator.Suspects()
 }
 
@@ -78,6 +78,8 @@
 		switch ev := ev.(type) {
 		case isolator.Isolate:
 			n.log.Warn("prompt part isolated", "service", ev.Service, "part", ev.Part, "versions", ev.Versions, "endedServers", ev.Servers)
+		case isolator.Probe:
+			n.log.Info("prompt part probed", "service", ev.Service, "part", ev.Part, "at", ev.Host)
 		case isolator.Release:
 			n.log.Info("prompt part released", "service", ev.Service, "part", ev.Part, "why", ev.Reason)
 		}
--- a/isolator/book.go
+++ b/isolator/book.go
@@ -18,6 +18,11 @@
 	// Versions are the versions of the service that ended under such calls.
 	Versions []identifier.Version `json:"versions"`
 	Since    time.Time            `json:"since"`
+	// Probes counts the calls that were let through to see whether servers still end,
+	// and ProbedAt is when the last one was allowed, to ProbeHost.
+	Probes    int             `json:"probes,omitempty"`
+	ProbedAt  time.Time       `json:"probedAt,omitzero"`
+	ProbeHost identifier.Host `json:"probeHost,omitempty"`
 	// ReleasedAt is when the isolation ended, or zero.
 	ReleasedAt time.Time `json:"releasedAt,omitzero"`
 }
@@ -25,7 +30,7 @@
 // InForce reports whether the isolation has not ended.
 func (i *Isolation) InForce() bool { return i.ReleasedAt.IsZero() }
 
-// Event changes a Book. It is Isolate, Release or RecordEnd.
+// Event changes a Book. It is Isolate, Release, Probe or RecordEnd.
 type Event interface{ isEvent() }
 
 // Isolate isolates a part.
@@ -40,8 +45,18 @@
 // Release ends the isolation of a part.
 type Release struct {
 	Key
-	Reason string    `json:"reason"`
-	At     time.Time `json:"at"`
+	Reason string `json:"reason"`
+	// IsSound is set if a call with the part was answered. Nothing remains of the
+	// isolation then; otherwise one more end renews it.
+	IsSound bool      `json:"isSound,omitempty"`
+	At      time.Time `json:"at"`
+}
+
+// Probe allows one host to let one call with an isolated part through.
+type Probe struct {
+	Key
+	Host identifier.Host `json:"host"`
+	At   time.Time       `json:"at"`
 }
 
 // RecordEnd records the end of a server with the suspects that had not survived
@@ -53,6 +68,7 @@
 
 func (Isolate) isEvent()   {}
 func (Release) isEvent()   {}
+func (Probe) isEvent()     {}
 func (RecordEnd) isEvent() {}
 
 // Book is the replicated list of isolations. Its zero value is empty. One
@@ -71,7 +87,12 @@
 	case Isolate:
 		return b.isolate(ev)
 	case Release:
-		return b.release(ev)
+		if ev.IsSound {
+			return b.clear(ev.Key)
+		}
+		return b.change(ev.Key, func(i *Isolation) { i.ReleasedAt = ev.At })
+	case Probe:
+		return b.change(ev.Key, func(i *Isolation) { i.Probes, i.ProbedAt, i.ProbeHost = i.Probes+1, ev.At, ev.Host })
 	case RecordEnd:
 		b.recordEnd(ev)
 		return false
@@ -83,27 +104,42 @@
 // isolate puts an isolation in force. The last one that was added or renewed is
 // last in the list.
 func (b *Book) isolate(ev Isolate) bool {
-	if old := b.find(ev.Key); old != nil && old.InForce() {
-		return false
+	added := Isolation{Key: ev.Key, Versions: slices.Clone(ev.Versions), Since: ev.At}
+	if old := b.find(ev.Key); old != nil {
+		if old.InForce() {
+			return false
+		}
+		if slices.Equal(old.Versions, ev.Versions) {
+			added.Probes, added.ProbedAt = old.Probes, old.ProbedAt
+		}
 	}
 	b.remove(func(i *Isolation) bool { return i.Key == ev.Key })
 	if len(b.Isolations) >= maxIsolations {
 		b.evict()
 	}
-	b.Isolations = append(b.Isolations, Isolation{Key: ev.Key, Versions: slices.Clone(ev.Versions), Since: ev.At})
+	b.Isolations = append(b.Isolations, added)
 	b.Sequence++
 	return true
 }
 
-// release ends an isolation. It stays in the book, so that one more end renews
-// it.
-func (b *Book) release(ev Release) bool {
-	old := b.find(ev.Key)
-	if old == nil || !old.InForce() {
+// change changes an isolation in force. It copies the list, since views of it are
+// read elsewhere.
+func (b *Book) change(k Key, change func(*Isolation)) bool {
+	if old := b.find(k); old == nil || !old.InForce() {
 		return false
 	}
 	b.Isolations = slices.Clone(b.Isolations)
-	b.find(ev.Key).ReleasedAt = ev.At
+	change(b.find(k))
+	b.Sequence++
+	return true
+}
+
+// clear removes an isolation in force.
+func (b *Book) clear(k Key) bool {
+	if old := b.find(k); old == nil || !old.InForce() {
+		return false
+	}
+	b.remove(func(i *Isolation) bool { return i.Key == k })
 	b.Sequence++
 	return true
 }
--- a/isolator/doc.go
+++ b/isolator/doc.go
@@ -12,15 +12,16 @@
 //
 // The Investigator on the leader decides, by this evidence alone, which part to
 // isolate: one that was among the suspects of several ends in a row without a call
-// that survived in between, while other calls of the service survived. Ends at the
-// same moment, or shortly after each other in one failure domain, count once,
-// since they may have another cause in common. An end that an isolated part
-// explains is no evidence against other parts.
+// that survived in between, and of clearly more than any other, while other calls of
+// the service survived. Ends shortly after each other count once, and many at the
+// same moment not at all, since they have another cause in common. An end that an
+// isolated part explains is no evidence against other parts.
 //
-// The Book holds what was decided. It is replicated, so that it outlives leaders
-// and restarts of all processes. An isolation ends when no call has asked for the
-// part for some time, or when the service runs another version; the next end
-// among whose suspects the part is then renews it.
+// The Book holds what was decided, and the ends. It is replicated, so that it
+// outlives leaders and restarts of all processes. An isolation ends when no call has
+// asked for the part for some time, when the service runs another version, or when a
+// call that was let through as a probe is answered. There are few probes, since each
+// may end a server. After an isolation has ended, one end renews it.
 //
 // The Watcher on each entry host collects the evidence and tells which calls to
 // refuse. While the host has no contact with a leader it also decides by what it
@@ -28,14 +29,14 @@
 //
 // # Usage
 //
-//	w := isolator.NewWatcher(clock)                       // on an entry host
+//	w := isolator.NewWatcher(host, clock)                 // on an entry host
 //	if id, ok := w.Isolated(service, parts); ok { ... }   // refuse the call
 //	if w.Lost(end, parts) { w.Confirm(end.Server, refused) }
 //	w.Survived(service, parts)
-//	report := w.Report(now, term)                         // with each sync
+//	report, told := w.Report()                            // with each sync
 //
 //	i := isolator.NewInvestigator()                       // on the leader
-//	i.Record(now, report)
-//	for _, ev := range i.Decide(now, &book, hearing) { ... } // propose to the log
+//	i.Record(now, host, report)
+//	for _, ev := range i.Decide(now, &book, hearing, versions) { ... } // propose to the log
 //	book.Apply(ev)                                        // on every keeper
 package isolator
--- a/isolator/investigator.go
+++ b/isolator/investigator.go
@@ -39,6 +39,13 @@
 	quietTime = 10 * time.Minute
 )
 
+// probeDelays are the times from the isolation of a part, or its last probe, to the
+// next probe. There are few, since each may end a server.
+var probeDelays = [...]time.Duration{time.Minute, 10 * time.Minute}
+
+// probeTTL is how long a host may use a probe.
+const probeTTL = 5 * time.Second
+
 // Investigator decides which parts of prompts to isolate. It does no I/O, reads
 // no clock and is not safe for concurrent use. An Investigator is valid for one
 // term, and learns from the hosts what they reported to former leaders.
@@ -48,8 +55,10 @@
 	// survivals holds when a call with a part last survived; an empty part stands
 	// for any call of the service.
 	survivals map[Key]time.Time
-	// refusals holds when a call with an isolated part was last refused.
+	// refusals holds when a call with an isolated part was last refused, and askedAt
+	// the host that refused one last.
 	refusals map[Key]time.Time
+	askedAt  map[Key]identifier.Host
 	// began is when the first report arrived.
 	began time.Time
 	// suspects is the list for the hosts, which Decide brings up to date; it is not
@@ -74,11 +83,11 @@
 
 // NewInvestigator returns an Investigator without evidence.
 func NewInvestigator() *Investigator {
-	return &Investigator{survivals: make(map[Key]time.Time), refusals: make(map[Key]time.Time)}
+	return &Investigator{survivals: make(map[Key]time.Time), refusals: make(map[Key]time.Time), askedAt: make(map[Key]identifier.Host)}
 }
 
 // Record records the report of a host.
-func (i *Investigator) Record(now time.Time, r Report) {
+func (i *Investigator) Record(now time.Time, host identifier.Host, r Report) {
 	if i.began.IsZero() {
 		i.began = now
 	}
@@ -89,7 +98,9 @@
 		advance(i.survivals, s.Key, now.Add(-s.Age))
 	}
 	for _, s := range r.Refusals {
-		advance(i.refusals, s.Key, now.Add(-s.Age))
+		if at := now.Add(-s.Age); at.After(i.refusals[s.Key]) {
+			i.refusals[s.Key], i.askedAt[s.Key] = at, host
+		}
 	}
 }
 
@@ -128,14 +139,15 @@
 		for k, at := range times {
 			if now.Sub(at) > 2*evidenceTTL {
 				delete(times, k)
+				delete(i.askedAt, k)
 			}
 		}
 	}
 }
 
 // Suspects returns the parts about which hosts are to report calls that survived, as
-// of the last Decide: those that were isolated before, and then the others, the most
-// suspicious first.
+// of the last Decide: those that were isolated before or are being probed, and then
+// the others, the most suspicious first.
 func (i *Investigator) Suspects() []Key { return i.suspects }
 
 // listSuspects returns the current list of suspects.
@@ -144,7 +156,7 @@
 	slices.SortFunc(candidates, func(a, b *candidate) int { return b.compare(a) })
 	var out []Key
 	for n := range b.Isolations {
-		if !b.Isolations[n].InForce() {
+		if iso := &b.Isolations[n]; !iso.InForce() || iso.Probes > 0 {
 			out = append(out, b.Isolations[n].Key)
 		}
 	}
@@ -394,7 +406,19 @@
 	return ev
 }
 
-// releases returns the ends of isolations that are due.
+// isProbeDue reports whether a call may be let through.
+func (i *Isolation) isProbeDue(now time.Time) bool {
+	if i.Probes >= len(probeDelays) {
+		return false
+	}
+	last := i.Since
+	if i.ProbedAt.After(last) {
+		last = i.ProbedAt
+	}
+	return now.Sub(last) >= probeDelays[i.Probes]
+}
+
+// releases returns the ends and the probes of isolations that are due.
 func (i *Investigator) releases(now time.Time, b *Book, versions func(identifier.Service) []identifier.Version) []Event {
 	var due []Event
 	for n := range b.Isolations {
@@ -403,13 +427,18 @@
 			continue
 		}
 		advance(i.refusals, iso.Key, iso.Since)
+		asked := i.refusals[iso.Key]
 		running := versions(iso.Service)
 		remains := func(v identifier.Version) bool { return slices.Contains(iso.Versions, v) }
 		switch {
-		case now.Sub(i.refusals[iso.Key]) >= quietTime:
+		case iso.Probes > 0 && i.survivals[iso.Key].After(iso.ProbedAt):
+			due = append(due, Release{Key: iso.Key, Reason: "a call that was let through was answered", IsSound: true, At: now})
+		case now.Sub(asked) >= quietTime:
 			due = append(due, Release{Key: iso.Key, Reason: "no call has asked for it for " + quietTime.String(), At: now})
 		case len(running) > 0 && !slices.ContainsFunc(running, remains):
 			due = append(due, Release{Key: iso.Key, Reason: "the service runs another version", At: now})
+		case iso.isProbeDue(now) && asked.After(iso.Since) && now.Sub(asked) < probeTTL:
+			due = append(due, Probe{Key: iso.Key, Host: i.askedAt[iso.Key], At: now})
 		}
 	}
 	return due
--- a/isolator/simulation_test.go
+++ b/isolator/simulation_test.go
@@ -74,6 +74,7 @@
 // simHost is an entry host.
 type simHost struct {
 	*Watcher
+	name      identifier.Host
 	cut       bool
 	touchedAt time.Time // when the host came in touch last
 	sequence  uint64
@@ -120,8 +121,9 @@
 			Version: "v1",
 		}})
 	}
-	for range sc.hosts {
-		h := &simHost{Watcher: NewWatcher(s)}
+	for i := range sc.hosts {
+		h := &simHost{name: identifier.Host(fmt.Sprint("h", i))}
+		h.Watcher = NewWatcher(h.name, s)
 		s.hosts = append(s.hosts, h)
 		s.after(time.Duration(s.rng.Int64N(int64(s.period()))), func() { s.syncRegularly(h) })
 	}
@@ -184,7 +186,7 @@
 	h.EndAlone()
 	report, told := h.Report()
 	s.send(func() {
-		s.investigator.Record(s.now, report)
+		s.investigator.Record(s.now, h.name, report)
 		suspects, term, book := s.investigator.Suspects(), s.term, s.book
 		s.send(func() {
 			if !h.cut {
@@ -361,7 +363,7 @@
 	at(s.restartAt, func() {
 		s.changeLeader()
 		for _, h := range s.hosts {
-			h.Watcher, h.sequence, h.touchedAt = NewWatcher(s), s.book.Sequence, s.now
+			h.Watcher, h.sequence, h.touchedAt = NewWatcher(h.name, s), s.book.Sequence, s.now
 			h.Apply(s.book)
 		}
 	})
--- a/isolator/story_test.go
+++ b/isolator/story_test.go
@@ -79,15 +79,15 @@
 		for i, p := range strings.Split(args[1], ",") {
 			e.Suspects[identifier.PartID(p)] = i
 		}
-		s.i.Record(now, Report{Ends: []End{e}})
+		s.i.Record(now, "h1", Report{Ends: []End{e}})
 	case "survive":
 		r := Report{Survivals: []Sighting{{Key: Key{Service: storyService}}}}
 		for p := range strings.SplitSeq(args[0], ",") {
 			r.Survivals = append(r.Survivals, Sighting{Key: Key{storyService, identifier.PartID(p)}})
 		}
-		s.i.Record(now, r)
+		s.i.Record(now, "h1", r)
 	case "asked":
-		s.i.Record(now, Report{Refusals: []Sighting{{Key: Key{storyService, identifier.PartID(args[0])}}}})
+		s.i.Record(now, "h1", Report{Refusals: []Sighting{{Key: Key{storyService, identifier.PartID(args[0])}}}})
 	case "version":
 		s.version = identifier.Version(args[0])
 	case "leader":
@@ -103,6 +103,8 @@
 		switch ev := ev.(type) {
 		case Isolate:
 			fmt.Fprintf(&s.out, "%.2f isolate %s after %v\n", now.Sub(start).Seconds(), ev.Part, ev.Servers)
+		case Probe:
+			fmt.Fprintf(&s.out, "%.2f probe %s at %s\n", now.Sub(start).Seconds(), ev.Part, ev.Host)
 		case Release:
 			fmt.Fprintf(&s.out, "%.2f release %s: %s\n", now.Sub(start).Seconds(), ev.Part, ev.Reason)
 		}
--- a/isolator/watcher.go
+++ b/isolator/watcher.go
@@ -30,6 +30,7 @@
 // Watcher collects the evidence of one host and tells which parts of prompts are
 // isolated. It is safe for concurrent use.
 type Watcher struct {
+	host  identifier.Host
 	clock timer.Clock
 
 	mu       sync.Mutex
@@ -37,7 +38,9 @@
 	isolated map[Key]bool
 	// alone holds the parts that this host isolates by what it knows itself, and
 	// until when.
-	alone     map[Key]time.Time
+	alone map[Key]time.Time
+	// probes holds the parts with which one call may pass, and until when.
+	probes    map[Key]time.Time
 	suspects  []Key
 	isSuspect map[Key]bool
 	survivals recent
@@ -63,10 +66,10 @@
 	cancel  func()
 }
 
-// NewWatcher returns a Watcher that knows no isolated part.
-func NewWatcher(clock timer.Clock) *Watcher {
+// NewWatcher returns a Watcher of a host that knows no isolated part.
+func NewWatcher(host identifier.Host, clock timer.Clock) *Watcher {
 	return &Watcher{
-		clock: clock, isolated: make(map[Key]bool), alone: make(map[Key]time.Time), isSuspect: make(map[Key]bool),
+		host: host, clock: clock, probes: make(map[Key]time.Time), isolated: make(map[Key]bool), alone: make(map[Key]time.Time), isSuspect: make(map[Key]bool),
 		refusals: make(map[Key]time.Time), ends: make(map[identifier.ServerRun]*watchedEnd), pending: make(map[*pendingCall]struct{}),
 	}
 }
@@ -76,6 +79,7 @@
 func (w *Watcher) Apply(b Book) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.takeProbes(&b)
 	w.book = b
 	clear(w.isolated)
 	for i := range b.Isolations {
@@ -92,6 +96,37 @@
 	return len(w.isolated)
 }
 
+// takeProbes takes the probes in a book that were allowed to this host since the one
+// in force. The caller holds mu.
+func (w *Watcher) takeProbes(b *Book) {
+	for i := range b.Isolations {
+		iso := &b.Isolations[i]
+		known := w.book.find(iso.Key)
+		if iso.ProbeHost == w.host && known != nil && iso.Probes > known.Probes {
+			w.probes[iso.Key] = w.clock.Now().Add(probeTTL)
+		}
+	}
+}
+
+// UseProbe reports whether a call may pass although a part of its prompt is
+// isolated, and uses up the probe.
+func (w *Watcher) UseProbe(s identifier.Service, shared []describer.PromptPart) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	var isolated []Key
+	for _, p := range shared {
+		if k := (Key{s, p.ID}); w.isolated[k] || now.Before(w.alone[k]) {
+			isolated = append(isolated, k)
+		}
+	}
+	if len(isolated) != 1 || !now.Before(w.probes[isolated[0]]) {
+		return false
+	}
+	delete(w.probes, isolated[0])
+	return true
+}
+
 // cancelIsolated cancels the pending calls with an isolated part. The caller holds
 // mu.
 func (w *Watcher) cancelIsolated() {
@@ -344,7 +379,7 @@
 			i.recordEnd(now, e.asOf(now))
 		}
 	}
-	i.Record(now, Report{Survivals: w.survivalsOf(now, i.listSuspects(&book))})
+	i.Record(now, w.host, Report{Survivals: w.survivalsOf(now, i.listSuspects(&book))})
 	events := i.isolations(now, &book, 0)
 	for _, ev := range events {
 		w.alone[ev.Key] = now.Add(evidenceTTL)
--- a/reducer/codec.go
+++ b/reducer/codec.go
@@ -27,6 +27,7 @@
 	typeCloseWindow         = "closeWindow"
 	typeIsolatePart         = "isolatePart"
 	typeReleasePart         = "releasePart"
+	typeProbePart           = "probePart"
 	typeRecordServerEnd     = "recordServerEnd"
 	typeAccepted            = "accepted"
 	typeConflict            = "conflict"
@@ -94,7 +95,7 @@
 		return decode[RecordRefusal](e)
 	case typeStoreDocument:
 		return decode[StoreDocument](e)
-	case typeIsolatePart, typeReleasePart, typeRecordServerEnd:
+	case typeIsolatePart, typeReleasePart, typeProbePart, typeRecordServerEnd:
 		return decodeIsolation(e)
 	case typeCloseWindow:
 		return decode[CloseWindow](e)
--- a/reducer/fuzz_test.go
+++ b/reducer/fuzz_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"testing"
+
+	"cyclamenhub.org/isolator"
 )
 
 func FuzzApply(f *testing.F) {
@@ -11,6 +13,10 @@
 		AddException{ChangeID: "c-2", Base: 1, Exception: json.RawMessage(`{"name":"night"}`)},
 		RemoveException{ChangeID: "c-2", Base: 1, Name: "night"},
 		RecordAction{Action: "removeMember"}, RecordRefusal{Problem: "faulty"},
+		Isolation{isolator.Isolate{Key: isolator.Key{Service: "model", Part: "p"}}},
+		Isolation{isolator.Probe{Key: isolator.Key{Service: "model", Part: "p"}, Host: "h"}},
+		Isolation{isolator.Release{Key: isolator.Key{Service: "model", Part: "p"}}},
+		Isolation{isolator.RecordEnd{End: isolator.End{Service: "model"}}},
 	} {
 		b, err := EncodeEvent(ev)
 		if err != nil {
--- a/reducer/isolation.go
+++ b/reducer/isolation.go
@@ -32,6 +32,8 @@
 		return encode(typeIsolatePart, e)
 	case isolator.Release:
 		return encode(typeReleasePart, e)
+	case isolator.Probe:
+		return encode(typeProbePart, e)
 	case isolator.RecordEnd:
 		return encode(typeRecordServerEnd, e)
 	default:
@@ -48,6 +50,9 @@
 	case typeReleasePart:
 		ev, err := decode[isolator.Release](e)
 		return Isolation{ev}, err
+	case typeProbePart:
+		ev, err := decode[isolator.Probe](e)
+		return Isolation{ev}, err
 	default:
 		ev, err := decode[isolator.RecordEnd](e)
 		return Isolation{ev}, err
