--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -135,6 +135,7 @@
 		firstLease:    make(chan struct{}),
 		leaseDuration: time.Duration(leaseFraction * float64(cfg.Bounds.WithdrawKeys)),
 	}
+	metrics.GetOrCreateGauge("cyclamen_isolator_parts", func() float64 { return float64(e.isolation.Parts()) })
 	e.evaluators = roller.NewEvaluators(roller.Source{Host: cfg.Host, Epoch: roller.Epoch(e.run)})
 	e.messenger = messenger.New(messenger.Options{Host: cfg.Host, ReadIdleTimeout: peerProbeDelay, Clock: boot})
 	e.dist = distributor.New(distributor.Options{
--- a/isolator/watcher.go
+++ b/isolator/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,6 +37,8 @@
 	mu       sync.Mutex
 	book     Book
 	isolated map[Key]bool
+	// parts is the number of isolated parts, for the gauge.
+	parts atomic.Int64
 	// alone holds the parts that this host isolates by what it knows itself, and
 	// until when.
 	alone map[Key]time.Time
@@ -92,10 +95,14 @@
 			delete(w.refusals, k)
 		}
 	}
+	w.parts.Store(int64(len(w.isolated)))
 	w.cancelIsolated()
 	return len(w.isolated)
 }
 
+// Parts returns the number of isolated parts.
+func (w *Watcher) Parts() int { return int(w.parts.Load()) }
+
 // takeProbes takes the probes in a book that were allowed to this host since the one
 // in force. The caller holds mu.
 func (w *Watcher) takeProbes(b *Book) {
