soaker: calls with a part that ends backend servers

Four backend servers of the soak end on calls with one part in their prompts, one caller sends such calls, and sound streams have another of their parts. At the end every entry host must refuse them, and no sound call may be refused for its prompt.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -65,7 +66,7 @@
 	if err != nil {
 		return err.Error(), false
 	}
-	r.Host, r.Header = standin.CallHost, standin.CallHeader(id, customerKey, callerTimeout)
+	r.Host, r.Header = standin.CallHost, headerOf(id, path)
 	res, err := client.Do(r)
 	if err != nil {
 		return outcomeOf(err), false
@@ -75,8 +76,8 @@
 	if res.StatusCode == http.StatusOK {
 		s.checkResponse(id, path, string(body), err == nil)
 	}
-	if res.StatusCode == http.StatusNotFound || res.StatusCode == http.StatusUnauthorized {
-		s.ledger.addViolation("call %s with a known route and key gets %d from %s: %s", id, res.StatusCode, entry.name, body)
+	if slices.Contains(neverDue, res.StatusCode) {
+		s.ledger.addViolation("sound call %s with a known route and key gets %d from %s: %s", id, res.StatusCode, entry.name, body)
 	}
 	if err != nil {
 		return "broken off: " + outcomeOf(err), false
@@ -84,6 +85,18 @@
 	return fmt.Sprint(res.StatusCode), standin.IsRefusal(res)
 }
 
+// neverDue are statuses that say that a call itself is at fault.
+var neverDue = []int{http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound}
+
+// headerOf returns the header of a call. Streams have prompts, whose shared parts
+// those of fatal calls contain too.
+func headerOf(id identifier.RequestID, path string) http.Header {
+	if path == streamPath {
+		return standin.PromptHeader(id, customerKey, callerTimeout, sharedPart, string(id))
+	}
+	return standin.CallHeader(id, customerKey, callerTimeout)
+}
+
 // outcomeOf classifies a transport error for the report.
 func outcomeOf(err error) string {
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/soaker/doc.go
+++ b/internal/soaker/doc.go
@@ -8,7 +8,8 @@
 // stall in one or both directions, are slow, reset connections, or lose
 // responses. While the plan runs, callers keep their connections open and reuse
 // them until a process exits, and an operator stores one document after the
-// other. The run checks these promises:
+// other, and one caller sends calls with a part in their prompts that ends the backend
+// servers which answer it. The run checks these promises:
 //
 //   - a non-idempotent request runs at most once;
 //   - a request that is reported to its caller as not run did not run;
@@ -17,6 +18,8 @@
 //   - an acknowledged document is never lost, and no read returns an older
 //     revision than the last one that was acknowledged before the read;
 //   - no window is reported with two different counts;
+//   - calls with a part in their prompts that ends backend servers are refused at
+//     last, and no sound call is refused for its prompt;
 //   - no process exits unexpectedly;
 //   - after the last fault, every entry host and keeper serves again.
 //
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -32,8 +32,11 @@
 }
 
 const (
-	// backendCount is the number of backend servers.
-	backendCount = 3
+	// backendCount is the number of backend servers behind links, crashingCount that
+	// of those that end on calls with fatalPart, and crashDowntime how long they do.
+	backendCount  = 3
+	crashingCount = 4
+	crashDowntime = 500 * time.Millisecond
 	// serviceTime is how long a request takes at a backend server.
 	serviceTime = 20 * time.Millisecond
 	// recoveryTimeout is how long the system may take to serve again after the
@@ -50,6 +53,7 @@
 	cloud     *standin.Cloud
 	backends  *standin.Backends
 	links     []*link
+	crashing  []*standin.CrashingServer
 	keepers   []*process
 	entries   []*process
 	operators *http.Client
@@ -97,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	backend, err := s.serve(base+".251", s.backends)
+	backend, err := s.serve(base+".251", standin.AbortOn(fatalPart, s.backends))
 	if err != nil {
 		return err
 	}
@@ -110,6 +114,9 @@
 		s.closers = append(s.closers, l.close)
 		s.cloud.Servers = append(s.cloud.Servers, l.listener.Addr().String())
 	}
+	if err := s.startCrashing(); err != nil {
+		return err
+	}
 	const port = 7000
 	var seeds []string
 	for i := range s.opts.Keepers {
@@ -170,6 +177,7 @@
 		workers.Go(func() { s.runCaller(workCtx, n) })
 	}
 	workers.Go(func() { s.runOperator(workCtx) })
+	workers.Go(func() { s.runFatalCaller(workCtx) })
 
 	var (
 		mu       sync.Mutex
@@ -254,6 +262,9 @@
 	if !s.waitUntil(ctx, s.isServing) {
 		s.ledger.addViolation("not everything serves %v after the last fault", recoveryTimeout)
 	}
+	if !s.waitUntil(ctx, s.isIsolated) {
+		s.ledger.addViolation("calls with a part that ends backend servers are not refused")
+	}
 	s.ledger.checkRuns(s.backends.Runs())
 	for _, w := range s.cloud.Conflicts() {
 		s.ledger.addViolation("window %s is reported with two counts", w)
