--- a/internal/node/isolation.go
+++ b/internal/node/isolation.go
@@ -16,8 +16,10 @@
 const isolationTopic distributor.TopicName = "isolated"
 
 const (
-	// decisionInterval is the time between two decisions on isolated parts.
-	decisionInterval = 50 * time.Millisecond
+	// decisionInterval is the time between two decisions on isolated parts while there
+	// is evidence, idleDecisionInterval the time otherwise.
+	decisionInterval     = 50 * time.Millisecond
+	idleDecisionInterval = 200 * time.Millisecond
 	// hearingMargin is how much longer than the time between two syncs of a host the
 	// leader waits for reports of calls that survived. The hosts are asked about a
 	// suspect from its first end on.
@@ -49,31 +51,35 @@
 // runIsolation proposes the decisions on isolated parts that are due while this
 // keeper leads, until ctx ends.
 func (n *keeperNode) runIsolation(ctx context.Context) {
-	timer.Repeat(ctx, decisionInterval, func() time.Duration {
-		for _, ev := range n.dueIsolation() {
+	timer.Repeat(ctx, idleDecisionInterval, func() time.Duration {
+		events, isIdle := n.dueIsolation()
+		for _, ev := range events {
 			if err := n.propose(ctx, reducer.Isolation{Event: ev}); err != nil {
 				n.log.Warn("decision on a prompt part not proposed", "error", err)
 			}
 		}
+		if isIdle {
+			return idleDecisionInterval
+		}
 		return decisionInterval
 	})
 }
 
 // dueIsolation returns the decisions that are due, and logs them with their
-// evidence. A keeper that does not lead returns none.
-func (n *keeperNode) dueIsolation() []isolator.Event {
+// evidence, and whether none is due soon. A keeper that does not lead returns none.
+func (n *keeperNode) dueIsolation() (events []isolator.Event, isIdle bool) {
 	lease, err := n.keeper.Load().Lease()
 	if err != nil {
-		return nil
+		return nil, true
 	}
 	now := n.clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.isolation.investigator == nil || n.isolation.term != lease.Fencing() {
-		return nil
+		return nil, true
 	}
 	hearing := syncPeriod(n.divider.Hosts(now)) + hearingMargin
-	events := n.isolation.investigator.Decide(now, n.machine.Isolated(), hearing, n.listedVersions)
+	events = n.isolation.investigator.Decide(now, n.machine.Isolated(), hearing, n.listedVersions)
 	for _, ev := range events {
 		switch ev := ev.(type) {
 		case isolator.Isolate:
@@ -84,7 +90,7 @@
 			n.log.Info("prompt part released", "service", ev.Service, "part", ev.Part, "why", ev.Reason)
 		}
 	}
-	return events
+	return events, n.isolation.investigator.IsIdle()
 }
 
 // listedVersions returns the versions of a service in the last listing, or nil if
--- a/isolator/investigator.go
+++ b/isolator/investigator.go
@@ -145,6 +145,9 @@
 	}
 }
 
+// IsIdle reports whether there is nothing to decide soon.
+func (i *Investigator) IsIdle() bool { return len(i.ends) == 0 }
+
 // Suspects returns the parts about which hosts are to report calls that survived, as
 // of the last Decide: those that were isolated before or are being probed, and then
 // the others, the most suspicious first.
@@ -223,9 +226,9 @@
 	return out
 }
 
-// Decide returns the decisions that are due. hearing is the time between two
-// reports of a host; versions returns the versions of a
-// service that have backend servers, or nil if they are not known.
+// Decide returns the decisions that are due. hearing is the time between two reports
+// of a host; versions returns the versions of a service that have backend servers, or
+// nil if they are not known.
 func (i *Investigator) Decide(now time.Time, b *Book, hearing time.Duration, versions func(identifier.Service) []identifier.Version) []Event {
 	i.forget(now)
 	i.recall(now, b)
@@ -272,6 +275,9 @@
 				ev.Suspects[id] = position
 			}
 		}
+		if isSettled {
+			e.Suspects = maps.Clone(ev.Suspects) // What has survived is not looked at again.
+		}
 		due = append(due, ev)
 	}
 	return due
