--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -142,11 +142,7 @@
 		Self:      configurer.HostAddress{Name: cfg.Host, FailureDomain: cfg.FailureDomain},
 		Upstreams: e.upstreams, Call: e.messenger.Call, OnUpdate: e.applyTopic, Clock: boot,
 	})
-	e.forwarder = forwarder.New(forwarder.Options{
-		Codec: platform.Codec{}, Pool: connector.NewPool(connector.Options{Metrics: metrics.GetDefaultSet(), DialTimeout: dialTimeout}),
-		Placer:  e.placer,
-		Limiter: e.limiter, Meter: e.meter, Versions: e.evaluators, Retries: retriesOf(cfg), RequestPermits: e.requestPermits, Isolation: e.isolation, EndConfirmed: e.evidenceReady, Hosts: defaultHosts, Tolerance: cfg.Bounds.Rates, Current: e.hasLease, BecameCurrent: e.firstLease, TimeOfDay: boot, Log: opts.Log,
-	})
+	e.forwarder = e.newForwarder(boot)
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: ownListingInterval(cfg.Bounds.LeaveNotice),
 		StartWait: listingWait(cfg.Founding), ConfirmationTTL: cfg.Bounds.LeaveNotice / 2,
@@ -155,6 +151,29 @@
 	return e
 }
 
+// newForwarder returns the forwarder of the host. boot is the clock by which usage is
+// counted.
+func (e *entry) newForwarder(boot timer.Clock) *forwarder.Forwarder {
+	return forwarder.New(forwarder.Options{
+		Codec:          platform.Codec{},
+		Pool:           connector.NewPool(connector.Options{Metrics: metrics.GetDefaultSet(), DialTimeout: dialTimeout}),
+		Placer:         e.placer,
+		Limiter:        e.limiter,
+		Meter:          e.meter,
+		Versions:       e.evaluators,
+		Retries:        retriesOf(e.cfg),
+		RequestPermits: e.requestPermits,
+		Isolation:      e.isolation,
+		EndConfirmed:   e.evidenceReady,
+		Hosts:          defaultHosts,
+		Tolerance:      e.cfg.Bounds.Rates,
+		Current:        e.hasLease,
+		BecameCurrent:  e.firstLease,
+		TimeOfDay:      boot,
+		Log:            e.log,
+	})
+}
+
 // listingWait returns how long a host that has just started leaves the list of
 // backend servers to the leading keeper. Only at the first start of the system
 // are there no calls yet: after a kill or a loss of power of all processes, a
