sequencer: one clock that moves with the events of a simulation

The queue, the current time and the function that adds an event after a while stood in loadbench, in the simulation of permits and in that of isolated parts. Timeline holds them once.

--- a/internal/loadbench/attempt.go
+++ b/internal/loadbench/attempt.go
@@ -31,7 +31,7 @@
 	}
 	b.promptTokens += int64(c.prompt.tokens)
 	a := &attempt{b: b, h: h, c: c, e: e, reportFirstToken: firstToken, release: release}
-	b.after(networkDelay(h, e), a.arrive)
+	b.After(networkDelay(h, e), a.arrive)
 }
 
 // networkDelay returns the one-way delay between a host and an engine.
@@ -63,12 +63,12 @@
 	}
 	a.job = &job{
 		blocks: a.c.prompt.blocks, prompt: a.c.prompt.tokens, output: a.c.prompt.output,
-		onFirstToken: func() { a.b.after(networkDelay(a.h, a.e), a.receiveFirstToken) },
-		onDone:       func() { a.b.after(networkDelay(a.h, a.e), a.complete) },
+		onFirstToken: func() { a.b.After(networkDelay(a.h, a.e), a.receiveFirstToken) },
+		onDone:       func() { a.b.After(networkDelay(a.h, a.e), a.complete) },
 	}
 	a.e.enqueue(a.job)
 	if t := a.b.s.Retries.Timeout; t > 0 {
-		a.b.after(t, func() {
+		a.b.After(t, func() {
 			if !a.job.firstTokenSeen {
 				a.fail(router.TimedOut)
 			}
@@ -83,7 +83,7 @@
 	}
 	a.job.firstTokenSeen = true
 	a.reportFirstToken()
-	a.c.firstTokenLatency = a.b.now.Sub(a.c.arrivedAt)
+	a.c.firstTokenLatency = a.b.Now().Sub(a.c.arrivedAt)
 	if a.c.counted {
 		_ = a.b.result.FirstToken.RecordValue(a.c.firstTokenLatency.Microseconds())
 	}
@@ -119,7 +119,7 @@
 // mayRetry reports whether the deadline and the retry budget allow another
 // attempt.
 func (b *simulation) mayRetry(c *call) bool {
-	if b.s.Retries.Timeout <= 0 || b.now.After(c.deadline) {
+	if b.s.Retries.Timeout <= 0 || b.Now().After(c.deadline) {
 		return false
 	}
 	if b.s.Retries.Budget && c.grant != nil {
@@ -138,7 +138,7 @@
 	}
 	b.updateCounts(c, func(n *Counts) {
 		n.Answered++
-		if c.firstTokenLatency <= b.s.FirstTokenTarget && !b.now.After(c.deadline) {
+		if c.firstTokenLatency <= b.s.FirstTokenTarget && !b.Now().After(c.deadline) {
 			n.InTime++
 		}
 	})
@@ -150,5 +150,5 @@
 	if c.firstTokenLatency > 0 {
 		return c.firstTokenLatency - c.grantedAt.Sub(c.arrivedAt)
 	}
-	return b.now.Sub(c.grantedAt)
+	return b.Now().Sub(c.grantedAt)
 }
--- a/internal/loadbench/engine.go
+++ b/internal/loadbench/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cyclamenhub.org/internal/sequencer"
 	"cyclamenhub.org/router"
 )
 
@@ -32,7 +33,7 @@
 type engine struct {
 	EngineModel
 	router.Candidate
-	sim     *simulator
+	sim     *sequencer.Timeline
 	cache   *prefixCache
 	waiting []*job
 	running []*job
@@ -80,7 +81,7 @@
 	e.active = true
 	prefill, d := e.planStep()
 	e.busy += d
-	e.sim.after(d, func() {
+	e.sim.After(d, func() {
 		e.active = false
 		e.applyStep(prefill)
 		e.startStep()
--- a/internal/loadbench/signals.go
+++ b/internal/loadbench/signals.go
@@ -9,8 +9,8 @@
 	if r.Interval <= 0 {
 		return
 	}
-	b.after(r.Interval, func() {
-		if r.StopAfter > 0 && b.now.Sub(startTime) > r.StopAfter {
+	b.After(r.Interval, func() {
+		if r.StopAfter > 0 && b.Now().Sub(startTime) > r.StopAfter {
 			return
 		}
 		b.scheduleReports()
@@ -21,7 +21,7 @@
 				reports[i] = router.LoadReport{BackendServer: e.BackendServer}
 			}
 		}
-		b.after(r.Lag, func() {
+		b.After(r.Lag, func() {
 			for i, report := range reports {
 				for _, h := range b.hosts {
 					if !r.OwnDomain || h.domain == b.engines[i].FailureDomain {
@@ -40,14 +40,14 @@
 	if c.Interval <= 0 {
 		return
 	}
-	b.after(c.Interval, func() {
+	b.After(c.Interval, func() {
 		b.scheduleCacheEvents()
 		for _, e := range b.engines {
 			stored, evicted := e.cache.takeChanges()
 			event := router.CacheEvent{BackendServer: e.BackendServer, Stored: stored, Evicted: evicted}
 			for _, h := range b.hosts {
 				if b.rng.Float64() >= c.Loss {
-					b.after(c.Lag, func() { h.router.Observe(event) })
+					b.After(c.Lag, func() { h.router.Observe(event) })
 				}
 			}
 		}
--- a/internal/loadbench/simulation.go
+++ b/internal/loadbench/simulation.go
@@ -6,10 +6,14 @@
 
 	"cyclamenhub.org/admitter"
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/sequencer"
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/router"
 )
 
+// startTime is the initial time of every simulation.
+var startTime = time.Date(2026, 3, 1, 22, 0, 0, 0, time.UTC)
+
 // One-way network delays.
 const (
 	sameDomainDelay  = 200 * time.Microsecond
@@ -24,7 +28,7 @@
 
 // simulation is the state of a run.
 type simulation struct {
-	simulator
+	*sequencer.Timeline
 	s            Scenario
 	rng          *rand.Rand
 	gen          *generator
@@ -60,20 +64,20 @@
 	rng := rand.New(rand.NewPCG(s.Seed, s.Seed^0x5eed))
 	b := &simulation{
 		s: s, rng: rng, gen: newGenerator(s.Workload, rng), result: newResult(),
-		simulator: simulator{now: startTime}, byName: make(map[identifier.BackendServer]*engine),
+		Timeline: sequencer.NewTimeline(startTime), byName: make(map[identifier.BackendServer]*engine),
 	}
 	b.buildFleet()
 	b.scheduleArrival()
 	b.scheduleReports()
 	b.scheduleCacheEvents()
 	b.scheduleExpiry()
-	b.after(s.Warmup, b.resetCounters)
+	b.After(s.Warmup, b.resetCounters)
 	end := startTime.Add(s.Warmup + s.Duration)
-	b.runUntil(end)
+	b.RunUntil(end)
 	b.summarize()
 	// Requests that arrived in the counted time may still be in flight. Later
 	// arrivals keep the load constant but are not counted.
-	b.runUntil(end.Add(s.Deadline))
+	b.RunUntil(end.Add(s.Deadline))
 	return b.result
 }
 
@@ -81,7 +85,7 @@
 func (b *simulation) buildFleet() {
 	table := &router.Table{Candidates: b.s.Fleet.candidates()}
 	for _, c := range table.Candidates {
-		e := &engine{EngineModel: b.s.Fleet.Engine, Candidate: c, sim: &b.simulator, cache: newPrefixCache(b.s.Fleet.Engine.CacheBlocks)}
+		e := &engine{EngineModel: b.s.Fleet.Engine, Candidate: c, sim: b.Timeline, cache: newPrefixCache(b.s.Fleet.Engine.CacheBlocks)}
 		b.engines = append(b.engines, e)
 		b.byName[c.BackendServer] = e
 	}
@@ -101,7 +105,7 @@
 	if p, ok := b.s.Policy.(Prefix); ok {
 		cfg = p.Config
 	}
-	cfg.Clock, cfg.Random = &b.simulator, router.NewSeeded(b.s.Seed<<16+i)
+	cfg.Clock, cfg.Random = b.Timeline, router.NewSeeded(b.s.Seed<<16+i)
 	cfg.FailureDomain, cfg.FirstTokenTarget = h.domain, b.s.FirstTokenTarget
 	h.router = router.New(cfg)
 	if _, ok := b.s.Policy.(Prefix); ok {
@@ -117,7 +121,7 @@
 			target = 0
 		}
 		h.admitter = admitter.New(admitter.Config{
-			Clock: &b.simulator, Queued: a.QueueLimit, Customers: customers,
+			Clock: b.Timeline, Queued: a.QueueLimit, Customers: customers,
 			StartShare: 1 / identifier.Share(b.s.Fleet.Hosts),
 			Services: []admitter.ServiceLimits{{
 				Service: service, FirstTokenTarget: target, Concurrency: a.Concurrency,
@@ -129,11 +133,11 @@
 // scheduleArrival schedules the arrivals of requests, a Poisson process over
 // randomly chosen hosts.
 func (b *simulation) scheduleArrival() {
-	b.after(time.Duration(b.rng.ExpFloat64()/b.s.Rate*float64(time.Second)), func() {
+	b.After(time.Duration(b.rng.ExpFloat64()/b.s.Rate*float64(time.Second)), func() {
 		b.scheduleArrival()
 		c := &call{
-			prompt: b.gen.nextPrompt(b.now), load: b.gen.sampleCustomer(), arrivedAt: b.now,
-			deadline: b.now.Add(b.s.Deadline), counted: b.isCounted(),
+			prompt: b.gen.nextPrompt(b.Now()), load: b.gen.sampleCustomer(), arrivedAt: b.Now(),
+			deadline: b.Now().Add(b.s.Deadline), counted: b.isCounted(),
 		}
 		b.arrive(b.hosts[b.rng.IntN(len(b.hosts))], c)
 	})
@@ -141,7 +145,7 @@
 
 // isCounted reports whether a request that arrives now is counted.
 func (b *simulation) isCounted() bool {
-	since := b.now.Sub(startTime) - b.s.Warmup
+	since := b.Now().Sub(startTime) - b.s.Warmup
 	return since >= 0 && since < b.s.Duration
 }
 
@@ -155,7 +159,7 @@
 	if b.s.Admission == nil {
 		return
 	}
-	b.after(expireInterval, func() {
+	b.After(expireInterval, func() {
 		b.scheduleExpiry()
 		for _, h := range b.hosts {
 			h.admitter.Expire()
@@ -185,7 +189,7 @@
 			}
 			return
 		}
-		c.grant, c.grantedAt = g, b.now
+		c.grant, c.grantedAt = g, b.Now()
 		b.send(h, c)
 	})
 }
--- a/internal/sequencer/doc.go
+++ b/internal/sequencer/doc.go
@@ -7,4 +7,8 @@
 //	var q sequencer.Queue
 //	q.Add(start.Add(time.Second), func(now time.Time) { ... }) // may add further events
 //	q.Run(start.Add(time.Minute))
+//
+//	t := sequencer.NewTimeline(start) // a queue with the clock of its events
+//	t.After(time.Second, func() { ... t.Now() ... })
+//	t.RunUntil(start.Add(time.Minute))
 package sequencer
--- a/isolator/simulation_test.go
+++ b/isolator/simulation_test.go
@@ -89,10 +89,9 @@
 // simulation plays a scenario on a queue of events.
 type simulation struct {
 	scenario
+	*sequencer.Timeline
 	rng     *rand.Rand
-	now     time.Time
 	start   time.Time
-	queue   sequencer.Queue
 	hosts   []*simHost
 	servers []*simServer
 
@@ -108,13 +107,10 @@
 	soundRefused int
 }
 
-// Now implements timer.Clock.
-func (s *simulation) Now() time.Time { return s.now }
-
 // simulate plays a scenario.
 func simulate(sc scenario) *simulation {
 	start := time.Unix(1000, 0)
-	s := &simulation{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), now: start, start: start, investigator: NewInvestigator(), term: 1}
+	s := &simulation{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), Timeline: sequencer.NewTimeline(start), start: start, investigator: NewInvestigator(), term: 1}
 	for i := range sc.servers {
 		s.servers = append(s.servers, &simServer{up: true, calls: make(map[*simCall]struct{}), End: End{
 			Server: identifier.ServerRun{ID: identifier.BackendServer(fmt.Sprint("s", i)), Incarnation: 1}, Service: "model",
@@ -125,30 +121,22 @@
 		h := &simHost{name: identifier.Host(fmt.Sprint("h", i))}
 		h.Watcher = NewWatcher(h.name, s)
 		s.hosts = append(s.hosts, h)
-		s.after(time.Duration(s.rng.Int64N(int64(s.period()))), func() { s.syncRegularly(h) })
+		s.After(time.Duration(s.rng.Int64N(int64(s.period()))), func() { s.syncRegularly(h) })
 	}
-	s.after(0, func() { s.repeat(sc.soundPerSecond, func() { s.call(false) }) })
-	s.after(sc.fatalFrom, func() { s.repeat(sc.fatalPerSecond, func() { s.call(true) }) })
-	s.after(0, s.decideRegularly)
+	s.After(0, func() { s.repeat(sc.soundPerSecond, func() { s.call(false) }) })
+	s.After(sc.fatalFrom, func() { s.repeat(sc.fatalPerSecond, func() { s.call(true) }) })
+	s.After(0, s.decideRegularly)
 	s.disturb()
-	s.queue.Run(start.Add(sc.length))
+	s.RunUntil(start.Add(sc.length))
 	return s
 }
 
-// after adds an event.
-func (s *simulation) after(d time.Duration, do func()) {
-	s.queue.Add(s.now.Add(d), func(now time.Time) {
-		s.now = now
-		do()
-	})
-}
-
 // repeat runs do at random times with a rate per second.
 func (s *simulation) repeat(rate float64, do func()) {
 	if rate <= 0 {
 		return
 	}
-	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+	s.After(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		do()
 		s.repeat(rate, do)
 	})
@@ -167,14 +155,14 @@
 // send delivers a message after its delay, unless it is lost.
 func (s *simulation) send(deliver func()) {
 	if s.rng.Float64() >= s.lossRate {
-		s.after(s.between(0, s.latency), deliver)
+		s.After(s.between(0, s.latency), deliver)
 	}
 }
 
 // syncRegularly syncs a host once per period.
 func (s *simulation) syncRegularly(h *simHost) {
 	s.sync(h)
-	s.after(s.period(), func() { s.syncRegularly(h) })
+	s.After(s.period(), func() { s.syncRegularly(h) })
 }
 
 // sync exchanges the report of a host for the suspects and the book.
@@ -186,7 +174,7 @@
 	h.EndAlone()
 	report, told := h.Report()
 	s.send(func() {
-		s.investigator.Record(s.now, h.name, report)
+		s.investigator.Record(s.Now(), h.name, report)
 		suspects, term, book := s.investigator.Suspects(), s.term, s.book
 		s.send(func() {
 			if !h.cut {
@@ -209,10 +197,10 @@
 // decideRegularly makes the leader's decisions, which take the time of a commit.
 func (s *simulation) decideRegularly() {
 	running := func(identifier.Service) []identifier.Version { return []identifier.Version{"v1"} }
-	for _, ev := range s.investigator.Decide(s.now, &s.book, s.period()+50*time.Millisecond, running) {
-		s.after(s.between(5*time.Millisecond, 30*time.Millisecond), func() { s.commit(ev) })
+	for _, ev := range s.investigator.Decide(s.Now(), &s.book, s.period()+50*time.Millisecond, running) {
+		s.After(s.between(5*time.Millisecond, 30*time.Millisecond), func() { s.commit(ev) })
 	}
-	s.after(50*time.Millisecond, s.decideRegularly)
+	s.After(50*time.Millisecond, s.decideRegularly)
 }
 
 // commit applies a decision and passes the book on to all hosts.
@@ -256,7 +244,7 @@
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
 	c := &simCall{host: h, shared: s.prompt(isFatal), isFatal: isFatal}
 	_, refused := h.Isolated("model", c.shared)
-	if !isFatal && s.now.Sub(s.start) > s.length/2 {
+	if !isFatal && s.Now().Sub(s.start) > s.length/2 {
 		s.sound++
 		if refused {
 			s.soundRefused++
@@ -271,12 +259,12 @@
 	}
 	v := up[s.rng.IntN(len(up))]
 	if isFatal {
-		touched := !h.cut && s.now.Sub(h.touchedAt) > contact && s.now.Sub(s.stableFrom) > contact
-		s.arrivals = append(s.arrivals, arrival{s.now, touched})
+		touched := !h.cut && s.Now().Sub(h.touchedAt) > contact && s.Now().Sub(s.stableFrom) > contact
+		s.arrivals = append(s.arrivals, arrival{s.Now(), touched})
 	}
 	v.calls[c] = struct{}{}
 	untrack := h.Track("model", c.shared, func() { s.finish(v, c) })
-	s.after(s.between(20*time.Millisecond, 300*time.Millisecond), func() { s.begin(v, c, untrack) })
+	s.After(s.between(20*time.Millisecond, 300*time.Millisecond), func() { s.begin(v, c, untrack) })
 }
 
 // begin begins to answer a call.
@@ -285,23 +273,23 @@
 	if c.done {
 		return
 	}
-	c.contentAt = s.now
+	c.contentAt = s.Now()
 	if c.isFatal {
-		s.after(s.between(0, 150*time.Millisecond), func() {
+		s.After(s.between(0, 150*time.Millisecond), func() {
 			if !c.done {
-				s.fatalEnds = append(s.fatalEnds, s.now)
+				s.fatalEnds = append(s.fatalEnds, s.Now())
 				s.end(v)
 			}
 		})
 		return
 	}
 	length := s.between(30*time.Millisecond, 3*time.Second)
-	s.after(min(length, SurvivalTime), func() {
+	s.After(min(length, SurvivalTime), func() {
 		if !c.done {
 			c.host.Survived("model", c.shared)
 		}
 	})
-	s.after(length, func() { s.finish(v, c) })
+	s.After(length, func() { s.finish(v, c) })
 }
 
 // finish ends a call.
@@ -317,7 +305,7 @@
 	}
 	v.up = false
 	s.breakConnections(v, true)
-	s.after(s.between(time.Second, 4*time.Second), func() {
+	s.After(s.between(time.Second, 4*time.Second), func() {
 		v.up = true
 		v.Server.Incarnation++
 	})
@@ -333,13 +321,13 @@
 	}
 	for _, c := range calls {
 		s.finish(v, c)
-		if !c.contentAt.IsZero() && s.now.Sub(c.contentAt) >= SurvivalTime {
+		if !c.contentAt.IsZero() && s.Now().Sub(c.contentAt) >= SurvivalTime {
 			continue
 		}
 		if h := c.host; h.Lost(v.End, c.shared) {
-			s.after(s.between(0, 5*time.Millisecond), func() {
+			s.After(s.between(0, 5*time.Millisecond), func() {
 				h.Confirm(run, ended)
-				s.after(5*time.Millisecond, func() { s.sync(h) })
+				s.After(5*time.Millisecond, func() { s.sync(h) })
 			})
 		}
 	}
@@ -349,7 +337,7 @@
 func (s *simulation) disturb() {
 	at := func(d time.Duration, do func()) {
 		if d > 0 {
-			s.after(d, do)
+			s.After(d, do)
 		}
 	}
 	at(s.domainLostAt, func() { s.endWhere(func(i int) bool { return i%s.domains == 0 }) })
@@ -363,14 +351,14 @@
 	at(s.restartAt, func() {
 		s.changeLeader()
 		for _, h := range s.hosts {
-			h.Watcher, h.sequence, h.touchedAt = NewWatcher(h.name, s), s.book.Sequence, s.now
+			h.Watcher, h.sequence, h.touchedAt = NewWatcher(h.name, s), s.book.Sequence, s.Now()
 			h.Apply(s.book)
 		}
 	})
 	at(s.cutAt, func() {
 		for _, h := range s.hosts[:len(s.hosts)/3] {
 			h.cut = true
-			s.after(cutFor, func() { h.cut, h.touchedAt = false, s.now })
+			s.After(cutFor, func() { h.cut, h.touchedAt = false, s.Now() })
 		}
 	})
 }
@@ -386,7 +374,7 @@
 
 // changeLeader makes another keeper lead.
 func (s *simulation) changeLeader() {
-	s.investigator, s.stableFrom = NewInvestigator(), s.now
+	s.investigator, s.stableFrom = NewInvestigator(), s.Now()
 	s.term++
 }
 
--- a/permitter/simulation_test.go
+++ b/permitter/simulation_test.go
@@ -76,10 +76,9 @@
 // simulation plays a scenario on a queue of events.
 type simulation struct {
 	scenario
+	*sequencer.Timeline
 	rng     *rand.Rand
-	now     time.Time
 	start   time.Time
-	queue   sequencer.Queue
 	issuer  *Issuer
 	hosts   []*simHost
 	servers []identifier.ServerRun
@@ -90,7 +89,7 @@
 func simulate(sc scenario) *simulation {
 	start := time.Unix(1000, 0)
 	s := &simulation{
-		scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), now: start, start: start,
+		scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), Timeline: sequencer.NewTimeline(start), start: start,
 		issuer: NewIssuer(0), got: make(map[identifier.ServerRun][]request),
 	}
 	for i := range sc.servers {
@@ -100,30 +99,22 @@
 		h := &simHost{name: identifier.Host(fmt.Sprint("h", i))}
 		s.hosts = append(s.hosts, h)
 		s.restart(h)
-		s.after(time.Duration(s.rng.Int64N(int64(s.period()))), func() { s.sync(h) })
+		s.After(time.Duration(s.rng.Int64N(int64(s.period()))), func() { s.sync(h) })
 	}
-	s.after(time.Second, s.call)
+	s.After(time.Second, s.call)
 	if sc.leaderChangeAt > 0 {
-		s.after(sc.leaderChangeAt, func() { s.issuer = NewIssuer(1 << 40) })
+		s.After(sc.leaderChangeAt, func() { s.issuer = NewIssuer(1 << 40) })
 	}
 	if sc.cutAt > 0 {
-		s.after(sc.cutAt, s.cut)
+		s.After(sc.cutAt, s.cut)
 	}
 	if sc.restartAt > 0 {
-		s.after(sc.restartAt, func() { s.restart(s.hosts[0]) })
+		s.After(sc.restartAt, func() { s.restart(s.hosts[0]) })
 	}
-	s.queue.Run(start.Add(sc.length))
+	s.RunUntil(start.Add(sc.length))
 	return s
 }
 
-// after adds an event.
-func (s *simulation) after(d time.Duration, do func()) {
-	s.queue.Add(s.now.Add(d), func(now time.Time) {
-		s.now = now
-		do()
-	})
-}
-
 // period returns the time between two syncs of a host.
 func (s *simulation) period() time.Duration {
 	return max(250*time.Millisecond, time.Duration(len(s.hosts))*2*time.Millisecond)
@@ -154,8 +145,8 @@
 
 // sync plays a regular sync of a host and schedules its next one.
 func (s *simulation) sync(h *simHost) {
-	start := s.now
-	s.exchange(h, func() { s.after(max(s.period()-s.now.Sub(start), 0), func() { s.sync(h) }) })
+	start := s.Now()
+	s.exchange(h, func() { s.After(max(s.period()-s.Now().Sub(start), 0), func() { s.sync(h) }) })
 }
 
 // ask plays a sync for the calls that need permits, unless a sync that is in
@@ -179,7 +170,7 @@
 	}
 	h.syncing = true
 	run := h.run
-	report := h.holder.Report(s.now)
+	report := h.holder.Report(s.Now())
 	ended := false
 	end := func() {
 		ended, h.syncing = true, false
@@ -190,7 +181,7 @@
 			next()
 		}
 	}
-	s.after(syncTimeout, func() {
+	s.After(syncTimeout, func() {
 		if !ended {
 			end()
 		}
@@ -198,12 +189,12 @@
 	if h.cut || s.lost() {
 		return
 	}
-	s.after(s.delay(), func() {
-		grant := s.issuer.Exchange(s.now, h.name, report)
+	s.After(s.delay(), func() {
+		grant := s.issuer.Exchange(s.Now(), h.name, report)
 		if s.lost() {
 			return
 		}
-		s.after(s.delay(), func() {
+		s.After(s.delay(), func() {
 			if ended {
 				return
 			}
@@ -220,7 +211,7 @@
 // announced returns the limit that servers announce now, or nil.
 func (s *simulation) announced() *identifier.RequestRate {
 	limit := s.limit
-	if s.changeAt > 0 && s.now.Sub(s.start) >= s.changeAt {
+	if s.changeAt > 0 && s.Now().Sub(s.start) >= s.changeAt {
 		limit = s.nextLimit
 	}
 	if limit < 0 {
@@ -232,7 +223,7 @@
 // call makes a call at a host, which sends it to a server that is available, if
 // there is one, and schedules the next call.
 func (s *simulation) call() {
-	s.after(time.Duration(s.rng.ExpFloat64()/s.callsPerSecond*float64(time.Second)), s.call)
+	s.After(time.Duration(s.rng.ExpFloat64()/s.callsPerSecond*float64(time.Second)), s.call)
 	h := s.hosts[0]
 	if s.rng.Float64() >= s.skew {
 		h = s.hosts[s.rng.IntN(len(s.hosts))]
@@ -250,7 +241,7 @@
 		}
 		return // A server without a limit takes the call.
 	}
-	if h.holder.Need(s.now, "service", s.servers) {
+	if h.holder.Need(s.Now(), "service", s.servers) {
 		s.ask(h, func() { s.trySend(h) })
 	}
 }
@@ -259,7 +250,7 @@
 func (s *simulation) trySend(h *simHost) bool {
 	first := s.rng.IntN(len(s.servers))
 	for i := range s.servers {
-		if server := s.servers[(first+i)%len(s.servers)]; h.holder.Available(s.now, server) {
+		if server := s.servers[(first+i)%len(s.servers)]; h.holder.Available(s.Now(), server) {
 			s.send(h, server)
 			return true
 		}
@@ -269,22 +260,22 @@
 
 // send sends a request, which may find the server unreachable.
 func (s *simulation) send(h *simHost, server identifier.ServerRun) {
-	grant := h.holder.Spend(s.now, server)
+	grant := h.holder.Spend(s.Now(), server)
 	if s.lost() {
 		h.holder.Refund(server, grant)
 		return
 	}
 	h.sent++
 	told, ok := h.told[server]
-	s.got[server] = append(s.got[server], request{at: s.now, told: ok && s.now.Sub(told) >= toldAfter, cut: h.cut})
+	s.got[server] = append(s.got[server], request{at: s.Now(), told: ok && s.Now().Sub(told) >= toldAfter, cut: h.cut})
 	run, limit := h.run, s.announced()
-	s.after(s.delay(), func() {
+	s.After(s.delay(), func() {
 		if h.run != run {
 			return
 		}
-		h.holder.Record(s.now, server, limit)
+		h.holder.Record(s.Now(), server, limit)
 		if _, ok := h.told[server]; !ok && limit != nil {
-			h.told[server] = s.now
+			h.told[server] = s.Now()
 		}
 	})
 }
