node: one change of terms for what a leader knows, one conversion of durations

The issuer of permits and the investigator of isolated parts were each replaced when they met another term, the second also by an older one, whose sync was answered late. Both now belong to one term that only rises. The versions of a listing come from slices.Collect. Comments and names say that a lease is valid for or covers a document, and no longer that it vouches.

--- a/forwarder/document_test.go
+++ b/forwarder/document_test.go
@@ -53,7 +53,7 @@
 }
 
 // TestReturningHostUsesItsNewDocument checks a host that gets its lease and a
-// newer document while it reads a call. The lease does not vouch for the older
+// newer document while it reads a call. The lease is not valid for the older
 // document.
 func TestReturningHostUsesItsNewDocument(t *testing.T) {
 	for _, tc := range []struct {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -267,8 +267,8 @@
 	if r := x.readCall(); r != nil {
 		return r
 	}
-	// The table is loaded again after the lease check: a lease that begins while
-	// the call is read vouches only for the document that came with it.
+	// The table is loaded again after the lease check: a lease that begins while the
+	// call is read is valid only for the document that came with it.
 	current := x.f.opts.Current()
 	x.table = x.f.table.Load()
 	if r := x.match(current); r != nil {
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
@@ -88,3 +90,14 @@
 	}
 	return out
 }
+
+// maxMessageTime bounds the durations in messages.
+const maxMessageTime = 24 * time.Hour
+
+// encodeMillis converts a duration to milliseconds. A negative one becomes 0.
+func encodeMillis(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
+
+// decodeMillis converts a duration from milliseconds, at most maxMessageTime.
+func decodeMillis(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxMessageTime.Milliseconds()))) * time.Millisecond
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -137,7 +137,7 @@
 	resp.Loads = encodeLoads(n.loads.others(now, host))
 	resp.Hosts = uint32(n.divider.Hosts(now))
 	resp.Permits = n.issuePermits(now, host, req.GetPermits())
-	resp.Suspects = encodeSuspects(n.recordEvidence(now, resp.GetTerm(), host, decodeEvidence(&req)))
+	resp.Suspects = encodeSuspects(n.recordEvidence(now, identifier.FencingNumber(resp.GetTerm()), host, decodeEvidence(&req)))
 	return resp, nil
 }
 
--- a/internal/node/isolation.go
+++ b/internal/node/isolation.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"cyclamenhub.org/distributor"
@@ -29,23 +31,12 @@
 	gatherTime = 5 * time.Millisecond
 )
 
-// isolation is the part of the leader's state that finds parts of prompts which
-// end backend servers.
-type isolation struct {
-	investigator *isolator.Investigator
-	// term is the term in which the investigator collects evidence.
-	term identifier.FencingNumber
-}
-
 // recordEvidence records the report of a host and returns the suspects about which
-// the leader asks the hosts. The evidence of an earlier term is dropped, since the
-// hosts report it again. The caller holds mu.
-func (n *keeperNode) recordEvidence(now time.Time, term uint64, host identifier.Host, r isolator.Report) []isolator.Key {
-	if n.isolation.investigator == nil || uint64(n.isolation.term) != term {
-		n.isolation = isolation{isolator.NewInvestigator(), identifier.FencingNumber(term)}
-	}
-	n.isolation.investigator.Record(now, host, r)
-	return n.isolation.investigator.Suspects()
+// the leader of the term asks the hosts. The caller holds mu.
+func (n *keeperNode) recordEvidence(now time.Time, term identifier.FencingNumber, host identifier.Host, r isolator.Report) []isolator.Key {
+	n.enterTerm(term)
+	n.investigator.Record(now, host, r)
+	return n.investigator.Suspects()
 }
 
 // runIsolation proposes the decisions on isolated parts that are due while this
@@ -75,11 +66,11 @@
 	now := n.clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isolation.investigator == nil || n.isolation.term != lease.Fencing() {
+	if n.leadTerm != lease.Fencing() {
 		return nil, true
 	}
 	hearing := syncPeriod(n.divider.Hosts(now)) + hearingMargin
-	events = n.isolation.investigator.Decide(now, n.machine.Isolated(), hearing, n.listedVersions)
+	events = n.investigator.Decide(now, n.machine.Isolated(), hearing, n.listedVersions)
 	for _, ev := range events {
 		switch ev := ev.(type) {
 		case isolator.Isolate:
@@ -90,7 +81,7 @@
 			n.log.Info("prompt part released", "service", ev.Service, "part", ev.Part, "why", ev.Reason)
 		}
 	}
-	return events, n.isolation.investigator.IsIdle()
+	return events, n.investigator.IsIdle()
 }
 
 // listedVersions returns the versions of a service in the last listing, or nil if
@@ -99,11 +90,7 @@
 	if n.listings.last == nil {
 		return nil
 	}
-	var out []identifier.Version
-	for v := range n.listings.last.Versions(s) {
-		out = append(out, v)
-	}
-	return out
+	return slices.Collect(maps.Keys(n.listings.last.Versions(s)))
 }
 
 // publishIsolation passes the isolated parts to all hosts. The caller holds mu.
@@ -159,7 +146,7 @@
 	for _, e := range r.Ends {
 		w := &wire.ServerEnd{
 			Server: string(e.Server.ID), Incarnation: e.Server.Incarnation, Service: string(e.Service), Version: string(e.Version),
-			AgeMillis: encodeAge(e.Age), Suspects: make(map[string]uint32, len(e.Suspects)),
+			AgeMillis: encodeMillis(e.Age), Suspects: make(map[string]uint32, len(e.Suspects)),
 		}
 		for id, position := range e.Suspects {
 			w.Suspects[string(id)] = uint32(position)
@@ -176,7 +163,7 @@
 		e := isolator.End{
 			Server:  identifier.ServerRun{ID: identifier.BackendServer(w.GetServer()), Incarnation: w.GetIncarnation()},
 			Service: identifier.Service(w.GetService()), Version: identifier.Version(w.GetVersion()),
-			Age:      decodeAge(w.GetAgeMillis()),
+			Age:      decodeMillis(w.GetAgeMillis()),
 			Suspects: make(map[identifier.PartID]int, len(w.GetSuspects())),
 		}
 		for id, position := range w.GetSuspects() {
@@ -191,7 +178,7 @@
 func encodeSightings(list []isolator.Sighting) []*wire.PartSighting {
 	out := make([]*wire.PartSighting, len(list))
 	for i, s := range list {
-		out[i] = &wire.PartSighting{Service: string(s.Service), Part: string(s.Part), AgeMillis: encodeAge(s.Age)}
+		out[i] = &wire.PartSighting{Service: string(s.Service), Part: string(s.Part), AgeMillis: encodeMillis(s.Age)}
 	}
 	return out
 }
@@ -200,7 +187,7 @@
 func decodeSightings(list []*wire.PartSighting) []isolator.Sighting {
 	out := make([]isolator.Sighting, len(list))
 	for i, w := range list {
-		out[i] = isolator.Sighting{Key: isolator.Key{Service: identifier.Service(w.GetService()), Part: identifier.PartID(w.GetPart())}, Age: decodeAge(w.GetAgeMillis())}
+		out[i] = isolator.Sighting{Key: isolator.Key{Service: identifier.Service(w.GetService()), Part: identifier.PartID(w.GetPart())}, Age: decodeMillis(w.GetAgeMillis())}
 	}
 	return out
 }
@@ -222,14 +209,3 @@
 	}
 	return out
 }
-
-// encodeAge converts an age to milliseconds. A negative one becomes 0.
-func encodeAge(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
-
-// decodeAge converts an age from milliseconds.
-func decodeAge(ms uint64) time.Duration {
-	return time.Duration(min(ms, uint64(maxAge.Milliseconds()))) * time.Millisecond
-}
-
-// maxAge bounds the ages in messages.
-const maxAge = 24 * time.Hour
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -15,6 +15,7 @@
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/forwarder"
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/isolator"
 	"cyclamenhub.org/keeper"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/permitter"
@@ -68,19 +69,18 @@
 	mu      sync.Mutex // guards the fields below
 	machine *reducer.Machine
 	divider *sharer.Divider
-	// permits issues permits for backend servers with limits in permitsTerm.
-	permits     *permitter.Issuer
-	permitsTerm identifier.FencingNumber
-	ledger      *accountant.Ledger
+	// permits issues permits for backend servers with limits, and investigator finds
+	// parts of prompts that end backend servers, both in leadTerm.
+	permits      *permitter.Issuer
+	investigator *isolator.Investigator
+	leadTerm     identifier.FencingNumber
+	ledger       *accountant.Ledger
 	// loads is the load that entry hosts report.
 	loads loads
 	// document is the newest document, or nil before the first.
 	document *describer.Document
 	// rollouts decides which events the rollouts in the state machine need.
 	rollouts *roller.Controller
-	// isolation finds parts of prompts that end backend servers, while this keeper
-	// leads.
-	isolation isolation
 	// listings is the list of backend servers as this keeper read it while it led.
 	listings listingCache
 
@@ -115,9 +115,9 @@
 		contacts: contacts{self: cfg.Host, seeds: cfg.Seeds},
 		divider:  sharer.NewDivider(time.Duration(leaseFraction * float64(cfg.Bounds.WithdrawKeys))),
 		ledger:   accountant.NewLedger(cfg.Bounds.Window, usageGrace, cfg.Bounds.UseDue-usageMargin),
-		permits:  permitter.NewIssuer(0),
 		client:   platform.NewClient(cfg.API.Address, cfg.Name),
 	}
+	n.enterTerm(0)
 	n.messenger = messenger.New(messenger.Options{Host: cfg.Host, ReadIdleTimeout: peerProbeDelay, Clock: clock})
 	n.dist = distributor.New(distributor.Options{
 		Self:      configurer.HostAddress{Name: cfg.Host, FailureDomain: cfg.FailureDomain},
@@ -133,6 +133,17 @@
 	return n
 }
 
+// enterTerm replaces what this keeper knew as the leader of an earlier term: it does
+// not know what other leaders have issued or been told since. The caller holds mu.
+func (n *keeperNode) enterTerm(term identifier.FencingNumber) {
+	if n.permits != nil && term <= n.leadTerm {
+		return
+	}
+	n.leadTerm = term
+	n.permits = permitter.NewIssuer(permitter.GrantID(term) << termShift)
+	n.investigator = isolator.NewInvestigator()
+}
+
 // open opens the replica of the control log with an empty state machine.
 func (n *keeperNode) open() error {
 	n.mu.Lock()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -115,9 +115,9 @@
 	}
 }
 
-// TestReadBeforeLeaseIsNotVouchedFor checks a keeper whose lease begins while it
+// TestReadBeforeLeaseDoesNotCount checks a keeper whose lease begins while it
 // reads its state for a sync: what it read may be older than its lease.
-func TestReadBeforeLeaseIsNotVouchedFor(t *testing.T) {
+func TestReadBeforeLeaseDoesNotCount(t *testing.T) {
 	s := newSystem(t)
 	s.seeds = s.seeds[:1]
 	cfg := s.settings(keeperA, true)
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -48,17 +48,13 @@
 }
 
 // issuePermits answers the report of a host on servers with limits, or returns
-// nil if this keeper has lost the lease. The issuer of an earlier term does not
-// know what other leaders have issued since, and is replaced. The caller holds
-// mu.
+// nil if this keeper has lost the lease. The caller holds mu.
 func (n *keeperNode) issuePermits(now time.Time, host identifier.Host, r *wire.PermitReport) *wire.PermitGrant {
 	lease, err := n.keeper.Load().Lease()
 	if err != nil {
 		return nil
 	}
-	if term := lease.Fencing(); n.permitsTerm != term {
-		n.permits, n.permitsTerm = permitter.NewIssuer(permitter.GrantID(term)<<termShift), term
-	}
+	n.enterTerm(lease.Fencing())
 	return encodePermitGrant(n.permits.Exchange(now, host, decodePermitReport(r)))
 }
 
@@ -81,7 +77,7 @@
 
 // encodeNotice converts a notice to protobuf.
 func encodeNotice(n permitter.Notice) *wire.LimitNotice {
-	out := &wire.LimitNotice{AgeMillis: uint64(n.Age.Milliseconds())}
+	out := &wire.LimitNotice{AgeMillis: encodeMillis(n.Age)}
 	if n.Limit != nil {
 		limit := float64(*n.Limit)
 		out.PerSecond = &limit
@@ -91,7 +87,7 @@
 
 // decodeNotice converts a notice from protobuf.
 func decodeNotice(w *wire.LimitNotice) permitter.Notice {
-	n := permitter.Notice{Age: time.Duration(w.GetAgeMillis()) * time.Millisecond}
+	n := permitter.Notice{Age: decodeMillis(w.GetAgeMillis())}
 	if w != nil && w.PerSecond != nil {
 		limit := identifier.RequestRate(w.GetPerSecond())
 		n.Limit = &limit
@@ -137,7 +133,7 @@
 	out := &wire.PermitGrant{Id: uint64(g.ID)}
 	for s, sg := range g.Servers {
 		out.Servers = append(out.Servers, &wire.ServerPermitGrant{
-			Server: string(s.ID), Incarnation: s.Incarnation, Notice: encodeNotice(sg.Notice), Permits: uint32(sg.Permits), WaitMillis: uint64(sg.Wait.Milliseconds()),
+			Server: string(s.ID), Incarnation: s.Incarnation, Notice: encodeNotice(sg.Notice), Permits: uint32(sg.Permits), WaitMillis: encodeMillis(sg.Wait),
 		})
 	}
 	return out
@@ -149,7 +145,7 @@
 	for _, ws := range w.GetServers() {
 		s := identifier.ServerRun{ID: identifier.BackendServer(ws.GetServer()), Incarnation: ws.GetIncarnation()}
 		g.Servers[s] = permitter.ServerGrant{
-			Notice: decodeNotice(ws.GetNotice()), Permits: int(ws.GetPermits()), Wait: time.Duration(ws.GetWaitMillis()) * time.Millisecond,
+			Notice: decodeNotice(ws.GetNotice()), Permits: int(ws.GetPermits()), Wait: decodeMillis(ws.GetWaitMillis()),
 		}
 	}
 	return g
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -164,11 +164,11 @@
 
 // renewLease starts the lease at the time when the sync request was sent. It logs
 // a lease that begins after the former one has expired.
-func (e *entry) renewLease(sent time.Time, vouched identifier.Revision) {
+func (e *entry) renewLease(sent time.Time, leaderRevision identifier.Revision) {
 	age, ok := e.leaseStart.age(e.clock)
 	e.leaseStart.advance(sent)
 	if ok && age >= e.leaseDuration {
-		e.log.Info("lease begins again", "expiredFor", age-e.leaseDuration, "leaderRevision", vouched,
+		e.log.Info("lease begins again", "expiredFor", age-e.leaseDuration, "leaderRevision", leaderRevision,
 			"revision", e.dist.Revision(distributor.FleetTopic))
 	}
 }
