forwarder: the largest body is delivered again, and a larger one counts against its server

The shared bound of large bodies was taken in doubling steps, so that the last step of a body of 32 MB asked for 64 MB: a body of just the allowed size was refused, and one without end counted as a full host instead of a fault of its server. The last step is one byte more than is allowed now, and the body grows in one buffer instead of being copied at each step.

--- a/forwarder/bodies.go
+++ b/forwarder/bodies.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"sync/atomic"
@@ -29,30 +30,21 @@
 // read reads a body. It returns the bytes taken from the budget, which the caller
 // gives back once it holds the body no more.
 func (b *bodyBudget) read(r io.Reader) (body []byte, taken int64, err error) {
-	body, err = io.ReadAll(io.LimitReader(r, smallBodyBytes))
-	for err == nil && len(body) >= smallBodyBytes {
-		// Each part is as large as what is held already.
-		part := int64(len(body))
+	var buf bytes.Buffer
+	n, err := buf.ReadFrom(io.LimitReader(r, smallBodyBytes))
+	for part := int64(smallBodyBytes); err == nil && n == part; {
+		// Each part is as large as what is held already, up to one byte too many.
+		part = min(int64(buf.Len()), maxResponseBytes+1-int64(buf.Len()))
 		if !b.take(part) {
 			return nil, taken, errTooManyBodies
 		}
 		taken += part
-		n := len(body)
-		body, err = appendAll(body, io.LimitReader(r, part))
-		if err != nil || len(body)-n < int(part) {
-			break
-		}
-		if len(body) > maxResponseBytes {
+		n, err = buf.ReadFrom(io.LimitReader(r, part))
+		if buf.Len() > maxResponseBytes {
 			return nil, taken, errBodyTooLarge
 		}
 	}
-	return body, taken, err
-}
-
-// appendAll appends all bytes of r.
-func appendAll(body []byte, r io.Reader) ([]byte, error) {
-	more, err := io.ReadAll(r)
-	return append(body, more...), err
+	return buf.Bytes(), taken, err
 }
 
 // take takes n bytes from the budget, if they are left.
