isolator, forwarder: work done once

A decision computed its candidates twice, and the book asked in three places whether an isolation is in force and copied its lists by loops. The log line of a broken attempt computed the shared parts of its prompt again. TestStories and TestBookStaysBounded are unchanged.

--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -257,9 +257,9 @@
 // had been arriving.
 func (x *exchange) brokenAttrs() []slog.Attr {
 	var attrs []slog.Attr
-	if parts := describer.SharedParts(x.call.Parts); len(parts) > 0 {
-		ids := make([]string, len(parts))
-		for i, p := range parts {
+	if len(x.shared) > 0 {
+		ids := make([]string, len(x.shared))
+		for i, p := range x.shared {
 			ids[i] = string(p.ID)
 		}
 		attrs = append(attrs, slog.String("parts", strings.Join(ids, ",")))
--- a/isolator/book.go
+++ b/isolator/book.go
@@ -87,10 +87,7 @@
 	case Isolate:
 		return b.isolate(ev)
 	case Release:
-		if ev.IsSound {
-			return b.clear(ev.Key)
-		}
-		return b.change(ev.Key, func(i *Isolation) { i.ReleasedAt = ev.At })
+		return b.release(ev)
 	case Probe:
 		return b.change(ev.Key, func(i *Isolation) { i.Probes, i.ProbedAt, i.ProbeHost = i.Probes+1, ev.At, ev.Host })
 	case RecordEnd:
@@ -113,7 +110,7 @@
 			added.Probes, added.ProbedAt = old.Probes, old.ProbedAt
 		}
 	}
-	b.remove(func(i *Isolation) bool { return i.Key == ev.Key })
+	b.remove(ev.Key)
 	if len(b.Isolations) >= maxIsolations {
 		b.evict()
 	}
@@ -122,10 +119,23 @@
 	return true
 }
 
+// release ends an isolation, and removes it if the part is sound.
+func (b *Book) release(ev Release) bool {
+	if !ev.IsSound {
+		return b.change(ev.Key, func(i *Isolation) { i.ReleasedAt = ev.At })
+	}
+	if !b.isInForce(ev.Key) {
+		return false
+	}
+	b.remove(ev.Key)
+	b.Sequence++
+	return true
+}
+
 // change changes an isolation in force. It copies the list, since views of it are
 // read elsewhere.
 func (b *Book) change(k Key, change func(*Isolation)) bool {
-	if old := b.find(k); old == nil || !old.InForce() {
+	if !b.isInForce(k) {
 		return false
 	}
 	b.Isolations = slices.Clone(b.Isolations)
@@ -134,24 +144,17 @@
 	return true
 }
 
-// clear removes an isolation in force.
-func (b *Book) clear(k Key) bool {
-	if old := b.find(k); old == nil || !old.InForce() {
-		return false
-	}
-	b.remove(func(i *Isolation) bool { return i.Key == k })
-	b.Sequence++
-	return true
+// isInForce reports whether a part is isolated.
+func (b *Book) isInForce(k Key) bool {
+	i := b.find(k)
+	return i != nil && i.InForce()
 }
 
 // recordEnd adds an end, unless it is known, and drops old ones.
 func (b *Book) recordEnd(ev RecordEnd) {
-	kept := make([]RecordEnd, 0, len(b.Ends)+1)
-	for _, e := range b.Ends {
-		if e.Server != ev.Server && ev.At.Sub(e.At) <= evidenceTTL {
-			kept = append(kept, e)
-		}
-	}
+	kept := slices.DeleteFunc(slices.Clone(b.Ends), func(e RecordEnd) bool {
+		return e.Server == ev.Server || ev.At.Sub(e.At) > evidenceTTL
+	})
 	kept = append(kept, ev)
 	b.Ends = kept[max(len(kept)-maxEnds, 0):]
 }
@@ -160,20 +163,13 @@
 // has.
 func (b *Book) evict() {
 	oldest := max(slices.IndexFunc(b.Isolations, func(i Isolation) bool { return !i.InForce() }), 0)
-	key := b.Isolations[oldest].Key
-	b.remove(func(i *Isolation) bool { return i.Key == key })
+	b.remove(b.Isolations[oldest].Key)
 }
 
-// remove removes isolations. It copies the list, since views of it are read
-// elsewhere.
-func (b *Book) remove(where func(*Isolation) bool) {
-	kept := make([]Isolation, 0, len(b.Isolations)+1)
-	for _, i := range b.Isolations {
-		if !where(&i) {
-			kept = append(kept, i)
-		}
-	}
-	b.Isolations = kept
+// remove removes the isolation of a part, if there is one. It copies the list, since
+// views of it are read elsewhere.
+func (b *Book) remove(k Key) {
+	b.Isolations = slices.DeleteFunc(slices.Clone(b.Isolations), func(i Isolation) bool { return i.Key == k })
 }
 
 // find returns the isolation of a part, or nil.
--- a/isolator/candidate.go
+++ b/isolator/candidate.go
@@ -51,9 +51,9 @@
 
 // mostSuspicious returns the candidate with the most evidence, or nil, and by how
 // many ends its score exceeds that of the next one.
-func (i *Investigator) mostSuspicious(b *Book) (best *candidate, lead int) {
+func mostSuspicious(candidates map[Key]*candidate) (best *candidate, lead int) {
 	second := 0
-	for _, c := range i.candidates(b) {
+	for _, c := range candidates {
 		switch {
 		case best == nil:
 			best = c
--- a/isolator/investigator.go
+++ b/isolator/investigator.go
@@ -152,17 +152,16 @@
 // the others, the most suspicious first.
 func (i *Investigator) Suspects() []Key { return i.suspects }
 
-// listSuspects returns the current list of suspects.
-func (i *Investigator) listSuspects(b *Book) []Key {
-	candidates := slices.Collect(maps.Values(i.candidates(b)))
-	slices.SortFunc(candidates, func(a, b *candidate) int { return b.compare(a) })
+// suspectsFor returns the list of suspects for a book and its candidates.
+func suspectsFor(b *Book, candidates map[Key]*candidate) []Key {
+	sorted := slices.SortedFunc(maps.Values(candidates), func(a, b *candidate) int { return b.compare(a) })
 	var out []Key
 	for n := range b.Isolations {
 		if iso := &b.Isolations[n]; !iso.InForce() || iso.Probes > 0 {
-			out = append(out, b.Isolations[n].Key)
+			out = append(out, iso.Key)
 		}
 	}
-	for _, c := range candidates {
+	for _, c := range sorted {
 		if !c.isFormer {
 			out = append(out, c.Key)
 		}
@@ -188,9 +187,10 @@
 func (i *Investigator) Decide(now time.Time, b *Book, hearing time.Duration, versions func(identifier.Service) []identifier.Version) []Event {
 	i.forget(now)
 	i.recall(now, b)
-	i.suspects = i.listSuspects(b)
+	candidates := i.candidates(b)
+	i.suspects = suspectsFor(b, candidates)
 	due := i.unrecorded(now, hearing)
-	for _, ev := range i.isolations(now, b, hearing) {
+	for _, ev := range i.isolations(now, b, candidates, hearing) {
 		due = append(due, ev)
 	}
 	return append(due, i.releases(now, b, versions)...)
@@ -249,19 +249,20 @@
 	return nil
 }
 
-// isolations returns the parts to isolate. Each decision is made as if those
-// before it were in force.
-func (i *Investigator) isolations(now time.Time, b *Book, hearing time.Duration) []Isolate {
+// isolations returns the parts to isolate, from the candidates for a book. Each
+// decision is made as if those before it were in force.
+func (i *Investigator) isolations(now time.Time, b *Book, candidates map[Key]*candidate, hearing time.Duration) []Isolate {
 	var due []Isolate
 	decided := *b
 	for {
-		c, lead := i.mostSuspicious(&decided)
+		c, lead := mostSuspicious(candidates)
 		if c == nil || !i.isProven(now, c, lead, hearing) {
 			return due
 		}
 		ev := c.isolate(now)
 		decided.Apply(ev)
 		due = append(due, ev)
+		candidates = i.candidates(&decided)
 	}
 }
 
--- a/isolator/watcher.go
+++ b/isolator/watcher.go
@@ -213,8 +213,9 @@
 			i.recordEnd(now, e.asOf(now))
 		}
 	}
-	i.Record(now, w.host, Report{Survivals: w.survivalsOf(now, i.listSuspects(&book))})
-	events := i.isolations(now, &book, 0)
+	suspects := suspectsFor(&book, i.candidates(&book))
+	i.Record(now, w.host, Report{Survivals: w.survivalsOf(now, suspects)})
+	events := i.isolations(now, &book, i.candidates(&book), 0)
 	for _, ev := range events {
 		w.alone[ev.Key] = now.Add(evidenceTTL)
 	}
