--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -10,9 +10,6 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"cyclamenhub.org/describer"
-	"cyclamenhub.org/discoverer"
 )
 
 const (
@@ -75,9 +72,7 @@
 	t.Cleanup(func() { _ = ln.Close() })
 	s := &endlessServer{head: head, repeated: repeated}
 	go s.serve(ln)
-	h.SetListing(&discoverer.Listing{Instances: []describer.Instance{
-		{ID: "endless", Service: "cases", Address: ln.Addr().String(), Version: "v1", Slots: 4},
-	}})
+	h.useAddresses(ln.Addr().String())
 	return s
 }
 
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -253,10 +253,19 @@
 
 // useServers starts n fake backend servers and lists them alone.
 func (h *harness) useServers(n int) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		addresses[i] = h.backends.start()
+	}
+	h.useAddresses(addresses...)
+}
+
+// useAddresses lists backend servers at the given addresses alone.
+func (h *harness) useAddresses(addresses ...string) {
 	l := &discoverer.Listing{}
-	for i := range n {
+	for i, a := range addresses {
 		l.Instances = append(l.Instances, describer.Instance{
-			ID: identifier.BackendServer(fmt.Sprint("b", i)), Service: "cases", Address: h.backends.start(), Version: "v1", Slots: 4,
+			ID: identifier.BackendServer(fmt.Sprint("b", i)), Service: "cases", Address: a, Version: "v1", Slots: 4,
 		})
 	}
 	h.SetListing(l)
--- a/forwarder/isolation_test.go
+++ b/forwarder/isolation_test.go
@@ -11,8 +11,6 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"cyclamenhub.org/describer"
-	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/isolator"
 )
@@ -43,9 +41,7 @@
 			_, _ = io.WriteString(c, strings.TrimSuffix(answer, closeAfter))
 		}
 	}()
-	h.SetListing(&discoverer.Listing{Instances: []describer.Instance{
-		{ID: "closing", Service: "cases", Address: ln.Addr().String(), Version: "v1", Slots: 4},
-	}})
+	h.useAddresses(ln.Addr().String())
 }
 
 // TestIsolatedCallsAreRefused checks which calls are refused once a part is isolated.
--- a/internal/node/quarantine_test.go
+++ b/internal/node/isolation_test.go
@@ -64,10 +64,7 @@
 		s.start(ip, RunEntry, false)
 	}
 	for _, ip := range s.entries {
-		s.await("entry host is ready", func() bool {
-			status, _ := s.request(http.MethodGet, ip, standin.ReadinessPort, standin.ReadinessPath, "", nil)
-			return status == http.StatusOK
-		})
+		s.awaitReady(ip)
 	}
 }
 
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -65,10 +65,7 @@
 		s.start(ip, RunEntry, false)
 	}
 	for _, ip := range entries {
-		s.await("entry host is ready", func() bool {
-			status, _ := s.request(http.MethodGet, ip, standin.ReadinessPort, standin.ReadinessPath, "", nil)
-			return status == http.StatusOK
-		})
+		s.awaitReady(ip)
 	}
 	limited.Announce(limit)
 	start := time.Now()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -30,10 +30,7 @@
 	s.startKeepers(true)
 	s.start(entryA, RunEntry, false)
 	s.put(keeperB, standin.Document(3, `["k1","k2"]`))
-	s.await("entry host is ready", func() bool {
-		status, _ := s.request(http.MethodGet, entryA, standin.ReadinessPort, standin.ReadinessPath, "", nil)
-		return status == http.StatusOK
-	})
+	s.awaitReady(entryA)
 	if status, body := s.call("k1"); status != http.StatusOK || body != standin.Line("id-1", "foodbank") {
 		t.Errorf("call: status %d, body %q", status, body)
 	}
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -122,6 +122,15 @@
 	delete(s.stop, ip)
 }
 
+// awaitReady waits until an entry host is ready.
+func (s *system) awaitReady(ip string) {
+	s.t.Helper()
+	s.await("entry host is ready", func() bool {
+		status, _ := s.request(http.MethodGet, ip, standin.ReadinessPort, standin.ReadinessPath, "", nil)
+		return status == http.StatusOK
+	})
+}
+
 // await waits until a condition holds, at least 30 s before it fails the test.
 func (s *system) await(what string, ok func() bool) {
 	s.t.Helper()
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -62,12 +62,7 @@
 func (s *soak) call(client *http.Client, entry *process, id identifier.RequestID, path string) (outcome string, notRun bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address(standin.FrontendPort)+path, strings.NewReader("x"))
-	if err != nil {
-		return err.Error(), false
-	}
-	r.Host, r.Header = standin.CallHost, headerOf(id, path)
-	res, err := client.Do(r)
+	res, err := post(ctx, client, entry, path, headerOf(id, path))
 	if err != nil {
 		return outcomeOf(err), false
 	}
@@ -85,6 +80,16 @@
 	return fmt.Sprint(res.StatusCode), standin.IsRefusal(res)
 }
 
+// post sends one request to an entry host.
+func post(ctx context.Context, client *http.Client, entry *process, path string, header http.Header) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address(standin.FrontendPort)+path, strings.NewReader("x"))
+	if err != nil {
+		return nil, err
+	}
+	r.Host, r.Header = standin.CallHost, header
+	return client.Do(r)
+}
+
 // neverDue are statuses that say that a call itself is at fault.
 var neverDue = []int{http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound}
 
--- a/internal/soaker/fatal.go
+++ b/internal/soaker/fatal.go
@@ -59,13 +59,9 @@
 func (s *soak) callFatal(client *http.Client, entry *process, n int) int {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address(standin.FrontendPort)+streamPath, http.NoBody)
-	if err != nil {
-		return 0
-	}
 	id := identifier.RequestID(fmt.Sprint("fatal-", n))
-	r.Host, r.Header = standin.CallHost, standin.PromptHeader(id, customerKey, callerTimeout, sharedPart, fatalPart, string(id))
-	res, err := client.Do(r)
+	header := standin.PromptHeader(id, customerKey, callerTimeout, sharedPart, fatalPart, string(id))
+	res, err := post(ctx, client, entry, streamPath, header)
 	if err != nil {
 		return 0
 	}
--- a/reducer/isolation.go
+++ b/reducer/isolation.go
@@ -45,16 +45,18 @@
 func decodeIsolation(e envelope) (Event, error) {
 	switch e.Type {
 	case typeIsolatePart:
-		ev, err := decode[isolator.Isolate](e)
-		return Isolation{ev}, err
+		return decodeIsolationAs[isolator.Isolate](e)
 	case typeReleasePart:
-		ev, err := decode[isolator.Release](e)
-		return Isolation{ev}, err
+		return decodeIsolationAs[isolator.Release](e)
 	case typeProbePart:
-		ev, err := decode[isolator.Probe](e)
-		return Isolation{ev}, err
+		return decodeIsolationAs[isolator.Probe](e)
 	default:
-		ev, err := decode[isolator.RecordEnd](e)
-		return Isolation{ev}, err
+		return decodeIsolationAs[isolator.RecordEnd](e)
 	}
 }
+
+// decodeIsolationAs decodes the value of an envelope as an event of type T.
+func decodeIsolationAs[T isolator.Event](e envelope) (Event, error) {
+	ev, err := decode[T](e)
+	return Isolation{ev}, err
+}
