node, keeper: a first lease and the end of a replay are logged

Now the first lease is logged like later ones, with the leader, its term and revision, and a new leader logs when it has applied what earlier leaders committed and how long that took. A gauge shows the applied index beside the committed one. No logic changes.

--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -157,20 +157,25 @@
 		}
 	}
 	if uint64(e.dist.Revision(distributor.FleetTopic)) >= resp.GetRevision() {
-		e.renewLease(sent, identifier.Revision(resp.GetRevision()))
+		e.renewLease(sent, address, resp)
 		e.firstLeaseOnce.Do(func() { close(e.firstLease) })
 	}
 }
 
 // renewLease starts the lease at the time when the sync request was sent. It logs
-// a lease that begins after the former one has expired.
-func (e *entry) renewLease(sent time.Time, leaderRevision identifier.Revision) {
+// the first lease and one that begins after the former one has expired.
+func (e *entry) renewLease(sent time.Time, leader string, resp *wire.SyncResponse) {
 	age, ok := e.leaseStart.age(e.clock)
 	e.leaseStart.advance(sent)
-	if ok && age >= e.leaseDuration {
-		e.log.Info("lease begins again", "expiredFor", age-e.leaseDuration, "leaderRevision", leaderRevision,
-			"revision", e.dist.Revision(distributor.FleetTopic))
+	if ok && age < e.leaseDuration {
+		return
+	}
+	message, expiredFor := "lease begins", time.Duration(0)
+	if ok {
+		message, expiredFor = "lease begins again", age-e.leaseDuration
 	}
+	e.log.Info(message, "expiredFor", expiredFor, "leader", leader, "term", resp.GetTerm(),
+		"leaderRevision", resp.GetRevision(), "revision", e.dist.Revision(distributor.FleetTopic))
 }
 
 // findLeader queries all known keepers concurrently for the leader, uses the
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -59,6 +59,7 @@
 	leading          *metrics.Gauge
 	term             *metrics.Gauge
 	commit           *metrics.Gauge
+	applied          *metrics.Gauge
 }
 
 // Open opens the folder of the group, restores the state machine and starts the
@@ -106,6 +107,7 @@
 		leading:          metrics.GetOrCreateGauge("cyclamen_keeper_leads"+label, nil),
 		term:             metrics.GetOrCreateGauge("cyclamen_keeper_term"+label, nil),
 		commit:           metrics.GetOrCreateGauge("cyclamen_keeper_commit_index"+label, nil),
+		applied:          metrics.GetOrCreateGauge("cyclamen_keeper_applied_index"+label, nil),
 	}
 	// The state machine holds the data of the snapshot; the replica does not
 	// need it.
--- a/keeper/perform.go
+++ b/keeper/perform.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
+	"time"
 
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/replicator"
@@ -53,6 +55,7 @@
 // apply applies committed entries to the state machine and answers their
 // proposers.
 func (k *Keeper) apply(entries []replicator.Entry) {
+	began := k.now()
 	for _, e := range entries {
 		var result []byte
 		switch e.Kind {
@@ -63,11 +66,24 @@
 		case replicator.Empty:
 		}
 		k.completeEntry(e, result)
+		k.applied.Set(float64(e.Index))
 	}
 	k.entriesApplied.Add(len(entries))
+	k.logCaughtUp(entries, k.now().Sub(began))
 	k.completeReads()
 }
 
+// logCaughtUp logs that a new leader has applied everything that earlier leaders
+// committed: entries holds the Empty entry with which its term begins.
+func (k *Keeper) logCaughtUp(entries []replicator.Entry, took time.Duration) {
+	isFirstOfTerm := func(e replicator.Entry) bool { return e.Kind == replicator.Empty && e.Term == k.role.Term }
+	if k.role.Role != replicator.Leader || !slices.ContainsFunc(entries, isFirstOfTerm) {
+		return
+	}
+	k.opts.Log.Info("leader caught up", "group", k.opts.Group, "replica", k.id, "term", k.role.Term,
+		"entries", len(entries), "applied", entries[len(entries)-1].Index, "took", took)
+}
+
 // restore replaces the state of the state machine by a snapshot from the
 // leader.
 func (k *Keeper) restore(s replicator.Snapshot) {
