keeper: a failing test of a lease that is valid while the log is replayed

Three keepers with 40 entries and four membership changes among them start again. The lease of the new leader is valid from entry 11 on, 30 entries before its state machine holds what earlier leaders committed.

--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -376,3 +376,54 @@
 		}
 	})
 }
+
+// observedMachine calls observe after each entry that it applies.
+type observedMachine struct {
+	*machine
+	observe func(applied int)
+}
+
+// Apply applies one entry.
+func (m observedMachine) Apply(i identifier.LogIndex, entry []byte) []byte {
+	result := m.machine.Apply(i, entry)
+	m.observe(len(m.all()))
+	return result
+}
+
+// TestNoLeaseWhileLogIsReplayed guards against a leader whose lease is valid while
+// its state machine still applies what earlier leaders committed: the state that
+// it vouches for is an old one.
+func TestNoLeaseWhileLogIsReplayed(t *testing.T) {
+	const batches, perBatch = 4, 10
+	runWithFakeTime(t, 3, nil, func(t *testing.T, c *cluster) {
+		_, k := c.leader()
+		for batch := range batches {
+			for i := range perBatch {
+				c.propose(k, fmt.Sprint(batch, " ", i))
+			}
+			if err := k.ChangeMembers(t.Context(), replicator.AddLearner{ID: identifier.ReplicaID(batch + 1), Host: "learner"}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.close()
+		leases := make(map[identifier.Host][]int)
+		c.options = func(o *Options) {
+			h, m := o.Host, o.StateMachine.(*machine)
+			o.StateMachine = observedMachine{m, func(applied int) {
+				if _, err := c.keeper(h).Lease(); err == nil && applied < batches*perBatch {
+					c.mu.Lock()
+					defer c.mu.Unlock()
+					leases[h] = append(leases[h], applied)
+				}
+			}}
+		}
+		c.startAll()
+		h, _ := c.leader()
+		if diff := cmp.Diff(batches*perBatch, len(c.machines[h].all())); diff != "" {
+			t.Errorf("entries of the leader once it holds the lease (-want +got): %s", diff)
+		}
+		if diff := cmp.Diff(map[identifier.Host][]int{}, leases); diff != "" {
+			t.Errorf("entries applied while the lease was valid (-want +got):\n%s", diff)
+		}
+	})
+}
