keeper: no lease before the state holds what earlier leaders committed

Callers saw, in the second after a restart of all processes, calls that ran with a key withdrawn half a minute before.

Cause: a lease vouches for the state, but the keeper published it while its state machine was still applying the log. A membership entry in the middle of a batch publishes the status, and the replica counts as leader with a commit in its term from the moment of the commit, before the batch is applied. Syncs answered meanwhile named the revision of the middle of the log, and hosts that held calls for their first lease went on with it.

Change: a lease begins once the first entry of the leader's term is applied, which the keeper now passes to the replica as the applied index; reads are completed by the same index in place of the commit index.

Ruled out: a lost end of the log (the newest revision is in force 0.3 s later), a lease from before the restart (hosts have no disk), an old document under a right lease (the revision that came with the lease is old itself).

--- a/keeper/bootstrap.go
+++ b/keeper/bootstrap.go
@@ -140,6 +140,7 @@
 	k.opts.Log.Info("founded a group", "group", k.opts.Group, "replica", k.id, "members", len(members))
 	s.Snapshot.Data = nil
 	k.replica = replicator.New(k.opts.Replica, s, k.now())
+	k.appliedIndex = k.replica.Commit()
 	k.nextJob, k.bootstrap = job{}, bootstrapState{}
 	k.step(replicator.Tick{})
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -33,13 +33,16 @@
 	closeErr  error
 
 	// Only the loop uses the fields below.
-	store      storage
-	replica    *replicator.Replica
-	jobs       chan job
-	jobResults chan jobResult
-	events     []replicator.Event
-	nextJob    job
-	diskBusy   bool
+	store   storage
+	replica *replicator.Replica
+	// appliedIndex is the last entry that the state machine has applied. It is
+	// behind the commit index while the effects of a step are performed.
+	appliedIndex identifier.LogIndex
+	jobs         chan job
+	jobResults   chan jobResult
+	events       []replicator.Event
+	nextJob      job
+	diskBusy     bool
 	// logBytes and sizeAtSnapshot are the size of the log segment now and right
 	// after the last snapshot; snapshotBytes is the size of the state in that
 	// snapshot. All are in bytes.
@@ -113,6 +116,7 @@
 	// need it.
 	recovered.Stored.Snapshot.Data = nil
 	k.replica = replicator.New(opts.Replica, recovered.Stored, opts.Clock.Now())
+	k.appliedIndex = k.replica.Commit()
 	k.publish()
 	return k
 }
--- a/keeper/loop.go
+++ b/keeper/loop.go
@@ -57,10 +57,11 @@
 
 // publish makes the status visible to other goroutines.
 func (k *Keeper) publish() {
-	s := &Status{Status: k.replica.Status(), Failure: k.failure, LeaseUntil: k.replica.LeaseUntil()}
+	s := &Status{Status: k.replica.Status(), Failure: k.failure, LeaseUntil: k.replica.LeaseUntil(k.appliedIndex)}
 	k.status.Store(s)
 	k.term.Set(float64(s.Term))
 	k.commit.Set(float64(s.Commit))
+	k.applied.Set(float64(k.appliedIndex))
 	k.leading.Set(0)
 	if !s.LeaseUntil.IsZero() {
 		k.leading.Set(1)
--- a/keeper/perform.go
+++ b/keeper/perform.go
@@ -61,12 +61,13 @@
 		switch e.Kind {
 		case replicator.Command:
 			result = k.opts.StateMachine.Apply(e.Index, e.Data)
-		case replicator.Membership:
+		case replicator.Membership, replicator.Empty:
+		}
+		k.appliedIndex = e.Index
+		if e.Kind == replicator.Membership {
 			k.publish() // the caller of the change must see it in the status
-		case replicator.Empty:
 		}
 		k.completeEntry(e, result)
-		k.applied.Set(float64(e.Index))
 	}
 	k.entriesApplied.Add(len(entries))
 	k.logCaughtUp(entries, k.now().Sub(began))
@@ -91,6 +92,7 @@
 		k.haltReplica(err)
 		return
 	}
+	k.appliedIndex = s.Index
 	k.failThrough(s.Index)
 	k.completeReads()
 }
--- a/keeper/waiters.go
+++ b/keeper/waiters.go
@@ -231,7 +231,7 @@
 func (k *Keeper) completeReads() {
 	var waiting []indexedReads
 	for _, a := range k.waiters.awaitingApply {
-		if a.index > k.replica.Commit() {
+		if a.index > k.appliedIndex {
 			waiting = append(waiting, a)
 			continue
 		}
--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -222,7 +222,7 @@
 	g.t.Helper()
 	var holder *node
 	for _, n := range g.nodes {
-		if n.diskLost || !g.now(n).Before(n.r.LeaseUntil()) {
+		if n.diskLost || !g.now(n).Before(n.r.LeaseUntil(n.r.Commit())) {
 			continue
 		}
 		if holder != nil {
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -222,12 +222,16 @@
 }
 
 // LeaseUntil returns the time until which no other replica can become leader,
-// or the zero time if this one holds no lease. The lease starts when the latest
-// messages were sent that a quorum has answered, because each of these voters
-// refuses votes for an ElectionTimeout after it received them (Ongaro, section
-// 6.4.1).
-func (r *Replica) LeaseUntil() time.Time {
-	if r.halted || !r.hasCommittedInTerm() {
+// or the zero time if this one holds no lease. applied is the index of the last
+// entry that the state machine has applied: a state without the first entry of
+// the leader's term may lack what earlier leaders committed, and a lease vouches
+// for the state.
+//
+// The lease starts when the latest messages were sent that a quorum has answered,
+// because each of these voters refuses votes for an ElectionTimeout after it
+// received them (Ongaro, section 6.4.1).
+func (r *Replica) LeaseUntil(applied identifier.LogIndex) time.Time {
+	if r.halted || !r.hasCommittedInTerm() || applied < r.lead.firstOfTerm {
 		return time.Time{}
 	}
 	s := r.quorumStamp()
--- a/replicator/rules_test.go
+++ b/replicator/rules_test.go
@@ -118,7 +118,7 @@
 			t.Errorf("a read is answered before the first commit: %#v", e)
 		}
 	}
-	if until := r.LeaseUntil(); !until.IsZero() {
+	if until := r.LeaseUntil(r.Commit()); !until.IsZero() {
 		t.Errorf("the leader holds a lease until %v before its first commit", until)
 	}
 	want := []Effect{Refused{8, &ChangeError{"this leader has not yet committed an entry of its term", "try again in a moment"}}}
@@ -130,7 +130,7 @@
 	if diff := cmp.Diff(ReadReady{7, 3}, effects[len(effects)-1]); diff != "" {
 		t.Errorf("last effect of the first commit (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff(now.Add(10+testTimeout-DefaultClockMargin), r.LeaseUntil()); diff != "" {
+	if diff := cmp.Diff(now.Add(10+testTimeout-DefaultClockMargin), r.LeaseUntil(r.Commit())); diff != "" {
 		t.Errorf("lease (-want +got):\n%s", diff)
 	}
 }
@@ -166,8 +166,8 @@
 	for _, id := range []identifier.ReplicaID{4, 5} {
 		r.Step(now, Receive{id, AppendAnswer{Term: 3, Match: 3, Stamp: 9}})
 	}
-	if r.Commit() != 1 || !r.LeaseUntil().IsZero() {
-		t.Errorf("learners alone committed up to %d and established a lease until %v", r.Commit(), r.LeaseUntil())
+	if r.Commit() != 1 || !r.LeaseUntil(r.Commit()).IsZero() {
+		t.Errorf("learners alone committed up to %d and established a lease until %v", r.Commit(), r.LeaseUntil(r.Commit()))
 	}
 }
 
