--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -88,11 +88,11 @@
 	return g.table.Restore(snapshot)
 }
 
-// leaderTerm returns the current term and whether the replica on this host is
-// the leader of its group.
+// leaderTerm returns the current term and whether the replica on this host holds
+// the lease of that term.
 func (g *claimGroup) leaderTerm() (identifier.Term, bool) {
-	_, err := g.keeper.Lease()
-	return g.keeper.Status().Term, err == nil
+	lease, err := g.keeper.Lease()
+	return identifier.Term(lease.Fencing()), err == nil
 }
 
 // Propose appends an entry to the log of a claim group and returns its answer.
