--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
 	"cyclamenhub.org/describer"
@@ -301,3 +302,27 @@
 		t.Error("all hosts of a new system read the list at once")
 	}
 }
+
+// TestReplayPublishesNewestDocumentOnce guards against a keeper that passes every
+// document of its log to the hosts when it starts again: they put documents in force
+// that were replaced long ago, and the replay outlasts the lease of a new leader.
+func TestReplayPublishesNewestDocumentOnce(t *testing.T) {
+	const documents = 30
+	s := newSystem(t)
+	s.startKeepers(true)
+	for r := range documents {
+		s.put(keeperA, standin.Document(identifier.Revision(r+1), `["k1"]`))
+	}
+	keepers := []string{keeperA, keeperB, keeperC}
+	for _, ip := range keepers {
+		s.end(ip)
+	}
+	published := metrics.GetOrCreateCounter("cyclamen_distributor_topics_taken_total")
+	before := published.Get()
+	s.startKeepers(false)
+	s.read(keeperA)
+	// Each keeper may also publish a list of the backend servers.
+	if n := published.Get() - before; n > uint64(2*len(keepers)) {
+		t.Errorf("%d keepers publish %d topics when they start again, want one document and one list each at most", len(keepers), n)
+	}
+}
