keeper: one commit is applied as a whole, and only its newest state is published

Callers saw hosts refuse calls with keys for up to 1.5 s more after a restart of all processes, and calls without keys handled by documents replaced long before.

Cause: a restarted leader commits its whole log at once, and each entry was applied and published by itself: decoded, compared with the one before for deltas, offered to the hosts that watch. Hosts put the documents of the middle of the log in force, and 83 entries took 0.57 to 0.73 s while the lease lasts 0.36 s, so that the leader lost the lead and the next one began again.

Change: a state machine gets the entries of one commit in one call, under one hold of its lock, so that no reader sees the middle of a replay; of the effects that publish a whole state only the newest is performed; proposers are answered after that.

Ruled out as the way: a replay in several steps, which keeps the lead but takes as long.

--- a/administrator/memory.go
+++ b/administrator/memory.go
@@ -6,7 +6,6 @@
 	"slices"
 	"sync"
 
-	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/roller"
@@ -23,7 +22,6 @@
 
 	mu      sync.Mutex // guards Replicas and the fields below
 	machine reducer.Machine
-	index   identifier.LogIndex
 }
 
 // Propose applies ev immediately.
@@ -34,8 +32,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.index++
-	return reducer.DecodeOutcome(b.machine.Apply(b.index, entry))
+	return reducer.DecodeOutcome(b.machine.Apply(entry)[0])
 }
 
 // View returns the state after the last proposal.
--- a/claimer/advancer_test.go
+++ b/claimer/advancer_test.go
@@ -24,7 +24,7 @@
 // apply applies an entry and checks the step if the entry takes effect.
 func (s *clockCheckedTable) apply(t *rapid.T, entry []byte) {
 	clockBefore, lastAdvance := s.table.now, s.table.lastAdvance
-	s.table.Apply(1, entry)
+	s.table.Apply(entry)
 	if s.table.lastAdvance == lastAdvance {
 		return
 	}
--- a/claimer/bench_test.go
+++ b/claimer/bench_test.go
@@ -64,8 +64,8 @@
 			t.bounds.Claims = 8 * (n + b.N)
 			b.ReportAllocs()
 			b.ResetTimer()
-			for i, entry := range entries {
-				t.Apply(identifier.LogIndex(i+1), entry)
+			for _, entry := range entries {
+				t.Apply(entry)
 			}
 			b.ReportMetric(float64(len(entries[0])+len(entries[1])), "logB/op")
 		})
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -30,7 +30,7 @@
 func (p *tableProposer) Propose(_ context.Context, _ int, entry []byte) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.table.Apply(1, entry)
+	b := p.table.Apply(entry)[0]
 	if p.answersToLose > 0 {
 		p.answersToLose--
 		return nil, errLost
--- a/claimer/fuzz_test.go
+++ b/claimer/fuzz_test.go
@@ -23,7 +23,7 @@
 	f.Fuzz(func(t *testing.T, entry []byte) {
 		table := &Table{}
 		applyEvent(t, table, acquireOf(&c))
-		table.Apply(2, entry)
+		table.Apply(entry)
 		restoredCopy(t, table)
 	})
 }
--- a/claimer/machine.go
+++ b/claimer/machine.go
@@ -4,14 +4,21 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
-
-	"cyclamenhub.org/identifier"
 )
 
-// Apply applies a committed entry and returns its encoded answer. An empty
-// entry has no effect and no answer; a malformed one is answered with the
-// problem.
-func (t *Table) Apply(_ identifier.LogIndex, entry []byte) []byte {
+// Apply applies committed entries in order and returns their encoded answers. It
+// implements keeper.StateMachine.
+func (t *Table) Apply(entries ...[]byte) [][]byte {
+	answers := make([][]byte, len(entries))
+	for i, entry := range entries {
+		answers[i] = t.applyOne(entry)
+	}
+	return answers
+}
+
+// applyOne applies an entry and returns its encoded answer. An empty entry has
+// no effect and no answer; a malformed one is answered with the problem.
+func (t *Table) applyOne(entry []byte) []byte {
 	if len(entry) == 0 {
 		return nil
 	}
--- a/claimer/table_test.go
+++ b/claimer/table_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, err := decodeAnswer(table.Apply(1, entry))
+	a, err := decodeAnswer(table.Apply(entry)[0])
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -67,11 +67,11 @@
 	return nil
 }
 
-// Apply applies a committed entry to the table.
-func (g *claimGroup) Apply(index identifier.LogIndex, entry []byte) []byte {
+// Apply applies committed entries to the table.
+func (g *claimGroup) Apply(entries ...[]byte) [][]byte {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Apply(index, entry)
+	return g.table.Apply(entries...)
 }
 
 // Snapshot returns the encoded table.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -109,11 +109,11 @@
 	return h.Address, ok
 }
 
-// Apply applies a committed entry to the control state.
-func (c *control) Apply(index identifier.LogIndex, entry []byte) []byte {
+// Apply applies committed entries to the control state.
+func (c *control) Apply(entries ...[]byte) [][]byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.Apply(index, entry)
+	return c.machine.Apply(entries...)
 }
 
 // Snapshot returns the encoded control state.
@@ -130,8 +130,8 @@
 	return c.machine.Restore(snapshot)
 }
 
-// perform carries out the effects of a committed entry. The caller holds mu.
-func (c *control) perform(_ identifier.LogIndex, effects []reducer.Effect) {
+// perform carries out the effects of committed entries. The caller holds mu.
+func (c *control) perform(effects []reducer.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case reducer.PublishConfiguration:
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -200,11 +200,11 @@
 	return err
 }
 
-// Apply applies a committed entry. It implements keeper.StateMachine.
-func (n *keeperNode) Apply(index identifier.LogIndex, entry []byte) []byte {
+// Apply applies committed entries. It implements keeper.StateMachine.
+func (n *keeperNode) Apply(entries ...[]byte) [][]byte {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.machine.Apply(index, entry)
+	return n.machine.Apply(entries...)
 }
 
 // Snapshot returns the encoded control state. It implements
@@ -223,8 +223,8 @@
 	return n.machine.Restore(snapshot)
 }
 
-// perform carries out the effects of a committed entry. The caller holds mu.
-func (n *keeperNode) perform(_ identifier.LogIndex, effects []reducer.Effect) {
+// perform carries out the effects of committed entries. The caller holds mu.
+func (n *keeperNode) perform(effects []reducer.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case reducer.PublishConfiguration:
--- a/keeper/cluster_test.go
+++ b/keeper/cluster_test.go
@@ -24,7 +24,15 @@
 	lines []string
 }
 
-func (m *machine) Apply(_ identifier.LogIndex, entry []byte) []byte {
+func (m *machine) Apply(entries ...[]byte) (results [][]byte) {
+	for _, entry := range entries {
+		results = append(results, m.applyOne(entry))
+	}
+	return results
+}
+
+// applyOne applies one entry.
+func (m *machine) applyOne(entry []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lines = append(m.lines, string(entry))
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -383,11 +383,13 @@
 	observe func(applied int)
 }
 
-// Apply applies one entry.
-func (m observedMachine) Apply(i identifier.LogIndex, entry []byte) []byte {
-	result := m.machine.Apply(i, entry)
-	m.observe(len(m.all()))
-	return result
+// Apply applies entries one by one.
+func (m observedMachine) Apply(entries ...[]byte) (results [][]byte) {
+	for _, entry := range entries {
+		results = append(results, m.applyOne(entry))
+		m.observe(len(m.all()))
+	}
+	return results
 }
 
 // TestNoLeaseWhileLogIsReplayed guards against a leader whose lease is valid while
--- a/keeper/measure_test.go
+++ b/keeper/measure_test.go
@@ -13,8 +13,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/VictoriaMetrics/metrics"
-
-	"cyclamenhub.org/identifier"
 )
 
 // measureEnv enables the measurements. They print figures and never fail
@@ -102,9 +100,12 @@
 // counter is a state machine of constant size.
 type counter struct{ n byte }
 
-func (c *counter) Apply(identifier.LogIndex, []byte) []byte { c.n++; return nil }
-func (c *counter) Snapshot() []byte                         { return []byte{c.n} }
-func (c *counter) Restore(b []byte) error                   { c.n = b[0]; return nil }
+func (c *counter) Apply(entries ...[]byte) [][]byte {
+	c.n += byte(len(entries))
+	return make([][]byte, len(entries))
+}
+func (c *counter) Snapshot() []byte       { return []byte{c.n} }
+func (c *counter) Restore(b []byte) error { c.n = b[0]; return nil }
 
 // TestMeasureIdle prints the cost of an idle group.
 func TestMeasureIdle(t *testing.T) {
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -13,8 +13,11 @@
 // methods are called by one goroutine at a time and must not wait for the
 // keeper.
 type StateMachine interface {
-	// Apply applies one entry and returns its result. It must be deterministic.
-	Apply(index identifier.LogIndex, entry []byte) (result []byte)
+	// Apply applies the entries of one commit in order and returns their results.
+	// The state must be the same however the entries are divided among calls. A
+	// restarted replica gets its whole log in one call, so that what depends on the
+	// newest state alone is done once.
+	Apply(entries ...[]byte) (results [][]byte)
 	// Snapshot returns the complete state.
 	Snapshot() []byte
 	// Restore replaces the state by one that Snapshot returned.
--- a/keeper/perform.go
+++ b/keeper/perform.go
@@ -56,16 +56,24 @@
 // proposers.
 func (k *Keeper) apply(entries []replicator.Entry) {
 	began := k.now()
+	var commands [][]byte
 	for _, e := range entries {
-		var result []byte
-		switch e.Kind {
-		case replicator.Command:
-			result = k.opts.StateMachine.Apply(e.Index, e.Data)
-		case replicator.Membership, replicator.Empty:
+		if e.Kind == replicator.Command {
+			commands = append(commands, e.Data)
 		}
-		k.appliedIndex = e.Index
-		if e.Kind == replicator.Membership {
-			k.publish() // the caller of the change must see it in the status
+	}
+	var results [][]byte
+	if len(commands) > 0 {
+		results = k.opts.StateMachine.Apply(commands...)
+	}
+	k.appliedIndex = entries[len(entries)-1].Index
+	if slices.ContainsFunc(entries, func(e replicator.Entry) bool { return e.Kind == replicator.Membership }) {
+		k.publish() // the caller of the change must see it in the status
+	}
+	for _, e := range entries {
+		var result []byte
+		if e.Kind == replicator.Command {
+			result, results = results[0], results[1:]
 		}
 		k.completeEntry(e, result)
 	}
--- a/reducer/bench_test.go
+++ b/reducer/bench_test.go
@@ -56,8 +56,8 @@
 			}
 			b.ReportAllocs()
 			b.ResetTimer()
-			for i, entry := range entries {
-				m.Apply(identifier.LogIndex(i+1), entry)
+			for _, entry := range entries {
+				m.Apply(entry)
 			}
 			b.ReportMetric(float64(len(entries[0])), "logB/op")
 		})
--- a/reducer/configuration_test.go
+++ b/reducer/configuration_test.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	outcome, err := DecodeOutcome(m.Apply(identifier.LogIndex(index), entry))
+	outcome, err := DecodeOutcome(m.Apply(entry)[0])
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/reducer/doc.go
+++ b/reducer/doc.go
@@ -22,9 +22,9 @@
 // # Usage
 //
 //	var m reducer.Machine
-//	m.Perform = func(index identifier.LogIndex, effects []reducer.Effect) { ... }
+//	m.Perform = func(effects []reducer.Effect) { ... }
 //	entry, err := reducer.EncodeEvent(reducer.ChangeConfiguration{...})
 //	...
-//	result := m.Apply(index, entry) // once the entry is committed
-//	outcome, err := reducer.DecodeOutcome(result)
+//	results := m.Apply(entry) // once the entry is committed
+//	outcome, err := reducer.DecodeOutcome(results[0])
 package reducer
--- a/reducer/documents_test.go
+++ b/reducer/documents_test.go
@@ -20,7 +20,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var m Machine
 		var published identifier.Revision
-		m.Perform = func(_ identifier.LogIndex, effects []Effect) {
+		m.Perform = func(effects []Effect) {
 			for _, e := range effects {
 				if p, ok := e.(PublishConfiguration); ok {
 					if p.Revision <= published {
@@ -43,7 +43,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			outcome, err := DecodeOutcome(m.Apply(identifier.LogIndex(i+1), entry))
+			outcome, err := DecodeOutcome(m.Apply(entry)[0])
 			if err != nil || outcome.Err() != nil {
 				t.Fatalf("revision %d is not acknowledged: %v, %v", revision, outcome, err)
 			}
--- a/reducer/fuzz_test.go
+++ b/reducer/fuzz_test.go
@@ -28,7 +28,7 @@
 	f.Fuzz(func(t *testing.T, entry []byte) {
 		var m Machine
 		apply(t, &m, 1, changeNumber(1, 0))
-		result := m.Apply(2, entry)
+		result := m.Apply(entry)[0]
 		if len(entry) > 0 {
 			if _, err := DecodeOutcome(result); err != nil {
 				t.Fatal(err)
--- a/reducer/isolation_test.go
+++ b/reducer/isolation_test.go
@@ -17,7 +17,7 @@
 	at := time.Unix(1000, 0).UTC()
 	end := isolator.End{Server: identifier.ServerRun{ID: "s1", Incarnation: 7}, Service: "model", Version: "v1", Suspects: map[identifier.PartID]int{"bad": 1}}
 	var m Machine
-	for n, ev := range []isolator.Event{
+	for _, ev := range []isolator.Event{
 		isolator.RecordEnd{End: end, At: at},
 		isolator.Isolate{Key: key, Versions: []identifier.Version{"v1"}, At: at},
 		isolator.Probe{Key: key, Host: "h1", At: at},
@@ -26,13 +26,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		outcome, err := DecodeOutcome(m.Apply(identifier.LogIndex(n+1), entry))
+		outcome, err := DecodeOutcome(m.Apply(entry)[0])
 		if err != nil || outcome.Err() != nil {
 			t.Fatalf("%T: %v, %v", ev, outcome, err)
 		}
 	}
 	var published []isolator.Book
-	restarted := Machine{Perform: func(_ identifier.LogIndex, effects []Effect) {
+	restarted := Machine{Perform: func(effects []Effect) {
 		for _, e := range effects {
 			if p, ok := e.(PublishIsolation); ok {
 				published = append(published, p.Book)
--- a/reducer/machine.go
+++ b/reducer/machine.go
@@ -49,29 +49,43 @@
 // committed entry, reduces it and encodes the outcome. Its zero value is ready
 // to use. Only one goroutine at a time may use it.
 type Machine struct {
-	// Perform performs effects, if set. It must not block.
-	Perform func(index identifier.LogIndex, effects []Effect)
+	// Perform performs the effects of one or more entries, if set. It must not
+	// block.
+	Perform func(effects []Effect)
 	state   State
 }
 
-// Apply applies a committed entry and returns its encoded outcome. An empty
-// entry changes nothing and has no outcome.
-func (m *Machine) Apply(index identifier.LogIndex, entry []byte) []byte {
+// Apply applies committed entries in order and returns their encoded outcomes. An
+// empty entry changes nothing and has no outcome. Of the effects that publish a
+// state, only those of the newest state are performed.
+func (m *Machine) Apply(entries ...[]byte) [][]byte {
+	var effects []Effect
+	results := make([][]byte, len(entries))
+	for i, entry := range entries {
+		caused, result := m.applyOne(entry)
+		effects = append(effects, caused...)
+		results[i] = result
+	}
+	if effects = withoutSuperseded(effects); m.Perform != nil && len(effects) > 0 {
+		m.Perform(effects)
+	}
+	return results
+}
+
+// applyOne applies an entry and returns its effects and its encoded outcome.
+func (m *Machine) applyOne(entry []byte) ([]Effect, []byte) {
 	if len(entry) == 0 {
-		return nil
+		return nil, nil
 	}
 	ev, err := DecodeEvent(entry)
 	if err != nil {
 		undecodedEntries.Inc()
-		return mustEncodeOutcome(Refused{Kind: refuser.Malformed, Problem: err.Error(), Remedy: "run one version on every keeper"})
+		return nil, mustEncodeOutcome(Refused{Kind: refuser.Malformed, Problem: err.Error(), Remedy: "run one version on every keeper"})
 	}
 	effects := Reduce(&m.state, ev)
-	if m.Perform != nil {
-		m.Perform(index, effects)
-	}
 	outcome := outcomeOf(effects)
 	countOutcome(outcome)
-	return mustEncodeOutcome(outcome)
+	return effects, mustEncodeOutcome(outcome)
 }
 
 // Snapshot returns the encoded state.
@@ -88,7 +102,7 @@
 		return err
 	}
 	if effects := m.state.currentEffects(); m.Perform != nil && len(effects) > 0 {
-		m.Perform(0, effects)
+		m.Perform(effects)
 	}
 	return nil
 }
--- a/reducer/rollouts_test.go
+++ b/reducer/rollouts_test.go
@@ -67,8 +67,8 @@
 func TestRestorePublishesCurrentState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var last, restored []Effect
-		collect := func(to *[]Effect) func(identifier.LogIndex, []Effect) {
-			return func(_ identifier.LogIndex, effects []Effect) {
+		collect := func(to *[]Effect) func([]Effect) {
+			return func(effects []Effect) {
 				for _, e := range effects {
 					switch e := e.(type) {
 					case PublishConfiguration:
--- a/replicator/rules_test.go
+++ b/replicator/rules_test.go
@@ -130,9 +130,12 @@
 	if diff := cmp.Diff(ReadReady{7, 3}, effects[len(effects)-1]); diff != "" {
 		t.Errorf("last effect of the first commit (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff(now.Add(10+testTimeout-DefaultClockMargin), r.LeaseUntil(r.Commit())); diff != "" {
+	if diff := cmp.Diff(now.Add(10+testTimeout-DefaultClockMargin), r.LeaseUntil(3)); diff != "" {
 		t.Errorf("lease (-want +got):\n%s", diff)
 	}
+	if until := r.LeaseUntil(2); !until.IsZero() {
+		t.Errorf("the leader holds a lease until %v before its first commit is applied", until)
+	}
 }
 
 // TestOverwrittenEntriesCountAsUnstored checks that the acknowledgement waits
