--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -43,6 +43,9 @@
 	// usageMargin is how long before its report is due a window is closed at the
 	// latest.
 	usageMargin = 1500 * time.Millisecond
+	// snapshotBytes is the growth of the control log after which a snapshot is taken.
+	// A new leader must replay the rest of the log well within its lease.
+	snapshotBytes = 1 << 20
 )
 
 // keeperTiming is the timing of the control log's replicas. It is short because
@@ -153,7 +156,7 @@
 	k, err := keeper.Open(keeper.Options{
 		Host: n.cfg.Host, Hosts: n.cfg.Seeds, Voters: 2*max(n.cfg.LostMachines, 1) + 1, Contacts: n.contacts.list,
 		JoinOnly: !n.cfg.Founding, DataFolder: n.cfg.DataFolder, StateMachine: n, Transport: n.peers,
-		Clock: n.clock, Log: n.log, Replica: keeperTiming,
+		Clock: n.clock, Log: n.log, Replica: keeperTiming, SnapshotBytes: snapshotBytes,
 	})
 	if err != nil {
 		return err
