--- a/keeper/voters_test.go
+++ b/keeper/voters_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -85,3 +86,45 @@
 	}
 	return ""
 }
+
+// TestFirstSeedRestartsBeforeFounding guards against a group that nobody founds,
+// since the process of the first seed ended before it had met the others and only
+// the first start of a system may found one.
+func TestFirstSeedRestartsBeforeFounding(t *testing.T) {
+	open := func(o *Options) { o.Voters = 3 }
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, open)
+		defer c.close()
+		_ = c.start("k1").Close()
+		c.start("k2")
+		c.start("k3")
+		c.options = func(o *Options) { open(o); o.JoinOnly = true }
+		c.start("k1")
+		_, k := c.leader()
+		if diff := cmp.Diff("k1 is 1", c.propose(k, "k1")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// TestSeedWithLostDiskFoundsNoGroup checks that a first seed founds no group once it
+// has lost its disk: it cannot know whether it has founded one before.
+func TestSeedWithLostDiskFoundsNoGroup(t *testing.T) {
+	open := func(o *Options) { o.Voters = 3 }
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, open)
+		defer c.close()
+		_ = c.start("k1").Close()
+		c.folders["k1"] = t.TempDir()
+		c.start("k2")
+		c.start("k3")
+		c.options = func(o *Options) { open(o); o.JoinOnly = true }
+		c.start("k1")
+		time.Sleep(time.Minute)
+		for _, h := range c.hosts {
+			if n := len(c.keeper(h).Status().Committed); n > 0 {
+				t.Errorf("%s is in a group of %d members", h, n)
+			}
+		}
+	})
+}
