keeper: the right to found a group survives a restart of the first seed

Callers saw a system that refuses every call for good.

Cause: only a process that was started as founding may found the group, and only the first seed does so, once all seeds have met. If its process ends before, it is started again as one that only joins, and nobody founds the group.

Change: at its first start a replica of an open group stores the founders in its folder, durably and before its first announcement; with that file and without members it goes on founding after a restart, with the hosts of the first start, so that exchanged seeds found nothing.

Ruled out as the way: a founding by a majority without the first seed, which cannot tell a first seed that has founded the group and lost its disk.

--- a/keeper/doc.go
+++ b/keeper/doc.go
@@ -13,7 +13,8 @@
 // A group bootstraps itself. Keepers whose folders are empty announce
 // themselves to each other. The first host in the settings waits until every
 // other host has announced itself as empty, and then stores the initial
-// members. A keeper that lost its disk also announces itself, finds an existing
+// members. In an open group (Options.Voters) the folder also remembers who founds
+// it, so that this survives a restart. A keeper that lost its disk also announces itself, finds an existing
 // group and joins it under a new identity: first as a learner, and, once it has
 // caught up, as a voter that replaces the lost replica of its host.
 //
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -70,6 +70,9 @@
 func Open(opts Options) (*Keeper, error) {
 	opts = opts.withDefaults()
 	folder := filepath.Join(opts.DataFolder, fmt.Sprintf("group-%d", opts.Group))
+	if err := opts.recallFounders(folder); err != nil {
+		return nil, err
+	}
 	rec, recovered, err := recorder.Open(folder, opts.Group)
 	if err != nil {
 		return nil, err
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -47,7 +47,8 @@
 	// nil.
 	Contacts func() []identifier.Host
 	// JoinOnly prevents this replica from bootstrapping a group, for example
-	// after its host lost its disk.
+	// after its host lost its disk, unless its folder says that it was to found
+	// the group and its process ended before.
 	JoinOnly bool
 	// DataFolder contains one folder for each group.
 	DataFolder   string
--- a/recorder/checkpoint.go
+++ b/recorder/checkpoint.go
@@ -49,18 +49,41 @@
 	return nil
 }
 
-// writeFile writes a file that holds one frame. The file gets its name only
-// once it is complete and durable.
+// writeFile writes a file that holds one frame.
 func (r *Recorder) writeFile(name string, payload []byte) error {
 	if len(payload) > maxFrameBytes {
 		return fmt.Errorf("%s has %d bytes: keep the state within the limit of %d bytes", name, len(payload), maxFrameBytes)
 	}
-	path := filepath.Join(r.folder, name)
-	f, err := r.open(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
+	b := appendFrame(nil, 0, payload)
+	if err := saveFile(r.open, r.folder, name, b); err != nil {
+		return err
+	}
+	r.syncs.Inc()
+	r.written.Add(len(b))
+	return nil
+}
+
+// SaveFile writes a file in a data folder, which it creates if it is missing. The
+// file gets its name only once it is complete and durable. It fails with a
+// DiskError.
+func SaveFile(folder, name string, b []byte) error {
+	err := os.MkdirAll(folder, 0o700)
+	if err == nil {
+		err = saveFile(openOnDisk, folder, name, b)
+	}
+	if err != nil {
+		return &DiskError{"write " + filepath.Join(folder, name), err}
+	}
+	return nil
+}
+
+// saveFile writes a file in an existing folder, which it opens with open.
+func saveFile(open openFile, folder, name string, b []byte) error {
+	path := filepath.Join(folder, name)
+	f, err := open(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return err
 	}
-	b := appendFrame(nil, 0, payload)
 	_, err = f.Write(b)
 	if err == nil {
 		err = f.Sync()
@@ -71,12 +94,10 @@
 	if err != nil {
 		return err
 	}
-	r.syncs.Inc()
-	r.written.Add(len(b))
 	if err := os.Rename(path+temporarySuffix, path); err != nil {
 		return err
 	}
-	return syncFolder(r.folder)
+	return syncFolder(folder)
 }
 
 // syncFolder makes the directory entries of a folder durable.
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -58,11 +58,12 @@
 // missing or empty, Open creates it with a new identity. It fails with a
 // CorruptError, LockedError, GroupError or DiskError.
 func Open(folder string, group identifier.GroupID) (*Recorder, Recovered, error) {
-	return openWith(folder, group, func(path string, flags int) (file, error) {
-		return os.OpenFile(path, flags, 0o600)
-	})
+	return openWith(folder, group, openOnDisk)
 }
 
+// openOnDisk opens a file of the file system.
+func openOnDisk(path string, flags int) (file, error) { return os.OpenFile(path, flags, 0o600) }
+
 // openWith is like Open and opens files for writing with open. Tests use it to
 // make writes fail.
 func openWith(folder string, group identifier.GroupID, open openFile) (*Recorder, Recovered, error) {
