--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -17,6 +17,7 @@
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
 	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/timer"
 )
 
 // inForceLimit is the time within which a change must be in force on all
@@ -131,7 +132,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			f.keeper.Confirm(time.Now())
-			sleep(ctx, time.Second)
+			timer.Sleep(ctx, time.Second)
 		}
 	}()
 	time.Sleep(time.Millisecond)
--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/timer"
 )
 
 // Start fetches the topics of every upstream concurrently and applies the newest
@@ -38,7 +39,7 @@
 func (d *Distributor) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !d.watchOnce(ctx) {
-			sleep(ctx, retryDelay)
+			timer.Sleep(ctx, retryDelay)
 		}
 	}
 }
@@ -180,13 +181,3 @@
 	}
 	return out
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/loader/run.go
+++ b/loader/run.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cyclamenhub.org/timer"
 )
 
 // progressInterval is the time between calls of Plan.Progress.
@@ -64,7 +66,7 @@
 	next := r.startedAt
 	for {
 		next = next.Add(time.Duration(rnd.ExpFloat64() / r.plan.Rate * float64(time.Second)))
-		if next.Sub(r.startedAt) >= r.plan.Duration || !sleepUntil(ctx, next) {
+		if next.Sub(r.startedAt) >= r.plan.Duration || !timer.Sleep(ctx, time.Until(next)) {
 			return
 		}
 		n := r.started.Add(1)
@@ -82,22 +84,6 @@
 	}
 }
 
-// sleepUntil waits until t and reports whether ctx has not ended.
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // showProgress calls Plan.Progress at intervals until the returned function is
 // called.
 func (r *runner) showProgress() (stop func()) {
@@ -107,7 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		for next := r.startedAt.Add(progressInterval); sleepUntil(ctx, next); next = next.Add(progressInterval) {
+		for next := r.startedAt.Add(progressInterval); timer.Sleep(ctx, time.Until(next)); next = next.Add(progressInterval) {
 			answered, failed := r.report.counts()
 			r.plan.Progress(Progress{Elapsed: time.Since(r.startedAt), Started: r.started.Load(), Answered: answered, Failed: failed})
 		}
--- a/server/stop.go
+++ b/server/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"cyclamenhub.org/timer"
 )
 
 const (
@@ -28,7 +30,7 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.SetReady(false)
 	s.closeConnections.Store(true)
-	if !sleep(ctx, s.opt.ReadinessLag) {
+	if !timer.Sleep(ctx, s.opt.ReadinessLag) {
 		return ctx.Err()
 	}
 	s.RefuseNew()
@@ -36,24 +38,9 @@
 		return fmt.Errorf("stopping: %w", err)
 	}
 	for s.opt.Dispatcher.Running() > 0 {
-		if !sleep(ctx, pollInterval) {
+		if !timer.Sleep(ctx, pollInterval) {
 			return ctx.Err()
 		}
 	}
 	return nil
 }
-
-// sleep waits for d. It returns false if ctx is done before d has passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/timer/repeat.go
+++ b/timer/repeat.go
@@ -19,3 +19,18 @@
 		t.Reset(f())
 	}
 }
+
+// Sleep waits for d. It returns false if ctx is done before d has passed.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
