node: a starting process waits for an address that is still held

Change: while the address is in use or not yet the machine's, it is tried again for 10 s, with one line in the log; any other error ends the process as before.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -110,12 +110,13 @@
 func RunEntry(ctx context.Context, cfg *platform.Settings, opts Options) error {
 	configureRuntime(cfg)
 	e := newEntry(cfg, opts)
-	frontend, err := listen("frontend", cfg.Callers)
+	frontend, err := listen(ctx, e.log, "frontend", cfg.Callers)
 	if err != nil {
 		return err
 	}
-	readiness, err := listen("readiness", cfg.Readiness)
+	readiness, err := listen(ctx, e.log, "readiness", cfg.Readiness)
 	if err != nil {
+		_ = frontend.Close()
 		return err
 	}
 	return e.serve(ctx, frontend, readiness, opts)
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -95,11 +95,11 @@
 func RunKeeper(ctx context.Context, cfg *platform.Settings, opts Options) error {
 	configureRuntime(cfg)
 	n := newKeeperNode(cfg, opts)
-	peerLn, err := listen("internalPorts", cfg.PeerAddress(cfg.Host))
+	peerLn, err := listen(ctx, n.log, "internalPorts", cfg.PeerAddress(cfg.Host))
 	if err != nil {
 		return err
 	}
-	operatorLn, err := listen("controlPlane", cfg.Operators)
+	operatorLn, err := listen(ctx, n.log, "controlPlane", cfg.Operators)
 	if err != nil {
 		return err
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -12,6 +12,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,6 +34,11 @@
 	// gcPercent trades memory, of which the machines have more than the process
 	// needs, for processor time.
 	gcPercent = 300
+	// addressTimeout bounds how long a starting process waits for an address that
+	// another process still holds, and addressRetryInterval is the time between two
+	// tries.
+	addressTimeout       = 10 * time.Second
+	addressRetryInterval = 100 * time.Millisecond
 	// reloadInterval is the time between two reloads of the settings file.
 	reloadInterval = 2 * time.Second
 )
@@ -57,14 +63,28 @@
 	}
 }
 
-// listen opens a listening address. The name of its setting is part of the
-// error.
-func listen(name, address string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w: end the process that holds the address or choose another", name, err)
+// listen opens a listening address. While another process holds it, or the machine
+// does not have it yet, listen tries again until addressTimeout. The name of its
+// setting is part of the error.
+func listen(ctx context.Context, log *slog.Logger, name, address string) (net.Listener, error) {
+	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
+	defer cancel()
+	for logged := false; ; logged = true {
+		ln, err := net.Listen("tcp", address)
+		if err == nil {
+			return ln, nil
+		}
+		err = fmt.Errorf("%s: %w: end the process that holds the address or choose another", name, err)
+		if !errors.Is(err, syscall.EADDRINUSE) && !errors.Is(err, syscall.EADDRNOTAVAIL) {
+			return nil, err
+		}
+		if !logged {
+			log.Warn("address is not available yet", "error", err)
+		}
+		if !timer.Sleep(ctx, addressRetryInterval) {
+			return nil, err
+		}
 	}
-	return ln, nil
 }
 
 // repeat calls f immediately and then once per interval until ctx ends.
