node: a keeper waits for a disk that cannot be used when it starts

Cause: a full or failing disk, or a folder that another process still locks, ended the keeper at its start, while a running keeper whose disk fails reopens its folder every second.

Change: a starting keeper does the same, before it takes its addresses, with a line in the log for each try. A damaged folder or one of another group ends it as before, with the remedy.

--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -20,6 +20,7 @@
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/permitter"
 	"cyclamenhub.org/platform"
+	"cyclamenhub.org/recorder"
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/replicator"
 	"cyclamenhub.org/roller"
@@ -95,20 +96,28 @@
 func RunKeeper(ctx context.Context, cfg *platform.Settings, opts Options) error {
 	configureRuntime(cfg)
 	n := newKeeperNode(cfg, opts)
-	peerLn, err := listen(ctx, n.log, "internalPorts", cfg.PeerAddress(cfg.Host))
-	if err != nil {
+	if err := n.openOnceWritable(ctx); err != nil {
 		return err
 	}
-	operatorLn, err := listen(ctx, n.log, "controlPlane", cfg.Operators)
+	peerLn, operatorLn, err := n.listen(ctx)
 	if err != nil {
-		return err
-	}
-	if err := n.open(); err != nil {
-		return err
+		return errors.Join(err, n.keeper.Load().Close())
 	}
 	return n.serve(ctx, peerLn, operatorLn, opts)
 }
 
+// listen opens the addresses for peers and operators.
+func (n *keeperNode) listen(ctx context.Context) (peers, operators net.Listener, err error) {
+	if peers, err = listen(ctx, n.log, "internalPorts", n.cfg.PeerAddress(n.cfg.Host)); err != nil {
+		return nil, nil, err
+	}
+	if operators, err = listen(ctx, n.log, "controlPlane", n.cfg.Operators); err != nil {
+		_ = peers.Close()
+		return nil, nil, err
+	}
+	return peers, operators, nil
+}
+
 // newKeeperNode returns a keeper that is not running yet.
 func newKeeperNode(cfg *platform.Settings, opts Options) *keeperNode {
 	opts.Log = opts.Log.With("host", cfg.Name)
@@ -166,6 +175,23 @@
 	return nil
 }
 
+// openOnceWritable opens the replica like open. While the disk fails or another
+// process holds the folder, it tries again, until ctx ends.
+func (n *keeperNode) openOnceWritable(ctx context.Context) error {
+	for {
+		err := n.open()
+		var disk *recorder.DiskError
+		var locked *recorder.LockedError
+		if err == nil || !errors.As(err, &disk) && !errors.As(err, &locked) {
+			return err
+		}
+		n.log.Warn("data folder is not usable yet", "error", err)
+		if !timer.Sleep(ctx, reopenInterval) {
+			return err
+		}
+	}
+}
+
 // serve runs all parts of the keeper until ctx ends and then stops them.
 func (n *keeperNode) serve(ctx context.Context, peerLn, operatorLn net.Listener, opts Options) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
