cyclamend: settings that are being written are read again

Cause: the platform writes the settings file at every start and change; a process that read it before it was complete ended with an error about its settings.

Change: at its start a process reads missing or malformed settings again for 2 s and then ends with the same error as before.

--- a/cmd/cyclamend/platform.go
+++ b/cmd/cyclamend/platform.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"cyclamenhub.org/internal/logger"
 	"cyclamenhub.org/internal/node"
@@ -18,11 +19,29 @@
 	run func(context.Context, *platform.Settings, node.Options) error
 }
 
+const (
+	// settingsTimeout bounds how long a starting process reads its settings again
+	// while they are missing or malformed, since the platform may be writing them,
+	// and settingsRetryInterval is the time between two tries.
+	settingsTimeout       = 2 * time.Second
+	settingsRetryInterval = 50 * time.Millisecond
+)
+
+// readSettings reads the settings file at the start of the process.
+func readSettings(path string) (*platform.Settings, error) {
+	for until := time.Now().Add(settingsTimeout); ; time.Sleep(settingsRetryInterval) {
+		cfg, err := platform.ReadSettings(path)
+		if err == nil || path == "" || time.Now().After(until) {
+			return cfg, err
+		}
+	}
+}
+
 // Execute serves until the process receives a stop signal, and reloads the
 // settings on SIGHUP.
 func (c *platformCommand) Execute([]string) error {
 	path := os.Getenv(platform.SettingsVariable)
-	cfg, err := platform.ReadSettings(path)
+	cfg, err := readSettings(path)
 	if err != nil {
 		return err
 	}
