recorder: the name of a new data folder is durable before its files count

Found by reading while looking for what may keep a system from starting: the folder of a group was created without a sync of the folder above it. A loss of power may then take the whole folder, identity and votes with it.

--- a/recorder/checkpoint.go
+++ b/recorder/checkpoint.go
@@ -67,7 +67,7 @@
 // file gets its name only once it is complete and durable. It fails with a
 // DiskError.
 func SaveFile(folder, name string, b []byte) error {
-	err := os.MkdirAll(folder, 0o700)
+	err := createFolder(folder)
 	if err == nil {
 		err = saveFile(openOnDisk, folder, name, b)
 	}
@@ -100,6 +100,17 @@
 	return syncFolder(folder)
 }
 
+// createFolder creates a folder and makes its name durable, unless it exists.
+func createFolder(folder string) error {
+	if _, err := os.Stat(folder); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(folder))
+}
+
 // syncFolder makes the directory entries of a folder durable.
 func syncFolder(folder string) error {
 	d, err := os.Open(folder)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -67,7 +67,7 @@
 // openWith is like Open and opens files for writing with open. Tests use it to
 // make writes fail.
 func openWith(folder string, group identifier.GroupID, open openFile) (*Recorder, Recovered, error) {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
+	if err := createFolder(folder); err != nil {
 		return nil, Recovered{}, &DiskError{"create " + folder, err}
 	}
 	lock, err := lockFolder(folder)
