keeper: a replica without a group says so every two seconds

A keeper without a group wrote nothing after started, so that a system that is never founded left no trace of the cause. The line names the founders, those that were met and whether this replica may found.

--- a/keeper/bootstrap.go
+++ b/keeper/bootstrap.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -21,8 +22,14 @@
 	// leaderKnownAt is when a leader was last known, or when the replica
 	// started.
 	leaderKnownAt time.Time
+	// waitingSince is when this replica first found that it has no members, and
+	// loggedAt when it last logged that.
+	waitingSince, loggedAt time.Time
 }
 
+// waitLogInterval is the time between two log lines of a replica without members.
+const waitLogInterval = 2 * time.Second
+
 // member is a replica and its host.
 type member struct {
 	id   identifier.ReplicaID
@@ -46,6 +53,7 @@
 		k.tryBootstrap()
 		if !k.hasMembers() {
 			k.announceAll(Announce{})
+			k.logWaiting()
 		}
 	case k.opts.Voters > 0:
 		k.adjustVoters()
@@ -54,6 +62,20 @@
 	}
 }
 
+// logWaiting logs from time to time that this replica belongs to no group.
+func (k *Keeper) logWaiting() {
+	now := k.now()
+	if k.bootstrap.waitingSince.IsZero() {
+		k.bootstrap.waitingSince, k.bootstrap.loggedAt = now, now
+	}
+	if now.Sub(k.bootstrap.loggedAt) < waitLogInterval {
+		return
+	}
+	k.bootstrap.loggedAt = now
+	k.opts.Log.Warn("no group yet", "group", k.opts.Group, "replica", k.id, "for", now.Sub(k.bootstrap.waitingSince),
+		"founders", k.opts.Hosts, "mayFound", !k.opts.JoinOnly, "met", slices.Sorted(maps.Keys(k.bootstrap.emptyReplicas)))
+}
+
 // announceAll announces this replica to every known host.
 func (k *Keeper) announceAll(a Announce) {
 	for _, h := range k.announceTargets() {
