--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -1,6 +1,10 @@
 package forwarder
 
 import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
@@ -12,6 +16,18 @@
 	body                 []byte
 }
 
+// fingerprint returns what calls have in common that are the same request of the
+// same customer: method, host, path, query and body.
+func (c *call) fingerprint(customer identifier.Customer) string {
+	d := xxhash.New()
+	for _, s := range []string{c.method, c.host, c.target, string(c.body)} {
+		// Writes to a Digest never fail.
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	return fmt.Sprintf("%s-%016x", customer, d.Sum64())
+}
+
 // defaultOutputDivisor divides the maximum number of output tokens to estimate
 // the output of a call whose caller gives no estimate.
 const defaultOutputDivisor = 3
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -331,6 +331,14 @@
 	return nil
 }
 
+// customerName returns the name of the caller's customer, or "" if it has none.
+func (x *exchange) customerName() identifier.Customer {
+	if x.customer == nil {
+		return ""
+	}
+	return x.customer.Name
+}
+
 // refuseUnknown refuses a route or key that the document does not contain, with
 // status 503 if that document may not be the latest one.
 func refuseUnknown(current bool, status int, reason string) *refusal {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -253,10 +253,10 @@
 }
 
 // brokenAttrs returns the attributes that tell whether a call can have ended its
-// backend server: the shared parts of its prompt, and for how long its content
-// had been arriving.
+// backend server: which request it is, the shared parts of its prompt, and for how
+// long its content had been arriving.
 func (x *exchange) brokenAttrs() []slog.Attr {
-	var attrs []slog.Attr
+	attrs := []slog.Attr{slog.String("request", x.call.fingerprint(x.customerName()))}
 	if len(x.shared) > 0 {
 		ids := make([]string, len(x.shared))
 		for i, p := range x.shared {
