soaker: a request that ends backend servers as a whole

The fatal caller also repeats one request, and every host has to refuse both forms in the end, while sound callers repeat theirs.

--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	backend, err := s.serve(base+".251", standin.AbortOn(fatalPart, s.backends))
+	backend, err := s.serve(base+".251", standin.AbortOn(isFatal, s.backends))
 	if err != nil {
 		return err
 	}
@@ -263,7 +263,7 @@
 		s.ledger.addViolation("not everything serves %v after the last fault", recoveryTimeout)
 	}
 	if !s.waitUntil(ctx, s.isIsolated) {
-		s.ledger.addViolation("calls with a part that ends backend servers are not refused")
+		s.ledger.addViolation("calls that end backend servers are not refused")
 	}
 	s.ledger.checkRuns(s.backends.Runs())
 	for _, w := range s.cloud.Conflicts() {
