--- a/isolator/doc.go
+++ b/isolator/doc.go
@@ -1,11 +1,11 @@
-// Package isolator finds the part of prompts that ends each backend server which
-// begins to answer it (a query of death), and keeps calls with that part away
-// from the backend servers.
+// Package isolator finds what ends each backend server that begins to answer it (a
+// query of death), a part of prompts or a whole request that is repeated, and keeps
+// such calls away from the backend servers.
 //
 // Evidence comes from the entry hosts. When a connection breaks while calls wait
 // for an answer, the host dials the server again. If that is refused, the process
 // of the server has ended, and the shared parts of the calls that it had only
-// begun to answer are suspects. A connection that breaks while the server
+// begun to answer, and these calls as whole requests, are suspects. A connection that breaks while the server
 // listens, and a server that does not respond, say nothing about prompts. Evidence
 // against a suspect is a call with it that was answered completely, or for longer
 // than SurvivalTime.
@@ -17,6 +17,12 @@
 // same moment not at all, since they have another cause in common. An end that an
 // isolated part explains is no evidence against other parts.
 //
+// A whole request is isolated by fewer ends, since no other call shares it, and by the
+// ends of a service alone whose servers all end. The request must account for its ends
+// better than any other request on them, and no repetition may have survived for some
+// time. A part is not blamed while one request was on nearly all of its ends, nor a
+// request while a part explains its ends and many more.
+//
 // The Book holds what was decided, and the ends. It is replicated, so that it
 // outlives leaders and restarts of all processes. An isolation ends when no call has
 // asked for the part for some time, when the service runs another version, or when a
@@ -30,9 +36,10 @@
 // # Usage
 //
 //	w := isolator.NewWatcher(host, clock)                 // on an entry host
-//	if id, ok := w.Isolated(service, parts); ok { ... }   // refuse the call
-//	if w.Lost(end, parts) { w.Confirm(end.Server, refused) }
-//	w.Survived(service, parts)
+//	suspects := append(parts, isolator.RequestSuspect(fingerprint))
+//	if id, ok := w.Isolated(service, suspects); ok { ... } // refuse the call
+//	if w.Lost(end, suspects) { w.Confirm(end.Server, refused) }
+//	w.Survived(service, suspects)
 //	report, told := w.Report()                            // with each sync
 //
 //	i := isolator.NewInvestigator()                       // on the leader
