tests: one play of fatal calls for parts and requests, one restart of a first seed

The two tests of fatal calls make the same checks; after the restart of all processes both now make three times as many fatal calls as servers may end. commandsOf in the keeper and the condition of a candidate stand by themselves.

--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -114,51 +114,33 @@
 	return late
 }
 
-// TestPartThatEndsServersIsIsolated guards against calls with one part in their
-// prompts that end server after server. Sound calls with the same first part are
-// served again, and the part stays isolated after a restart of all processes.
-func TestPartThatEndsServersIsIsolated(t *testing.T) {
-	const (
-		length     = 8 * time.Second
-		soundPause = 40 * time.Millisecond
-		fatalPause = 150 * time.Millisecond
-		settled    = 6 * time.Second // from then on sound calls are counted
-	)
-	s := newFatalSystem(t, 6, standin.HasPart(fatalPart), 700*time.Millisecond)
-	start := time.Now()
-	var served, sent atomic.Int64
-	var wg sync.WaitGroup
-	for i, ip := range s.entries {
-		wg.Go(func() {
-			for time.Since(start) < length {
-				status := s.callWith(ip, "f1", fmt.Sprint("c", i))
-				if time.Since(start) > settled {
-					sent.Add(1)
-					if status == http.StatusOK {
-						served.Add(1)
-					}
-				}
-				time.Sleep(soundPause)
-			}
-		})
-		wg.Go(func() {
-			for n := i; time.Since(start) < length; n++ {
-				s.callWith(ip, "f1", fatalPart, fmt.Sprint("c", n%3))
-				time.Sleep(fatalPause)
-			}
-		})
-	}
-	wg.Wait()
+// fatalPlay is a play of sound and fatal calls at all entry hosts of a fatalSystem.
+type fatalPlay struct {
+	// sound and fatal make call n of the i-th host and return its status.
+	sound, fatal           func(i, n int, ip string) int
+	soundPause, fatalPause time.Duration
+	// crashes is how many servers may end before the calls count as known to be fatal.
+	crashes int
+	// Sound calls are counted from settled until length.
+	settled, length time.Duration
+}
+
+// check plays p, and fatal calls again after a restart of all processes. It checks
+// that fatal calls stop in time, are refused after the restart, and that sound calls
+// are served again.
+func (p *fatalPlay) check(t *testing.T, s *fatalSystem) {
+	t.Helper()
+	sent, served := p.run(s)
+	t.Logf("%d servers ended, %d fatal calls arrived, %d of %d sound calls served", len(s.crashes()), len(s.arrivals()), served, sent)
 	if len(s.crashes()) == 0 {
 		t.Fatal("no server ended")
 	}
-	t.Logf("%d servers ended, %d calls with the part arrived, %d of %d sound calls served", len(s.crashes()), len(s.arrivals()), served.Load(), sent.Load())
-	if n := s.lateArrivals(fatalCrashes); n > fatalArrivals {
-		t.Errorf("%d calls with the part reached servers after %d had ended, and %d ended in all; %d calls are allowed",
-			n, fatalCrashes, len(s.crashes()), fatalArrivals)
+	if n := s.lateArrivals(p.crashes); n > fatalArrivals {
+		t.Errorf("%d fatal calls reached servers after %d had ended, and %d ended in all; %d calls are allowed",
+			n, p.crashes, len(s.crashes()), fatalArrivals)
 	}
-	if served.Load() < sent.Load()*9/10 {
-		t.Errorf("%d of %d sound calls were served", served.Load(), sent.Load())
+	if served < sent*9/10 {
+		t.Errorf("%d of %d sound calls were served", served, sent)
 	}
 
 	for _, ip := range slices.Concat(s.entries, []string{keeperA, keeperB, keeperC}) {
@@ -167,79 +149,75 @@
 	before := len(s.arrivals())
 	s.startKeepers(false)
 	s.startEntries()
-	for i := range 2 * fatalCrashes {
-		s.callWith(s.entries[i%len(s.entries)], "f1", fatalPart)
+	for n := range 3 * p.crashes {
+		p.fatal(n%len(s.entries), n, s.entries[n%len(s.entries)])
 	}
 	if n := len(s.arrivals()) - before; n > fatalArrivals {
-		t.Errorf("%d calls with the part reached servers after a restart of all processes, at most %d are allowed", n, fatalArrivals)
+		t.Errorf("%d fatal calls reached servers after a restart of all processes, at most %d are allowed", n, fatalArrivals)
 	}
 }
 
-// TestRequestThatEndsServersIsIsolated guards against one request, repeated at all
-// hosts and by them, that ends all few servers of a service within a second, so that
-// no other call survives meanwhile. Other calls are served again, and the request
-// stays isolated after a restart of all processes.
-func TestRequestThatEndsServersIsIsolated(t *testing.T) {
-	const (
-		crashes    = 3 // from then on the request counts as fatal
-		path       = "/look/fatal"
-		length     = 9 * time.Second
-		soundPause = 50 * time.Millisecond
-		fatalPause = 300 * time.Millisecond
-		settled    = 6 * time.Second // from then on sound calls are counted
-	)
-	s := newFatalSystem(t, 4, func(r *http.Request) bool { return r.URL.Path == path }, 1500*time.Millisecond)
-	call := func(ip, path string) int {
-		id := identifier.RequestID(fmt.Sprint("id-", s.calls.Add(1)))
-		status, _ := s.request(http.MethodPost, ip, standin.FrontendPort, path, "x", standin.PromptHeader(id, "k1", 5*time.Second, "e1"))
-		return status
-	}
+// run makes the calls and returns how many sound ones were counted, and how many of
+// them were served.
+func (p *fatalPlay) run(s *fatalSystem) (sent, served int64) {
 	start := time.Now()
-	var served, sent atomic.Int64
+	var sentCalls, servedCalls atomic.Int64
 	var wg sync.WaitGroup
-	for _, ip := range s.entries {
+	for i, ip := range s.entries {
 		wg.Go(func() {
-			for time.Since(start) < length {
-				status := call(ip, "/look/sound")
-				if time.Since(start) > settled {
-					sent.Add(1)
+			for n := 0; time.Since(start) < p.length; n++ {
+				status := p.sound(i, n, ip)
+				if time.Since(start) > p.settled {
+					sentCalls.Add(1)
 					if status == http.StatusOK {
-						served.Add(1)
+						servedCalls.Add(1)
 					}
 				}
-				time.Sleep(soundPause)
+				time.Sleep(p.soundPause)
 			}
 		})
 		wg.Go(func() {
-			for time.Since(start) < length {
-				call(ip, path)
-				time.Sleep(fatalPause)
+			for n := 0; time.Since(start) < p.length; n++ {
+				p.fatal(i, n, ip)
+				time.Sleep(p.fatalPause)
 			}
 		})
 	}
 	wg.Wait()
-	t.Logf("%d servers ended, the request arrived %d times, %d of %d sound calls served", len(s.crashes()), len(s.arrivals()), served.Load(), sent.Load())
-	if len(s.crashes()) < crashes {
-		t.Fatalf("%d servers ended, want %d", len(s.crashes()), crashes)
-	}
-	if n := s.lateArrivals(crashes); n > fatalArrivals {
-		t.Errorf("the request reached servers %d times after %d had ended, and %d ended in all; %d times are allowed",
-			n, crashes, len(s.crashes()), fatalArrivals)
-	}
-	if served.Load() < sent.Load()*9/10 {
-		t.Errorf("%d of %d sound calls were served", served.Load(), sent.Load())
-	}
+	return sentCalls.Load(), servedCalls.Load()
+}
 
-	for _, ip := range slices.Concat(s.entries, []string{keeperA, keeperB, keeperC}) {
-		s.end(ip)
+// TestPartThatEndsServersIsIsolated guards against calls with one part in their
+// prompts that end server after server. Sound calls with the same first part are
+// served again, and the part stays isolated after a restart of all processes.
+func TestPartThatEndsServersIsIsolated(t *testing.T) {
+	s := newFatalSystem(t, 6, standin.HasPart(fatalPart), 700*time.Millisecond)
+	p := &fatalPlay{
+		sound:      func(i, _ int, ip string) int { return s.callWith(ip, "f1", fmt.Sprint("c", i)) },
+		fatal:      func(i, n int, ip string) int { return s.callWith(ip, "f1", fatalPart, fmt.Sprint("c", (i+n)%3)) },
+		soundPause: 40 * time.Millisecond, fatalPause: 150 * time.Millisecond,
+		crashes: fatalCrashes, settled: 6 * time.Second, length: 8 * time.Second,
 	}
-	before := len(s.arrivals())
-	s.startKeepers(false)
-	s.startEntries()
-	for i := range 3 * crashes {
-		call(s.entries[i%len(s.entries)], path)
+	p.check(t, s)
+}
+
+// TestRequestThatEndsServersIsIsolated guards against one request, repeated at all
+// hosts and by them, that ends all few servers of a service within a second, so that
+// no other call survives meanwhile. Other calls are served again, and the request
+// stays isolated after a restart of all processes.
+func TestRequestThatEndsServersIsIsolated(t *testing.T) {
+	const path = "/look/fatal"
+	s := newFatalSystem(t, 4, func(r *http.Request) bool { return r.URL.Path == path }, 1500*time.Millisecond)
+	call := func(ip, path string) int {
+		id := identifier.RequestID(fmt.Sprint("id-", s.calls.Add(1)))
+		status, _ := s.request(http.MethodPost, ip, standin.FrontendPort, path, "x", standin.PromptHeader(id, "k1", 5*time.Second, "e1"))
+		return status
 	}
-	if n := len(s.arrivals()) - before; n > fatalArrivals {
-		t.Errorf("the request reached servers %d times after a restart of all processes, %d times are allowed", n, fatalArrivals)
+	p := &fatalPlay{
+		sound:      func(_, _ int, ip string) int { return call(ip, "/look/sound") },
+		fatal:      func(_, _ int, ip string) int { return call(ip, path) },
+		soundPause: 50 * time.Millisecond, fatalPause: 300 * time.Millisecond,
+		crashes: 3, settled: 6 * time.Second, length: 9 * time.Second,
 	}
+	p.check(t, s)
 }
--- a/isolator/candidate.go
+++ b/isolator/candidate.go
@@ -37,7 +37,11 @@
 		}
 		for id, position := range e.Suspects {
 			k := Key{e.Service, id}
-			if !i.survivals[k].Before(e.at) || k.IsRequest() && cause.Part != "" || !k.IsRequest() && e.isMass {
+			isExplained := cause.Part != "" || !i.survivals[k].Before(e.at)
+			if !k.IsRequest() {
+				isExplained = e.isMass || !i.survivals[k].Before(e.at)
+			}
+			if isExplained {
 				continue
 			}
 			if out[k] == nil {
@@ -131,9 +135,9 @@
 	return nil
 }
 
-// isPartProven reports whether the evidence suffices to isolate a part. One end suffices for a former
-// candidate. For others, calls of the service must have survived since the first
-// end: otherwise the service may end on any call.
+// isPartProven reports whether the evidence suffices to isolate a part. One end
+// suffices for a former candidate. For others, calls of the service must have survived
+// since the first end: otherwise the service may end on any call.
 func (i *Investigator) isPartProven(now time.Time, c *candidate, lead int, hearing time.Duration) bool {
 	if now.Sub(i.began) < resumeTime {
 		return false
--- a/keeper/perform.go
+++ b/keeper/perform.go
@@ -56,14 +56,8 @@
 // proposers.
 func (k *Keeper) apply(entries []replicator.Entry) {
 	began := k.now()
-	var commands [][]byte
-	for _, e := range entries {
-		if e.Kind == replicator.Command {
-			commands = append(commands, e.Data)
-		}
-	}
 	var results [][]byte
-	if len(commands) > 0 {
+	if commands := commandsOf(entries); len(commands) > 0 {
 		results = k.opts.StateMachine.Apply(commands...)
 	}
 	k.appliedIndex = entries[len(entries)-1].Index
@@ -82,6 +76,17 @@
 	k.completeReads()
 }
 
+// commandsOf returns the data of the commands among entries.
+func commandsOf(entries []replicator.Entry) [][]byte {
+	var commands [][]byte
+	for _, e := range entries {
+		if e.Kind == replicator.Command {
+			commands = append(commands, e.Data)
+		}
+	}
+	return commands
+}
+
 // logCaughtUp logs that a new leader has applied everything that earlier leaders
 // committed: entries holds the Empty entry with which its term begins.
 func (k *Keeper) logCaughtUp(entries []replicator.Entry, took time.Duration) {
--- a/keeper/voters_test.go
+++ b/keeper/voters_test.go
@@ -91,15 +91,7 @@
 // since the process of the first seed ended before it had met the others and only
 // the first start of a system may found one.
 func TestFirstSeedRestartsBeforeFounding(t *testing.T) {
-	open := func(o *Options) { o.Voters = 3 }
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, open)
-		defer c.close()
-		_ = c.start("k1").Close()
-		c.start("k2")
-		c.start("k3")
-		c.options = func(o *Options) { open(o); o.JoinOnly = true }
-		c.start("k1")
+	restartFirstSeed(t, func(*cluster) {}, func(c *cluster) {
 		_, k := c.leader()
 		if diff := cmp.Diff("k1 is 1", c.propose(k, "k1")); diff != "" {
 			t.Error(diff)
@@ -110,21 +102,30 @@
 // TestSeedWithLostDiskFoundsNoGroup checks that a first seed founds no group once it
 // has lost its disk: it cannot know whether it has founded one before.
 func TestSeedWithLostDiskFoundsNoGroup(t *testing.T) {
+	loseDisk := func(c *cluster) { c.folders["k1"] = t.TempDir() }
+	restartFirstSeed(t, loseDisk, func(c *cluster) {
+		time.Sleep(time.Minute)
+		for _, h := range c.hosts {
+			if n := len(c.keeper(h).Status().Committed); n > 0 {
+				t.Errorf("%s is in a group of %d members", h, n)
+			}
+		}
+	})
+}
+
+// restartFirstSeed restarts the first seed of an open group, before the others start,
+// as a process that may only join. meanwhile runs while it is down, check at the end.
+func restartFirstSeed(t *testing.T, meanwhile, check func(*cluster)) {
 	open := func(o *Options) { o.Voters = 3 }
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3, open)
 		defer c.close()
 		_ = c.start("k1").Close()
-		c.folders["k1"] = t.TempDir()
+		meanwhile(c)
 		c.start("k2")
 		c.start("k3")
 		c.options = func(o *Options) { open(o); o.JoinOnly = true }
 		c.start("k1")
-		time.Sleep(time.Minute)
-		for _, h := range c.hosts {
-			if n := len(c.keeper(h).Status().Committed); n > 0 {
-				t.Errorf("%s is in a group of %d members", h, n)
-			}
-		}
+		check(c)
 	})
 }
