--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -20,11 +20,12 @@
 // same customer: method, host, path, query and body.
 func (c *call) fingerprint(customer identifier.Customer) string {
 	d := xxhash.New()
-	for _, s := range []string{c.method, c.host, c.target, string(c.body)} {
+	for _, s := range []string{c.method, c.host, c.target} {
 		// Writes to a Digest never fail.
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
+	_, _ = d.Write(c.body)
 	return fmt.Sprintf("%s-%016x", customer, d.Sum64())
 }
 
--- a/keeper/doc.go
+++ b/keeper/doc.go
@@ -13,10 +13,15 @@
 // A group bootstraps itself. Keepers whose folders are empty announce
 // themselves to each other. The first host in the settings waits until every
 // other host has announced itself as empty, and then stores the initial
-// members. In an open group (Options.Voters) the folder also remembers who founds
-// it, so that this survives a restart. A keeper that lost its disk also announces itself, finds an existing
-// group and joins it under a new identity: first as a learner, and, once it has
-// caught up, as a voter that replaces the lost replica of its host.
+// members. In an open group (Options.Voters) the folder also remembers who
+// founds it, so that a restart before that changes nothing. A keeper that lost
+// its disk also announces itself, finds an existing group and joins it under a
+// new identity: first as a learner, and, once it has caught up, as a voter that
+// replaces the lost replica of its host.
+//
+// The state machine gets the entries of one commit together. The lease of a new
+// leader begins once everything that earlier leaders committed is applied, since
+// a lease vouches for the state.
 //
 // When its storage or its state machine fails, the replica halts: it sends
 // nothing to the group and refuses its callers until the process restarts. The
