--- a/isolator/candidate.go
+++ b/isolator/candidate.go
@@ -71,11 +71,7 @@
 // addEnd adds an end, at which the candidate was at a position of a prompt.
 func (c *candidate) addEnd(e *end, position int) {
 	c.position = max(c.position, position)
-	if c.IsRequest() {
-		c.addRequestEnd(e)
-		return
-	}
-	if n := len(c.ends); n == 0 || c.ends[n-1].group != e.group {
+	if n := len(c.ends); n == 0 || c.IsRequest() || c.ends[n-1].group != e.group {
 		c.ends = append(c.ends, e)
 	}
 }
--- a/isolator/request.go
+++ b/isolator/request.go
@@ -55,13 +55,16 @@
 	return "prompt part " + string(k.Part)
 }
 
-// addRequestEnd adds an end under a request. Ends at the same moment count once. A
-// repetition reaches the next server after the end of the one before, so that later
-// ends count each.
-func (c *candidate) addRequestEnd(e *end) {
-	if n := len(c.ends); n == 0 || e.at.Sub(c.ends[n-1].at) > repetitionTime {
-		c.ends = append(c.ends, e)
+// moments returns the number of the candidate's ends, where those at the same moment
+// count once. A repetition reaches the next server after the end of the one before.
+func (c *candidate) moments() int {
+	n, last := 0, time.Time{}
+	for _, e := range c.ends {
+		if e.at.Sub(last) > repetitionTime {
+			n, last = n+1, e.at
+		}
 	}
+	return n
 }
 
 // provenRequest returns a request that the evidence suffices to isolate, the most
@@ -79,8 +82,9 @@
 // isRequestProven reports whether the evidence suffices to isolate a request. One
 // end suffices for a former candidate. Of others no repetition must have survived
 // that was at work on other servers meanwhile, and no other request must explain the
-// ends as well. If no call of the service survived since the first end, the
-// service may end on any call: then the request must account for nearly all ends.
+// ends as well. If no call of the service survived since the first end, the service may
+// end on any call, or all its servers for a cause of their own: then the ends must be
+// of several moments, and the request must account for nearly all of the service's.
 func (i *Investigator) isRequestProven(now time.Time, c *candidate, candidates map[Key]*candidate, hearing time.Duration) bool {
 	switch {
 	case now.Sub(i.began) < resumeTime:
@@ -97,7 +101,8 @@
 	if c.ownEnds(candidates) < requiredOwnEnds || i.hasStrongerPart(c, candidates) {
 		return false
 	}
-	return i.survivals[Key{Service: c.Service}].After(c.ends[0].at) || 2*i.otherEnds(c) < len(c.ends)
+	return i.survivals[Key{Service: c.Service}].After(c.ends[0].at) ||
+		c.moments() >= requiredRequestEnds && 2*i.otherEnds(c) < len(c.ends)
 }
 
 // settleTime returns how long after an end the leader knows which calls survived that
