node, distributor: the document is published after the isolations of the same commit

Cause, by reading and by a test of the order: a keeper that replays its log published the document first; watches of hosts were answered with it alone, and a host with document and lease served calls until the next answer brought the isolations.

Now the document comes last, on the keeper and within an answer. The new test TestDocumentIsPublishedLast failed before with the order reversed. Ruled out: a probe, of which one is due 20 s after the isolation and which explains one call of the four at most.

--- a/distributor/topics.go
+++ b/distributor/topics.go
@@ -1,6 +1,8 @@
 package distributor
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"cyclamenhub.org/identifier"
@@ -68,7 +70,8 @@
 }
 
 // newer returns the topics with a higher revision than in have, packed if that is
-// accepted, and a channel that is closed on the next change.
+// accepted, and a channel that is closed on the next change. The fleet document is
+// last, so that a host which has it in force has the others too.
 func (s *topics) newer(have []*wire.Topic, acceptsPacked bool) ([]*wire.Topic, <-chan struct{}) {
 	known := make(map[TopicName]identifier.Revision, len(have))
 	for _, h := range have {
@@ -87,9 +90,18 @@
 		}
 		updates = append(updates, w)
 	}
+	slices.SortFunc(updates, func(a, b *wire.Topic) int { return cmp.Compare(rank(a), rank(b)) })
 	return updates, s.changed
 }
 
+// rank returns the place of an update among others.
+func rank(w *wire.Topic) int {
+	if w.Name == string(FleetTopic) {
+		return 1
+	}
+	return 0
+}
+
 // encodeFor returns the update for a host that has revision r: deltas if the
 // history reaches back to r, the full document otherwise.
 func (t *heldTopic) encodeFor(r identifier.Revision) *wire.Topic {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -252,14 +252,14 @@
 	return n.machine.Restore(snapshot)
 }
 
-// perform carries out the effects of committed entries. The caller holds mu.
+// perform carries out the effects of committed entries. It publishes the document
+// last: a host that has it serves calls, and must have the isolations and directives
+// of the same commit by then. The caller holds mu.
 func (n *keeperNode) perform(effects []reducer.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case reducer.PublishConfiguration:
-			n.applyDocument(e)
-			// Offer returns the error of OnUpdate, which is always nil on a keeper.
-			_ = n.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: e.Revision, Body: e.Document})
+			defer n.publishDocument(e)
 		case reducer.RolloutEffect:
 			n.performRollout(e.Effect)
 		case reducer.PublishIsolation:
@@ -270,6 +270,13 @@
 	}
 }
 
+// publishDocument applies a document and passes it to the hosts. The caller holds mu.
+func (n *keeperNode) publishDocument(p reducer.PublishConfiguration) {
+	n.applyDocument(p)
+	// Offer returns the error of OnUpdate, which is always nil on a keeper.
+	_ = n.dist.Offer(distributor.Topic{Name: distributor.FleetTopic, Revision: p.Revision, Body: p.Document})
+}
+
 // applyDocument stores a document for the duties and configures the rates of
 // the customers. The caller holds mu.
 func (n *keeperNode) applyDocument(p reducer.PublishConfiguration) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,12 +13,15 @@
 
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
+	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
+	"cyclamenhub.org/isolator"
 	"cyclamenhub.org/messenger"
 	"cyclamenhub.org/permitter"
 	"cyclamenhub.org/placer"
 	"cyclamenhub.org/platform/standin"
+	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/sharer"
 	"cyclamenhub.org/timer"
 )
@@ -326,3 +329,30 @@
 		t.Errorf("%d keepers publish %d topics when they start again, want one document and one list each at most", len(keepers), n)
 	}
 }
+
+// TestDocumentIsPublishedLast guards against a restarted host that has its document,
+// and with it its lease, before the isolations that were decided long before.
+func TestDocumentIsPublishedLast(t *testing.T) {
+	n := newKeeperNode(newSystem(t).settings(keeperA, true), Options{Log: slog.New(slog.DiscardHandler)})
+	var published []distributor.TopicName
+	n.dist = distributor.New(distributor.Options{OnUpdate: func(topic distributor.Topic) error {
+		published = append(published, topic.Name)
+		return nil
+	}})
+	n.machine = &reducer.Machine{Perform: n.perform}
+	var entries [][]byte
+	for _, ev := range []reducer.Event{
+		reducer.StoreDocument{Revision: 1, Document: []byte(standin.Document(1, `["k1"]`))},
+		reducer.Isolation{Event: isolator.Isolate{Key: isolator.Key{Service: "cases", Part: "bad"}}},
+	} {
+		entry, err := reducer.EncodeEvent(ev)
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries = append(entries, entry)
+	}
+	n.Apply(entries...)
+	if diff := cmp.Diff([]distributor.TopicName{isolationTopic, distributor.FleetTopic}, published); diff != "" {
+		t.Errorf("order of publication (-want +got):\n%s", diff)
+	}
+}
