--- a/internal/faker/engine.go
+++ b/internal/faker/engine.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cyclamenhub.org/timer"
 )
 
 const (
@@ -225,15 +227,11 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
+	if timer.Sleep(ctx, d) {
 		return true
-	case <-ctx.Done():
-		g.engine.cancelled.Add(1)
-		return false
 	}
+	g.engine.cancelled.Add(1)
+	return false
 }
 
 // decodeStep waits for one decoding step at the current batch size. It reports
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -29,7 +29,7 @@
 	cfg := s.settings(keeperA, true)
 	cfg.LostMachines = 0
 	n := newKeeperNode(cfg, Options{Log: slog.New(slog.DiscardHandler)})
-	ln, err := listen(b.Context(), n.log, "internalPorts", cfg.PeerAddress(cfg.Host))
+	ln, err := listen(b.Context(), n.log, listenSetting{"internalPorts", cfg.PeerAddress(cfg.Host)})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -110,15 +110,10 @@
 func RunEntry(ctx context.Context, cfg *platform.Settings, opts Options) error {
 	configureRuntime(cfg)
 	e := newEntry(cfg, opts)
-	frontend, err := listen(ctx, e.log, "frontend", cfg.Callers)
+	frontend, readiness, err := listenBoth(ctx, e.log, listenSetting{"frontend", cfg.Callers}, listenSetting{"readiness", cfg.Readiness})
 	if err != nil {
 		return err
 	}
-	readiness, err := listen(ctx, e.log, "readiness", cfg.Readiness)
-	if err != nil {
-		_ = frontend.Close()
-		return err
-	}
 	return e.serve(ctx, frontend, readiness, opts)
 }
 
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -99,25 +99,14 @@
 	if err := n.openOnceWritable(ctx); err != nil {
 		return err
 	}
-	peerLn, operatorLn, err := n.listen(ctx)
+	peerLn, operatorLn, err := listenBoth(ctx, n.log,
+		listenSetting{"internalPorts", cfg.PeerAddress(cfg.Host)}, listenSetting{"controlPlane", cfg.Operators})
 	if err != nil {
 		return errors.Join(err, n.keeper.Load().Close())
 	}
 	return n.serve(ctx, peerLn, operatorLn, opts)
 }
 
-// listen opens the addresses for peers and operators.
-func (n *keeperNode) listen(ctx context.Context) (peers, operators net.Listener, err error) {
-	if peers, err = listen(ctx, n.log, "internalPorts", n.cfg.PeerAddress(n.cfg.Host)); err != nil {
-		return nil, nil, err
-	}
-	if operators, err = listen(ctx, n.log, "controlPlane", n.cfg.Operators); err != nil {
-		_ = peers.Close()
-		return nil, nil, err
-	}
-	return peers, operators, nil
-}
-
 // newKeeperNode returns a keeper that is not running yet.
 func newKeeperNode(cfg *platform.Settings, opts Options) *keeperNode {
 	opts.Log = opts.Log.With("host", cfg.Name)
@@ -256,10 +245,11 @@
 // last: a host that has it serves calls, and must have the isolations and directives
 // of the same commit by then. The caller holds mu.
 func (n *keeperNode) perform(effects []reducer.Effect) {
+	var documents []reducer.PublishConfiguration
 	for _, e := range effects {
 		switch e := e.(type) {
 		case reducer.PublishConfiguration:
-			defer n.publishDocument(e)
+			documents = append(documents, e)
 		case reducer.RolloutEffect:
 			n.performRollout(e.Effect)
 		case reducer.PublishIsolation:
@@ -268,6 +258,9 @@
 			// The state contains the audit record, and propose returns the outcome.
 		}
 	}
+	for _, d := range documents {
+		n.publishDocument(d)
+	}
 }
 
 // publishDocument applies a document and passes it to the hosts. The caller holds mu.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -63,18 +63,33 @@
 	}
 }
 
+// listenSetting is a listening address and the name of its setting.
+type listenSetting struct{ name, address string }
+
+// listenBoth opens two listening addresses, or none.
+func listenBoth(ctx context.Context, log *slog.Logger, a, b listenSetting) (lnA, lnB net.Listener, err error) {
+	if lnA, err = listen(ctx, log, a); err != nil {
+		return nil, nil, err
+	}
+	if lnB, err = listen(ctx, log, b); err != nil {
+		_ = lnA.Close()
+		return nil, nil, err
+	}
+	return lnA, lnB, nil
+}
+
 // listen opens a listening address. While another process holds it, or the machine
 // does not have it yet, listen tries again until addressTimeout. The name of its
 // setting is part of the error.
-func listen(ctx context.Context, log *slog.Logger, name, address string) (net.Listener, error) {
+func listen(ctx context.Context, log *slog.Logger, s listenSetting) (net.Listener, error) {
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
 	for logged := false; ; logged = true {
-		ln, err := net.Listen("tcp", address)
+		ln, err := net.Listen("tcp", s.address)
 		if err == nil {
 			return ln, nil
 		}
-		err = fmt.Errorf("%s: %w: end the process that holds the address or choose another", name, err)
+		err = fmt.Errorf("%s: %w: end the process that holds the address or choose another", s.name, err)
 		if !errors.Is(err, syscall.EADDRINUSE) && !errors.Is(err, syscall.EADDRNOTAVAIL) {
 			return nil, err
 		}
--- a/isolator/candidate.go
+++ b/isolator/candidate.go
@@ -37,11 +37,11 @@
 		}
 		for id, position := range e.Suspects {
 			k := Key{e.Service, id}
-			isExplained := cause.Part != "" || !i.survivals[k].Before(e.at)
-			if !k.IsRequest() {
-				isExplained = e.isMass || !i.survivals[k].Before(e.at)
+			isExplained := e.isMass
+			if k.IsRequest() {
+				isExplained = cause.Part != ""
 			}
-			if isExplained {
+			if isExplained || !i.survivals[k].Before(e.at) {
 				continue
 			}
 			if out[k] == nil {
--- a/isolator/doc.go
+++ b/isolator/doc.go
@@ -5,10 +5,10 @@
 // Evidence comes from the entry hosts. When a connection breaks while calls wait
 // for an answer, the host dials the server again. If that is refused, the process
 // of the server has ended, and the shared parts of the calls that it had only
-// begun to answer, and these calls as whole requests, are suspects. A connection that breaks while the server
-// listens, and a server that does not respond, say nothing about prompts. Evidence
-// against a suspect is a call with it that was answered completely, or for longer
-// than SurvivalTime.
+// begun to answer, and these calls as whole requests, are suspects. A connection
+// that breaks while the server listens, and a server that does not respond, say
+// nothing about calls. Evidence against a suspect is a call with it that was
+// answered completely, or for longer than SurvivalTime.
 //
 // The Investigator on the leader decides, by this evidence alone, which part to
 // isolate: one that was among the suspects of several ends in a row without a call
--- a/isolator/watcher.go
+++ b/isolator/watcher.go
@@ -25,7 +25,7 @@
 	mu       sync.Mutex
 	book     Book
 	isolated map[Key]bool
-	// parts is the number of isolated parts, for the gauge.
+	// parts is the number of isolated parts and requests, for the gauge.
 	parts atomic.Int64
 	// alone holds the parts that this host isolates by what it knows itself, and
 	// until when.
@@ -82,7 +82,7 @@
 	return len(w.isolated)
 }
 
-// Parts returns the number of isolated parts.
+// Parts returns the number of isolated parts and requests.
 func (w *Watcher) Parts() int { return int(w.parts.Load()) }
 
 // takeProbes takes the probes in a book that were allowed to this host since the one
--- a/keeper/doc.go
+++ b/keeper/doc.go
@@ -20,8 +20,8 @@
 // replaces the lost replica of its host.
 //
 // The state machine gets the entries of one commit together. The lease of a new
-// leader begins once everything that earlier leaders committed is applied, since
-// a lease vouches for the state.
+// leader begins once everything that earlier leaders committed is applied, so that
+// a read under the lease returns no older state.
 //
 // When its storage or its state machine fails, the replica halts: it sends
 // nothing to the group and refuses its callers until the process restarts. The
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -393,8 +393,8 @@
 }
 
 // TestNoLeaseWhileLogIsReplayed guards against a leader whose lease is valid while
-// its state machine still applies what earlier leaders committed: the state that
-// it vouches for is an old one.
+// its state machine still applies what earlier leaders committed: a read under the
+// lease returns an old state.
 func TestNoLeaseWhileLogIsReplayed(t *testing.T) {
 	const batches, perBatch = 4, 10
 	runWithFakeTime(t, 3, nil, func(t *testing.T, c *cluster) {
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -223,9 +223,9 @@
 
 // LeaseUntil returns the time until which no other replica can become leader,
 // or the zero time if this one holds no lease. applied is the index of the last
-// entry that the state machine has applied: a state without the first entry of
-// the leader's term may lack what earlier leaders committed, and a lease vouches
-// for the state.
+// entry that the state machine has applied. There is no lease before that is the
+// first entry of the leader's term: until then a read under the lease could miss
+// what earlier leaders committed.
 //
 // The lease starts when the latest messages were sent that a quorum has answered,
 // because each of these voters refuses votes for an ElectionTimeout after it
