forwarder: the line of a call names why no other attempt was made

Change: retryDenial gives that reason; the line of the call bears it as noRetry, and cyclamen_forwarder_retries_denied_total counts by it. What is decided is the same.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -108,7 +108,7 @@
 			}
 			return
 		case refused, unsent, failed, broken:
-			if !x.mayRetry(result) {
+			if x.noRetry = x.retryDenial(result); x.noRetry != "" {
 				x.returnAfter = x.f.opts.Placer.Wait(x.service, x.currentVersion(x.f.fleet.Load()))
 				x.fail(reason)
 				return
@@ -118,21 +118,43 @@
 	}
 }
 
-// mayRetry reports whether the call may be sent to another backend server after
-// an attempt with the given result. It spends a retry from the budget, except
-// after an attempt that reached no backend server.
-func (x *exchange) mayRetry(result attemptResult) bool {
-	if x.ctx.Err() != nil || !x.maySendAfterLoss() {
-		return false
+// retryDenial is why a call is not sent to another backend server; it is empty if the
+// call may be.
+type retryDenial string
+
+// Reasons against another attempt.
+const (
+	deniedByEnd       retryDenial = "the call has ended"
+	deniedByIsolation retryDenial = "the call may end backend servers"
+	deniedByAttempts  retryDenial = "no attempts are left"
+	deniedByKind      retryDenial = "the call may run once"
+	deniedByBudget    retryDenial = "the retry budget is spent"
+)
+
+// retryDenial returns why the call may not be sent to another backend server after an
+// attempt with the given result. It spends a retry from the budget, except after an
+// attempt that reached no backend server.
+func (x *exchange) retryDenial(result attemptResult) retryDenial {
+	if x.ctx.Err() != nil {
+		return deniedByEnd
+	}
+	if !x.maySendAfterLoss() {
+		return deniedByIsolation
 	}
-	maxAttempts := max(x.route.MaxAttempts, 1)
-	switch result {
-	case unsent:
-		return x.unsent < maxUnreachable
-	case refused:
-		return x.sends-x.unsent <= maxRetriesAfterRefusal && x.f.retries.tryWithdraw(x.service)
+	switch {
+	case result == unsent && x.unsent >= maxUnreachable,
+		result == refused && x.sends-x.unsent > maxRetriesAfterRefusal:
+		return deniedByAttempts
+	case result == unsent:
+		return ""
+	case result != refused && !x.route.MayRepeat():
+		return deniedByKind
+	case result != refused && x.runs >= max(x.route.MaxAttempts, 1):
+		return deniedByAttempts
+	case !x.f.retries.tryWithdraw(x.service):
+		return deniedByBudget
 	}
-	return x.route.MayRepeat() && x.runs < maxAttempts && x.f.retries.tryWithdraw(x.service)
+	return ""
 }
 
 // chooseServer has the placer choose a backend server that has not been tried.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -206,9 +206,11 @@
 	// returnAfter is the time after which the call may come back if it is refused;
 	// 0 means that no such time is known.
 	returnAfter time.Duration
-	status      int
-	reason      string
-	server      identifier.BackendServer
+	// noRetry is why no further attempt was made after a failed one.
+	noRetry retryDenial
+	status  int
+	reason  string
+	server  identifier.BackendServer
 	// assignment tracks the picked version of the first attempt while
 	// assignmentOpen is set.
 	// firstAfter is the time from the start of the call to the first byte of
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -312,5 +312,9 @@
 	if x.reason != "" {
 		attrs = append(attrs, slog.String("why", x.reason))
 	}
+	if x.noRetry != "" {
+		attrs = append(attrs, slog.String("noRetry", string(x.noRetry)))
+		metrics.GetOrCreateCounter(fmt.Sprintf("cyclamen_forwarder_retries_denied_total{why=%q}", x.noRetry)).Inc()
+	}
 	x.f.opts.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "call", attrs...)
 }
