forwarder: a silent server is replaced once another one has begun to answer

Cause: an attempt was ended by its time limits before it was known whether the retry budget, another server, the permits and the isolation allow another one. All streams of a server reach the limit at once, so that the first few spent the budget of the host. Evidence: TestAnswerIsNotEndedByItsServersSilence failed in its seven cases; the line of the broken calls said that the retry budget was spent. Change: when a limit has passed, the call is sent to another server while the silent one keeps its connection, and that is closed only once the other one has begun to answer. In every other case the wait goes on. The watch of stalled streams decides alike.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -42,6 +44,10 @@
 	// BetweenBytes is the longest wait between bytes after the header; 0 means
 	// no limit other than Deadline.
 	BetweenBytes time.Duration
+	// GiveUp is called when FirstByte or BetweenBytes has passed, and reports whether
+	// the exchange ends; if not, the wait goes on for as long again. nil means that
+	// it ends.
+	GiveUp func() bool
 	// BeforeSend is called immediately before the first byte is sent. If it
 	// returns an error, nothing is sent.
 	BeforeSend func() error
@@ -95,10 +101,6 @@
 	_ = c.nc.Close()
 }
 
-// Abort makes the exchange in progress fail. Unlike the other methods it may be called
-// from any goroutine.
-func (c *Conn) Abort() { _ = c.nc.Close() }
-
 // Response is an HTTP response whose header has been read.
 type Response struct {
 	Status int
@@ -224,7 +226,7 @@
 		return false
 	}
 	if !c.bodyEnded {
-		c.readLimit, c.readDeadline = drainTimeout, time.Time{}
+		c.readLimit, c.readDeadline, c.limits.GiveUp = drainTimeout, time.Time{}, nil
 		_, _ = io.CopyN(io.Discard, c.res.Body, 1)
 	}
 	if !c.bodyEnded || c.br.Buffered() > 0 || !c.awaitBodyWritten() {
@@ -293,13 +295,13 @@
 // Read implements io.Reader. It fails if the response header is too large.
 func (r connReader) Read(p []byte) (int, error) {
 	c := r.c
-	if err := c.setReadDeadline(); err != nil {
-		return 0, err
-	}
 	if c.headerBytesLeft == 1 {
 		return 0, ErrHeaderTooLarge
 	}
-	n, err := c.nc.Read(p)
+	n, err := r.read(p)
+	for n == 0 && c.isOverdue(err) && !c.limits.GiveUp() {
+		n, err = r.read(p)
+	}
 	if n > 0 {
 		c.lastByte = c.clock.Now()
 	}
@@ -309,6 +311,23 @@
 	return n, err
 }
 
+// read reads once, until the read limit has passed.
+func (r connReader) read(p []byte) (int, error) {
+	if err := r.c.setReadDeadline(); err != nil {
+		return 0, err
+	}
+	return r.c.nc.Read(p)
+}
+
+// isOverdue reports whether a read failed because the read limit has passed, and the
+// exchange may go on nevertheless.
+func (c *Conn) isOverdue(err error) bool {
+	if c.limits.GiveUp == nil || c.readLimit <= 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.ctx.Err() != nil {
+		return false
+	}
+	return c.limits.Deadline.IsZero() || c.clock.Now().Before(c.limits.Deadline)
+}
+
 // connWriter writes to a connection and records the first write of an exchange.
 type connWriter struct{ c *Conn }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -23,16 +23,16 @@
 	// maxUnreachable is how many backend servers may be found unreachable
 	// before a call is refused. None of them has received the call.
 	maxUnreachable = 6
-	// firstByteFactor and minFirstByteTimeout bound the wait for the first byte
-	// if the call may be sent to another backend server: the time-out is
+	// firstByteFactor and minFirstByteTimeout determine how long the first byte is
+	// awaited before another backend server is tried, if the call may be sent to one:
 	// firstByteFactor times the route's Target, but at least
 	// minFirstByteTimeout, and the same multiple of the time that the first token is
 	// expected to take: a long prompt takes longer than its target, and is not stuck.
 	firstByteFactor     = 2
 	minFirstByteTimeout = 300 * time.Millisecond
-	// eventGapFactor and minGapTimeout bound the pause between two parts of a
-	// response if the call may continue on another backend server: the time-out
-	// is eventGapFactor times the route's EventGap, but at least minGapTimeout.
+	// eventGapFactor and minGapTimeout determine the pause between two parts of a
+	// response after which another backend server is tried, if the call may continue on
+	// one: eventGapFactor times the route's EventGap, but at least minGapTimeout.
 	eventGapFactor = 3
 	minGapTimeout  = time.Second
 	// maxForeignReplies is how many responses to other calls may precede the one to a
@@ -98,6 +98,9 @@
 		result, reason := x.attempt(choice)
 		x.endAssignment(result, x.firstAfter)
 		x.logAttempt(result, reason, x.f.opts.Clock.Now().Sub(started))
+		if x.replacement != nil && result != callerLeft {
+			result, reason = x.takeOver()
+		}
 		switch result {
 		case answered:
 			return
@@ -149,7 +152,7 @@
 		return ""
 	case result != refused && !x.route.MayRepeat():
 		return deniedByKind
-	case result != refused && x.runs >= max(x.route.MaxAttempts, 1):
+	case result != refused && x.possibleRuns() >= max(x.route.MaxAttempts, 1):
 		return deniedByAttempts
 	case !x.f.retries.tryWithdraw(x.service):
 		return deniedByBudget
@@ -157,6 +160,14 @@
 	return ""
 }
 
+// possibleRuns returns how many attempts may have run if the current one is counted.
+func (x *exchange) possibleRuns() int {
+	if x.hasRun {
+		return x.runs
+	}
+	return x.runs + 1
+}
+
 // chooseServer has the placer choose a backend server that has not been tried.
 // If no server of the picked version can take the call, one of the current
 // version does.
@@ -201,63 +212,122 @@
 	return choice, err
 }
 
-// attempt sends the call to the chosen backend server and reports the outcome
-// to the placer.
+// attemptState is the state of one attempt.
+type attemptState struct {
+	// server is the backend server of the attempt, and instance what is listed of it.
+	server   identifier.BackendServer
+	instance describer.Instance
+	limits   connector.Limits
+	// hasRun is set once the attempt is counted as one that may have run.
+	hasRun bool
+	// lost is set if the connection of the attempt broke.
+	lost bool
+	// contentAt is when the first content of the attempt arrived, or zero.
+	contentAt time.Time
+	// lastEventAt is when its last event arrived.
+	lastEventAt time.Time
+}
+
+// begunAttempt is an attempt whose backend server has begun to answer: it has sent a
+// response header and did not refuse the call.
+type begunAttempt struct {
+	state  attemptState
+	choice *placer.Choice
+	conn   *connector.Conn
+	res    *connector.Response
+	reply  describer.Reply
+	sentAt time.Time
+}
+
+// attempt sends the call to the chosen backend server, relays its response and reports
+// the outcome to the placer.
 func (x *exchange) attempt(choice *placer.Choice) (attemptResult, string) {
-	x.server = choice.Server
-	x.tried = append(x.tried, choice.Server)
-	x.sends++
-	x.contentAt = time.Time{}
-	in, ok := x.f.fleet.Load().servers[choice.Server]
-	if !ok {
-		choice.End(placer.Unreachable)
-		return refused, "the backend server is no longer listed"
+	x.attemptState = attemptState{server: choice.Server, limits: x.limitsOf(choice)}
+	b, outcome, result, reason := x.begin(choice)
+	if b != nil {
+		return x.finish(b)
 	}
-	x.lost = false
-	outcome, result, reason := x.sendTo(in, choice)
+	x.endAttempt(choice, outcome)
+	return result, reason
+}
+
+// endAttempt reports the outcome of an attempt to the placer and to the isolation.
+func (x *exchange) endAttempt(choice *placer.Choice, outcome placer.Outcome) {
 	if x.lost {
-		x.recordLoss(in)
+		x.recordLoss(x.instance)
 	}
 	choice.End(outcome)
-	return result, reason
 }
 
-// sendTo sends the call to a backend server and handles its response.
-func (x *exchange) sendTo(in describer.Instance, choice *placer.Choice) (placer.Outcome, attemptResult, string) {
+// begin sends the call to the chosen backend server and waits for the header of its
+// response. If the attempt ends before that, begin returns nil and how it ended.
+func (x *exchange) begin(choice *placer.Choice) (*begunAttempt, placer.Outcome, attemptResult, string) {
+	x.tried = append(x.tried, choice.Server)
+	x.sends++
+	in, ok := x.f.fleet.Load().servers[choice.Server]
+	if !ok {
+		return nil, placer.Unreachable, refused, "the backend server is no longer listed"
+	}
+	x.instance = in
 	conn, err := x.f.opts.Pool.Open(x.ctx, in.Address, connector.Pooled)
 	if err != nil {
 		if x.r.Context().Err() != nil {
-			return placer.Cancelled, callerLeft, ""
+			return nil, placer.Cancelled, callerLeft, ""
 		}
 		x.unsent++
-		return placer.Unreachable, unsent, err.Error()
+		return nil, placer.Unreachable, unsent, err.Error()
 	}
 	x.recordRevisionAtSend()
 	sentAt := x.f.opts.TimeOfDay.Now()
-	x.attemptLimits = x.limits(choice)
-	res, err := conn.Send(x.ctx, x.message(in), x.attemptLimits)
+	reply, res, err := x.exchangeHeaders(conn, in)
 	if err != nil {
 		conn.Close()
-		return x.classifySendError(err, sentAt, choice)
-	}
-	reply, res, err := x.matchingReply(conn, res)
-	if err != nil {
-		conn.Close()
-		return x.classifySendError(err, sentAt, choice)
+		outcome, result, reason := x.classifySendError(err, sentAt, choice)
+		return nil, outcome, result, reason
 	}
 	if res.Status != http.StatusMisdirectedRequest { // That status comes from another server.
 		x.recordAnnouncements(&reply, choice)
 	}
 	if reply.NotRun || res.Status == http.StatusMisdirectedRequest {
 		x.f.opts.Pool.Release(conn)
-		return refusalOutcome(res.Status), refused, "the backend server refused the call"
+		return nil, refusalOutcome(res.Status), refused, "the backend server refused the call"
+	}
+	x.countRun()
+	return &begunAttempt{x.attemptState, choice, conn, res, reply, sentAt}, 0, answered, ""
+}
+
+// exchangeHeaders sends the call over a connection and returns the response to it once
+// its header has been read.
+func (x *exchange) exchangeHeaders(conn *connector.Conn, in describer.Instance) (describer.Reply, *connector.Response, error) {
+	res, err := conn.Send(x.ctx, x.message(in), x.limits)
+	if err != nil {
+		return describer.Reply{}, nil, err
 	}
-	x.runs++
-	if x.isStream(res) && reply.Sealed {
-		return x.relayStream(conn, res, choice)
+	return x.matchingReply(conn, res)
+}
+
+// countRun counts the attempt as one that may have run, once.
+func (x *exchange) countRun() {
+	if !x.hasRun {
+		x.hasRun = true
+		x.runs++
 	}
-	x.countUsage(sentAt)
-	return x.relayBuffered(conn, res, reply, choice)
+}
+
+// finish relays the response of an attempt that has begun to answer.
+func (x *exchange) finish(b *begunAttempt) (attemptResult, string) {
+	x.attemptState = b.state
+	var outcome placer.Outcome
+	var result attemptResult
+	var reason string
+	if x.isStream(b.res) && b.reply.Sealed {
+		outcome, result, reason = x.relayStream(b.conn, b.res, b.choice)
+	} else {
+		x.countUsage(b.sentAt)
+		outcome, result, reason = x.relayBuffered(b.conn, b.res, b.reply, b.choice)
+	}
+	x.endAttempt(b.choice, outcome)
+	return result, reason
 }
 
 // recordRevisionAtSend records which revision is in force when an attempt is
@@ -317,21 +387,26 @@
 	return nil
 }
 
-// limits returns the time limits of an attempt. If the call may be sent to
-// another backend server, one that does not respond is abandoned before the
-// deadline.
-func (x *exchange) limits(choice *placer.Choice) connector.Limits {
-	l := connector.Limits{Deadline: x.deadline}
+// limitsOf returns the time limits of an attempt. If the call may be sent to another
+// backend server, one that is silent for too long is replaced before the deadline.
+func (x *exchange) limitsOf(choice *placer.Choice) connector.Limits {
+	l := connector.Limits{Deadline: x.deadline, GiveUp: x.giveUp}
 	if x.customer != nil {
 		l.BeforeSend = x.checkKey
 	}
 	if x.route.MayRepeat() && x.runs+1 < max(x.route.MaxAttempts, 1) {
-		l.FirstByte = max(firstByteFactor*max(x.route.Target, choice.ExpectedFirstToken()), minFirstByteTimeout)
+		l.FirstByte = x.firstByteLimit(choice)
 		l.BetweenBytes = max(eventGapFactor*x.route.EventGap, minGapTimeout)
 	}
 	return l
 }
 
+// firstByteLimit returns how long a backend server may be silent before the first byte
+// of its response.
+func (x *exchange) firstByteLimit(choice *placer.Choice) time.Duration {
+	return max(firstByteFactor*max(x.route.Target, choice.ExpectedFirstToken()), minFirstByteTimeout)
+}
+
 // matchingReply returns the response to this call. It discards up to
 // maxForeignReplies responses to other calls, which a faulty backend server may send
 // late.
@@ -397,7 +472,7 @@
 // the first event counts if that token is expected to have been generated by
 // then, at the expected time.
 func (x *exchange) recordPossibleRun(sentAt time.Time, choice *placer.Choice) {
-	x.runs++
+	x.countRun()
 	if x.route.Kind != describer.Streaming {
 		x.countUsage(sentAt)
 		return
--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -62,6 +62,13 @@
 	return true
 }
 
+// giveBack returns a retry that was withdrawn and not made.
+func (b *retryBudgets) giveBack(s identifier.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens[s] = b.available(s) + 1
+}
+
 // available returns the remaining retries of a service. The caller holds mu.
 func (b *retryBudgets) available(s identifier.Service) float64 {
 	if v, ok := b.tokens[s]; ok {
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -195,7 +195,7 @@
 		t.Fatal(err)
 	}
 	x := &exchange{route: &describer.Route{Kind: describer.Idempotent, MaxAttempts: 2, Target: 200 * time.Millisecond}}
-	if got, expected := x.limits(choice).FirstByte, choice.ExpectedFirstToken(); got <= expected {
+	if got, expected := x.limitsOf(choice).FirstByte, choice.ExpectedFirstToken(); got <= expected {
 		t.Errorf("the first byte is awaited for %v, the prompt alone takes %v", got, expected)
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -179,8 +179,14 @@
 	losses   int
 	// isProbe is set if the call may pass although one of its suspects is isolated.
 	isProbe bool
-	// lost is set if the connection of the current attempt broke.
-	lost bool
+	// attemptState is the state of the current attempt, or of the last one.
+	attemptState
+	// replacement is the attempt that has begun to answer in place of the current one,
+	// and replacements counts the attempts to begin one.
+	replacement  *begunAttempt
+	replacements int
+	// isReplacing is set while a replacement is asked to answer.
+	isReplacing bool
 
 	tried []identifier.BackendServer
 	// sends counts all attempts, unsent those that reached no backend server,
@@ -210,7 +216,6 @@
 	noRetry retryDenial
 	status  int
 	reason  string
-	server  identifier.BackendServer
 	// assignment tracks the picked version of the first attempt while
 	// assignmentOpen is set.
 	// firstAfter is the time from the start of the call to the first byte of
@@ -219,12 +224,6 @@
 	assignmentOpen bool
 	watch          contentWatch
 	firstAfter     time.Duration
-	// attemptLimits are the time limits of the current attempt.
-	attemptLimits connector.Limits
-	// contentAt is when the first content of the current attempt arrived, or zero.
-	contentAt time.Time
-	// lastEventAt is when the last event of the current attempt arrived.
-	lastEventAt time.Time
 }
 
 // serve runs the call from its admission to its result.
@@ -243,6 +242,7 @@
 	x.track(isolate)
 	defer x.untrack()
 	defer func() { x.f.bodies.release(x.heldBytes) }()
+	defer x.dropReplacement()
 	x.f.retries.deposit(x.service)
 	x.run()
 }
@@ -386,6 +386,8 @@
 	streamsBrokenOff = metrics.NewCounter("cyclamen_forwarder_streams_broken_off_total")
 	streamsResumed   = metrics.NewCounter("cyclamen_forwarder_streams_resumed_total")
 	sentByOlderDoc   = metrics.NewCounter("cyclamen_forwarder_attempts_by_older_document_total")
+	attemptsReplaced = metrics.NewCounter(`cyclamen_forwarder_silences_total{result="replaced"}`)
+	silencesBorne    = metrics.NewCounter(`cyclamen_forwarder_silences_total{result="awaited"}`)
 	retriesTotal     = metrics.NewCounter("cyclamen_forwarder_retries_total")
 	callSeconds      = metrics.NewHistogram("cyclamen_forwarder_call_seconds")
 )
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -116,8 +116,7 @@
 		streamsResumed.Inc()
 	}
 	var s eventSplitter
-	stalled := x.watchStall(conn)
-	defer stalled.Stop()
+	progressAt := x.f.opts.Clock.Now()
 	defer func() { choice.RecordSteps(s.events-1, x.lastEventAt.Sub(x.contentAt)) }()
 	buf := make([]byte, readBytes)
 	for {
@@ -125,13 +124,20 @@
 		if n > 0 {
 			before := s.events
 			result, reason := x.relayEvents(&s, buf[:n], res, choice)
-			if s.events > before {
-				stalled.Progress()
-			}
 			if result != answered {
 				conn.Close()
 				return placer.Failed, result, reason
 			}
+			switch now := x.f.opts.Clock.Now(); {
+			case s.events > before:
+				progressAt = now
+			case x.hasStalled(now.Sub(progressAt), s.events):
+				if x.giveUp() {
+					conn.Close()
+					return placer.Failed, broken, "the stream makes no progress"
+				}
+				progressAt = now
+			}
 		}
 		switch {
 		case err == nil:
@@ -145,7 +151,6 @@
 			x.recordSurvival(res.Delimited)
 			x.writeStreamHeader(res)
 			_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
-			stalled.Stop()
 			x.f.opts.Pool.Release(conn)
 			return placer.Succeeded, answered, ""
 		case errors.Is(err, io.EOF):
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -88,8 +88,12 @@
 		{"stream, no other server", "/edit/1", half, rest, whole, 5, none, nil},
 		{"stream, the other server is full", "/edit/1", half, rest, whole, 5, healthy, []string{notRunResponse}},
 		{"stream, the other server is unreachable", "/edit/1", half, rest, whole, 5, unreachable, nil},
+		{"stream, the other server fails", "/edit/1", half, rest, whole, 5, healthy, []string{sealedResponse(http.StatusInternalServerError, "", "failed")}},
+		{"stream, the other server goes on", "/edit/1", half, chunk(event(3)), whole, 5, healthy, []string{streamHead + rest}},
 		{"call, the retry budget is spent", "/look/1", "", lookup, "found", 0, healthy, nil},
 		{"call, no other server", "/look/1", "", lookup, "found", 5, none, nil},
+		{"call, the other server fails", "/look/1", "", lookup, "found", 5, healthy, []string{sealedResponse(http.StatusInternalServerError, "", "failed")}},
+		{"call, the other server answers", "/look/1", "", sealedResponse(http.StatusOK, "", "late"), "found", 5, healthy, []string{lookup}},
 		{"body, no other server", "/look/1", lookup[:len(lookup)-2], lookup[len(lookup)-2:], "found", 5, none, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -1,43 +1,103 @@
 package forwarder
 
 import (
+	"fmt"
+	"net/http"
 	"time"
 
-	"cyclamenhub.org/connector"
 	"cyclamenhub.org/placer"
 )
 
-// stallWatch closes the connection of a stream that completes no event for too long. The
-// limit between bytes alone lets a server that sends a byte now and then hold a call until
-// its deadline. Its zero value watches nothing.
-type stallWatch struct {
-	timer *time.Timer
-	limit time.Duration
+// maxReplacements is how many backend servers are tried in place of silent ones for one
+// call. A call that none of them takes waits for the silent one.
+const maxReplacements = 2
+
+// giveUp reports whether the current attempt, whose backend server is silent, is given up:
+// only once another server has begun to answer. Until then the silent server may go on.
+func (x *exchange) giveUp() bool {
+	if x.isReplacing {
+		return true // The replacement is silent, too.
+	}
+	if x.replace() {
+		attemptsReplaced.Inc()
+		return true
+	}
+	silencesBorne.Inc()
+	return false
+}
+
+// replace sends the call to another backend server while the current attempt waits, and
+// reports whether that server has begun to answer.
+func (x *exchange) replace() bool {
+	if x.replacements >= maxReplacements || x.retryDenial(broken) != "" {
+		return false
+	}
+	choice, err := x.chooseServer()
+	if err != nil {
+		x.f.retries.giveBack(x.service)
+		return false
+	}
+	x.replacements++
+	silent := x.attemptState
+	x.isReplacing = true
+	defer func() { x.attemptState, x.isReplacing = silent, false }()
+	x.attemptState = attemptState{server: choice.Server, limits: x.limitsOf(choice)}
+	x.limits.FirstByte = x.firstByteLimit(choice)
+	started := x.f.opts.Clock.Now()
+	b, outcome, result, reason := x.begin(choice)
+	switch {
+	case b != nil && x.mayComplete(b):
+		x.replacement = b
+		return true
+	case b != nil:
+		b.conn.Close()
+		outcome, result, reason = placer.Failed, failed, fmt.Sprintf("the backend server answered with status %d", b.res.Status)
+	}
+	x.endAttempt(choice, outcome)
+	x.logAttempt(result, reason, x.f.opts.Clock.Now().Sub(started))
+	return false
+}
+
+// mayComplete reports whether a response that has begun may complete the call.
+func (x *exchange) mayComplete(b *begunAttempt) bool {
+	if x.headerSent {
+		return x.isStream(b.res) && b.reply.Sealed
+	}
+	return b.res.Status < http.StatusInternalServerError
 }
 
-// watchStall starts the watch of a stream that may go on at another backend server.
-func (x *exchange) watchStall(conn *connector.Conn) *stallWatch {
-	l := x.attemptLimits
-	if l.BetweenBytes <= 0 {
-		return &stallWatch{}
+// takeOver goes on with the replacement of the last attempt, and with its own if it is
+// replaced in turn.
+func (x *exchange) takeOver() (attemptResult, string) {
+	for {
+		retriesTotal.Inc()
+		b := x.replacement
+		x.replacement = nil
+		started := x.f.opts.Clock.Now()
+		result, reason := x.finish(b)
+		x.logAttempt(result, reason, x.f.opts.Clock.Now().Sub(started))
+		if x.replacement == nil || result == callerLeft {
+			return result, reason
+		}
 	}
-	// The first event takes as long as the prompt.
-	first := max(l.FirstByte, l.BetweenBytes)
-	return &stallWatch{timer: time.AfterFunc(first, conn.Abort), limit: l.BetweenBytes}
 }
 
-// Progress records that an event was completed.
-func (w *stallWatch) Progress() {
-	if w.timer != nil {
-		w.timer.Reset(w.limit)
+// dropReplacement ends a replacement that nothing has been relayed of.
+func (x *exchange) dropReplacement() {
+	if b := x.replacement; b != nil {
+		b.conn.Close()
+		b.choice.End(placer.Cancelled)
 	}
 }
 
-// Stop ends the watch.
-func (w *stallWatch) Stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+// hasStalled reports whether a stream that completed its last event the given time ago
+// makes no progress, although bytes arrive. The first event takes as long as the prompt.
+func (x *exchange) hasStalled(since time.Duration, events int) bool {
+	limit := x.limits.BetweenBytes
+	if events == 0 {
+		limit = max(limit, x.limits.FirstByte)
 	}
+	return x.limits.BetweenBytes > 0 && since > limit
 }
 
 // hasEnded reports whether the process of the backend server of an attempt has ended,
--- a/forwarder/version.go
+++ b/forwarder/version.go
@@ -81,7 +81,7 @@
 
 // endAssignment reports the result of the attempt with the picked version.
 func (x *exchange) endAssignment(result attemptResult, firstAfter time.Duration) {
-	if !x.assignmentOpen || x.sends > 1 {
+	if !x.assignmentOpen {
 		return
 	}
 	x.assignmentOpen = false
