forwarder: a caller that has left gets no empty success

Callers saw: an answer with status 200, no body and no seal, where a caller closes its side of the connection after it has sent its call, and reads on. Cause: a handler that returns without having written anything leaves the answer to net/http, which sends an empty one with status 200. The end of a caller's side cancels the context of its call as a lost connection does. Change: a call whose caller has left ends its connection in every case. Result: TestCallerThatHalfClosesGetsNoEmptySuccess got that answer before and passes now.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -106,10 +106,7 @@
 			return
 		case callerLeft:
 			x.status, x.reason = 0, "the caller left"
-			if x.headerSent {
-				panic(http.ErrAbortHandler)
-			}
-			return
+			panic(http.ErrAbortHandler) // Without an answer net/http would send an empty one with status 200.
 		case refused, unsent, failed, broken:
 			if x.noRetry = x.retryDenial(result); x.noRetry != "" {
 				x.returnAfter = x.f.opts.Placer.Wait(x.service, x.currentVersion(x.f.fleet.Load()))
