--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -141,7 +141,7 @@
 		Self:      configurer.HostAddress{Name: cfg.Host, FailureDomain: cfg.FailureDomain},
 		Upstreams: e.upstreams, Call: e.messenger.Call, OnUpdate: e.applyTopic, Clock: boot,
 	})
-	e.forwarder = e.newForwarder(boot)
+	e.forwarder = e.newForwarder(boot, opts)
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: ownListingInterval(cfg.Bounds.LeaveNotice),
 		StartWait: listingWait(cfg.Founding), ConfirmationTTL: cfg.Bounds.LeaveNotice / 2,
@@ -152,10 +152,10 @@
 
 // newForwarder returns the forwarder of the host. boot is the clock by which usage is
 // counted.
-func (e *entry) newForwarder(boot timer.Clock) *forwarder.Forwarder {
+func (e *entry) newForwarder(boot timer.Clock, opts Options) *forwarder.Forwarder {
 	return forwarder.New(forwarder.Options{
 		Codec:          platform.Codec{},
-		Pool:           connector.NewPool(connector.Options{Metrics: metrics.GetDefaultSet(), DialTimeout: dialTimeout}),
+		Pool:           connector.NewPool(connector.Options{Dial: opts.DialServer, Metrics: metrics.GetDefaultSet(), DialTimeout: dialTimeout}),
 		Placer:         e.placer,
 		Limiter:        e.limiter,
 		Meter:          e.meter,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -48,6 +48,8 @@
 	Log *slog.Logger
 	// Reload reads the settings again. If it is nil, the settings never change.
 	Reload func() (*platform.Settings, error)
+	// DialServer opens connections to backend servers; nil means TCP.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
 	// Changed signals that the settings may have changed, so that they are
 	// reloaded immediately.
 	Changed <-chan struct{}
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -26,12 +26,14 @@
 	stop   map[string]context.CancelFunc
 	done   map[string]chan error
 	folder map[string]string
+	// links are the links of hosts to backend servers that a test may cut.
+	links map[string]*serverLinks
 }
 
 // The addresses of the hosts of a system.
 const (
 	keeperA, keeperB, keeperC = "127.7.0.1", "127.7.0.2", "127.7.0.3"
-	entryA                    = "127.7.0.4"
+	entryA, entryB            = "127.7.0.4", "127.7.0.5"
 )
 
 // newSystem returns a system whose processes are not started yet.
@@ -116,7 +118,11 @@
 	cfg := s.settings(ip, founding)
 	done := make(chan error, 1)
 	s.stop[ip], s.done[ip] = cancel, done
-	go func() { done <- run(ctx, cfg, Options{Log: slog.New(slog.DiscardHandler)}) }()
+	opts := Options{Log: slog.New(slog.DiscardHandler)}
+	if l := s.links[ip]; l != nil {
+		opts.DialServer = l.dial
+	}
+	go func() { done <- run(ctx, cfg, opts) }()
 }
 
 // startKeepers starts the three keepers.
@@ -204,6 +210,9 @@
 
 // call makes a call with a key through the entry host and returns its status
 // and body.
-func (s *system) call(key string) (int, string) {
-	return s.request(http.MethodPost, entryA, standin.FrontendPort, "/file/1", "x", standin.CallHeader("id-1", key, 5*time.Second))
+func (s *system) call(key string) (int, string) { return s.callAt(entryA, key) }
+
+// callAt makes a call with a key through one entry host.
+func (s *system) callAt(ip, key string) (int, string) {
+	return s.request(http.MethodPost, ip, standin.FrontendPort, "/file/1", "x", standin.CallHeader("id-1", key, 5*time.Second))
 }
