--- /dev/null
+++ b/relayer/contact.go
@@ -0,0 +1,216 @@
+package relayer
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+const (
+	// silence is how long an attempt waits, and the service gives no byte, before a
+	// cut is suspected. It is longer than a round trip with one lost packet.
+	silence = 300 * time.Millisecond
+	// suspectServers is the number of servers whose attempts failed that a cut takes;
+	// one alone may be dead.
+	suspectServers = 2
+	// suspectDials is the number of servers to which dials failed while answers arrive
+	// on older connections. It is also the number of failures of an only server.
+	suspectDials = 3
+	// roundProbes is the number of servers that a round probes. That all of them are
+	// dead while others are not is unlikely.
+	roundProbes = 3
+	// roundInterval is the minimum time between the starts of two rounds.
+	roundInterval = 250 * time.Millisecond
+	// roundMaxAge is when a round is given up whose probes did not come back.
+	roundMaxAge = 2 * time.Second
+	// probeInterval is the time between two probes of a host that is cut off, and
+	// probeJitter the largest part of it that is added or taken off, so that hosts
+	// that were cut off together do not probe together.
+	probeInterval = 500 * time.Millisecond
+	probeJitter   = 0.1
+)
+
+// contact is what a host knows of its connections to the servers of one service.
+type contact struct {
+	// waiting are the attempts without a byte.
+	waiting map[*Attempt]struct{}
+	// answeredAt is the time of the last byte, openedAt that of the last fresh
+	// connection.
+	answeredAt, openedAt time.Time
+	// failed counts the attempts that failed since answeredAt, refused the dials since
+	// openedAt.
+	failed, refused map[identifier.BackendServer]int
+	// round is the one that is out, or nil. roundAt is when the last one began.
+	round   *round
+	roundAt time.Time
+	// cut is set while the host believes that it reaches no server. It probes one at
+	// probeAt then, the first one of rotation.
+	cut      bool
+	probeAt  time.Time
+	rotation []identifier.BackendServer
+}
+
+// newContact returns the contact of a service without attempts.
+func newContact() *contact {
+	return &contact{
+		waiting: make(map[*Attempt]struct{}),
+		failed:  make(map[identifier.BackendServer]int),
+		refused: make(map[identifier.BackendServer]int),
+	}
+}
+
+// round is a set of probes that were made together.
+type round struct {
+	out map[identifier.BackendServer]struct{}
+	// connected is set if a fresh connection was opened since the start.
+	connected bool
+}
+
+// open records a fresh connection, which clears all evidence. It reports whether it
+// ended a cut.
+func (c *contact) open(now time.Time) (healed bool) {
+	healed = c.cut
+	c.cut, c.rotation, c.openedAt = false, nil, now
+	clear(c.failed)
+	clear(c.refused)
+	if c.round != nil {
+		c.round.connected = true
+	}
+	return healed
+}
+
+// settle takes a server off the round, and decides once that was the last one. It
+// reports whether the host is cut off by that decision.
+func (c *contact) settle(now time.Time, server identifier.BackendServer, random *rand.Rand) (cut bool) {
+	r := c.round
+	if r == nil {
+		return false
+	}
+	delete(r.out, server)
+	if len(r.out) > 0 {
+		return false
+	}
+	c.round = nil
+	if r.connected {
+		return false
+	}
+	c.cut, c.probeAt = true, now.Add(jitter(random))
+	return true
+}
+
+// jitter returns the time to the next probe of a host that is cut off.
+func jitter(random *rand.Rand) time.Duration {
+	factor := 1 + probeJitter*(2*random.Float64()-1)
+	return time.Duration(factor * float64(probeInterval))
+}
+
+// retain forgets the failures of servers that are not listed.
+func (c *contact) retain(listed []identifier.BackendServer) {
+	if len(c.failed)+len(c.refused) == 0 {
+		return
+	}
+	known := make(map[identifier.BackendServer]struct{}, len(listed))
+	for _, s := range listed {
+		known[s] = struct{}{}
+	}
+	isGone := func(s identifier.BackendServer, _ int) bool { _, ok := known[s]; return !ok }
+	maps.DeleteFunc(c.failed, isGone)
+	maps.DeleteFunc(c.refused, isGone)
+}
+
+// due returns the servers to probe now.
+func (c *contact) due(now time.Time, listed []identifier.BackendServer, random *rand.Rand) []identifier.BackendServer {
+	if c.cut {
+		return c.dueWhileCut(now, listed, random)
+	}
+	if c.round != nil && now.Sub(c.roundAt) >= roundMaxAge {
+		c.round = nil
+	}
+	if c.round != nil || now.Sub(c.roundAt) < roundInterval || !c.isSuspected(now, len(listed)) {
+		return nil
+	}
+	probed := c.order(listed, random)
+	probed = probed[:min(len(probed), roundProbes)]
+	c.round, c.roundAt = &round{out: make(map[identifier.BackendServer]struct{})}, now
+	for _, s := range probed {
+		c.round.out[s] = struct{}{}
+	}
+	return probed
+}
+
+// dueWhileCut returns the next server of the rotation if its time has come.
+func (c *contact) dueWhileCut(now time.Time, listed []identifier.BackendServer, random *rand.Rand) []identifier.BackendServer {
+	if now.Before(c.probeAt) {
+		return nil
+	}
+	c.probeAt = now.Add(jitter(random))
+	isGone := func(s identifier.BackendServer) bool { return !slices.Contains(listed, s) }
+	for len(c.rotation) > 0 && isGone(c.rotation[0]) {
+		c.rotation = c.rotation[1:]
+	}
+	if len(c.rotation) == 0 {
+		c.rotation = c.order(listed, random)
+	}
+	next := c.rotation[:1]
+	c.rotation = c.rotation[1:]
+	return next
+}
+
+// order returns servers in random order, those that did not fail first.
+func (c *contact) order(listed []identifier.BackendServer, random *rand.Rand) []identifier.BackendServer {
+	var sound, failed []identifier.BackendServer
+	for _, i := range random.Perm(len(listed)) {
+		if s := listed[i]; c.failed[s]+c.refused[s] == 0 {
+			sound = append(sound, s)
+		} else {
+			failed = append(failed, s)
+		}
+	}
+	return append(sound, failed...)
+}
+
+// isSuspected reports whether the evidence calls for a round.
+func (c *contact) isSuspected(now time.Time, listed int) bool {
+	return isFailing(c.failed, min(listed, suspectServers)) || isFailing(c.refused, min(listed, suspectDials)) ||
+		c.isSilent(now)
+}
+
+// isFailing reports whether failures are of enough servers, or often enough if there is
+// only one.
+func isFailing(failures map[identifier.BackendServer]int, servers int) bool {
+	if servers > 1 {
+		return len(failures) >= servers
+	}
+	for _, n := range failures {
+		if n >= suspectDials {
+			return true
+		}
+	}
+	return false
+}
+
+// isSilent reports whether an attempt is overdue and the service gave no byte
+// meanwhile.
+func (c *contact) isSilent(now time.Time) bool {
+	if now.Sub(c.answeredAt) < silence || now.Sub(c.openedAt) < silence {
+		return false
+	}
+	for a := range c.waiting {
+		if c.isOverdue(now, a) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOverdue reports whether an attempt has waited for silence or, if it was waiting at
+// the last fresh connection, for as long again as it had waited then.
+func (c *contact) isOverdue(now time.Time, a *Attempt) bool {
+	if before := c.openedAt.Sub(a.since); before > 0 {
+		return now.Sub(c.openedAt) >= max(silence, before)
+	}
+	return now.Sub(a.since) >= silence
+}
