relayer: failures of servers that are down are no evidence; stories

With seven of nine servers dead, a host that goes on calling them made a round of three probes every 250 ms for as long as they were listed, and believed to be cut off now and then (story servers-dead, before: 53 probes in 9 s and three beliefs). Servers that failed by the time of a fresh connection are down; their failures are no evidence for 2 s, and rounds begin with the others (after: 20 probes, one belief, while all were dead). A call that goes on after a failed attempt is overdue with that one, so that a service with one server is noticed as fast as others.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -23,34 +23,37 @@
 func (a *Attempt) Dialed() (changed bool) {
 	a.reach.mu.Lock()
 	defer a.reach.mu.Unlock()
-	return a.contact.open(a.reach.clock.Now())
+	return a.contact.open(a.reach.clock.Now(), a.server)
 }
 
 // Answered records that a byte of a response arrived.
 func (a *Attempt) Answered() {
-	a.end(func(c *contact) {
-		c.answeredAt = a.reach.clock.Now()
-		clear(c.failed)
-	})
+	a.end(func(c *contact, now time.Time) { c.answer(now, a.server) })
 }
 
-// DialFailed records that no fresh connection could be opened.
+// DialFailed records that no fresh connection could be opened. A dial that began before
+// another one succeeded says nothing about the time since.
 func (a *Attempt) DialFailed() {
-	a.end(func(c *contact) {
-		c.failed[a.server]++
-		c.refused[a.server]++
+	a.end(func(c *contact, now time.Time) {
+		if a.since.Before(c.openedAt) {
+			return
+		}
+		c.fail(now, a)
+		c.refuse(now, a.server)
 	})
 }
 
 // Failed records that the connection broke without a byte.
-func (a *Attempt) Failed() { a.end(func(c *contact) { c.failed[a.server]++ }) }
+func (a *Attempt) Failed() {
+	a.end(func(c *contact, now time.Time) { c.fail(now, a) })
+}
 
 // End records that the attempt ended for another reason: its caller left, or its own
 // time-out passed.
-func (a *Attempt) End() { a.end(func(*contact) {}) }
+func (a *Attempt) End() { a.end(func(*contact, time.Time) {}) }
 
 // end ends the attempt with an outcome, unless it has ended.
-func (a *Attempt) end(outcome func(*contact)) {
+func (a *Attempt) end(outcome func(c *contact, now time.Time)) {
 	a.reach.mu.Lock()
 	defer a.reach.mu.Unlock()
 	if a.ended {
@@ -58,5 +61,5 @@
 	}
 	a.ended = true
 	delete(a.contact.waiting, a)
-	outcome(a.contact)
+	outcome(a.contact, a.reach.clock.Now())
 }
--- a/relayer/contact.go
+++ b/relayer/contact.go
@@ -26,6 +26,9 @@
 	roundInterval = 250 * time.Millisecond
 	// roundMaxAge is when a round is given up whose probes did not come back.
 	roundMaxAge = 2 * time.Second
+	// explainedFor is how long after a fresh connection the failures of servers that
+	// had failed by then are no evidence: they are down, and the host is not cut off.
+	explainedFor = 2 * time.Second
 	// probeInterval is the time between two probes of a host that is cut off, and
 	// probeJitter the largest part of it that is added or taken off, so that hosts
 	// that were cut off together do not probe together.
@@ -43,6 +46,11 @@
 	// failed counts the attempts that failed since answeredAt, refused the dials since
 	// openedAt.
 	failed, refused map[identifier.BackendServer]int
+	// failedFrom is when the first of the failed attempts began, or zero.
+	failedFrom time.Time
+	// down are the servers that failed since they last answered or opened a
+	// connection, with the time until which that is explained.
+	down map[identifier.BackendServer]time.Time
 	// round is the one that is out, or nil. roundAt is when the last one began.
 	round   *round
 	roundAt time.Time
@@ -59,9 +67,43 @@
 		waiting: make(map[*Attempt]struct{}),
 		failed:  make(map[identifier.BackendServer]int),
 		refused: make(map[identifier.BackendServer]int),
+		down:    make(map[identifier.BackendServer]time.Time),
 	}
 }
 
+// answer records a byte of a response.
+func (c *contact) answer(now time.Time, server identifier.BackendServer) {
+	c.answeredAt, c.failedFrom = now, time.Time{}
+	clear(c.failed)
+	delete(c.down, server)
+}
+
+// fail records that an attempt failed without a byte.
+func (c *contact) fail(now time.Time, a *Attempt) {
+	if c.isExplained(now, a.server) {
+		return
+	}
+	c.failed[a.server]++
+	c.down[a.server] = time.Time{}
+	if c.failedFrom.IsZero() || a.since.Before(c.failedFrom) {
+		c.failedFrom = a.since
+	}
+}
+
+// refuse records that a dial failed.
+func (c *contact) refuse(now time.Time, server identifier.BackendServer) {
+	if c.isExplained(now, server) {
+		return
+	}
+	c.refused[server]++
+	c.down[server] = time.Time{}
+}
+
+// isExplained reports whether a server is known to be down while others are not.
+func (c *contact) isExplained(now time.Time, server identifier.BackendServer) bool {
+	return now.Before(c.down[server])
+}
+
 // round is a set of probes that were made together.
 type round struct {
 	out map[identifier.BackendServer]struct{}
@@ -69,19 +111,36 @@
 	connected bool
 }
 
-// open records a fresh connection, which clears all evidence. It reports whether it
-// ended a cut.
-func (c *contact) open(now time.Time) (healed bool) {
+// open records a fresh connection to a server, which clears all evidence. It reports
+// whether it ended a cut.
+func (c *contact) open(now time.Time, server identifier.BackendServer) (healed bool) {
 	healed = c.cut
 	c.cut, c.rotation, c.openedAt = false, nil, now
-	clear(c.failed)
-	clear(c.refused)
+	delete(c.down, server)
+	c.clear()
+	if !healed {
+		c.explain(now) // During a cut all servers fail, also those that are up.
+	}
 	if c.round != nil {
 		c.round.connected = true
 	}
 	return healed
 }
 
+// clear clears the evidence of failures.
+func (c *contact) clear() {
+	c.failedFrom = time.Time{}
+	clear(c.failed)
+	clear(c.refused)
+}
+
+// explain takes the servers that failed for down.
+func (c *contact) explain(now time.Time) {
+	for s := range c.down {
+		c.down[s] = now.Add(explainedFor)
+	}
+}
+
 // settle takes a server off the round, and decides once that was the last one. It
 // reports whether the host is cut off by that decision.
 func (c *contact) settle(now time.Time, server identifier.BackendServer, random *rand.Rand) (cut bool) {
@@ -95,6 +154,8 @@
 	}
 	c.round = nil
 	if r.connected {
+		c.clear()
+		c.explain(now)
 		return false
 	}
 	c.cut, c.probeAt = true, now.Add(jitter(random))
@@ -109,16 +170,21 @@
 
 // retain forgets the failures of servers that are not listed.
 func (c *contact) retain(listed []identifier.BackendServer) {
-	if len(c.failed)+len(c.refused) == 0 {
+	if len(c.failed)+len(c.refused)+len(c.down) == 0 {
 		return
 	}
 	known := make(map[identifier.BackendServer]struct{}, len(listed))
 	for _, s := range listed {
 		known[s] = struct{}{}
 	}
-	isGone := func(s identifier.BackendServer, _ int) bool { _, ok := known[s]; return !ok }
-	maps.DeleteFunc(c.failed, isGone)
-	maps.DeleteFunc(c.refused, isGone)
+	retain(c.failed, known)
+	retain(c.refused, known)
+	retain(c.down, known)
+}
+
+// retain keeps the entries of known servers.
+func retain[V any](m map[identifier.BackendServer]V, known map[identifier.BackendServer]struct{}) {
+	maps.DeleteFunc(m, func(s identifier.BackendServer, _ V) bool { _, ok := known[s]; return !ok })
 }
 
 // due returns the servers to probe now.
@@ -129,7 +195,7 @@
 	if c.round != nil && now.Sub(c.roundAt) >= roundMaxAge {
 		c.round = nil
 	}
-	if c.round != nil || now.Sub(c.roundAt) < roundInterval || !c.isSuspected(now, len(listed)) {
+	if c.round != nil || now.Sub(c.roundAt) < roundInterval || !c.isSuspected(now, c.countSound(now, listed)) {
 		return nil
 	}
 	probed := c.order(listed, random)
@@ -163,18 +229,29 @@
 func (c *contact) order(listed []identifier.BackendServer, random *rand.Rand) []identifier.BackendServer {
 	var sound, failed []identifier.BackendServer
 	for _, i := range random.Perm(len(listed)) {
-		if s := listed[i]; c.failed[s]+c.refused[s] == 0 {
-			sound = append(sound, s)
+		if _, ok := c.down[listed[i]]; ok {
+			failed = append(failed, listed[i])
 		} else {
-			failed = append(failed, s)
+			sound = append(sound, listed[i])
 		}
 	}
 	return append(sound, failed...)
 }
 
+// countSound returns the number of servers whose failures are evidence.
+func (c *contact) countSound(now time.Time, listed []identifier.BackendServer) int {
+	n := len(listed)
+	for s := range c.down {
+		if c.isExplained(now, s) {
+			n--
+		}
+	}
+	return n
+}
+
 // isSuspected reports whether the evidence calls for a round.
-func (c *contact) isSuspected(now time.Time, listed int) bool {
-	return isFailing(c.failed, min(listed, suspectServers)) || isFailing(c.refused, min(listed, suspectDials)) ||
+func (c *contact) isSuspected(now time.Time, sound int) bool {
+	return isFailing(c.failed, min(sound, suspectServers)) || isFailing(c.refused, min(sound, suspectDials)) ||
 		c.isSilent(now)
 }
 
@@ -193,11 +270,14 @@
 }
 
 // isSilent reports whether an attempt is overdue and the service gave no byte
-// meanwhile.
+// meanwhile. An attempt that follows on one that failed is overdue with that one.
 func (c *contact) isSilent(now time.Time) bool {
-	if now.Sub(c.answeredAt) < silence || now.Sub(c.openedAt) < silence {
+	if now.Sub(c.answeredAt) < silence || now.Sub(c.openedAt) < silence || len(c.waiting) == 0 {
 		return false
 	}
+	if !c.failedFrom.IsZero() && now.Sub(c.failedFrom) >= silence {
+		return true
+	}
 	for a := range c.waiting {
 		if c.isOverdue(now, a) {
 			return true
--- a/relayer/reach.go
+++ b/relayer/reach.go
@@ -80,12 +80,13 @@
 	if c == nil {
 		return false
 	}
+	now := r.clock.Now()
 	if connected {
-		changed = c.open(r.clock.Now())
+		changed = c.open(now, p.Server)
 	} else {
-		c.refused[p.Server]++
+		c.refuse(now, p.Server)
 	}
-	return c.settle(r.clock.Now(), p.Server, r.random) || changed
+	return c.settle(now, p.Server, r.random) || changed
 }
 
 // IsCut reports whether the host believes that it reaches no server of a service.
--- /dev/null
+++ b/relayer/story_test.go
@@ -0,0 +1,100 @@
+package relayer
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/golden"
+)
+
+// play plays the lines of a story on a host, and returns its probes and beliefs:
+//
+//	SECONDS servers NUMBER                  there are servers s1, s2 and so on
+//	SECONDS calls PER-SECOND                the host gets calls
+//	SECONDS call                            it gets one
+//	SECONDS fresh                           it has no open connections
+//	SECONDS first-byte SECONDS              the servers take this time
+//	SECONDS way WAY [SERVER...]             what becomes of connections
+//	SECONDS end                             the story ends
+func play(t *testing.T, path string) string {
+	t.Helper()
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	s := newSimulation(1, 9)
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		fields := strings.Fields(lines.Text())
+		if len(fields) == 0 || fields[0] == "#" {
+			continue
+		}
+		s.RunUntil(s.start.Add(seconds(t, fields[0])))
+		s.follow(t, fields[1], fields[2:])
+	}
+	fmt.Fprintf(&s.out, "%d calls answered, %d failed, %d relayed; %d probes\n", s.answered, s.failed, s.relayed, len(s.probed))
+	return s.out.String()
+}
+
+// follow follows one line.
+func (s *simulation) follow(t *testing.T, what string, args []string) {
+	t.Helper()
+	switch what {
+	case "servers":
+		n, err := strconv.Atoi(args[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.servers = s.servers[:n]
+	case "calls":
+		s.interval = time.Duration(float64(time.Second) / seconds(t, args[0]).Seconds())
+		s.callRegularly()
+	case "call":
+		s.call(s.rng.Perm(len(s.servers)))
+	case "fresh":
+		clear(s.pooled)
+	case "first-byte":
+		s.firstByte = seconds(t, args[0])
+	case "way":
+		var ids []identifier.BackendServer
+		for _, id := range args[1:] {
+			ids = append(ids, identifier.BackendServer(id))
+		}
+		s.log("(%s)", strings.Join(args, " "))
+		s.set(way(args[0]), ids...)
+	case "end":
+	default:
+		t.Fatalf("unknown line %q", what)
+	}
+}
+
+// seconds parses a number of seconds.
+func seconds(t *testing.T, text string) time.Duration {
+	t.Helper()
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(x * float64(time.Second))
+}
+
+// TestStories compares what a host believes in the stories in testdata with the golden
+// files beside them.
+func TestStories(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.story")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no stories: %v", err)
+	}
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".story"), func(t *testing.T) {
+			golden.Compare(t, strings.TrimSuffix(path, ".story")+".golden", play(t, path))
+		})
+	}
+}
