forwarder: a refusal without an id on a used connection proves nothing

Cause: a response without an id counted as the response to the call, also on a connection that earlier calls had used. A faulty server that writes an earlier refusal once more, between the check of the idle connection and the answer, then refused a call that it was running: the call went to a second server, or its caller was told "not run". An answer of another call reached the caller the same way.

Change: a response without an id is the call's own only if it is the first on a new connection. Else the call may be running: it ends as after any lost answer. A connection with such a response is not used again, so that all responses before one on a used connection bore ids. A call that may repeat goes on as after a refusal, since its status promises nothing. Servers that give ids in answers and none in refusals would turn "full" into 502 for calls that may run once: after one such refusal these calls get connections of their own there, as do calls without an id everywhere.

Refusals with an earlier call's id were discarded before, and a refusal with the call's own id, or the first on a new connection, stays a refusal.

The fake server of BenchmarkCall now gives ids, so that it keeps measuring used connections.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -89,6 +89,12 @@
 // Reused reports whether the connection was used for an earlier exchange.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Address returns the address of the backend server.
+func (c *Conn) Address() string { return c.address }
+
+// DisableReuse makes Release close the connection after the current response.
+func (c *Conn) DisableReuse() { c.closeAfterResponse = true }
+
 // Close closes the connection and so aborts its exchange.
 func (c *Conn) Close() {
 	c.stopWatching()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -224,7 +224,7 @@
 
 // sendTo sends the call to a backend server and handles its response.
 func (x *exchange) sendTo(in describer.Instance, choice *placer.Choice) (placer.Outcome, attemptResult, string) {
-	conn, err := x.f.opts.Pool.Open(x.ctx, in.Address, connector.Pooled)
+	conn, err := x.f.opts.Pool.Open(x.ctx, in.Address, x.reuse(in.Address))
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			return placer.Cancelled, callerLeft, ""
@@ -248,7 +248,7 @@
 	if res.Status != http.StatusMisdirectedRequest { // That status comes from another server.
 		x.recordAnnouncements(&reply, choice)
 	}
-	if reply.NotRun || res.Status == http.StatusMisdirectedRequest {
+	if isRefusal(&reply, res.Status) {
 		x.f.opts.Pool.Release(conn)
 		return refusalOutcome(res.Status), refused, "the backend server refused the call"
 	}
@@ -338,7 +338,10 @@
 func (x *exchange) matchingReply(conn *connector.Conn, res *connector.Response) (describer.Reply, *connector.Response, error) {
 	for foreign := 0; ; foreign++ {
 		reply := x.f.opts.Codec.Reply(res.Status, res.Header)
-		if reply.ID == "" || reply.ID == x.call.ID {
+		if reply.ID == "" {
+			return reply, res, x.checkUnidentified(conn, &reply, res.Status, foreign)
+		}
+		if reply.ID == x.call.ID {
 			return reply, res, nil
 		}
 		if !res.Delimited || foreign == maxForeignReplies {
--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -19,7 +19,7 @@
 			name = "withLogs"
 		}
 		b.Run(name, func(b *testing.B) {
-			h := newHarness(b, slices.Repeat([]string{sealedResponse(http.StatusOK, "", "x")}, b.N)...)
+			h := newHarness(b, slices.Repeat([]string{sealedResponse(http.StatusOK, idLine("id-1"), "x")}, b.N)...)
 			if withLogs {
 				l := logger.New(io.Discard, logger.Options{Rate: b.N})
 				defer l.Close()
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -9,6 +9,11 @@
 // backend server, and all other calls are sent again only after a backend
 // server has reported that it ran nothing.
 //
+// A response belongs to a call if it bears the id of the call, or if it is the first
+// one on a new connection. Responses that bear other ids are discarded. A response
+// without an id on a connection that earlier calls used may repeat the response to
+// one of them, so that a refusal of this kind proves nothing.
+//
 // A stream is relayed in complete events, each as soon as it arrives. If a
 // resumable stream breaks off, it continues on another backend server within
 // the same response, after the last event that the caller has received. If a
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -300,12 +300,20 @@
 
 // call makes a call with a key.
 func (h *harness) call(t testing.TB, method, path, key, body string) response {
+	t.Helper()
+	return h.callAs(t, "id-1", method, path, key, body)
+}
+
+// callAs makes a call with an id, or without one if it is empty.
+func (h *harness) callAs(t testing.TB, id, method, path, key, body string) response {
 	t.Helper()
 	r, err := http.NewRequest(method, h.url+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Header.Set(testID, "id-1")
+	if id != "" {
+		r.Header.Set(testID, id)
+	}
 	if key != "" {
 		r.Header.Set(testKey, key)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -78,6 +78,8 @@
 	fleet   atomic.Pointer[fleet]
 	retries *retryBudgets
 	bodies  bodyBudget
+	// unidentified holds the addresses of backend servers whose refusals bear no id.
+	unidentified addressSet
 	// active counts the calls in progress.
 	active atomic.Int64
 }
@@ -135,7 +137,9 @@
 
 // SetListing replaces the listing of backend servers.
 func (f *Forwarder) SetListing(l *discoverer.Listing) {
-	f.fleet.Store(newFleet(l))
+	fl := newFleet(l)
+	f.fleet.Store(fl)
+	f.unidentified.retain(fl)
 	f.publishServers()
 }
 
