dispatcher: an answer without an id does not follow answers with ids

Cause: an answer without the id of the attempt counted as the attempt's own on every connection. A faulty server that echoes ids and writes an earlier answer once more without one gave the caller of the next call on the connection the answer to the earlier call.

Change: the connection records that an answer on it bore the id of its attempt. A later answer on it without an id belongs to another attempt. Servers that never echo ids are served as before. Calls that may run once were not affected: they have a connection of their own.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -56,6 +56,8 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	reused  bool
+	// bearsIDs is set once a response has borne the id of its request.
+	bearsIDs bool
 
 	// lastByte is when the last byte was received, or when the connection was
 	// opened if there was none.
@@ -89,6 +91,14 @@
 // Reused reports whether the connection was used for an earlier exchange.
 func (c *Conn) Reused() bool { return c.reused }
 
+// RecordID records that the current response bears the id of its request. The connector
+// does not know the header of ids.
+func (c *Conn) RecordID() { c.bearsIDs = true }
+
+// BearsIDs reports whether an earlier response on the connection bore the id of its
+// request, so that one without an id belongs to no request.
+func (c *Conn) BearsIDs() bool { return c.bearsIDs }
+
 // Address returns the address of the backend server.
 func (c *Conn) Address() string { return c.address }
 
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -200,12 +200,26 @@
 	if err != nil {
 		return nil, exchangeFailure(err)
 	}
-	if echo := res.Header.Get(AttemptHeader); echo != "" && echo != string(a.id) {
+	if a.isCrossed(res) {
 		return nil, lost{err: errCrossed}
 	}
 	return res, nil
 }
 
+// isCrossed reports whether an answer belongs to another attempt: it bears another id, or
+// none although an earlier answer on the connection did.
+func (a *attempt) isCrossed(res *connector.Response) bool {
+	switch echo := res.Header.Get(AttemptHeader); echo {
+	case "":
+		return a.conn.BearsIDs()
+	case string(a.id):
+		a.conn.RecordID()
+		return false
+	default:
+		return true
+	}
+}
+
 // markSent records the time at which the first attempt is sent.
 func (t *task) markSent() {
 	if t.sentAt.IsZero() {
--- a/dispatcher/doc.go
+++ b/dispatcher/doc.go
@@ -2,7 +2,8 @@
 //
 // The dispatcher tries a request on backend servers, one attempt after the
 // other. Every attempt has its own id, which the backend server may echo. An
-// answer that belongs to another attempt is dropped and counted. If a reused
+// answer that belongs to another attempt is dropped and counted, and so is an
+// answer without an id on a connection on which the server echoed one before. If a reused
 // connection breaks, this says nothing about the server behind it. The next
 // attempt therefore goes to the same server on a fresh connection, and only
 // then to another server. A stream is complete if it has its terminal marker or
