forwarder: another stream continues a broken one only after its last event

Cause: any sealed stream of the next server was joined to what the caller had. A server that began again at the first event gave the caller events twice, and so did the continuation of a stream whose last event has no id, since the next server was asked for what follows an earlier event or for the whole.

Change: the first event with data of a continuation must bear an id that comes after the last one delivered; ids that are numbers increase, others differ. What precedes it without data is not relayed. Else the attempt counts as lost. A stream whose last event has no id is not sent to another server. Skipped events cannot be found out: ids increase by any step.

The case "an edit that breaks twice" of TestStreams demanded the repeated event; its second server now continues and breaks, and one that begins again is a case of its own.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -127,6 +127,7 @@
 	deniedByEnd       retryDenial = "the call has ended"
 	deniedByIsolation retryDenial = "the call may end backend servers"
 	deniedByAttempts  retryDenial = "no attempts are left"
+	deniedByEvents    retryDenial = "the last event has no id"
 	deniedByKind      retryDenial = "the call may run once"
 	deniedByBudget    retryDenial = "the retry budget is spent"
 )
@@ -142,6 +143,8 @@
 		return deniedByIsolation
 	}
 	switch {
+	case x.isUnresumable():
+		return deniedByEvents
 	case result == unsent && x.unsent >= maxUnreachable,
 		result == refused && x.sends-x.unsent > maxRetriesAfterRefusal:
 		return deniedByAttempts
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -22,17 +22,25 @@
 // eventSplitter splits a stream of server-sent events into complete events.
 type eventSplitter struct {
 	buf []byte
-	// lastID is the id of the last complete event that has one.
-	lastID string
-	events int
+	// lastID is the id of the last complete event that has one, and lacksID is set if
+	// an event with data came after it.
+	lastID  string
+	lacksID bool
+	// continues is set until the first event with data of a stream that must go on
+	// after the event with the id after.
+	continues bool
+	after     string
+	events    int
+	// hasData is set once an event with data is complete.
+	hasData bool
 	// idleBytes counts the bytes since the last event with data.
 	idleBytes int
 }
 
 // add appends b to the stream and returns the events that it completes. The
 // result is valid until the next call of add or consume. It fails if more
-// than maxEventBytes are buffered without a complete event, or maxIdleBytes come
-// without data.
+// than maxEventBytes are buffered without a complete event, if maxIdleBytes come
+// without data, or if the stream does not continue another one as it must.
 func (s *eventSplitter) add(b []byte) ([]byte, error) {
 	s.buf = append(s.buf, b...)
 	end := lastEventEnd(s.buf)
@@ -42,6 +50,13 @@
 		}
 		return nil, nil
 	}
+	if s.continues {
+		dropped, err := s.dropBeforeData(s.buf[:end])
+		if err != nil {
+			return nil, err
+		}
+		end -= dropped
+	}
 	complete := s.buf[:end]
 	s.scanEvents(complete)
 	if s.idleBytes > maxIdleBytes {
@@ -60,19 +75,23 @@
 
 // scanEvents counts the events and the bytes without data, and records the last id.
 func (s *eventSplitter) scanEvents(complete []byte) {
-	for _, event := range bytes.SplitAfter(bytes.ReplaceAll(complete, []byte("\r\n"), []byte("\n")), []byte("\n\n")) {
+	for len(complete) > 0 {
+		var event []byte
+		event, complete = cutEvent(complete)
 		s.idleBytes += len(event)
 		if len(bytes.TrimSpace(event)) == 0 {
 			continue
 		}
 		s.events++
-		for _, line := range bytes.Split(event, []byte("\n")) {
-			if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-				s.lastID = string(bytes.TrimSpace(id))
-			}
-			if bytes.HasPrefix(line, []byte("data")) {
-				s.idleBytes = 0
-			}
+		f := fieldsOf(event)
+		if f.hasData {
+			s.idleBytes, s.hasData = 0, true
+		}
+		switch {
+		case f.id != "":
+			s.lastID, s.lacksID = f.id, false
+		case f.hasData:
+			s.lacksID = true
 		}
 	}
 }
@@ -80,11 +99,47 @@
 // lastEventEnd returns the length of the complete events at the start of b.
 func lastEventEnd(b []byte) int {
 	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\n\r\n")); i >= 0 {
-		end = max(end, i+3)
+	for _, mark := range eventEnds {
+		if i := bytes.LastIndex(b, mark); i >= 0 {
+			end = max(end, i+len(mark))
+		}
 	}
 	return end
 }
+
+// cutEvent returns the first event of b and the rest. Without a complete event the first
+// one is b.
+func cutEvent(b []byte) (event, rest []byte) {
+	end := len(b)
+	for _, mark := range eventEnds {
+		if i := bytes.Index(b, mark); i >= 0 {
+			end = min(end, i+len(mark))
+		}
+	}
+	return b[:end], b[end:]
+}
+
+// eventEnds are the forms of the empty line that ends an event, after the end of the
+// line before it.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// eventFields are the fields of an event that matter here.
+type eventFields struct {
+	id      string
+	hasData bool
+}
+
+// fieldsOf returns the fields of an event.
+func fieldsOf(event []byte) eventFields {
+	var f eventFields
+	for line := range bytes.Lines(event) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "id":
+			f.id = string(bytes.TrimSpace(value))
+		case "data":
+			f.hasData = true
+		}
+	}
+	return f
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -205,6 +205,7 @@
 	// usage.
 	usageCounted bool
 	lastEvent    string
+	position     streamPosition
 	// revisionAtSend is the revision in force when the last attempt was sent.
 	revisionAtSend identifier.Revision
 	// returnAfter is the time after which the call may come back if it is refused;
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -60,6 +60,7 @@
 	complete := streamHead + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"
 	cut := streamHead + chunk(event(1)) + chunk("id: 2\nda") + closeAfter
 	rest := streamHead + chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n"
+	restCut := streamHead + chunk(event(2)) + chunk("id: 3\nda") + closeAfter
 	for _, tc := range []struct {
 		name      string
 		path      string
@@ -71,7 +72,8 @@
 		{"events are forwarded", "/draft/1", []string{complete}, event(1) + event(2), true, []string{""}},
 		{"a broken draft does not look complete", "/draft/1", []string{cut, rest}, event(1), false, []string{""}},
 		{"a broken edit resumes after the last event", "/edit/1", []string{cut, rest}, event(1) + event(2) + event(3), true, []string{"", "1"}},
-		{"an edit that breaks twice does not look complete", "/edit/1", []string{cut, cut}, event(1) + event(1), false, []string{"", "1"}},
+		{"an edit that breaks twice does not look complete", "/edit/1", []string{cut, restCut}, event(1) + event(2), false, []string{"", "1"}},
+		{"an edit that begins again does not look complete", "/edit/1", []string{cut, cut}, event(1), false, []string{"", "1"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := newHarness(t, tc.responses...)
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -115,7 +115,7 @@
 	if x.headerSent {
 		streamsResumed.Inc()
 	}
-	var s eventSplitter
+	s := x.newSplitter()
 	stalled := x.watchStall(conn)
 	defer stalled.Stop()
 	defer func() { choice.RecordSteps(s.events-1, x.lastEventAt.Sub(x.contentAt)) }()
@@ -194,9 +194,7 @@
 	}
 	s.consume(complete)
 	x.recordSurvival(false)
-	if s.lastID != "" {
-		x.lastEvent = s.lastID
-	}
+	x.recordPosition(s)
 	return answered, ""
 }
 
