forwarder: an empty continuation does not complete a stream

Cause: a resumed stream that ended at once with a proper end completed the response, although nothing shows that the caller has the whole stream.

Change: a continuation without an event with data counts as lost, and the response breaks off unless another server continues it. If only the end was missing, the caller resumes and gets the empty rest as its answer.

--- a/forwarder/continuation.go
+++ b/forwarder/continuation.go
@@ -5,9 +5,14 @@
 	"strconv"
 )
 
-// errNotContinued reports a stream that does not go on after the last event that the
-// caller has received.
-var errNotContinued = errors.New("the stream does not continue the one that broke off")
+var (
+	// errNotContinued reports a stream that does not go on after the last event that the
+	// caller has received.
+	errNotContinued = errors.New("the stream does not continue the one that broke off")
+	// errNothingAdded reports a stream that ended without an event where another one
+	// must go on.
+	errNothingAdded = errors.New("the stream adds no event to the one that broke off")
+)
 
 // streamPosition is how far the caller has received a stream.
 type streamPosition struct {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -138,6 +138,9 @@
 		case errors.Is(err, io.EOF) && s.events == 0 && !res.Delimited:
 			conn.Close()
 			return x.classifyReadError(errNoEvent)
+		case errors.Is(err, io.EOF) && s.continues:
+			conn.Close()
+			return x.classifyReadError(errNothingAdded)
 		case errors.Is(err, io.EOF) && !res.Delimited && x.hasEnded(choice):
 			conn.Close()
 			return x.classifyReadError(errServerEnded)
