dispatcher: an empty continuation does not complete a stream

Cause: the terminal marker completed an answer also where the server that was to continue it sent the marker alone, or a text without an event before it. The caller got a part of the text with the marker.

Change: a continuation that adds no event and leaves the answer without a finish reason counts as lost, like an answer that is no stream.

Test: TestBrokenStreamTakesNothingForeign failed before in two of 14 cases ("a marker without event", "a text that is no event"). The others show that no error answer, no other success and no cut answer of the next server reaches a begun stream. An engine that begins its text anew cannot be told from one that goes on, since its events bear no numbers.

--- a/dispatcher/generation.go
+++ b/dispatcher/generation.go
@@ -142,7 +142,7 @@
 	for {
 		data, err := events.next()
 		if err == nil && bytes.Equal(data, doneMarker) {
-			return complete{}
+			return endedStream(s, before)
 		}
 		if err == nil {
 			err = t.handleEvent(data, s, toCaller)
@@ -159,6 +159,16 @@
 	}
 }
 
+// endedStream returns the result of a stream that ended with its terminal marker. If it
+// continues a broken answer and adds nothing to it, nothing shows that the answer is
+// complete, unless it has its finish reason.
+func endedStream(s *scanner, before int) result {
+	if s.resumed && s.p.count() == before && s.p.finish == nil {
+		return lost{err: errNotResumed}
+	}
+	return complete{}
+}
+
 // brokenStream returns the result of a stream that ended without its terminal
 // marker.
 func (t *task) brokenStream(err error, s *scanner, before int) result {
