dispatcher: a text without a finish reason is valid JSON

Cause: the answer to a generation that is not streamed was built with an empty finish reason where the engine gave none and ended with its marker.

Change: the finish reason is null then.

Test: TestTextWithoutFinishReasonIsJSON failed before with "finish_reason":}. The tests with a server of their own share useDial.

--- a/dispatcher/body.go
+++ b/dispatcher/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"strconv"
 )
 
@@ -47,7 +48,7 @@
 	b = append(b, `,"choices":[{"index":0,`+before...)
 	b = append(b, p.text...)
 	b = append(b, after+`,"logprobs":null,"finish_reason":`...)
-	b = append(b, p.finish...)
+	b = append(b, cmp.Or(string(p.finish), "null")...)
 	b = append(b, `}]`...)
 	if p.usage != nil {
 		b = append(b, `,"usage":`...)
--- a/dispatcher/continuation_test.go
+++ b/dispatcher/continuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,7 +14,6 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"cyclamenhub.org/connector"
 	"cyclamenhub.org/dispatcher"
 )
 
@@ -80,11 +80,9 @@
 				p := newFixture(t)
 				defer p.close()
 				s := &scriptedServer{responses: []string{first, tc.second}}
-				pool := connector.NewPool(connector.Options{Dial: s.dial, Metrics: p.metrics})
-				defer pool.Close()
-				d := dispatcher.New(dispatcher.Options{Tables: &p.tables, Pool: pool, Metrics: p.metrics, FailureDomain: "a"})
+				p.useDial(s.dial)
 				a := new(answer)
-				refusal := d.Do(t.Context(), p.stream("scene", 30), a)
+				refusal := p.d.Do(t.Context(), p.stream("scene", 30), a)
 				got, isDone := a.text(t)
 				if diff := cmp.Diff(tc.text, got); diff != "" || isDone != tc.done || (refusal == nil) != tc.done {
 					t.Errorf("refusal %v, done %v, text differs (-want +got):\n%s", refusal, isDone, diff)
@@ -93,3 +91,20 @@
 		})
 	}
 }
+
+// TestTextWithoutFinishReasonIsJSON guards against an answer that is not JSON: the engine
+// ends its stream with the marker and gave no finish reason.
+func TestTextWithoutFinishReasonIsJSON(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFixture(t)
+		defer p.close()
+		head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+		s := &scriptedServer{responses: []string{head + textEvent("one", "null") + "data: [DONE]\n\n"}}
+		p.useDial(s.dial)
+		a := new(answer)
+		refusal := p.d.Do(t.Context(), p.request("model", dispatcher.Text{}, http.MethodPost, "/v1/completions", `{"prompt":"scene"}`), a)
+		if refusal != nil || !json.Valid(a.body.Bytes()) {
+			t.Errorf("refusal %v, body %s", refusal, a.body.String())
+		}
+	})
+}
--- a/dispatcher/fixture_test.go
+++ b/dispatcher/fixture_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -126,6 +127,13 @@
 	return p
 }
 
+// useDial makes the dispatcher open its connections with dial.
+func (p *fixture) useDial(dial func(context.Context, string) (net.Conn, error)) {
+	p.pool.Close()
+	p.pool = connector.NewPool(connector.Options{Dial: dial, Metrics: p.metrics})
+	p.d = dispatcher.New(dispatcher.Options{Tables: &p.tables, Pool: p.pool, Metrics: p.metrics, FailureDomain: "a"})
+}
+
 func (p *fixture) serve(f *configurer.Fleet, name, service string, h http.Handler) {
 	p.stops[name] = p.net.Serve(name, h)
 	f.Defaults.BackendServers = append(f.Defaults.BackendServers, configurer.BackendServer{
--- a/dispatcher/repeated_test.go
+++ b/dispatcher/repeated_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"cyclamenhub.org/connector"
 	"cyclamenhub.org/dispatcher"
 )
 
@@ -80,12 +79,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				p := newFixture(t)
 				defer p.close()
-				pool := connector.NewPool(connector.Options{Dial: tc.server.dial, Metrics: p.metrics})
-				defer pool.Close()
-				d := dispatcher.New(dispatcher.Options{Tables: &p.tables, Pool: pool, Metrics: p.metrics, FailureDomain: "a"})
+				p.useDial(tc.server.dial)
 				for _, body := range strings.Fields("a b c d") {
 					answered := new(answer)
-					if refusal := d.Do(t.Context(), p.request("plain", dispatcher.Call{}, http.MethodPost, "/tags", body), answered); refusal != nil {
+					if refusal := p.d.Do(t.Context(), p.request("plain", dispatcher.Call{}, http.MethodPost, "/tags", body), answered); refusal != nil {
 						t.Fatal(refusal)
 					}
 					if diff := cmp.Diff(body, answered.body.String()); diff != "" {
