forwarder: a caller that lacks the end of its stream alone gets it

A test that a stream which broke off after its last event ends for a caller that resumes it: the empty rest is a complete answer there.

--- a/forwarder/continuation_test.go
+++ b/forwarder/continuation_test.go
@@ -78,3 +78,16 @@
 		})
 	}
 }
+
+// TestCallerResumesAtTheEnd guards against a caller that has received all events of a
+// stream without its end, and never gets an end: it resumes, and the rest is empty.
+func TestCallerResumesAtTheEnd(t *testing.T) {
+	h := newHarness(t, streamHead+chunk(event(1))+closeAfter, streamHead+"0\r\n\r\n", streamHead+"0\r\n\r\n")
+	if res := h.call(t, http.MethodPost, "/edit/1", "key", "prompt"); res.body != event(1) || res.complete {
+		t.Errorf("the first response is %+v", res)
+	}
+	h.lastEvent = "1"
+	if res := h.call(t, http.MethodPost, "/edit/1", "key", "prompt"); res.status != http.StatusOK || res.body != "" || !res.complete {
+		t.Errorf("the resumed response is %+v", res)
+	}
+}
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -208,6 +208,8 @@
 	isCurrent bool
 	// parts are those of the prompts of calls, separated by spaces.
 	parts string
+	// lastEvent is the event after which callers resume.
+	lastEvent string
 }
 
 // newHarness returns a harness whose backend servers return the scripted
@@ -318,6 +320,9 @@
 		r.Header.Set(testKey, key)
 	}
 	r.Header.Set(testParts, h.parts)
+	if h.lastEvent != "" {
+		r.Header.Set(testEvent, h.lastEvent)
+	}
 	res, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return response{}
--- a/forwarder/repeated_test.go
+++ b/forwarder/repeated_test.go
@@ -200,6 +200,9 @@
 			if n := s.opened.Load(); n != 3 {
 				t.Errorf("%d connections were opened, want 3: only refusals without id use up one", n)
 			}
+			if h.useAddresses(other); h.unidentified.has(address) {
+				t.Error("the host remembers a server that is not listed")
+			}
 		})
 	}
 }
