--- a/forwarder/repeated_test.go
+++ b/forwarder/repeated_test.go
@@ -157,6 +157,25 @@
 	}
 }
 
+// TestRepeatedRefusalDoesNotRefuseLastServer guards against the status "not run" for a
+// call that runs: the repeated refusal comes from the only server.
+func TestRepeatedRefusalDoesNotRefuseLastServer(t *testing.T) {
+	for _, repeated := range []string{refusalOf(503, ""), refusalOf(429, ""), misdirectedOf("")} {
+		h := newHarness(t)
+		s := &partsServer{answers: [][]string{
+			{sealedResponse(http.StatusOK, idLine("id-0"), "first")}, {repeated, sealedResponse(http.StatusOK, idLine("id-1"), "mine")},
+		}}
+		h.useAddresses(s.start(t))
+		h.callAs(t, "id-0", http.MethodPost, "/file/1", "key", "x")
+		if res := h.callAs(t, "id-1", http.MethodPost, "/file/1", "key", "x"); res.status != http.StatusBadGateway {
+			t.Errorf("the caller got %+v, want status 502", res)
+		}
+		if n := s.requests.Load(); n != 2 {
+			t.Errorf("the server received %d requests, want 2", n)
+		}
+	}
+}
+
 // TestCallWithoutIDGetsItsAnswer guards against calls without an id that end with 502 on a
 // connection whose earlier responses bore ids.
 func TestCallWithoutIDGetsItsAnswer(t *testing.T) {
