--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -130,6 +130,7 @@
 	deniedByEnd       retryDenial = "the call has ended"
 	deniedByIsolation retryDenial = "the call may end backend servers"
 	deniedByAttempts  retryDenial = "no attempts are left"
+	deniedByEvents    retryDenial = "the last event has no id"
 	deniedByKind      retryDenial = "the call may run once"
 	deniedByBudget    retryDenial = "the retry budget is spent"
 )
@@ -145,6 +146,8 @@
 		return deniedByIsolation
 	}
 	switch {
+	case x.isUnresumable():
+		return deniedByEvents
 	case result == unsent && x.unsent >= maxUnreachable,
 		result == refused && x.sends-x.unsent > maxRetriesAfterRefusal:
 		return deniedByAttempts
@@ -271,7 +274,7 @@
 	x.instance = in
 	reach := x.f.opts.Reach.Begin(x.service, choice.Server)
 	defer reach.End()
-	conn, err := x.f.opts.Pool.Open(x.ctx, in.Address, connector.Pooled)
+	conn, err := x.f.opts.Pool.Open(x.ctx, in.Address, x.reuse(in.Address))
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			return nil, placer.Cancelled, callerLeft, ""
@@ -295,7 +298,7 @@
 	if res.Status != http.StatusMisdirectedRequest { // That status comes from another server.
 		x.recordAnnouncements(&reply, choice)
 	}
-	if reply.NotRun || res.Status == http.StatusMisdirectedRequest {
+	if isRefusal(&reply, res.Status) {
 		x.f.opts.Pool.Release(conn)
 		return nil, refusalOutcome(res.Status), refused, "the backend server refused the call"
 	}
@@ -420,7 +423,10 @@
 func (x *exchange) matchingReply(conn *connector.Conn, res *connector.Response) (describer.Reply, *connector.Response, error) {
 	for foreign := 0; ; foreign++ {
 		reply := x.f.opts.Codec.Reply(res.Status, res.Header)
-		if reply.ID == "" || reply.ID == x.call.ID {
+		if reply.ID == "" {
+			return reply, res, x.checkUnidentified(conn, &reply, res.Status, foreign)
+		}
+		if reply.ID == x.call.ID {
 			return reply, res, nil
 		}
 		if !res.Delimited || foreign == maxForeignReplies {
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -210,6 +210,8 @@
 	isCurrent bool
 	// parts are those of the prompts of calls, separated by spaces.
 	parts string
+	// lastEvent is the event after which callers resume.
+	lastEvent string
 }
 
 // newHarness returns a harness whose backend servers return the scripted
@@ -302,16 +304,27 @@
 
 // call makes a call with a key.
 func (h *harness) call(t testing.TB, method, path, key, body string) response {
+	t.Helper()
+	return h.callAs(t, "id-1", method, path, key, body)
+}
+
+// callAs makes a call with an id, or without one if it is empty.
+func (h *harness) callAs(t testing.TB, id, method, path, key, body string) response {
 	t.Helper()
 	r, err := http.NewRequest(method, h.url+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Header.Set(testID, "id-1")
+	if id != "" {
+		r.Header.Set(testID, id)
+	}
 	if key != "" {
 		r.Header.Set(testKey, key)
 	}
 	r.Header.Set(testParts, h.parts)
+	if h.lastEvent != "" {
+		r.Header.Set(testEvent, h.lastEvent)
+	}
 	res, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return response{}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -90,6 +90,8 @@
 	fleet   atomic.Pointer[fleet]
 	retries *retryBudgets
 	bodies  bodyBudget
+	// unidentified holds the addresses of backend servers whose refusals bear no id.
+	unidentified addressSet
 	// active counts the calls in progress, and relayed those of other hosts among them.
 	active, relayed atomic.Int64
 }
@@ -156,7 +158,9 @@
 
 // SetListing replaces the listing of backend servers.
 func (f *Forwarder) SetListing(l *discoverer.Listing) {
-	f.fleet.Store(newFleet(l))
+	fl := newFleet(l)
+	f.fleet.Store(fl)
+	f.unidentified.retain(fl)
 	f.publishServers()
 }
 
@@ -235,6 +239,7 @@
 	// usage.
 	usageCounted bool
 	lastEvent    string
+	position     streamPosition
 	// revisionAtSend is the revision in force when the last attempt was sent.
 	revisionAtSend identifier.Revision
 	// returnAfter is the time after which the call may come back if it is refused;
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -115,7 +115,7 @@
 	if x.headerSent {
 		streamsResumed.Inc()
 	}
-	var s eventSplitter
+	s := x.newSplitter()
 	progressAt := x.f.opts.Clock.Now()
 	defer func() { choice.RecordSteps(s.events-1, x.lastEventAt.Sub(x.contentAt)) }()
 	buf := make([]byte, readBytes)
@@ -144,6 +144,9 @@
 		case errors.Is(err, io.EOF) && s.events == 0 && !res.Delimited:
 			conn.Close()
 			return x.classifyReadError(errNoEvent)
+		case errors.Is(err, io.EOF) && s.continues:
+			conn.Close()
+			return x.classifyReadError(errNothingAdded)
 		case errors.Is(err, io.EOF) && !res.Delimited && x.hasEnded(choice):
 			conn.Close()
 			return x.classifyReadError(errServerEnded)
@@ -200,9 +203,7 @@
 	}
 	s.consume(complete)
 	x.recordSurvival(false)
-	if s.lastID != "" {
-		x.lastEvent = s.lastID
-	}
+	x.recordPosition(s)
 	return answered, ""
 }
 
