--- a/relayer/book.go
+++ b/relayer/book.go
@@ -97,17 +97,15 @@
 // not. They are of its failure domain as long as no more hosts are cut off there than
 // reach the service.
 func (b *Book) Peers(now time.Time, h identifier.Host, s identifier.Service) []identifier.Host {
-	q := query{service: s, host: h, hash: xxhash.Sum64String(string(h)), oldest: now.Add(-b.maxAge())}
-	own := ""
-	if m := b.hosts[h]; m != nil {
-		own = string(m.domain)
-		q.ask(b.domains[m.domain])
+	q := query{service: s, own: b.hosts[h], hash: xxhash.Sum64String(string(h)), oldest: now.Add(-b.maxAge())}
+	if q.own != nil {
+		q.ask(b.domains[q.own.domain])
 		if q.cut <= q.reaching {
 			return q.hosts()
 		}
 	}
 	for d, members := range b.domains {
-		if string(d) != own {
+		if q.own == nil || d != q.own.domain {
 			q.ask(members)
 		}
 	}
@@ -122,9 +120,12 @@
 // query is a search for the peers of a host.
 type query struct {
 	service identifier.Service
-	host    identifier.Host
-	hash    uint64
-	oldest  time.Time
+	// own is the host that asks, or nil if it has not reported; hash is that of its
+	// name.
+	own  *member
+	hash uint64
+	// oldest is the time from which on reports count.
+	oldest time.Time
 	// cut and reaching count the hosts that were asked.
 	cut, reaching int
 	best          [maxPeers]ranked
@@ -140,7 +141,7 @@
 func (q *query) ask(members []*member) {
 	for _, m := range members {
 		switch {
-		case m.host == q.host:
+		case m == q.own:
 			q.cut++
 		case m.reportedAt.Before(q.oldest):
 		case m.reaches(q.service):
--- a/relayer/contact.go
+++ b/relayer/contact.go
@@ -80,23 +80,21 @@
 
 // fail records that an attempt failed without a byte.
 func (c *contact) fail(now time.Time, a *Attempt) {
-	if c.isExplained(now, a.server) {
-		return
-	}
-	c.failed[a.server]++
-	c.down[a.server] = time.Time{}
 	if c.failedFrom.IsZero() || a.since.Before(c.failedFrom) {
 		c.failedFrom = a.since
 	}
+	if !c.isExplained(now, a.server) {
+		c.failed[a.server]++
+		c.down[a.server] = time.Time{}
+	}
 }
 
 // refuse records that a dial failed.
 func (c *contact) refuse(now time.Time, server identifier.BackendServer) {
-	if c.isExplained(now, server) {
-		return
+	if !c.isExplained(now, server) {
+		c.refused[server]++
+		c.down[server] = time.Time{}
 	}
-	c.refused[server]++
-	c.down[server] = time.Time{}
 }
 
 // isExplained reports whether a server is known to be down while others are not.
@@ -116,11 +114,11 @@
 func (c *contact) open(now time.Time, server identifier.BackendServer) (healed bool) {
 	healed = c.cut
 	c.cut, c.rotation, c.openedAt = false, nil, now
-	delete(c.down, server)
-	c.clear()
 	if !healed {
 		c.explain(now) // During a cut all servers fail, also those that are up.
 	}
+	c.clear()
+	delete(c.down, server)
 	if c.round != nil {
 		c.round.connected = true
 	}
@@ -136,8 +134,10 @@
 
 // explain takes the servers that failed for down.
 func (c *contact) explain(now time.Time) {
-	for s := range c.down {
-		c.down[s] = now.Add(explainedFor)
+	for _, failures := range []map[identifier.BackendServer]int{c.failed, c.refused} {
+		for s := range failures {
+			c.down[s] = now.Add(explainedFor)
+		}
 	}
 }
 
@@ -154,8 +154,8 @@
 	}
 	c.round = nil
 	if r.connected {
-		c.clear()
 		c.explain(now)
+		c.clear()
 		return false
 	}
 	c.cut, c.probeAt = true, now.Add(jitter(random))
@@ -195,7 +195,7 @@
 	if c.round != nil && now.Sub(c.roundAt) >= roundMaxAge {
 		c.round = nil
 	}
-	if c.round != nil || now.Sub(c.roundAt) < roundInterval || !c.isSuspected(now, c.countSound(now, listed)) {
+	if c.round != nil || now.Sub(c.roundAt) < roundInterval || !c.isSuspected(now, listed) {
 		return nil
 	}
 	probed := c.order(listed, random)
@@ -250,47 +250,37 @@
 }
 
 // isSuspected reports whether the evidence calls for a round.
-func (c *contact) isSuspected(now time.Time, sound int) bool {
-	return isFailing(c.failed, min(sound, suspectServers)) || isFailing(c.refused, min(sound, suspectDials)) ||
-		c.isSilent(now)
-}
-
-// isFailing reports whether failures are of enough servers, or often enough if there is
-// only one.
-func isFailing(failures map[identifier.BackendServer]int, servers int) bool {
-	if servers > 1 {
-		return len(failures) >= servers
+func (c *contact) isSuspected(now time.Time, listed []identifier.BackendServer) bool {
+	if len(listed) == 1 {
+		only := listed[0]
+		return max(c.failed[only], c.refused[only]) >= suspectDials || c.isSilent(now)
 	}
-	for _, n := range failures {
-		if n >= suspectDials {
-			return true
-		}
-	}
-	return false
+	sound := max(c.countSound(now, listed), 1)
+	return len(c.failed) >= min(suspectServers, sound) || len(c.refused) >= min(suspectDials, sound) || c.isSilent(now)
 }
 
-// isSilent reports whether an attempt is overdue and the service gave no byte
-// meanwhile. An attempt that follows on one that failed is overdue with that one.
+// isSilent reports whether an attempt is overdue, or one that failed would be, and the
+// service gave no byte meanwhile.
 func (c *contact) isSilent(now time.Time) bool {
-	if now.Sub(c.answeredAt) < silence || now.Sub(c.openedAt) < silence || len(c.waiting) == 0 {
+	if now.Sub(c.answeredAt) < silence || now.Sub(c.openedAt) < silence {
 		return false
 	}
-	if !c.failedFrom.IsZero() && now.Sub(c.failedFrom) >= silence {
+	if !c.failedFrom.IsZero() && c.isOverdue(now, c.failedFrom) {
 		return true
 	}
 	for a := range c.waiting {
-		if c.isOverdue(now, a) {
+		if c.isOverdue(now, a.since) {
 			return true
 		}
 	}
 	return false
 }
 
-// isOverdue reports whether an attempt has waited for silence or, if it was waiting at
-// the last fresh connection, for as long again as it had waited then.
-func (c *contact) isOverdue(now time.Time, a *Attempt) bool {
-	if before := c.openedAt.Sub(a.since); before > 0 {
+// isOverdue reports whether an attempt that began at a time has waited for silence or,
+// if it was waiting at the last fresh connection, for as long again as it had then.
+func (c *contact) isOverdue(now, since time.Time) bool {
+	if before := c.openedAt.Sub(since); before > 0 {
 		return now.Sub(c.openedAt) >= max(silence, before)
 	}
-	return now.Sub(a.since) >= silence
+	return now.Sub(since) >= silence
 }
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -9,15 +9,22 @@
 // # Reach
 //
 // The Reach of a host watches its attempts on servers. It suspects a cut of a service
-// if attempts on two servers failed without a byte since the last answer of any
-// server, if dials to three servers failed since the last one that succeeded, or if an
-// attempt has waited for a while in which the service gave no byte. Dead servers, a
-// silent one and a slow engine look the same to a single attempt. So a suspicion only
-// asks for a round of probes: fresh connections to up to three servers at random,
-// first to those that did not fail. If none of them opens, the host believes to be cut
-// off. One that opens, or a fresh connection of an attempt meanwhile, clears all
-// evidence. An attempt that goes on waiting is evidence again after as long a time as
-// it had waited by then, so that a slow engine costs a few rounds only.
+//
+//   - if attempts on two servers failed without a byte since the last answer of any
+//     server,
+//   - if dials to three servers failed since the last one that succeeded, even while
+//     answers arrive on older connections,
+//   - if an attempt waits, or has failed, and the service has given no byte for a while
+//     since it began.
+//
+// Dead servers, a silent one and a slow engine look the same to a single attempt. So a
+// suspicion only asks for a round of probes: fresh connections to up to three servers
+// at random, first to those that did not fail. If none of them opens, the host believes
+// to be cut off. One that opens, or a fresh connection of an attempt meanwhile, clears
+// all evidence. Servers that had failed by then are down, and their failures are no
+// evidence for a while, so that a service with many dead servers does not bring one
+// round after another. An attempt that goes on waiting is evidence again after as long
+// a time as it had waited by then, so that a slow engine costs a few rounds only.
 //
 // While a host is cut off, it probes one server after the other at a fixed interval.
 // The first fresh connection ends the belief. An answer on an older connection does
--- a/relayer/story_test.go
+++ b/relayer/story_test.go
@@ -18,7 +18,7 @@
 //
 //	SECONDS servers NUMBER                  there are servers s1, s2 and so on
 //	SECONDS calls PER-SECOND                the host gets calls
-//	SECONDS call                            it gets one
+//	SECONDS call [SERVER]                   it gets one, or a dial to the server fails
 //	SECONDS fresh                           it has no open connections
 //	SECONDS first-byte SECONDS              the servers take this time
 //	SECONDS way WAY [SERVER...]             what becomes of connections
@@ -57,6 +57,10 @@
 		s.interval = time.Duration(float64(time.Second) / seconds(t, args[0]).Seconds())
 		s.callRegularly()
 	case "call":
+		if len(args) > 0 {
+			s.reach.Begin(simService, identifier.BackendServer(args[0])).DialFailed()
+			return
+		}
 		s.call(s.rng.Perm(len(s.servers)))
 	case "fresh":
 		clear(s.pooled)
