--- a/relayer/contact.go
+++ b/relayer/contact.go
@@ -11,8 +11,9 @@
 
 const (
 	// silence is how long an attempt waits, and the service gives no byte, before a
-	// cut is suspected. It is longer than a round trip with one lost packet.
-	silence = 300 * time.Millisecond
+	// cut is suspected. It is longer than a round trip with two lost packets, and than
+	// most engines take for a prompt.
+	silence = 500 * time.Millisecond
 	// suspectServers is the number of servers whose attempts failed that a cut takes;
 	// one alone may be dead.
 	suspectServers = 2
@@ -20,7 +21,8 @@
 	// on older connections. It is also the number of failures of an only server.
 	suspectDials = 3
 	// roundProbes is the number of servers that a round probes. That all of them are
-	// dead while others are not is unlikely.
+	// dead while others are not is unlikely. Silence alone is mostly that of slow
+	// servers: then one is probed first, and a round follows if that fails.
 	roundProbes = 3
 	// roundInterval is the minimum time between the starts of two rounds.
 	roundInterval = 250 * time.Millisecond
@@ -54,6 +56,8 @@
 	// round is the one that is out, or nil. roundAt is when the last one began.
 	round   *round
 	roundAt time.Time
+	// scoutFailed is set while the whole round is to follow on a single probe.
+	scoutFailed bool
 	// cut is set while the host believes that it reaches no server. It probes one at
 	// probeAt then, the first one of rotation.
 	cut      bool
@@ -105,6 +109,8 @@
 // round is a set of probes that were made together.
 type round struct {
 	out map[identifier.BackendServer]struct{}
+	// isScout is set if the round is a single probe before a whole one.
+	isScout bool
 	// connected is set if a fresh connection was opened since the start.
 	connected bool
 }
@@ -113,7 +119,7 @@
 // whether it ended a cut.
 func (c *contact) open(now time.Time, server identifier.BackendServer) (healed bool) {
 	healed = c.cut
-	c.cut, c.rotation, c.openedAt = false, nil, now
+	c.cut, c.rotation, c.openedAt, c.scoutFailed = false, nil, now, false
 	if !healed {
 		c.explain(now) // During a cut all servers fail, also those that are up.
 	}
@@ -158,6 +164,10 @@
 		c.clear()
 		return false
 	}
+	if r.isScout {
+		c.scoutFailed, c.roundAt = true, time.Time{} // The whole round follows at once.
+		return false
+	}
 	c.cut, c.probeAt = true, now.Add(jitter(random))
 	return true
 }
@@ -199,8 +209,12 @@
 		return nil
 	}
 	probed := c.order(listed, random)
+	isScout := len(probed) > 1 && !c.scoutFailed && !c.isFailing(now, listed)
+	if isScout {
+		probed = probed[:1]
+	}
 	probed = probed[:min(len(probed), roundProbes)]
-	c.round, c.roundAt = &round{out: make(map[identifier.BackendServer]struct{})}, now
+	c.round, c.roundAt, c.scoutFailed = &round{out: make(map[identifier.BackendServer]struct{}), isScout: isScout}, now, false
 	for _, s := range probed {
 		c.round.out[s] = struct{}{}
 	}
@@ -251,12 +265,18 @@
 
 // isSuspected reports whether the evidence calls for a round.
 func (c *contact) isSuspected(now time.Time, listed []identifier.BackendServer) bool {
+	return c.scoutFailed || c.isFailing(now, listed) || c.isSilent(now)
+}
+
+// isFailing reports whether attempts on enough servers failed, or often enough on the
+// only one.
+func (c *contact) isFailing(now time.Time, listed []identifier.BackendServer) bool {
 	if len(listed) == 1 {
 		only := listed[0]
-		return max(c.failed[only], c.refused[only]) >= suspectDials || c.isSilent(now)
+		return max(c.failed[only], c.refused[only]) >= suspectDials
 	}
 	sound := max(c.countSound(now, listed), 1)
-	return len(c.failed) >= min(suspectServers, sound) || len(c.refused) >= min(suspectDials, sound) || c.isSilent(now)
+	return len(c.failed) >= min(suspectServers, sound) || len(c.refused) >= min(suspectDials, sound)
 }
 
 // isSilent reports whether an attempt is overdue, or one that failed would be, and the
