relayer: probes are bounded for any evidence; dials that hang in stories

A dial that is under way when a connection begins to hang is lost in stories too. A test shows that answers excuse attempts that failed, but not dials.

--- a/relayer/property_test.go
+++ b/relayer/property_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"cyclamenhub.org/identifier"
@@ -139,7 +140,7 @@
 			t.Skip("too few servers")
 		}
 		for range rapid.IntRange(1, 4).Draw(t, "changes") {
-			h.set(rapid.SampledFrom([]way{up, silent}).Draw(t, "others"))
+			h.set(rapid.SampledFrom([]way{up, silent}).Draw(t, "others"), h.servers[2:]...)
 			h.set(rapid.SampledFrom([]way{hang, reset, refuse, unheard}).Draw(t, "way"), h.servers[:2]...)
 			h.run(t)
 			if h.relayed > 0 || h.reach.IsCut(simService) {
@@ -149,6 +150,34 @@
 	})
 }
 
+// TestProbesAreBounded plays any evidence and any results of probes: the probes of a
+// second are bounded, whatever the host believes.
+func TestProbesAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		r := NewReach(clock, nil)
+		servers := newSimulation(1, rapid.IntRange(1, 12).Draw(t, "servers")).servers
+		var made []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 4).Draw(t, "attempts") {
+				a := r.Begin(simService, rapid.SampledFrom(servers).Draw(t, "server"))
+				end := []func(){a.Answered, a.Failed, a.DialFailed, a.DialFailed, a.End, func() { a.Dialed() }, func() {}}
+				rapid.SampledFrom(end).Draw(t, "end")()
+			}
+			for _, p := range r.Due(map[identifier.Service][]identifier.BackendServer{simService: servers}) {
+				made = append(made, clock.Now())
+				if back := rapid.IntRange(0, 9).Draw(t, "result"); back > 0 {
+					r.Probed(p, back > 7)
+				}
+			}
+			if n := countSince(made, clock.Now().Add(-time.Second)); n > maxProbesPerSecond {
+				t.Fatalf("%d probes in a second", n)
+			}
+		}
+	})
+}
+
 // TestReachForgets checks that a Reach keeps nothing of services and servers that are
 // no longer listed.
 func TestReachForgets(t *testing.T) {
@@ -168,7 +197,7 @@
 // TestCutEndsWithoutServers checks that a service without listed servers is not cut.
 func TestCutEndsWithoutServers(t *testing.T) {
 	s := newSimulation(1, 3)
-	s.set(reset)
+	s.set(reset, s.servers...)
 	s.call([]int{0, 1, 2})
 	s.RunUntil(s.start.Add(time.Second))
 	if cut := s.reach.Cut(); len(cut) != 1 || cut[0] != simService {
@@ -212,6 +241,28 @@
 	}
 }
 
+// TestDialsFailWhileAnswersArrive checks that answers over open connections excuse
+// attempts that failed, but not dials.
+func TestDialsFailWhileAnswersArrive(t *testing.T) {
+	servers := map[identifier.Service][]identifier.BackendServer{"model": {"s1", "s2", "s3", "s4"}}
+	for name, fail := range map[string]func(*Attempt){"failed": (*Attempt).Failed, "dial failed": (*Attempt).DialFailed} {
+		r := NewReach(timer.NewManual(time.Unix(1000, 0)), nil)
+		var probes []int
+		for _, id := range servers["model"][:3] {
+			fail(r.Begin("model", id))
+			r.Begin("model", "s4").Answered()
+			probes = append(probes, len(r.Due(servers)))
+		}
+		want := []int{0, 0, 0}
+		if name == "dial failed" {
+			want[2] = roundProbes
+		}
+		if diff := cmp.Diff(want, probes); diff != "" {
+			t.Errorf("%s: probes differ (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
 // TestConcurrentUse uses a Reach from many goroutines, for the race detector.
 func TestConcurrentUse(t *testing.T) {
 	r := NewReach(timer.System{}, nil)
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -115,11 +115,13 @@
 
 // dial dials a server.
 func (s *simulation) dial(id identifier.BackendServer, done func(opened bool)) {
-	if w := s.ways[id]; w == hang || w == unheard {
-		s.After(dialTimeout, func() { done(false) })
-		return
-	}
-	s.After(trip, func() { done(s.ways[id].opens()) })
+	s.After(trip, func() {
+		if w := s.ways[id]; w == hang || w == unheard {
+			s.After(dialTimeout-trip, func() { done(false) })
+			return
+		}
+		done(s.ways[id].opens())
+	})
 }
 
 // callRegularly makes calls at the present rate.
@@ -198,11 +200,8 @@
 	})
 }
 
-// set changes the way to servers, or to all.
+// set changes the way to servers.
 func (s *simulation) set(w way, ids ...identifier.BackendServer) {
-	if len(ids) == 0 {
-		ids = s.servers
-	}
 	for _, id := range ids {
 		s.ways[id] = w
 	}
--- a/relayer/story_test.go
+++ b/relayer/story_test.go
@@ -19,7 +19,7 @@
 //	SECONDS servers NUMBER                  there are servers s1, s2 and so on
 //	SECONDS calls PER-SECOND                the host gets calls
 //	SECONDS call [SERVER]                   it gets one, or a dial to the server fails
-//	SECONDS fresh                           it has no open connections
+//	SECONDS fresh [SERVER...]               it has no open connections to servers, or to any
 //	SECONDS first-byte SECONDS              the servers take this time
 //	SECONDS way WAY [SERVER...]             what becomes of connections
 //	SECONDS end                             the story ends
@@ -63,22 +63,32 @@
 		}
 		s.call(s.rng.Perm(len(s.servers)))
 	case "fresh":
-		clear(s.pooled)
+		for _, id := range s.named(args) {
+			s.pooled[id] = false
+		}
 	case "first-byte":
 		s.firstByte = seconds(t, args[0])
 	case "way":
-		var ids []identifier.BackendServer
-		for _, id := range args[1:] {
-			ids = append(ids, identifier.BackendServer(id))
-		}
 		s.log("(%s)", strings.Join(args, " "))
-		s.set(way(args[0]), ids...)
+		s.set(way(args[0]), s.named(args[1:])...)
 	case "end":
 	default:
 		t.Fatalf("unknown line %q", what)
 	}
 }
 
+// named returns the servers with names, all if there are none.
+func (s *simulation) named(names []string) []identifier.BackendServer {
+	if len(names) == 0 {
+		return s.servers
+	}
+	var ids []identifier.BackendServer
+	for _, name := range names {
+		ids = append(ids, identifier.BackendServer(name))
+	}
+	return ids
+}
+
 // seconds parses a number of seconds.
 func seconds(t *testing.T, text string) time.Duration {
 	t.Helper()
