relayer: silence alone is probed at one server first

The cause: every silence of 0.3 s called for three connections at once, and the first one of them ends the suspicion. Rounds after failures are as before.

--- a/relayer/contact.go
+++ b/relayer/contact.go
@@ -22,6 +22,10 @@
 	// roundProbes is the number of servers that a round probes. That all of them are
 	// dead while others are not is unlikely.
 	roundProbes = 3
+	// firstProbeTime is how long a round that only silence calls for waits for its
+	// first probe: several round trips. An engine that is slow with each of a few calls
+	// then costs one connection at a time instead of three.
+	firstProbeTime = 25 * time.Millisecond
 	// roundInterval is the minimum time between the starts of two rounds.
 	roundInterval = 250 * time.Millisecond
 	// roundMaxAge is when a round is given up whose probes did not come back.
@@ -102,13 +106,6 @@
 	return now.Before(c.down[server])
 }
 
-// round is a set of probes that were made together.
-type round struct {
-	out map[identifier.BackendServer]struct{}
-	// connected is set if a fresh connection was opened since the start.
-	connected bool
-}
-
 // open records a fresh connection to a server, which clears all evidence. It reports
 // whether it ended a cut.
 func (c *contact) open(now time.Time, server identifier.BackendServer) (healed bool) {
@@ -149,7 +146,7 @@
 		return false
 	}
 	delete(r.out, server)
-	if len(r.out) > 0 {
+	if !r.isOver() {
 		return false
 	}
 	c.round = nil
@@ -192,19 +189,38 @@
 	if c.cut {
 		return c.dueWhileCut(now, listed, random)
 	}
-	if c.round != nil && now.Sub(c.roundAt) >= roundMaxAge {
+	if c.round != nil && (c.round.isOver() || now.Sub(c.roundAt) >= roundMaxAge) {
 		c.round = nil
 	}
-	if c.round != nil || now.Sub(c.roundAt) < roundInterval || !c.isSuspected(now, listed) {
+	if c.round != nil {
+		return c.dueOfRound(now)
+	}
+	if now.Sub(c.roundAt) < roundInterval {
 		return nil
 	}
-	probed := c.order(listed, random)
-	probed = probed[:min(len(probed), roundProbes)]
-	c.round, c.roundAt = &round{out: make(map[identifier.BackendServer]struct{})}, now
-	for _, s := range probed {
-		c.round.out[s] = struct{}{}
+	first := roundProbes
+	if !c.isFailing(now, listed) {
+		if first = 1; !c.isSilent(now) {
+			return nil
+		}
+	}
+	chosen := c.order(listed, random)
+	chosen = chosen[:min(len(chosen), roundProbes)]
+	first = min(first, len(chosen))
+	c.round, c.roundAt = &round{out: make(map[identifier.BackendServer]struct{}), rest: chosen[first:]}, now
+	return c.round.send(chosen[:first])
+}
+
+// dueOfRound returns the rest of the round once its first probe has failed or takes
+// longer than a connection should.
+func (c *contact) dueOfRound(now time.Time) []identifier.BackendServer {
+	r := c.round
+	if r.connected || len(r.out) > 0 && now.Sub(c.roundAt) < firstProbeTime {
+		return nil
 	}
-	return probed
+	rest := r.rest
+	r.rest = nil
+	return r.send(rest)
 }
 
 // dueWhileCut returns the next server of the rotation if its time has come.
@@ -249,14 +265,14 @@
 	return n
 }
 
-// isSuspected reports whether the evidence calls for a round.
-func (c *contact) isSuspected(now time.Time, listed []identifier.BackendServer) bool {
+// isFailing reports whether the failures call for a round.
+func (c *contact) isFailing(now time.Time, listed []identifier.BackendServer) bool {
 	if len(listed) == 1 {
 		only := listed[0]
-		return max(c.failed[only], c.refused[only]) >= suspectDials || c.isSilent(now)
+		return max(c.failed[only], c.refused[only]) >= suspectDials
 	}
 	sound := max(c.countSound(now, listed), 1)
-	return len(c.failed) >= min(suspectServers, sound) || len(c.refused) >= min(suspectDials, sound) || c.isSilent(now)
+	return len(c.failed) >= min(suspectServers, sound) || len(c.refused) >= min(suspectDials, sound)
 }
 
 // isSilent reports whether an attempt is overdue, or one that failed would be, and the
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -19,8 +19,9 @@
 //
 // Dead servers, a silent one and a slow engine look the same to a single attempt. So a
 // suspicion only asks for a round of probes: fresh connections to up to three servers
-// at random, first to those that did not fail. If none of them opens, the host believes
-// to be cut off. One that opens, or a fresh connection of an attempt meanwhile, clears
+// at random, first to those that did not fail. They are made at once after failures; if
+// silence is all there is, the first one is given a moment, since a slow engine is the
+// usual cause. If none of them opens, the host believes to be cut off. One that opens, or a fresh connection of an attempt meanwhile, clears
 // all evidence. Servers that had failed by then are down, and their failures are no
 // evidence for a while, so that a service with many dead servers does not bring one
 // round after another. An attempt that goes on waiting is evidence again after as long
--- a/relayer/property_test.go
+++ b/relayer/property_test.go
@@ -292,3 +292,25 @@
 	}
 	wg.Wait()
 }
+
+// TestConnectionEndsRoundBetweenProbes opens a connection for an attempt after the first
+// probe of a round has failed and before the others are made: the round is over, and
+// the next evidence begins another one at once.
+func TestConnectionEndsRoundBetweenProbes(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	r := NewReach(clock, nil)
+	servers := map[identifier.Service][]identifier.BackendServer{"model": {"s1", "s2", "s3", "s4"}}
+	r.Begin("model", "s1")
+	clock.Advance(silence)
+	first := r.Due(servers)
+	r.Probed(first[0], false)
+	r.Begin("model", "s1").Dialed()
+	rest := r.Due(servers)
+	clock.Advance(roundInterval)
+	for _, id := range servers["model"] {
+		r.Begin("model", id).DialFailed()
+	}
+	if next := r.Due(servers); len(first) != 1 || len(rest) > 0 || len(next) != roundProbes {
+		t.Errorf("probes %v, after the connection %v, after failures %v", first, rest, next)
+	}
+}
