--- a/relayer/contact.go
+++ b/relayer/contact.go
@@ -21,9 +21,12 @@
 	// on older connections. It is also the number of failures of an only server.
 	suspectDials = 3
 	// roundProbes is the number of servers that a round probes. That all of them are
-	// dead while others are not is unlikely. Silence alone is mostly that of slow
-	// servers: then one is probed first, and a round follows if that fails.
+	// dead while others are not is unlikely.
 	roundProbes = 3
+	// firstProbeTime is how long a round that only silence calls for waits for its
+	// first probe: several round trips. An engine that is slow with each of a few calls
+	// then costs one connection at a time instead of three.
+	firstProbeTime = 25 * time.Millisecond
 	// roundInterval is the minimum time between the starts of two rounds.
 	roundInterval = 250 * time.Millisecond
 	// roundMaxAge is when a round is given up whose probes did not come back.
@@ -56,8 +59,6 @@
 	// round is the one that is out, or nil. roundAt is when the last one began.
 	round   *round
 	roundAt time.Time
-	// scoutFailed is set while the whole round is to follow on a single probe.
-	scoutFailed bool
 	// cut is set while the host believes that it reaches no server. It probes one at
 	// probeAt then, the first one of rotation.
 	cut      bool
@@ -106,20 +107,11 @@
 	return now.Before(c.down[server])
 }
 
-// round is a set of probes that were made together.
-type round struct {
-	out map[identifier.BackendServer]struct{}
-	// isScout is set if the round is a single probe before a whole one.
-	isScout bool
-	// connected is set if a fresh connection was opened since the start.
-	connected bool
-}
-
 // open records a fresh connection to a server, which clears all evidence. It reports
 // whether it ended a cut.
 func (c *contact) open(now time.Time, server identifier.BackendServer) (healed bool) {
 	healed = c.cut
-	c.cut, c.rotation, c.openedAt, c.scoutFailed = false, nil, now, false
+	c.cut, c.rotation, c.openedAt = false, nil, now
 	if !healed {
 		c.explain(now) // During a cut all servers fail, also those that are up.
 	}
@@ -155,7 +147,7 @@
 		return false
 	}
 	delete(r.out, server)
-	if len(r.out) > 0 {
+	if !r.isOver() {
 		return false
 	}
 	c.round = nil
@@ -164,10 +156,6 @@
 		c.clear()
 		return false
 	}
-	if r.isScout {
-		c.scoutFailed, c.roundAt = true, time.Time{} // The whole round follows at once.
-		return false
-	}
 	c.cut, c.probeAt = true, now.Add(jitter(random))
 	return true
 }
@@ -202,23 +190,38 @@
 	if c.cut {
 		return c.dueWhileCut(now, listed, random)
 	}
-	if c.round != nil && now.Sub(c.roundAt) >= roundMaxAge {
+	if c.round != nil && (c.round.isOver() || now.Sub(c.roundAt) >= roundMaxAge) {
 		c.round = nil
 	}
-	if c.round != nil || now.Sub(c.roundAt) < roundInterval || !c.isSuspected(now, listed) {
+	if c.round != nil {
+		return c.dueOfRound(now)
+	}
+	if now.Sub(c.roundAt) < roundInterval {
 		return nil
 	}
-	probed := c.order(listed, random)
-	isScout := len(probed) > 1 && !c.scoutFailed && !c.isFailing(now, listed)
-	if isScout {
-		probed = probed[:1]
+	first := roundProbes
+	if !c.isFailing(now, listed) {
+		if first = 1; !c.isSilent(now) {
+			return nil
+		}
 	}
-	probed = probed[:min(len(probed), roundProbes)]
-	c.round, c.roundAt, c.scoutFailed = &round{out: make(map[identifier.BackendServer]struct{}), isScout: isScout}, now, false
-	for _, s := range probed {
-		c.round.out[s] = struct{}{}
+	chosen := c.order(listed, random)
+	chosen = chosen[:min(len(chosen), roundProbes)]
+	first = min(first, len(chosen))
+	c.round, c.roundAt = &round{out: make(map[identifier.BackendServer]struct{}), rest: chosen[first:]}, now
+	return c.round.send(chosen[:first])
+}
+
+// dueOfRound returns the rest of the round once its first probe has failed or takes
+// longer than a connection should.
+func (c *contact) dueOfRound(now time.Time) []identifier.BackendServer {
+	r := c.round
+	if r.connected || len(r.out) > 0 && now.Sub(c.roundAt) < firstProbeTime {
+		return nil
 	}
-	return probed
+	rest := r.rest
+	r.rest = nil
+	return r.send(rest)
 }
 
 // dueWhileCut returns the next server of the rotation if its time has come.
@@ -263,13 +266,7 @@
 	return n
 }
 
-// isSuspected reports whether the evidence calls for a round.
-func (c *contact) isSuspected(now time.Time, listed []identifier.BackendServer) bool {
-	return c.scoutFailed || c.isFailing(now, listed) || c.isSilent(now)
-}
-
-// isFailing reports whether attempts on enough servers failed, or often enough on the
-// only one.
+// isFailing reports whether the failures call for a round.
 func (c *contact) isFailing(now time.Time, listed []identifier.BackendServer) bool {
 	if len(listed) == 1 {
 		only := listed[0]
