connector: a wait that goes on does not ask in a loop whether to end

Cause: after a limit has passed, the read deadline was moved only if it moved by more than an eighth of the limit. Near the deadline of the exchange it did not move, so that each read failed at once and GiveUp was called again, until the deadline. Change: after GiveUp the read deadline is set anew.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -300,6 +300,7 @@
 	}
 	n, err := r.read(p)
 	for n == 0 && c.isOverdue(err) && !c.limits.GiveUp() {
+		c.readDeadline = time.Time{} // It has passed, however near the next one is.
 		n, err = r.read(p)
 	}
 	if n > 0 {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -290,3 +291,25 @@
 		t.Errorf("error %v, or the connection of a cancelled exchange was reused", err)
 	}
 }
+
+// TestOverdueExchangeWaitsBetweenQuestions guards against a wait that asks in a loop
+// whether to give up, since the deadline is nearer than the read deadline is moved for.
+func TestOverdueExchangeWaitsBetweenQuestions(t *testing.T) {
+	address := startScriptedServer(t, func(_ net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		readRequest(r) // Until the client closes the connection.
+	})
+	c, err := connector.NewPool(connector.Options{}).Open(context.Background(), address, connector.Fresh)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	asked := 0
+	_, err = c.Exchange(context.Background(), newRequest(address), connector.Limits{
+		Deadline: time.Now().Add(420 * time.Millisecond), FirstByte: 400 * time.Millisecond,
+		GiveUp: func() bool { asked++; return false },
+	})
+	if !errors.Is(err, os.ErrDeadlineExceeded) || asked != 1 {
+		t.Errorf("asked %d times, error %v", asked, err)
+	}
+}
