forwarder: a silent server is not given up for an answer that cannot be passed on

Cause: any status below 500 of another server counted as an answer to the call, also one that tells the caller that nothing ran, and a success without the server's seal. The silent server was given up, and then the answer was discarded. Change: mayComplete holds what relayBuffered passes on. Result: TestSilentServerIsKeptForAnUnusableReplacement failed before in both cases (502) and passes.

--- /dev/null
+++ b/forwarder/replacement_test.go
@@ -0,0 +1,81 @@
+package forwarder
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// step is what a scripted server does next: it waits, calls do and sends text.
+type step struct {
+	wait time.Duration
+	do   func()
+	text string
+}
+
+// scriptedServer listens, takes the steps after each request and closes the connection.
+// It returns its address.
+func scriptedServer(t *testing.T, steps ...step) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		for _, s := range steps {
+			time.Sleep(s.wait)
+			if s.do != nil {
+				s.do()
+			}
+			_, _ = io.WriteString(c, s.text)
+		}
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// callSilent makes a call to a server that takes the steps, beside which others are
+// listed once it has the call.
+func (h *harness) callSilent(t *testing.T, path string, others []string, steps ...step) response {
+	t.Helper()
+	var silent string
+	listAll := func() { h.useAddresses(append([]string{silent}, others...)...) }
+	silent = scriptedServer(t, append([]step{{do: listAll}}, steps...)...)
+	h.useAddresses(silent)
+	return h.call(t, http.MethodPost, path, "key", "x")
+}
+
+// TestSilentServerIsKeptForAnUnusableReplacement guards against an attempt that is ended
+// for an answer that does not answer the call.
+func TestSilentServerIsKeptForAnUnusableReplacement(t *testing.T) {
+	for _, unusable := range []string{
+		sealedResponse(http.StatusTooManyRequests, "", "busy"),
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+	} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, unusable)
+			h.shortTargets()
+			res := h.callSilent(t, "/look/1", []string{h.backends.start()}, step{wait: time.Second, text: sealedResponse(http.StatusOK, "", "found")})
+			if res.status != http.StatusOK || res.body != "found" {
+				t.Errorf("the caller got %+v", res)
+			}
+		})
+	}
+}
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -57,11 +57,14 @@
 }
 
 // shortTargets gives all routes a target of a tenth of a second.
-func (h *harness) shortTargets() {
+func (h *harness) shortTargets() { h.setTargets(100 * time.Millisecond) }
+
+// setTargets gives all routes a target.
+func (h *harness) setTargets(target time.Duration) {
 	d := *h.Table().Document()
 	d.Routes = append(d.Routes[:0:0], d.Routes...)
 	for i := range d.Routes {
-		d.Routes[i].Target = 100 * time.Millisecond
+		d.Routes[i].Target = target
 	}
 	h.SetTable(matcher.NewTable(2, &d))
 }
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -60,10 +60,14 @@
 
 // mayComplete reports whether a response that has begun may complete the call.
 func (x *exchange) mayComplete(b *begunAttempt) bool {
-	if x.headerSent {
+	switch status := b.res.Status; {
+	case x.headerSent:
 		return x.isStream(b.res) && b.reply.Sealed
+	case status < http.StatusBadRequest:
+		return b.reply.Sealed
+	default:
+		return status < http.StatusInternalServerError && !impliesNotRun(status)
 	}
-	return b.res.Status < http.StatusInternalServerError
 }
 
 // takeOver goes on with the replacement of the last attempt, and with its own if it is
