forwarder: a replacement that reaches no server spends no retry

Cause: an attempt in place of a silent one withdraws a retry before its server is dialled. An unreachable server then took a retry from the budget, which no later attempt was made with, for each call of the silent server. Change: the retry is given back, as the budget does not count attempts that reach no server. Result: TestUnreachableReplacementSpendsNoRetry failed before and passes.

--- a/forwarder/replacement_test.go
+++ b/forwarder/replacement_test.go
@@ -79,3 +79,15 @@
 		})
 	}
 }
+
+// TestUnreachableReplacementSpendsNoRetry guards against a retry budget that is spent by
+// attempts that reach no server, while all calls of a server wait for it.
+func TestUnreachableReplacementSpendsNoRetry(t *testing.T) {
+	h := newHarness(t)
+	h.shortTargets()
+	h.retries = newRetryBudgets(RetryBudget{Reserve: 1}, 1)
+	h.callSilent(t, "/look/1", []string{unreachableAddress(t)}, step{wait: 500 * time.Millisecond, text: sealedResponse(http.StatusOK, "", "found")})
+	if !h.retries.tryWithdraw("cases") {
+		t.Error("the retry budget is spent, though no other server got the call")
+	}
+}
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -53,6 +53,9 @@
 		b.conn.Close()
 		outcome, result, reason = placer.Failed, failed, fmt.Sprintf("the backend server answered with status %d", b.res.Status)
 	}
+	if result == unsent {
+		x.f.retries.giveBack(x.service)
+	}
 	x.endAttempt(choice, outcome)
 	x.logAttempt(result, reason, x.f.opts.Clock.Now().Sub(started))
 	return false
