forwarder: an isolated call is not sent in place of a silent one

Cause: run asks before each attempt whether time is left and whether a part of the prompt is isolated; replace asked neither. A call that its server has survived is not cancelled by the isolation, so that it reached another server. Change: checkStart decides for both. Result: TestIsolatedCallIsNotSentInPlaceOfASilentOne failed before (1 send to the other server) and passes.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -76,12 +76,8 @@
 // allowed.
 func (x *exchange) run() {
 	for {
-		if x.deadline.Sub(x.f.opts.Clock.Now()) < minTimeLeft {
-			x.fail("the time is up")
-			return
-		}
-		if !x.isProbe && x.f.opts.Isolation.Has(x.service, x.suspects) {
-			x.fail(errIsolated.Error())
+		if err := x.checkStart(); err != nil {
+			x.fail(err.Error())
 			return
 		}
 		choice, err := x.chooseServer()
@@ -121,6 +117,20 @@
 	}
 }
 
+// errTimeUp stops a call whose deadline is too near for an attempt.
+var errTimeUp = errors.New("the time is up")
+
+// checkStart returns an error if no attempt may be started now, on any backend server.
+func (x *exchange) checkStart() error {
+	if x.deadline.Sub(x.f.opts.Clock.Now()) < minTimeLeft {
+		return errTimeUp
+	}
+	if !x.isProbe && x.f.opts.Isolation.Has(x.service, x.suspects) {
+		return errIsolated
+	}
+	return nil
+}
+
 // retryDenial is why a call is not sent to another backend server; it is empty if the
 // call may be.
 type retryDenial string
--- a/forwarder/replacement_test.go
+++ b/forwarder/replacement_test.go
@@ -91,3 +91,19 @@
 		t.Error("the retry budget is spent, though no other server got the call")
 	}
 }
+
+// TestIsolatedCallIsNotSentInPlaceOfASilentOne guards against a call that reaches another
+// server after a part of its prompt was isolated. The first server has survived it.
+func TestIsolatedCallIsNotSentInPlaceOfASilentOne(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, streamHead+chunk(event(3))+"0\r\n\r\n")
+	h.parts = "first bad own"
+	res := h.callSilent(t, "/edit/1", []string{h.backends.start()},
+		step{text: streamHead + chunk(event(1))},
+		step{wait: 600 * time.Millisecond, text: chunk(event(2))},
+		step{wait: 100 * time.Millisecond, do: func() { h.opts.Isolation.Apply(isolated(0, "")) }},
+		step{wait: 1300 * time.Millisecond, text: chunk(event(3)) + "0\r\n\r\n"})
+	if n := len(h.backends.requests()); n != 0 || res.body != event(1)+event(2)+event(3) {
+		t.Errorf("%d sends to the other server, the caller got %+v", n, res)
+	}
+}
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -29,7 +29,7 @@
 // replace sends the call to another backend server while the current attempt waits, and
 // reports whether that server has begun to answer.
 func (x *exchange) replace() bool {
-	if x.replacements >= maxReplacements || x.retryDenial(broken) != "" {
+	if x.replacements >= maxReplacements || x.checkStart() != nil || x.retryDenial(broken) != "" {
 		return false
 	}
 	choice, err := x.chooseServer()
