forwarder: a silent server that goes on is heard while another one is awaited

Callers would see: a stream that stands still although its server goes on, and LOST, a stream that breaks off since the other server broke off after its header. Cause: while a replacement is awaited, for up to twice the target or the expected first token, nothing was read of the silent server; once the replacement had sent a header, the silent server was closed, whatever it had sent meanwhile. Change: the wait for a replacement asks every 50 ms whether a byte of the silent server has arrived (a peek at the socket), and ends if so. The replacement counts as cancelled, not as failed.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -244,22 +245,38 @@
 // isUsable reports whether an idle connection is open and has no unexpected
 // data to read.
 func (c *Conn) isUsable() bool {
+	_, err := c.peek()
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errNoSocket)
+}
+
+// HasInput reports whether a byte has arrived that was not read yet. It may be called by
+// Limits.GiveUp.
+func (c *Conn) HasInput() bool {
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
+// errNoSocket means that a connection is no socket.
+var errNoSocket = errors.New("the connection is no socket")
+
+// peek returns how many bytes can be read without waiting, at most one; 0 means that the
+// server has closed the connection, and EAGAIN that nothing has arrived. Deadlines do not
+// matter.
+func (c *Conn) peek() (n int, err error) {
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, errNoSocket
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	noData := false
-	err = rc.Read(func(fd uintptr) bool {
+	var peekErr error
+	err = rc.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = err == unix.EAGAIN
-		return true
+		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && noData
+	return n, cmp.Or(err, peekErr)
 }
 
 // setReadDeadline sets the read deadline unless the current one is close
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -228,6 +228,8 @@
 	server   identifier.BackendServer
 	instance describer.Instance
 	limits   connector.Limits
+	// conn is the connection to the server, or nil before it is open.
+	conn *connector.Conn
 	// hasRun is set once the attempt is counted as one that may have run.
 	hasRun bool
 	// lost is set if the connection of the attempt broke.
@@ -243,7 +245,6 @@
 type begunAttempt struct {
 	state  attemptState
 	choice *placer.Choice
-	conn   *connector.Conn
 	res    *connector.Response
 	reply  describer.Reply
 	sentAt time.Time
@@ -287,6 +288,7 @@
 		x.unsent++
 		return nil, placer.Unreachable, unsent, err.Error()
 	}
+	x.conn = conn
 	x.recordRevisionAtSend()
 	sentAt := x.f.opts.TimeOfDay.Now()
 	reply, res, err := x.exchangeHeaders(conn, in)
@@ -303,7 +305,7 @@
 		return nil, refusalOutcome(res.Status), refused, "the backend server refused the call"
 	}
 	x.countRun()
-	return &begunAttempt{x.attemptState, choice, conn, res, reply, sentAt}, 0, answered, ""
+	return &begunAttempt{x.attemptState, choice, res, reply, sentAt}, 0, answered, ""
 }
 
 // exchangeHeaders sends the call over a connection and returns the response to it once
@@ -331,10 +333,10 @@
 	var result attemptResult
 	var reason string
 	if x.isStream(b.res) && b.reply.Sealed {
-		outcome, result, reason = x.relayStream(b.conn, b.res, b.choice)
+		outcome, result, reason = x.relayStream(x.conn, b.res, b.choice)
 	} else {
 		x.countUsage(b.sentAt)
-		outcome, result, reason = x.relayBuffered(b.conn, b.res, b.reply, b.choice)
+		outcome, result, reason = x.relayBuffered(x.conn, b.res, b.reply, b.choice)
 	}
 	x.endAttempt(b.choice, outcome)
 	return result, reason
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -185,8 +185,8 @@
 	// and replacements counts the attempts to begin one.
 	replacement  *begunAttempt
 	replacements int
-	// isReplacing is set while a replacement is asked to answer.
-	isReplacing bool
+	// awaited is the replacement that has not begun to answer, or nil.
+	awaited *awaitedReplacement
 
 	tried []identifier.BackendServer
 	// sends counts all attempts, unsent those that reached no backend server,
--- a/forwarder/replacement_test.go
+++ b/forwarder/replacement_test.go
@@ -107,3 +107,25 @@
 		t.Errorf("%d sends to the other server, the caller got %+v", n, res)
 	}
 }
+
+// TestServerThatGoesOnIsHeard guards against a stream that stands still, or breaks off,
+// since its server goes on while another one has not answered yet.
+func TestServerThatGoesOnIsHeard(t *testing.T) {
+	for name, other := range map[string][]step{
+		"the other server is slow":       {{wait: 3 * time.Second}},
+		"the other server breaks off":    {{wait: 800 * time.Millisecond, text: streamHead}},
+		"the other server goes on later": {{wait: 800 * time.Millisecond, text: streamHead + chunk(event(2)) + "0\r\n\r\n"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.setTargets(time.Second)
+			started := time.Now()
+			res := h.callSilent(t, "/edit/1", []string{scriptedServer(t, other...)},
+				step{text: streamHead + chunk(event(1))}, step{wait: 1300 * time.Millisecond, text: chunk(event(2)) + "0\r\n\r\n"})
+			if took := time.Since(started); res.body != event(1)+event(2) || !res.complete || took > 1700*time.Millisecond {
+				t.Errorf("after %v the caller got %+v", took, res)
+			}
+		})
+	}
+}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -132,7 +132,7 @@
 			case s.events > before:
 				progressAt = now
 			case x.hasStalled(now.Sub(progressAt), s.events):
-				if x.giveUp() {
+				if x.giveUpStalled() {
 					conn.Close()
 					return placer.Failed, broken, "the stream makes no progress"
 				}
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -8,17 +8,39 @@
 	"cyclamenhub.org/placer"
 )
 
-// maxReplacements is how many backend servers are tried in place of silent ones for one
-// call. A call that none of them takes waits for the silent one.
-const maxReplacements = 2
+const (
+	// maxReplacements is how many backend servers are tried in place of silent ones for
+	// one call. A call that none of them takes waits for the silent one.
+	maxReplacements = 2
+	// silenceCheckInterval is how often it is checked, while a replacement is awaited,
+	// whether the silent server goes on.
+	silenceCheckInterval = 50 * time.Millisecond
+)
+
+// awaitedReplacement is a replacement that has not begun to answer.
+type awaitedReplacement struct {
+	// until is when it is given up.
+	until time.Time
+	// isNeedless reports whether the silent server goes on, so that no replacement is
+	// needed.
+	isNeedless func() bool
+}
 
 // giveUp reports whether the current attempt, whose backend server is silent, is given up:
 // only once another server has begun to answer. Until then the silent server may go on.
 func (x *exchange) giveUp() bool {
-	if x.isReplacing {
-		return true // The replacement is silent, too.
+	if r := x.awaited; r != nil {
+		return r.isNeedless() || !x.f.opts.Clock.Now().Before(r.until)
 	}
-	if x.replace() {
+	return x.isReplaced(x.conn.HasInput)
+}
+
+// giveUpStalled is like giveUp for a server that sends bytes but completes no event.
+func (x *exchange) giveUpStalled() bool { return x.isReplaced(func() bool { return false }) }
+
+// isReplaced tries to replace the current attempt and counts the result.
+func (x *exchange) isReplaced(isNeedless func() bool) bool {
+	if x.replace(isNeedless) {
 		attemptsReplaced.Inc()
 		return true
 	}
@@ -27,8 +49,8 @@
 }
 
 // replace sends the call to another backend server while the current attempt waits, and
-// reports whether that server has begun to answer.
-func (x *exchange) replace() bool {
+// reports whether that server has begun to answer. It ends early once that is needless.
+func (x *exchange) replace(isNeedless func() bool) bool {
 	if x.replacements >= maxReplacements || x.checkStart() != nil || x.retryDenial(broken) != "" {
 		return false
 	}
@@ -39,18 +61,27 @@
 	}
 	x.replacements++
 	silent := x.attemptState
-	x.isReplacing = true
-	defer func() { x.attemptState, x.isReplacing = silent, false }()
-	x.attemptState = attemptState{server: choice.Server, limits: x.limitsOf(choice)}
-	x.limits.FirstByte = x.firstByteLimit(choice)
+	defer func() { x.attemptState, x.awaited = silent, nil }()
 	started := x.f.opts.Clock.Now()
+	limit := x.firstByteLimit(choice)
+	x.awaited = &awaitedReplacement{until: started.Add(limit), isNeedless: isNeedless}
+	x.attemptState = attemptState{server: choice.Server, limits: x.limitsOf(choice)}
+	x.limits.FirstByte = min(limit, silenceCheckInterval)
 	b, outcome, result, reason := x.begin(choice)
 	switch {
+	case isNeedless():
+		if b != nil {
+			b.state.conn.Close()
+		}
+		if b != nil || outcome == placer.Failed {
+			outcome, result, reason = placer.Cancelled, broken, "the silent server goes on"
+		}
 	case b != nil && x.mayComplete(b):
+		b.state.limits.FirstByte = limit
 		x.replacement = b
 		return true
 	case b != nil:
-		b.conn.Close()
+		b.state.conn.Close()
 		outcome, result, reason = placer.Failed, failed, fmt.Sprintf("the backend server answered with status %d", b.res.Status)
 	}
 	if result == unsent {
@@ -92,7 +123,7 @@
 // dropReplacement ends a replacement that nothing has been relayed of.
 func (x *exchange) dropReplacement() {
 	if b := x.replacement; b != nil {
-		b.conn.Close()
+		b.state.conn.Close()
 		b.choice.End(placer.Cancelled)
 	}
 }
