forwarder: a silent stream is replaced once content of another server has arrived

Cause: the header of another server counted as the beginning of its answer. A server may send it before it begins to work; if it then ended, both servers were lost and the stream of the caller broke off. Change: of a stream, the first bytes of the body are awaited within the same limit, before the silent server is given up. Result: TestHeaderAloneReplacesNoServer failed before (broken off) and passes.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -298,6 +298,11 @@
 	return c.ctx.Err()
 }
 
+// LimitBetweenBytes changes Limits.BetweenBytes for the rest of the exchange.
+func (c *Conn) LimitBetweenBytes(d time.Duration) {
+	c.readLimit, c.limits.BetweenBytes, c.readDeadline = d, d, time.Time{}
+}
+
 // earlierDeadline returns the earlier of two times; a zero a means no deadline.
 func earlierDeadline(a, b time.Time) time.Time {
 	if a.IsZero() || b.Before(a) {
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -1,7 +1,11 @@
 package forwarder
 
 import (
+	"bytes"
+	"cmp"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -63,26 +67,23 @@
 	silent := x.attemptState
 	defer func() { x.attemptState, x.awaited = silent, nil }()
 	started := x.f.opts.Clock.Now()
-	limit := x.firstByteLimit(choice)
-	x.awaited = &awaitedReplacement{until: started.Add(limit), isNeedless: isNeedless}
-	x.attemptState = attemptState{server: choice.Server, limits: x.limitsOf(choice)}
-	x.limits.FirstByte = min(limit, silenceCheckInterval)
-	b, outcome, result, reason := x.begin(choice)
+	limits := x.limitsOf(choice)
+	limits.FirstByte = x.firstByteLimit(choice)
+	x.awaited = &awaitedReplacement{until: started.Add(limits.FirstByte), isNeedless: isNeedless}
+	x.attemptState = attemptState{server: choice.Server, limits: limits}
+	x.limits.FirstByte, x.limits.BetweenBytes = silenceCheckInterval, silenceCheckInterval
+	b, outcome, result, reason := x.beginReplacement(choice)
 	switch {
-	case isNeedless():
-		if b != nil {
-			b.state.conn.Close()
-		}
-		if b != nil || outcome == placer.Failed {
-			outcome, result, reason = placer.Cancelled, broken, "the silent server goes on"
-		}
-	case b != nil && x.mayComplete(b):
-		b.state.limits.FirstByte = limit
+	case b != nil && !isNeedless():
+		b.state.limits = limits
+		b.state.conn.LimitBetweenBytes(limits.BetweenBytes)
 		x.replacement = b
 		return true
 	case b != nil:
 		b.state.conn.Close()
-		outcome, result, reason = placer.Failed, failed, fmt.Sprintf("the backend server answered with status %d", b.res.Status)
+		outcome, result, reason = placer.Cancelled, broken, errNeedless.Error()
+	case outcome == placer.Failed && isNeedless():
+		outcome, reason = placer.Cancelled, errNeedless.Error()
 	}
 	if result == unsent {
 		x.f.retries.giveBack(x.service)
@@ -92,6 +93,44 @@
 	return false
 }
 
+// errNeedless ends a replacement.
+var errNeedless = errors.New("the silent backend server goes on")
+
+// beginReplacement is begin for a replacement. It returns an attempt only if that may
+// complete the call; of a stream, content has arrived then.
+func (x *exchange) beginReplacement(choice *placer.Choice) (*begunAttempt, placer.Outcome, attemptResult, string) {
+	b, outcome, result, reason := x.begin(choice)
+	if b == nil {
+		return nil, outcome, result, reason
+	}
+	mayComplete := x.mayComplete(b)
+	var err error
+	if mayComplete && x.isStream(b.res) {
+		err = b.awaitContent()
+	}
+	switch {
+	case !mayComplete:
+		outcome, result, reason = placer.Failed, failed, fmt.Sprintf("the backend server answered with status %d", b.res.Status)
+	case err != nil:
+		outcome, result, reason = x.classifyReadError(err)
+	default:
+		return b, outcome, result, reason
+	}
+	b.state.conn.Close()
+	return nil, outcome, result, reason
+}
+
+// awaitContent waits for the first bytes of a body, which are read again later.
+func (b *begunAttempt) awaitContent() error {
+	buf := make([]byte, readBytes)
+	n, err := b.res.Body.Read(buf)
+	if n == 0 {
+		return cmp.Or(err, io.ErrNoProgress)
+	}
+	b.res.Body = io.MultiReader(bytes.NewReader(buf[:n]), b.res.Body)
+	return nil
+}
+
 // mayComplete reports whether a response that has begun may complete the call.
 func (x *exchange) mayComplete(b *begunAttempt) bool {
 	switch status := b.res.Status; {
