connector: a lost keep-alive probe does not end an exchange

Cause: net.Dialer sends keep-alive probes after 15 s without a byte, every 15 s. With TCP_USER_TIMEOUT set, that decides how long probes may be unanswered, whatever their count. It is 5 s, shorter than the time before the first probe, so that a connection without a byte for 30 s ended when its first probe was lost, although its server worked on. Change: connections to backend servers send no probes. Each wait of an exchange is bounded by its limits, and an idle connection by its age. The loss of a probe itself was not brought about; it takes a filter on the network.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -195,9 +195,10 @@
 }
 
 // dialTCP opens a TCP connection that fails if sent data remains unacknowledged
-// for too long.
+// for too long. It sends no keep-alive probes: TCP_USER_TIMEOUT would end the connection
+// after one that is lost, and the limits of an exchange bound each wait.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Control: limitUnacknowledged}
+	d := net.Dialer{Control: limitUnacknowledged, KeepAlive: -1}
 	return d.DialContext(ctx, "tcp", address)
 }
 
