dispatcher: a silent server is given up only if another attempt may follow

A stream that cannot be resumed, and a call while the retry budget is spent, ended without the answer of their sound server. Change: when a limit has passed, giveUp takes the retry, if the next attempt is charged; the wait goes on if there is none, if the stream cannot be resumed, or if no attempts are left. A silent reused connection without a byte is replaced as before.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -41,14 +41,18 @@
 	pick   Pick
 	server configurer.BackendServer
 	conn   *connector.Conn
-	ctx    context.Context
-	cancel context.CancelCauseFunc
+	// hasHead is set once the head of the answer has arrived, and eventsBefore counts
+	// the events of earlier attempts.
+	hasHead      bool
+	eventsBefore int
+	ctx          context.Context
+	cancel       context.CancelCauseFunc
 }
 
 // attempt performs one attempt on the chosen server.
 func (t *task) attempt(exec func(*attempt) result) result {
 	t.d.counters.attempts.Inc()
-	a := &attempt{t: t, pick: t.pick, server: t.server, id: t.d.newAttemptID(t.r.ID)}
+	a := &attempt{t: t, pick: t.pick, server: t.server, id: t.d.newAttemptID(t.r.ID), eventsBefore: t.record.progress.count()}
 	a.ctx, a.cancel = context.WithCancelCause(t.ctx)
 	defer a.cancel(nil)
 	t.setCurrentAttempt(a)
@@ -195,17 +199,34 @@
 func (a *attempt) exchange(body []byte, limits connector.Limits) (*connector.Response, result) {
 	limits.Deadline = a.t.r.Deadline
 	limits.BeforeSend = a.t.ledger.recordSend
+	limits.GiveUp = a.giveUp
 	a.t.markSent()
 	res, err := a.conn.Exchange(a.ctx, a.request(body), limits)
 	if err != nil {
 		return nil, exchangeFailure(err)
 	}
+	a.hasHead = true
 	if echo := res.Header.Get(AttemptHeader); echo != "" && echo != string(a.id) {
 		return nil, lost{err: errCrossed}
 	}
 	return res, nil
 }
 
+// giveUp reports whether the attempt, whose server has been silent for too long, ends:
+// only if another one may follow. Otherwise the silent server may go on.
+func (a *attempt) giveUp() bool {
+	t := a.t
+	p := &t.record.progress
+	switch {
+	case t.ledger.nonIdempotent, t.ledger.attempts+1 >= maxAttempts, p.opaque && p.count() > 0:
+		return false
+	case a.conn.Reused() && !a.hasHead, p.count() > a.eventsBefore:
+		return true // The next attempt is not charged.
+	}
+	t.hasRetry = t.hasRetry || t.mayRetry()
+	return t.hasRetry
+}
+
 // markSent records the time at which the first attempt is sent.
 func (t *task) markSent() {
 	if t.sentAt.IsZero() {
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -81,9 +81,11 @@
 	excluded        []identifier.BackendServer
 	avoid           identifier.FailureDomain
 	backoffs        int
-	lastAnswer      *Answer
-	storedAnswer    *Answer
-	line            []byte
+	// hasRetry is set while a retry was taken from the budget and is not used.
+	hasRetry     bool
+	lastAnswer   *Answer
+	storedAnswer *Answer
+	line         []byte
 	// firstToken is the time from the first send to the first byte.
 	firstToken time.Duration
 	sentAt     time.Time
@@ -206,7 +208,13 @@
 
 // mayRetry takes one retry from the retry budget and reports whether it was
 // available.
-func (t *task) mayRetry() bool { return t.grant == nil || t.grant.Retry() == nil }
+func (t *task) mayRetry() bool {
+	if t.hasRetry {
+		t.hasRetry = false
+		return true
+	}
+	return t.grant == nil || t.grant.Retry() == nil
+}
 
 // endGrant reports the outcome of the request to the admitter.
 func (t *task) endGrant(refusal *refuser.Refusal) {
