placer: the end of a stream does not race with a changed document or list

Cause: RecordSteps read what is published of its server before it took the lock, while Publish replaces it. Between the check and the use, EventTokens could become 0, so that the measured pace was infinite. Change: the check is made under the lock.

--- a/placer/pace.go
+++ b/placer/pace.go
@@ -51,11 +51,14 @@
 // RecordSteps records the pace of a stream after its first event: how many events
 // came, and in which time.
 func (c *Choice) RecordSteps(events int, took time.Duration) {
-	if !c.state.Engine || c.state.EventTokens <= 0 || events < minStepEvents || took <= 0 {
+	if events < minStepEvents || took <= 0 {
 		return
 	}
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
+	if !c.state.Engine || c.state.EventTokens <= 0 {
+		return
+	}
 	steps := float64(events * int(c.state.EventTokens))
 	measured := took.Seconds() * 1000 / steps
 	c.p.paces.Steps(c.p.opts.Clock.Now(), c.state.run(), c.state.Service, measured/baseStepMs(c.state.own.Context+c.state.others.Context))
