server, dispatcher: resuming a stream whose owner is out of reach is refused

Cause: Follow began the answer before it asked the owner. If that could not be reached, the handler panicked with a header that was not sent yet, so that the caller's connection ended with neither an answer nor a refusal. Change: the answer begins once the owner has responded; before that, an error is answered with 502, and a refusal with its own status instead of an event. Result: TestLostOwnerIsReported failed before (EOF) and passes.

--- a/dispatcher/remote.go
+++ b/dispatcher/remote.go
@@ -87,16 +87,22 @@
 
 // Follow sends the events of a stream after event n to sink until the stream
 // ends. It returns the refusal that ended the stream, if any, and an error if
-// the caller or the owner can no longer be reached.
+// the caller or the owner can no longer be reached. It begins the answer once the
+// owner has responded without a refusal.
 func Follow(ctx context.Context, r Remote, n int, sink Sink) (*refuser.Refusal, error) {
-	if err := sink.Begin(streamHead()); err != nil {
-		return nil, err
-	}
 	var buf []byte
-	for {
+	for begun := false; ; begun = true {
 		u, err := r.Next(ctx, n)
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
+		case begun:
+		case u.Refusal != nil && len(u.Payloads) == 0:
+			return u.Refusal, nil
+		default:
+			if err := sink.Begin(streamHead()); err != nil {
+				return nil, err
+			}
 		}
 		buf = buf[:0]
 		for _, p := range u.Payloads {
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -272,6 +272,8 @@
 	switch {
 	case refusal != nil:
 		s.endWithRefusal(out, refusal)
+	case err != nil && !out.headerSent:
+		s.refuse(w, refuser.MayHaveRun(refuser.Failed, "the host that runs the request is out of reach", "resume the stream again"))
 	case err != nil:
 		// The caller sees a stream without its terminal marker and reconnects.
 		panic(http.ErrAbortHandler)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -37,6 +37,9 @@
 	plain               *faker.Plain
 	metrics             *metrics.Set
 	server              *server.Server
+	// fleet is the document, and finder, if not nil, finds requests of other hosts.
+	fleet  *configurer.Fleet
+	finder server.Finder
 }
 
 // newTestProxy starts a testProxy. edit, if not nil, changes the fleet document
@@ -71,6 +74,7 @@
 	}
 	p.engineURL = "http://" + f.Defaults.BackendServers[0].Address
 	p.plainURL = "http://" + f.Defaults.BackendServers[2].Address
+	p.fleet = f
 	p.start(f)
 	return p
 }
@@ -79,7 +83,7 @@
 	var tables atomic.Pointer[dispatcher.Table]
 	tables.Store(dispatcher.NewTable(f))
 	d := dispatcher.New(dispatcher.Options{Tables: &tables, FailureDomain: "a", Metrics: p.metrics})
-	p.server = server.New(server.Options{Dispatcher: d, Tables: &tables, Metrics: p.metrics, ReadinessLag: -1})
+	p.server = server.New(server.Options{Dispatcher: d, Tables: &tables, Metrics: p.metrics, ReadinessLag: -1, Finder: p.finder})
 	p.url = "http://" + serve(p.t, p.server)
 }
 
--- a/server/stream_test.go
+++ b/server/stream_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +11,8 @@
 	"testing"
 
 	"cyclamenhub.org/configurer"
+	"cyclamenhub.org/dispatcher"
+	"cyclamenhub.org/identifier"
 )
 
 // TestEventIsFlushedImmediately checks that an event reaches the caller without
@@ -59,3 +63,36 @@
 		t.Errorf("the caller read %q", lines)
 	}
 }
+
+// lostOwner is a Finder of a request whose owner is out of reach.
+type lostOwner struct{}
+
+func (lostOwner) Find(context.Context, identifier.Customer, identifier.RequestID) (dispatcher.Remote, dispatcher.Status, bool) {
+	return lostOwner{}, dispatcher.Status{}, true
+}
+
+func (lostOwner) Next(context.Context, int) (dispatcher.Update, error) {
+	return dispatcher.Update{}, errors.New("out of reach")
+}
+
+// TestLostOwnerIsReported guards against a request to resume a stream that gets neither an
+// answer nor a refusal, since the host that runs it is out of reach.
+func TestLostOwnerIsReported(t *testing.T) {
+	p := newTestProxy(t, nil)
+	p.finder = lostOwner{}
+	p.start(p.fleet)
+	res := p.do(mustRequest(t, http.MethodGet, p.url+"/v1/requests/r1"), "Last-Event-ID", "1")
+	if res.StatusCode != http.StatusBadGateway {
+		t.Errorf("status %d, want 502", res.StatusCode)
+	}
+}
+
+// mustRequest returns a request without a body.
+func mustRequest(t *testing.T, method, target string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, target, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
