discoverer: a list without an end is given up, and failures are logged once

Cause: keepers and entry hosts each had their own loop over the pages of the list. Neither noticed that a page leads back to one that was read: an entry host read 1,000 pages and a keeper 100 with each reading, which takes all calls that the platform accepts from all hosts together. A keeper logged every reading that failed, twice a second, and entries that were skipped were not logged at all.

Change: one Reader reads whole listings for both.

--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/timer"
 )
@@ -25,8 +22,6 @@
 	// offerPollInterval is the time between two checks for the first listing that
 	// another process offers.
 	offerPollInterval = 100 * time.Millisecond
-	// maxPages bounds the pages of one reading.
-	maxPages = 1000
 )
 
 // Options configure a Discoverer.
@@ -47,11 +42,25 @@
 	Log      *slog.Logger
 }
 
-var (
-	readings       = metrics.NewCounter("cyclamen_discoverer_readings_total")
-	failedReadings = metrics.NewCounter("cyclamen_discoverer_readings_failed_total")
-	skippedEntries = metrics.NewCounter("cyclamen_discoverer_entries_skipped_total")
-)
+// withDefaults returns the options with defaults for those that are not set.
+func (o Options) withDefaults() Options {
+	if o.Interval <= 0 {
+		o.Interval = defaultInterval
+	}
+	if o.ConfirmationTTL <= 0 {
+		o.ConfirmationTTL = defaultConfirmationTTL
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = time.Second
+	}
+	if o.Clock == nil {
+		o.Clock = timer.System{}
+	}
+	if o.Log == nil {
+		o.Log = slog.Default()
+	}
+	return o
+}
 
 // Discoverer keeps a listing current.
 type Discoverer struct {
@@ -61,29 +70,15 @@
 	// nanoseconds since 1970.
 	confirmedAt atomic.Int64
 	mu          sync.Mutex // serializes apply
-	failing     bool
+	reader      *Reader
 	// startedAt is when Run was called.
 	startedAt time.Time
 }
 
 // New returns a Discoverer that has no listing yet.
 func New(opts Options) *Discoverer {
-	if opts.Interval <= 0 {
-		opts.Interval = defaultInterval
-	}
-	if opts.ConfirmationTTL <= 0 {
-		opts.ConfirmationTTL = defaultConfirmationTTL
-	}
-	if opts.Timeout <= 0 {
-		opts.Timeout = time.Second
-	}
-	if opts.Clock == nil {
-		opts.Clock = timer.System{}
-	}
-	if opts.Log == nil {
-		opts.Log = slog.Default()
-	}
-	return &Discoverer{opts: opts}
+	opts = opts.withDefaults()
+	return &Discoverer{opts: opts, reader: NewReader(opts)}
 }
 
 // Listing returns the latest listing, or nil before the first.
@@ -141,44 +136,11 @@
 
 // read reads the list once and applies the listing.
 func (d *Discoverer) read(ctx context.Context) error {
-	started := d.opts.Clock.Now()
-	instances, err := d.readPages(ctx)
-	if err != nil {
-		failedReadings.Inc()
-		if !d.failing && ctx.Err() == nil {
-			d.opts.Log.Warn("list of backend servers cannot be read, the last reading stands", "error", err)
-		}
-		d.failing = true
-		return err
-	}
-	readings.Inc()
-	if d.failing {
-		d.opts.Log.Info("list of backend servers can be read again", "instances", len(instances))
-	}
-	d.failing = false
-	d.apply(NewListing(started, instances))
-	return nil
-}
-
-// readPages reads all pages of the list. It fails if there are more than
-// maxPages.
-func (d *Discoverer) readPages(ctx context.Context) ([]describer.Instance, error) {
-	var all []describer.Instance
-	name := ""
-	for range maxPages {
-		pageCtx, cancel := context.WithTimeout(ctx, d.opts.Timeout)
-		p, err := d.opts.Source.Page(pageCtx, name)
-		cancel()
-		if err != nil {
-			return nil, err
-		}
-		skippedEntries.Add(p.Skipped)
-		all = append(all, p.Instances...)
-		if name = p.Next; name == "" {
-			return all, nil
-		}
+	l, err := d.reader.Read(ctx)
+	if err == nil {
+		d.apply(l)
 	}
-	return nil, fmt.Errorf("list of backend servers has more than %d pages: raise maxPages", maxPages)
+	return err
 }
 
 // apply replaces the listing and reports a change.
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -12,6 +12,7 @@
 	"cyclamenhub.org/accountant"
 	"cyclamenhub.org/configurer"
 	"cyclamenhub.org/describer"
+	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/evacuator"
 	"cyclamenhub.org/forwarder"
@@ -71,6 +72,8 @@
 	peers     *keeper.Peers
 	keeper    atomic.Pointer[keeper.Keeper]
 	client    *platform.Client
+	// listReader reads the list of backend servers.
+	listReader *discoverer.Reader
 
 	mu      sync.Mutex // guards the fields below
 	machine *reducer.Machine
@@ -126,6 +129,7 @@
 		ledger:   accountant.NewLedger(cfg.Bounds.Window, usageGrace, cfg.Bounds.UseDue-usageMargin),
 		client:   platform.NewClient(cfg.API.Address, cfg.Name),
 	}
+	n.listReader = discoverer.NewReader(discoverer.Options{Source: n.client, Timeout: dutyTimeout, Clock: clock, Log: opts.Log})
 	n.enterTerm(0)
 	n.messenger = messenger.New(messenger.Options{Host: cfg.Host, ReadIdleTimeout: peerProbeDelay, Clock: clock})
 	n.dist = distributor.New(distributor.Options{
--- a/internal/node/listings.go
+++ b/internal/node/listings.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/identifier"
@@ -22,8 +20,6 @@
 	leaderListingInterval = 500 * time.Millisecond
 	// listingMaxAge is how long a listing counts as current.
 	listingMaxAge = 1200 * time.Millisecond
-	// maxListPages bounds the pages of one listing.
-	maxListPages = 100
 	// termShift is the position of the term in a listing's revision and in the id
 	// of a grant of permits. With the term in the high bits, those of a new leader
 	// are higher than those of its predecessors.
@@ -56,10 +52,9 @@
 		return
 	}
 	n.listings.lastRead = now
-	list, err := n.readList(ctx)
+	list, err := n.listReader.Read(ctx)
 	if err != nil {
-		n.log.Warn("list of backend servers not read", "error", err)
-		return
+		return // The reader logs it, and the last listing stays in force.
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -74,23 +69,3 @@
 	// Offer returns the error of OnUpdate, which is always nil on a keeper.
 	_ = n.dist.Offer(distributor.Topic{Name: listingTopic, Revision: l.revision, Body: list.Encode()})
 }
-
-// readList reads all pages of the list of backend servers.
-func (n *keeperNode) readList(ctx context.Context) (*discoverer.Listing, error) {
-	started := n.clock.Now()
-	var all []describer.Instance
-	token := ""
-	for range maxListPages {
-		pageCtx, cancel := context.WithTimeout(ctx, dutyTimeout)
-		p, err := n.client.Page(pageCtx, token)
-		cancel()
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, p.Instances...)
-		if token = p.Next; token == "" {
-			return discoverer.NewListing(started, all), nil
-		}
-	}
-	return nil, fmt.Errorf("the list has more than %d pages: raise the bound", maxListPages)
-}
--- a/internal/node/rolloutorders.go
+++ b/internal/node/rolloutorders.go
@@ -172,7 +172,7 @@
 	if last != nil {
 		return last.Start.From, nil
 	}
-	l, err := n.readList(ctx)
+	l, err := n.listReader.Read(ctx)
 	if err != nil {
 		return "", refuser.NotRun(refuser.NoBackendServer, "the list of backend servers is not read: "+err.Error(), "ask again later")
 	}
