discoverer: a server that is listed twice is one

Cause: a listing kept all entries with one id, in an order that depended on the order of reading. The scaler counted such a server twice, and which of its addresses was in force changed between readings, each of which was published to all hosts.

Change: a listing has each id once: the entry that started last, else the one that leaves, else by its other values.

Result: TestServerListedTwiceIsOne failed before and passes now.

--- a/discoverer/discoverer_test.go
+++ b/discoverer/discoverer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -171,3 +172,23 @@
 		t.Error("an offered listing does not end the wait, or is read again at once")
 	}
 }
+
+// TestServerListedTwiceIsOne guards against a server that counts twice, and against a
+// listing that differs with each reading by the order of two entries.
+func TestServerListedTwiceIsOne(t *testing.T) {
+	listed := []describer.Instance{
+		{ID: "a", Address: "10.0.0.1:80", StartedAtMillis: 1},
+		{ID: "a", Address: "10.0.0.2:80", StartedAtMillis: 2},
+		{ID: "b", Address: "10.0.0.4:80"},
+		{ID: "b", Address: "10.0.0.3:80", Draining: true},
+		{ID: "c", Address: "10.0.0.6:80"},
+		{ID: "c", Address: "10.0.0.5:80"},
+	}
+	want := []describer.Instance{listed[1], listed[3], listed[5]}
+	for range 2 {
+		if diff := cmp.Diff(want, NewListing(time.Time{}, slices.Clone(listed)).Instances); diff != "" {
+			t.Errorf("listing differs (-want +got):\n%s", diff)
+		}
+		slices.Reverse(listed)
+	}
+}
--- a/discoverer/listing.go
+++ b/discoverer/listing.go
@@ -19,11 +19,35 @@
 	At time.Time `json:"-"`
 }
 
-// NewListing returns the listing of a reading that began at the given time. It
-// sorts the instances by id, so that the order of reading does not matter.
+// NewListing returns the listing of a reading that began at the given time. Its
+// instances are sorted, so that the order of reading does not matter, and an instance
+// that is listed twice is one.
 func NewListing(at time.Time, instances []describer.Instance) *Listing {
-	slices.SortFunc(instances, func(a, b describer.Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return &Listing{Instances: instances, At: at}
+	return &Listing{Instances: withoutDuplicates(instances), At: at}
+}
+
+// withoutDuplicates returns the instances in the order of their ids, each id once. A
+// server that is listed twice, since it was started again or moved to another page while
+// the list was read, is the one that started last, else the one that leaves.
+func withoutDuplicates(instances []describer.Instance) []describer.Instance {
+	slices.SortFunc(instances, func(a, b describer.Instance) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(b.StartedAtMillis, a.StartedAtMillis),
+			compareBool(b.Draining, a.Draining), cmp.Compare(a.Address, b.Address), cmp.Compare(a.Service, b.Service),
+			cmp.Compare(a.Version, b.Version), cmp.Compare(b.ColdFor, a.ColdFor))
+	})
+	return slices.CompactFunc(instances, func(a, b describer.Instance) bool { return a.ID == b.ID })
+}
+
+// compareBool compares two booleans; false comes first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // Encode returns the listing in the form in which processes exchange it. Each
