configurer: a document that is nested deeply is refused

Cause: documents of up to 10,000 levels (the bound of encoding/json) were decoded into a tree, and each level held the path of its place: their memory grows with the square of the depth and with the length of the names. A document of 110 KB took 485 MB before it was refused; with longer names, as much as ends a process.

Change: a fault at the first value below 64 levels. No field is as deep.

--- a/configurer/faults_test.go
+++ b/configurer/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -56,3 +57,31 @@
 		}
 	}
 }
+
+// TestDeepNestingIsRefused guards against a process that ends while it decodes a document
+// that is nested deeply: the paths of all its levels took memory with the square of their
+// number.
+func TestDeepNestingIsRefused(t *testing.T) {
+	const maxBytes = 32 << 20
+	open, shut := `{"defaults":`, "}"
+	for _, tc := range []struct {
+		name, b string
+	}{
+		{"objects", strings.Repeat(open, 9_999) + "1" + strings.Repeat(shut, 9_999)},
+		{"lists", strings.Repeat("[", 9_999) + strings.Repeat("]", 9_999)},
+		{"1,000,000 levels", strings.Repeat(open, 1_000_000) + "1" + strings.Repeat(shut, 1_000_000)},
+		{"an unknown field", `{"defaults":{"x":` + strings.Repeat("[", 9_990) + strings.Repeat("]", 9_990) + `}}`},
+		{"the value of an exception", `{"exceptions":[{"value":` + strings.Repeat("[", 9_990) + strings.Repeat("]", 9_990) + `}]}`},
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := DecodeFleet([]byte(tc.b))
+		runtime.ReadMemStats(&after)
+		if used := after.TotalAlloc - before.TotalAlloc; err == nil || used > maxBytes {
+			t.Errorf("%s: %d bytes allocated, error %.200v", tc.name, used, err)
+		}
+		if err != nil && len(err.Error()) > 10_000 {
+			t.Errorf("%s: the error has %d bytes", tc.name, len(err.Error()))
+		}
+	}
+}
--- a/configurer/tree.go
+++ b/configurer/tree.go
@@ -17,59 +17,86 @@
 	if err := json.Unmarshal(b, new(json.RawMessage)); err != nil {
 		return nil, err
 	}
-	d := json.NewDecoder(bytes.NewReader(b))
-	d.UseNumber()
-	return decodeNode(fc, d, "")
+	d := &treeDecoder{fc: fc, json: json.NewDecoder(bytes.NewReader(b))}
+	d.json.UseNumber()
+	return d.decodeNode("")
+}
+
+// maxDepth is the largest number of objects and lists in one another. No field is as
+// deep, and the paths of all levels take memory with the square of their number.
+const maxDepth = 64
+
+// depthError reports that a document exceeds maxDepth.
+type depthError struct {
+	// offset is the number of bytes up to the level that is too deep.
+	offset int64
+}
+
+// Error returns the problem.
+func (e *depthError) Error() string {
+	return fmt.Sprintf("more than %d objects and lists stand in one another", maxDepth)
+}
+
+// treeDecoder decodes the values of one document.
+type treeDecoder struct {
+	fc   *faultCollector
+	json *json.Decoder
+	// depth is the number of objects and lists that have begun and not ended.
+	depth int
 }
 
 // decodeNode decodes the value at path.
-func decodeNode(fc *faultCollector, d *json.Decoder, path string) (any, error) {
-	t, err := d.Token()
+func (d *treeDecoder) decodeNode(path string) (any, error) {
+	t, err := d.json.Token()
 	if err != nil {
 		return nil, err
 	}
-	switch t {
-	case json.Delim('{'):
-		return decodeObject(fc, d, path)
-	case json.Delim('['):
-		return decodeList(fc, d, path)
-	default:
+	delim, isNested := t.(json.Delim)
+	if !isNested {
 		return t, nil
 	}
+	if d.depth++; d.depth > maxDepth {
+		return nil, &depthError{d.json.InputOffset()}
+	}
+	defer func() { d.depth-- }()
+	if delim == '{' {
+		return d.decodeObject(path)
+	}
+	return d.decodeList(path)
 }
 
 // decodeObject decodes the rest of an object after its opening brace.
-func decodeObject(fc *faultCollector, d *json.Decoder, path string) (any, error) {
+func (d *treeDecoder) decodeObject(path string) (any, error) {
 	object := make(map[string]any)
-	for d.More() {
-		t, err := d.Token()
+	for d.json.More() {
+		t, err := d.json.Token()
 		if err != nil {
 			return nil, err
 		}
 		name, _ := t.(string)
 		at := joinField(path, name)
 		if _, twice := object[name]; twice {
-			fc.add(at, "the field stands there twice", "keep one of them")
+			d.fc.add(at, "the field stands there twice", "keep one of them")
 		}
-		if object[name], err = decodeNode(fc, d, at); err != nil {
+		if object[name], err = d.decodeNode(at); err != nil {
 			return nil, err
 		}
 	}
-	_, err := d.Token()
+	_, err := d.json.Token()
 	return object, err
 }
 
 // decodeList decodes the rest of a list after its opening bracket.
-func decodeList(fc *faultCollector, d *json.Decoder, path string) (any, error) {
+func (d *treeDecoder) decodeList(path string) (any, error) {
 	list := []any{}
-	for d.More() {
-		v, err := decodeNode(fc, d, fmt.Sprintf("%s[%d]", path, len(list)))
+	for d.json.More() {
+		v, err := d.decodeNode(fmt.Sprintf("%s[%d]", path, len(list)))
 		if err != nil {
 			return nil, err
 		}
 		list = append(list, v)
 	}
-	_, err := d.Token()
+	_, err := d.json.Token()
 	return list, err
 }
 
@@ -86,9 +113,13 @@
 func syntaxFault(b []byte, err error) Fault {
 	offset := len(b)
 	var syntax *json.SyntaxError
-	if errors.As(err, &syntax) {
+	var depth *depthError
+	switch {
+	case errors.As(err, &syntax):
 		offset = min(int(syntax.Offset), len(b))
-	} else if errors.Is(err, io.ErrUnexpectedEOF) {
+	case errors.As(err, &depth):
+		offset = min(int(depth.offset), len(b))
+	case errors.Is(err, io.ErrUnexpectedEOF):
 		err = errors.New("the document breaks off")
 	}
 	line := 1 + bytes.Count(b[:offset], []byte("\n"))
