configurer: a backend server needs an address and figures that can be used

Cause: a backend server of the fleet document could have port 0, the unspecified address (the calling host itself), a concurrency of 2^63-1, whose sum with others overflows and makes a service look as if it had no room, or a price of 1e300.

Change: such values are faults, as are weights and rates above 1e12.

Result: TestNumbersOutOfRangeAreRefused failed before for five of 17 values: port 0, 0.0.0.0, [::], the concurrency and the price; it passes now.

--- a/configurer/faults_test.go
+++ b/configurer/faults_test.go
@@ -85,3 +85,25 @@
 		}
 	}
 }
+
+// TestNumbersOutOfRangeAreRefused guards against values of a backend server that no
+// process can use.
+func TestNumbersOutOfRangeAreRefused(t *testing.T) {
+	const valid = `{"name":"a","service":"cases","version":"v1","failureDomain":"riga-a","address":"10.0.0.1:80","concurrency":8}`
+	document := func(server string) []byte {
+		return []byte(`{"defaults":{"services":[{"name":"cases","kind":"plain","version":"v1","firstTokenTarget":"1s","deadline":"30s"}],"backendServers":[` + server +
+			`],"limits":{"bodyBytes":1000,"queuedRequests":10,"retryShare":0.1,"claimHorizon":"24h"}}}`)
+	}
+	if _, err := DecodeFleet(document(valid)); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct{ old, odd string }{
+		{":80", ":0"}, {":80", ":65536"}, {":80", ":-1"}, {":80", ":http"}, {":80", ":"}, {"10.0.0.1", "0.0.0.0"}, {"10.0.0.1", "[::]"}, {"10.0.0.1", "a.example"},
+		{`:8}`, `:1e400}`}, {`:8}`, `:1e30}`}, {`:8}`, `:99999999999999999999}`}, {`:8}`, `:9223372036854775807}`}, {`:8}`, `:0}`}, {`:8}`, `:-1}`},
+		{`:8}`, `:8,"price":1e400}`}, {`:8}`, `:8,"price":1e300}`}, {`:8}`, `:8,"price":-1}`},
+	} {
+		if _, err := DecodeFleet(document(strings.Replace(valid, tc.old, tc.odd, 1))); err == nil {
+			t.Errorf("%q instead of %q is accepted", tc.odd, tc.old)
+		}
+	}
+}
--- a/configurer/validatefleet.go
+++ b/configurer/validatefleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -13,6 +14,13 @@
 // MaxClaimHorizon is the maximum of Limits.ClaimHorizon.
 const MaxClaimHorizon = 30 * 24 * time.Hour
 
+const (
+	// maxConcurrency is the maximum of BackendServer.Concurrency, and maxFigure that of
+	// prices, weights and rates. Sums of them over a fleet do not overflow.
+	maxConcurrency = 1 << 20
+	maxFigure      = 1e12
+)
+
 // methods lists the HTTP methods that a route may have.
 var methods = []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
@@ -117,16 +125,28 @@
 	fc.addError(path+".name", b.Name.Check())
 	fc.addError(path+".version", b.Version.Check())
 	fc.addError(path+".failureDomain", b.FailureDomain.Check())
-	validateAddress(fc, path+".address", b.Address)
+	b.validateAddress(fc, path+".address")
 	if _, ok := d.Service(b.Service); !ok {
 		fc.add(path+".service", fmt.Sprintf("service %q is not in defaults.services", b.Service), "add it there or correct the name")
 	}
 	if b.Concurrency <= 0 {
 		fc.add(path+".concurrency", "is missing or not positive", "write how many requests it runs side by side")
 	}
+	if b.Concurrency > maxConcurrency {
+		fc.add(path+".concurrency", fmt.Sprintf("%d is too large", b.Concurrency), fmt.Sprintf("write at most %d", maxConcurrency))
+	}
 	validateNonNegative(fc, path+".price", b.Price)
 }
 
+// validateAddress records a fault unless the address is that of one host with a port.
+func (b *BackendServer) validateAddress(fc *faultCollector, path string) {
+	validateAddress(fc, path, b.Address)
+	a, err := netip.ParseAddrPort(b.Address)
+	if err == nil && (a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast()) {
+		fc.add(path, fmt.Sprintf("%q is not the address of one process", b.Address), `write its IP and port, as in "10.0.0.11:9000"`)
+	}
+}
+
 // validate records the faults of one customer.
 func (c *Customer) validate(fc *faultCollector, path string) {
 	fc.addError(path+".name", c.Name.Check())
@@ -138,11 +158,14 @@
 	validateNonNegative(fc, path+".tokensPerSecond", c.TokensPerSecond)
 }
 
-// validateNonNegative records a fault if v is negative.
+// validateNonNegative records a fault if v is negative or larger than maxFigure.
 func validateNonNegative(fc *faultCollector, path string, v float64) {
 	if v < 0 {
 		fc.add(path, fmt.Sprintf("%v is negative", v), "write a positive number, or leave it out")
 	}
+	if v > maxFigure {
+		fc.add(path, fmt.Sprintf("%v is too large", v), fmt.Sprintf("write at most %v", float64(maxFigure)))
+	}
 }
 
 // validate records the faults of the limits.
