server: a limit of tokens out of range is refused

Cause: max_tokens and max_completion_tokens were charged to the customer's rate as they came. Two negative ones raised the customer's allowance, and a limit near 2^63 overflowed in the sum with the prompt, so that the request counted as a small one.

Change: a limit below 0 or above 2^40 is malformed.

Result: in TestBadInputIsRefused both requests reached an engine before; they are refused as not run now.

--- a/server/input.go
+++ b/server/input.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -117,12 +118,21 @@
 		return nil, malformed("the messages are missing", `send at least one message in "messages"`)
 	case !chat && len(g.Prompt) == 0:
 		return nil, malformed("the prompt is missing", `send a text in "prompt"`)
+	case !isTokens(g.MaxTokens) || !isTokens(g.MaxCompletionTokens):
+		return nil, malformed("the limit of tokens is out of range", fmt.Sprintf("write a number from 0 to %d, or leave it out", maxTokens))
 	case g.Resume != nil:
 		return nil, malformed(`the field "resume" is reserved`, "leave it out; broken answers are resumed without it")
 	}
 	return &g, nil
 }
 
+// maxTokens is the highest limit of tokens of a request. Sums over all requests do not
+// overflow.
+const maxTokens identifier.Tokens = 1 << 40
+
+// isTokens reports whether n can be a limit of tokens.
+func isTokens(n identifier.Tokens) bool { return n >= 0 && n <= maxTokens }
+
 // streams reports whether the caller requests an event stream.
 func (g *generationBody) streams() bool { return g.Stream != nil && *g.Stream }
 
