discoverer, platform: the longest listing fits a message between hosts

20,000 instances with names of 256 bytes each would exceed the 16 MiB of a frame, so that no host got the listing: 10,000 with names of 128 bytes do not, but for names of characters that JSON escapes.

--- a/discoverer/reader.go
+++ b/discoverer/reader.go
@@ -13,7 +13,7 @@
 const (
 	// maxPages and maxInstances bound one reading.
 	maxPages     = 400
-	maxInstances = 20_000
+	maxInstances = 10_000
 )
 
 var (
