placer: a new plain server is chosen while calls wait at others

Cause: a plain server where no call was measured counted with a constant time of a call. Where calls take a few milliseconds, it looked several times as slow as the others and stayed idle until their queues were as long.

Change: it counts with the mean time of the servers of its version that were measured; the constant stands only before any was.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -51,7 +51,7 @@
 // Parameters of the cost model of a plain service.
 const (
 	// defaultCallSeconds is the assumed time to the first content of a call, in
-	// seconds, before any was measured.
+	// seconds, before any was measured at any server.
 	defaultCallSeconds = 0.05
 	// failurePenalty multiplies the failure rate of a server. The cost is
 	// multiplied by 1 plus this product, also at a model engine.
@@ -227,11 +227,12 @@
 }
 
 // plainCost estimates the cost in milliseconds of a call at a server of a plain
-// service.
-func plainCost(s *serverState, l Load, isFar bool) float64 {
+// service. usual is the time in seconds that counts for a server where none was
+// measured.
+func plainCost(s *serverState, l Load, usual float64, isFar bool) float64 {
 	seconds := s.callSeconds
 	if seconds == 0 {
-		seconds = defaultCallSeconds
+		seconds = usual
 	}
 	slots := float64(max(s.Slots, 1))
 	wait := max(float64(l.Running+1)-slots, 0) / slots
@@ -244,6 +245,21 @@
 	return cost
 }
 
+// usualSeconds returns the mean time to the first content at the servers of a plain
+// service of which it was measured.
+func usualSeconds(servers []*serverState) float64 {
+	sum, n := 0.0, 0
+	for _, s := range servers {
+		if s.callSeconds > 0 {
+			sum, n = sum+s.callSeconds, n+1
+		}
+	}
+	if n == 0 {
+		return defaultCallSeconds
+	}
+	return sum / float64(n)
+}
+
 // plainWait returns the time in milliseconds for which a call waits for a slot at a server
 // of a plain service.
 func plainWait(s *serverState, l Load) float64 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -282,6 +282,7 @@
 	candidates = p.ofSize(candidates, r)
 	home := r.home(candidates)
 	var best estimate
+	usual := usualSeconds(candidates)
 	for _, s := range p.sample(candidates, r, home, now) {
 		e := estimate{state: s, isHome: s.ID == home}
 		l := p.load(s, now)
@@ -292,7 +293,7 @@
 			e.baseMs = float64(l.Unread+e.uncached) / prefillTokensPerMs
 			e.waitMs = engineWait(s, l, pace)
 		} else {
-			e.cost = plainCost(s, l, s.FailureDomain != p.opts.FailureDomain)
+			e.cost = plainCost(s, l, usual, s.FailureDomain != p.opts.FailureDomain)
 			e.waitMs = plainWait(s, l)
 		}
 		e.cost *= s.slowness.get(now) * (1 + failurePenalty*s.failureRate.get(now))
