placer: a plain server that was slow once is measured again

Cause: the time of a call at a plain server was a moving average that did not age. After one slow call the server looked slower than idle ones, got no call, and so was never measured again. Shown with TestEvacuatedDomainGetsNoCalls: with the last call before the evacuation slowed to 300 ms it failed ("calls return") each time it was run so, which was once, and passed with the change.

Change: for trials the measured time halves every 4 s since the server was last tried, like slowness and failure rate do. Retries, servers without a free slot, and servers with recent failures are left out.

Looked for elsewhere: a back-off ends after 8 s, slowness decays.

TestPlainServerMeasuredSlowIsMeasuredAgain failed before in all four cases (no call within 30 s).

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -82,7 +82,7 @@
 	c.state.clearBackoff()
 	c.state.removeAwaiting(c)
 	c.state.announced.end(c, now, true)
-	c.state.lastContent = now
+	c.state.lastContent, c.state.triedAt = now, now
 	c.p.permits.HasStarted(now, c.state.run(), c.chosenAt)
 	delete(c.p.unreachable, c.state.FailureDomain)
 	if c.state.Engine {
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -226,10 +226,10 @@
 	return min(max(likely, 0), 1) * missWeight * limitMs
 }
 
-// plainCost estimates the cost in milliseconds of a call at a server of a plain
+// plainCost estimates the time in milliseconds of a call at a server of a plain
 // service. usual is the time in seconds that counts for a server where none was
 // measured.
-func plainCost(s *serverState, l Load, usual float64, isFar bool) float64 {
+func plainCost(s *serverState, l Load, usual float64) float64 {
 	seconds := s.callSeconds
 	if seconds == 0 {
 		seconds = usual
@@ -238,11 +238,7 @@
 	wait := max(float64(l.Running+1)-slots, 0) / slots
 	// Servers slow down as they fill, so part of each running call counts even
 	// while slots are free.
-	cost := 1000 * seconds * (1 + wait + 0.3*float64(l.Running)/slots)
-	if isFar {
-		cost += crossDomainMs
-	}
-	return cost
+	return 1000 * seconds * (1 + wait + 0.3*float64(l.Running)/slots)
 }
 
 // usualSeconds returns the mean time to the first content at the servers of a plain
--- a/placer/doc.go
+++ b/placer/doc.go
@@ -20,7 +20,9 @@
 // server in an evacuated failure domain, or outside the homes of a call, is never chosen.
 //
 // A plain service is one whose servers are not model engines. Its cost depends
-// on the running calls per slot and on the recent time to the first content.
+// on the running calls per slot and on the recent time to the first content. This time
+// counts for less the older it is, so that a server which was slow is tried again; such
+// trials add a small share to the cost of all calls at most.
 //
 // The load placed by other hosts comes from the leader several times a second
 // and is stale when it arrives. All hosts see the same figures and would all
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -62,10 +63,12 @@
 	// hasWarmUps is whether this host has found servers that may start and not
 	// reported them.
 	hasWarmUps bool
+	// trials are the budgets for trials of the pools of plain services.
+	trials map[pool]*trialBudget
 	// evacuated are the failure domains whose servers get no new calls.
 	evacuated map[identifier.FailureDomain]bool
 
-	atHome, elsewhere, noServer, limited *metrics.Counter
+	atHome, elsewhere, noServer, limited, trialsMade *metrics.Counter
 }
 
 // pool identifies the servers of one version of a service.
@@ -88,10 +91,12 @@
 	p := &Placer{
 		opts: opts, hosts: 1, permits: permitter.NewHolder(opts.Random), paces: pacer.NewMeter(), servers: make(map[identifier.BackendServer]*serverState),
 		unreachable: make(map[identifier.FailureDomain]*domainFailures),
+		trials:      make(map[pool]*trialBudget),
 		atHome:      opts.Metrics.GetOrCreateCounter(`cyclamen_placer_choices_total{at="home"}`),
 		elsewhere:   opts.Metrics.GetOrCreateCounter(`cyclamen_placer_choices_total{at="elsewhere"}`),
 		noServer:    opts.Metrics.GetOrCreateCounter(`cyclamen_placer_none_total`),
 		limited:     opts.Metrics.GetOrCreateCounter(`cyclamen_placer_limited_total`),
+		trialsMade:  opts.Metrics.GetOrCreateCounter(`cyclamen_placer_trials_total`),
 	}
 	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_limited_servers`, func() float64 { return float64(p.limitedServers()) })
 	opts.Metrics.GetOrCreateGauge(`cyclamen_placer_cold_servers`, func() float64 { return float64(p.coldServers()) })
@@ -145,6 +150,7 @@
 		})
 	}
 	p.servers, p.pools = next, pools
+	maps.DeleteFunc(p.trials, func(key pool, _ *trialBudget) bool { return len(pools[key]) == 0 })
 	p.beginWarmUps(servers)
 	p.separate()
 	isListed := func(key identifier.ServerRun) bool {
@@ -271,21 +277,24 @@
 	baseMs float64
 	// waitMs is the part of the time to the first content for which the call waits
 	// for others, in milliseconds.
-	waitMs   float64
-	uncached identifier.Tokens
-	isHome   bool
+	waitMs float64
+	// trialCost is the cost of a call at a plain service where an old measurement
+	// counts for less.
+	trialCost float64
+	uncached  identifier.Tokens
+	isHome    bool
 }
 
-// cheapest returns the server with the lowest estimated cost. The caller holds
-// mu.
+// cheapest returns the server with the lowest estimated cost, or one whose trial is
+// due. The caller holds mu.
 func (p *Placer) cheapest(candidates []*serverState, r *Request, now time.Time) estimate {
 	candidates = p.ofSize(candidates, r)
 	home := r.home(candidates)
-	var best estimate
+	var best, trial estimate
 	usual := usualSeconds(candidates)
 	for _, s := range p.sample(candidates, r, home, now) {
 		e := estimate{state: s, isHome: s.ID == home}
-		l := p.load(s, now)
+		l, plainMs := p.load(s, now), 0.0
 		if s.Engine {
 			e.uncached = r.uncachedTokens(s, e.isHome, now)
 			pace := p.paceOf(s, now)
@@ -293,15 +302,23 @@
 			e.baseMs = float64(l.Unread+e.uncached) / prefillTokensPerMs
 			e.waitMs = engineWait(s, l, pace)
 		} else {
-			e.cost = plainCost(s, l, usual, s.FailureDomain != p.opts.FailureDomain)
+			plainMs = plainCost(s, l, usual)
+			e.cost = plainMs
+			if s.FailureDomain != p.opts.FailureDomain {
+				e.cost += crossDomainMs
+			}
 			e.waitMs = plainWait(s, l)
 		}
 		e.cost *= s.slowness.get(now) * (1 + failurePenalty*s.failureRate.get(now))
+		e.trialCost = s.trialCost(e, l, plainMs, now)
 		if best.state == nil || e.cost < best.cost {
 			best = e
 		}
+		if trial.state == nil || e.trialCost < trial.trialCost {
+			trial = e
+		}
 	}
-	return best
+	return p.orTrial(best, trial, r)
 }
 
 // sampleSize is the number of servers that are compared in addition to the home
@@ -369,6 +386,7 @@
 	e.state.own = e.state.own.Plus(c.load)
 	e.state.sinceReport = e.state.sinceReport.Plus(c.load)
 	e.state.awaitingFirst = append(e.state.awaitingFirst, c)
+	e.state.triedAt = now
 	if e.state.Engine {
 		e.state.recordCached(describer.SharedParts(r.Parts), now)
 	}
--- a/placer/server.go
+++ b/placer/server.go
@@ -78,7 +78,7 @@
 	backoffMin = time.Second
 	backoffMax = 8 * time.Second
 	// decayHalfLife is the half-life of the slowness and the failure rate of a
-	// server.
+	// server, and for trials of its time of a call.
 	decayHalfLife = 4 * time.Second
 	// averageWeight is the weight of a new sample in a moving average.
 	averageWeight = 0.25
@@ -100,6 +100,8 @@
 	// callSeconds is the moving average, in seconds, of the time to the first
 	// content of a plain call; 0 means not measured.
 	callSeconds float64
+	// triedAt is when a call was last assigned to the server or got its first content.
+	triedAt time.Time
 
 	// forLong is whether the server is kept for long prompts.
 	forLong bool
@@ -126,8 +128,12 @@
 	if a.at.IsZero() {
 		return a.baseline
 	}
-	factor := math.Exp2(-now.Sub(a.at).Seconds() / decayHalfLife.Seconds())
-	return a.baseline + (a.value-a.baseline)*factor
+	return a.baseline + (a.value-a.baseline)*remaining(now.Sub(a.at))
+}
+
+// remaining returns the part of a measurement of the given age that still counts.
+func remaining(age time.Duration) float64 {
+	return math.Exp2(-age.Seconds() / decayHalfLife.Seconds())
 }
 
 // add adds the sample v.
