--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -21,3 +21,15 @@
 		t.Errorf("after %v %d calls are active", took, h.Active())
 	}
 }
+
+// TestRelayedCallsAreAnsweredWhenTheHostEnds is the same for a call that was passed on to
+// another host.
+func TestRelayedCallsAreAnsweredWhenTheHostEnds(t *testing.T) {
+	var h *harness
+	h = cutHarness(t, scriptedServer(t, step{do: func() { h.EndCalls() }}, step{wait: 5 * time.Second}))
+	started := time.Now()
+	res := h.call(t, http.MethodPost, "/file/1", "key", "x")
+	if took := time.Since(started); res.status != http.StatusBadGateway || took > time.Second {
+		t.Errorf("after %v status %d, want 502", took, res.status)
+	}
+}
