forwarder: a server that was asked needlessly may be asked again

Cause: a replacement that is cancelled since the silent server goes on stayed among the servers that were tried. If the first server then broke off, and no third one was listed, the stream broke off although a sound server was there. Change: the cancelled one is taken off the list. It counts as an attempt that may have run. Result: TestNeedlessReplacementMayBeTriedAgain failed before (broken off) and passes.

--- a/forwarder/replacement_test.go
+++ b/forwarder/replacement_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"cyclamenhub.org/describer"
 )
 
 // step is what a scripted server does next: it waits, calls do and sends text.
@@ -143,3 +145,18 @@
 		t.Errorf("the caller got %+v", res)
 	}
 }
+
+// TestNeedlessReplacementMayBeTriedAgain guards against a stream that breaks off with its
+// server since the only other one is left out: it was asked while the first was silent.
+func TestNeedlessReplacementMayBeTriedAgain(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	h.setTargets(time.Second)
+	h.editRoutes(func(r *describer.Route) { r.MaxAttempts = 3 })
+	other := scriptedServer(t, step{wait: 500 * time.Millisecond, text: streamHead + chunk(event(3)) + "0\r\n\r\n"})
+	res := h.callSilent(t, "/edit/1", []string{other},
+		step{text: streamHead + chunk(event(1))}, step{wait: 1200 * time.Millisecond, text: chunk(event(2))})
+	if res.body != event(1)+event(2)+event(3) || !res.complete {
+		t.Errorf("the caller got %+v", res)
+	}
+}
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/matcher"
 )
 
@@ -61,12 +62,17 @@
 
 // setTargets gives all routes a target.
 func (h *harness) setTargets(target time.Duration) {
+	h.editRoutes(func(r *describer.Route) { r.Target = target })
+}
+
+// editRoutes changes all routes.
+func (h *harness) editRoutes(edit func(*describer.Route)) {
 	d := *h.Table().Document()
 	d.Routes = append(d.Routes[:0:0], d.Routes...)
 	for i := range d.Routes {
-		d.Routes[i].Target = target
+		edit(&d.Routes[i])
 	}
-	h.SetTable(matcher.NewTable(2, &d))
+	h.SetTable(matcher.NewTable(h.Table().Revision()+1, &d))
 }
 
 // TestAnswerIsNotEndedByItsServersSilence guards against an accepted call that ends
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -74,18 +74,18 @@
 	x.limits.FirstByte, x.limits.BetweenBytes = silenceCheckInterval, silenceCheckInterval
 	b, outcome, result, reason := x.beginReplacement(choice)
 	switch {
-	case b != nil && !isNeedless():
+	case (b != nil || outcome == placer.Failed) && isNeedless():
+		if b != nil {
+			b.state.conn.Close()
+		}
+		x.tried = x.tried[:len(x.tried)-1] // The server has not failed.
+		outcome, result, reason = placer.Cancelled, broken, errNeedless.Error()
+	case b != nil:
 		b.state.limits = limits
 		b.state.conn.LimitBetweenBytes(limits.BetweenBytes)
 		x.replacement = b
 		return true
-	case b != nil:
-		b.state.conn.Close()
-		outcome, result, reason = placer.Cancelled, broken, errNeedless.Error()
-	case outcome == placer.Failed && isNeedless():
-		outcome, reason = placer.Cancelled, errNeedless.Error()
-	}
-	if result == unsent {
+	case result == unsent:
 		x.f.retries.giveBack(x.service)
 	}
 	x.endAttempt(choice, outcome)
