forwarder: a stream is at two servers for less than 400 ms

Cause: found in review. While a silent server was to be replaced, a stream stayed there and at another server until that sent content, 1.5 s in a trial. An engine must not work on what goes on elsewhere. Change: 300 ms after a stream was sent to another server, which refuses at once if it has no room, the silent one is closed. No attempt starts once the calls of a host end. In tests, an unreachable address is one that no listener gets: one run of the package beside others did not end, since a test waited for a host to be cut off from a port that was in use again (suspected; the output was lost).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -125,6 +125,9 @@
 	if x.deadline.Sub(x.f.opts.Clock.Now()) < minTimeLeft {
 		return errTimeUp
 	}
+	if x.f.ending.Err() != nil {
+		return errStopping
+	}
 	if !x.isProbe && x.f.opts.Isolation.Has(x.service, x.suspects) {
 		return errIsolated
 	}
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -22,7 +22,7 @@
 func cutHarness(t *testing.T, peers ...string) *harness {
 	t.Helper()
 	h := newHarness(t)
-	h.useAddresses(unreachableAddress(t), unreachableAddress(t), unreachableAddress(t))
+	h.useAddresses(unreachableAddress, unreachableAddress, unreachableAddress)
 	h.opts.PeerPool = connector.NewPool(connector.Options{})
 	h.opts.PeerAddress = func(p identifier.Host) string { return string(p) }
 	h.opts.Peers = func(identifier.Service) []identifier.Host {
@@ -38,8 +38,10 @@
 	for _, server := range []identifier.BackendServer{"b0", "b1", "b2"} {
 		h.opts.Reach.Begin("cases", server).DialFailed()
 	}
-	for !h.opts.Reach.IsCut("cases") {
-		time.Sleep(time.Millisecond)
+	for deadline := time.Now().Add(10 * time.Second); !h.opts.Reach.IsCut("cases"); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the host does not find out that it is cut off")
+		}
 	}
 	return h
 }
@@ -132,7 +134,7 @@
 		}
 	})
 	t.Run("one peer refuses or is unreachable", func(t *testing.T) {
-		for _, other := range []string{refusing(t), unreachableAddress(t)} {
+		for _, other := range []string{refusing(t), unreachableAddress} {
 			b := newHarness(t, sealedResponse(http.StatusOK, "", "filed"))
 			a := cutHarness(t, other, b.peer(t))
 			if res := a.call(t, http.MethodPost, "/file/1", "key", "x"); res.status != http.StatusOK {
@@ -141,7 +143,7 @@
 		}
 	})
 	t.Run("no peer is reachable", func(t *testing.T) {
-		a := cutHarness(t, unreachableAddress(t))
+		a := cutHarness(t, unreachableAddress)
 		if res := a.call(t, http.MethodPost, "/file/1", "key", "x"); res.status != http.StatusServiceUnavailable {
 			t.Errorf("the caller got %+v, want status 503", res)
 		}
--- a/forwarder/replacement_test.go
+++ b/forwarder/replacement_test.go
@@ -88,7 +88,7 @@
 	h := newHarness(t)
 	h.shortTargets()
 	h.retries = newRetryBudgets(RetryBudget{Reserve: 1}, 1)
-	h.callSilent(t, "/look/1", []string{unreachableAddress(t)}, step{wait: 500 * time.Millisecond, text: sealedResponse(http.StatusOK, "", "found")})
+	h.callSilent(t, "/look/1", []string{unreachableAddress}, step{wait: 500 * time.Millisecond, text: sealedResponse(http.StatusOK, "", "found")})
 	if !h.retries.tryWithdraw("cases") {
 		t.Error("the retry budget is spent, though no other server got the call")
 	}
@@ -160,3 +160,46 @@
 		t.Errorf("the caller got %+v", res)
 	}
 }
+
+// TestStreamDoesNotStayAtTwoServers guards against a stream that goes on at another server
+// while its silent server works on it for 400 ms or longer.
+func TestStreamDoesNotStayAtTwoServers(t *testing.T) {
+	t.Parallel()
+	const maxOverlap = 400 * time.Millisecond
+	h := newHarness(t)
+	h.setTargets(time.Second)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	begun := make(chan time.Time, 1)
+	other := scriptedServer(t, step{do: func() { begun <- time.Now() }},
+		step{wait: time.Second, text: streamHead + chunk(event(2)) + "0\r\n\r\n"})
+	closed := make(chan time.Time, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		br := bufio.NewReader(c)
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		h.useAddresses(ln.Addr().String(), other)
+		_, _ = io.WriteString(c, streamHead+chunk(event(1)))
+		_, _ = br.ReadByte() // It returns when the host closes the connection.
+		closed <- time.Now()
+	}()
+	h.useAddresses(ln.Addr().String())
+	res := h.call(t, http.MethodPost, "/edit/1", "key", "x")
+	if res.body != event(1)+event(2) || !res.complete {
+		t.Errorf("the caller got %+v", res)
+	}
+	if overlap := (<-closed).Sub(<-begun); overlap >= maxOverlap {
+		t.Errorf("both servers worked on the stream for %v, less than %v is allowed", overlap, maxOverlap)
+	}
+}
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -46,16 +46,9 @@
 	return ln.Addr().String()
 }
 
-// unreachableAddress returns an address at which nothing listens.
-func unreachableAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
+// unreachableAddress is one at which nothing listens. Its port is none that the kernel
+// chooses for a listener.
+const unreachableAddress = "127.0.0.1:1"
 
 // shortTargets gives all routes a target of a tenth of a second.
 func (h *harness) shortTargets() { h.setTargets(100 * time.Millisecond) }
@@ -85,7 +78,7 @@
 	lookup := sealedResponse(http.StatusOK, "", "found")
 	none := func(*testing.T, *harness) []string { return nil }
 	healthy := func(_ *testing.T, h *harness) []string { return []string{h.backends.start()} }
-	unreachable := func(t *testing.T, _ *harness) []string { return []string{unreachableAddress(t)} }
+	unreachable := func(*testing.T, *harness) []string { return []string{unreachableAddress} }
 	for _, tc := range []struct {
 		name, path, before, after, body string
 		retries                         float64
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"cyclamenhub.org/connector"
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/placer"
 )
 
@@ -19,6 +21,10 @@
 	// silenceCheckInterval is how often it is checked, while a replacement is awaited,
 	// whether the silent server goes on.
 	silenceCheckInterval = 50 * time.Millisecond
+	// maxOverlap is how long a stream may be at its silent server and at another one:
+	// an engine must not work on what goes on elsewhere. A server that has not refused
+	// the stream by then has room for it.
+	maxOverlap = 300 * time.Millisecond
 )
 
 // awaitedReplacement is a replacement that has not begun to answer.
@@ -28,13 +34,34 @@
 	// isNeedless reports whether the silent server goes on, so that no replacement is
 	// needed.
 	isNeedless func() bool
+	// silent is the connection to the silent server of a stream, which is closed at
+	// closeAt, or nil.
+	silent  *connector.Conn
+	closeAt time.Time
+	// deadline is that of the call.
+	deadline time.Time
+}
+
+// isOver reports whether the replacement is given up. It closes the connection to the
+// silent server of a stream when that is due; the replacement is all that is left then.
+func (r *awaitedReplacement) isOver(now time.Time) bool {
+	if r.isNeedless() {
+		return true
+	}
+	if r.silent == nil || now.Before(r.closeAt) {
+		return !now.Before(r.until)
+	}
+	r.silent.Close()
+	r.silent, r.isNeedless = nil, func() bool { return false }
+	r.until = r.deadline
+	return false
 }
 
 // giveUp reports whether the current attempt, whose backend server is silent, is given up:
 // only once another server has begun to answer. Until then the silent server may go on.
 func (x *exchange) giveUp() bool {
 	if r := x.awaited; r != nil {
-		return r.isNeedless() || !x.f.opts.Clock.Now().Before(r.until)
+		return r.isOver(x.f.opts.Clock.Now())
 	}
 	return x.isReplaced(x.conn.HasInput)
 }
@@ -69,12 +96,15 @@
 	started := x.f.opts.Clock.Now()
 	limits := x.limitsOf(choice)
 	limits.FirstByte = x.firstByteLimit(choice)
-	x.awaited = &awaitedReplacement{until: started.Add(limits.FirstByte), isNeedless: isNeedless}
+	x.awaited = &awaitedReplacement{until: started.Add(limits.FirstByte), isNeedless: isNeedless, deadline: x.deadline}
+	if x.route.Kind == describer.Streaming {
+		x.awaited.silent, x.awaited.closeAt = silent.conn, started.Add(maxOverlap)
+	}
 	x.attemptState = attemptState{server: choice.Server, limits: limits}
 	x.limits.FirstByte, x.limits.BetweenBytes = silenceCheckInterval, silenceCheckInterval
 	b, outcome, result, reason := x.beginReplacement(choice)
 	switch {
-	case (b != nil || outcome == placer.Failed) && isNeedless():
+	case (b != nil || outcome == placer.Failed) && x.awaited.isNeedless():
 		if b != nil {
 			b.state.conn.Close()
 		}
