isolator: suspects of later reports are recorded at once

Change: an end is recorded whenever a host reports suspects that the book lacks. A new leader adds what the book has of an end that a host reported first, since it would otherwise replace the recorded suspects by fewer. What is recorded already is not recorded again.

TestFatalRequestAmidRestartOfLargeFleet and TestSuspectsOfLaterReportsAreRecorded failed before (5 late; b, c and d missing) and pass now.

--- a/isolator/book_test.go
+++ b/isolator/book_test.go
@@ -45,3 +45,36 @@
 		}
 	})
 }
+
+// recordAll has a leader decide and applies what it decides to a book.
+func recordAll(i *Investigator, b *Book, now time.Time) {
+	for _, ev := range i.Decide(now, b, time.Second, func(identifier.Service) []identifier.Version { return nil }) {
+		b.Apply(ev)
+	}
+}
+
+// reportOf returns the report of a host that had one call on a server that ended.
+func reportOf(suspect identifier.PartID) Report {
+	return Report{Ends: []End{{Server: identifier.ServerRun{ID: "s", Incarnation: 1}, Service: "model", Suspects: map[identifier.PartID]int{suspect: 0}}}}
+}
+
+// TestSuspectsOfLaterReportsAreRecorded guards against a restart of all processes that
+// loses the suspects which other hosts than the first one reported of an end, and
+// against a new leader that replaces the recorded ones by those it was told so far.
+func TestSuspectsOfLaterReportsAreRecorded(t *testing.T) {
+	var b Book
+	now := time.Unix(1000, 0)
+	want := make(map[identifier.PartID]int)
+	for _, suspects := range [][]identifier.PartID{{"a", "b"}, {"c", "d"}} {
+		leader := NewInvestigator()
+		for _, id := range suspects {
+			want[id] = 0
+			leader.Record(now, "h", reportOf(id))
+			recordAll(leader, &b, now)
+			now = now.Add(50 * time.Millisecond)
+			if diff := cmp.Diff(want, b.Ends[0].Suspects); diff != "" {
+				t.Errorf("the book has other suspects after %s was reported (-want +got):\n%s", id, diff)
+			}
+		}
+	}
+}
--- a/isolator/investigator.go
+++ b/isolator/investigator.go
@@ -71,9 +71,11 @@
 	at time.Time
 	// recordedAt is when the first report of the end arrived.
 	recordedAt time.Time
-	// booked counts the times that the end was recorded in the book: at its first
-	// report, and again without the suspects that survived.
-	booked int
+	// booked are the suspects that the book has, nil if it lacks the end. isNews is set
+	// if others were reported since, and isSettled once the end was recorded without
+	// those that survived.
+	booked            map[identifier.PartID]int
+	isNews, isSettled bool
 	// group numbers the ends; those that count as one have the same number.
 	group int
 	// isMass is set if several servers ended at the same moment.
@@ -115,15 +117,15 @@
 	at := now.Add(-e.Age)
 	known := i.find(e.Server)
 	if known == nil {
-		known = &end{End: e, at: at, recordedAt: now}
+		known = &end{End: e, at: at, recordedAt: now, isNews: true}
 		known.Suspects = make(map[identifier.PartID]int, len(e.Suspects))
 		i.ends = append(i.ends, known)
 	}
 	if at.Before(known.at) {
 		known.at = at
 	}
-	for id, position := range e.Suspects {
-		addSuspect(known.Suspects, id, position)
+	if known.merge(e.Suspects) {
+		known.isNews = true
 	}
 	i.classifyEnds()
 	if len(i.ends) > maxEnds {
@@ -131,6 +133,15 @@
 	}
 }
 
+// merge adds suspects and reports whether one of them was new.
+func (e *end) merge(suspects map[identifier.PartID]int) bool {
+	changed := false
+	for id, position := range suspects {
+		changed = addSuspect(e.Suspects, id, position) || changed
+	}
+	return changed
+}
+
 // forget drops evidence that is older than evidenceTTL.
 func (i *Investigator) forget(now time.Time) {
 	i.ends = slices.DeleteFunc(i.ends, func(e *end) bool { return now.Sub(e.at) > evidenceTTL })
@@ -202,34 +213,41 @@
 	return append(due, i.releases(now, b, versions)...)
 }
 
-// recall adds the ends in the book that this Investigator does not know. The clock
-// of the process that recorded them may be ahead of this one.
+// recall adds the ends in the book that this Investigator does not know, and suspects
+// of others. The clock of the process that recorded them may be ahead of this one.
 func (i *Investigator) recall(now time.Time, b *Book) {
 	for _, r := range b.Ends {
 		known := i.find(r.Server)
-		if known == nil && now.Sub(r.At) <= evidenceTTL {
+		switch {
+		case now.Sub(r.At) > evidenceTTL, known != nil && known.booked != nil:
+			continue
+		case known != nil:
+			known.merge(r.Suspects)
+		default:
 			e := r.End
 			e.Age = max(now.Sub(r.At), 0)
 			i.recordEnd(now, e)
-			known = i.find(r.Server)
-		}
-		if known != nil {
-			known.booked = max(known.booked, 1)
+			if known = i.find(r.Server); known == nil {
+				continue // There are too many later ones.
+			}
+			known.isNews = false
 		}
+		known.booked = r.Suspects
 	}
 }
 
-// unrecorded returns the events that record ends: at their first report, with the
-// suspects of which no call is known to have survived, and once the hosts have
-// reported which of the others survived since.
+// unrecorded returns the events that record ends: when a host reports suspects that no
+// other has, with those of which no call is known to have survived, and once the hosts
+// have reported which of the others survived since. A restart of all processes may
+// follow any report, and the calls on a server that ended were those of many hosts.
 func (i *Investigator) unrecorded(now time.Time, hearing time.Duration) []Event {
 	var due []Event
 	for _, e := range i.ends {
 		isSettled := now.Sub(e.recordedAt) >= askingPeriods*hearing
-		if e.booked > 1 || e.booked == 1 && !isSettled {
+		if !e.isNews && (e.isSettled || !isSettled) {
 			continue
 		}
-		e.booked++
+		e.isNews, e.isSettled = false, isSettled
 		ev := RecordEnd{End: End{Server: e.Server, Service: e.Service, Version: e.Version, Suspects: make(map[identifier.PartID]int)}, At: e.at}
 		for id, position := range e.Suspects {
 			survived := i.survivals[Key{e.Service, id}]
@@ -240,7 +258,10 @@
 		if isSettled {
 			e.Suspects = maps.Clone(ev.Suspects) // What has survived is not looked at again.
 		}
-		due = append(due, ev)
+		if e.booked == nil || !maps.Equal(e.booked, ev.Suspects) {
+			e.booked = ev.Suspects
+			due = append(due, ev)
+		}
 	}
 	return due
 }
