isolator: failing test of an end that a restart loses before it is recorded

The leader knows of an end for up to 50 ms before it records it, and here another keeper leads and all processes restart in that time.

--- a/isolator/property_test.go
+++ b/isolator/property_test.go
@@ -167,3 +167,17 @@
 		t.Error(fault)
 	}
 }
+
+// TestFatalRequestAmidEndLostInRestart plays one draw of
+// TestOnlyTheFatalRequestIsIsolated: a server ends under the fatal request 26 ms before
+// all processes restart, and the leader has been told but has not recorded the end.
+func TestFatalRequestAmidEndLostInRestart(t *testing.T) {
+	sc := scenario{
+		seed: 24467148, hosts: 6, servers: 4, domains: 3, soundPerSecond: 148.7871925399586, fatalPerSecond: 0.7312618419528008,
+		fatalFrom: 42, position: 1, fatalRequests: 1, polled: 2, retries: true, sessions: 30, latency: time.Nanosecond,
+		lossRate: 3.5176557246882833e-199, leaderChangeAt: 2 * time.Second, restartAt: 2000055119, length: 24 * time.Second,
+	}
+	if fault := simulate(sc).check(); fault != "" {
+		t.Error(fault)
+	}
+}
