soaker: hosts cut off from all backend servers, and silent servers

Need: nothing in the soak cut a host off from all backend servers while others reached them, or let a sound server be silent.

Change: entry hosts run gatedentry, which opens connections to backend servers through a gate for each host, since hosts share the addresses of servers. Two promises are checked from what callers saw.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strings"
 	"time"
@@ -20,6 +21,8 @@
 	// callerCount is the number of concurrent callers. Each has its own
 	// connections.
 	callerCount = 8
+	// resumerCount is the number of further callers, which send resumable calls alone.
+	resumerCount = 16
 	// callerTimeout bounds one request of a caller.
 	callerTimeout = 2 * time.Second
 	// callInterval is the pause between two requests of a caller.
@@ -38,6 +41,7 @@
 	nonIdempotentPath = "/file/1"  // runs at most once
 	idempotentPath    = "/look/1"  // may run again
 	streamPath        = "/draft/1" // returns a stream
+	resumablePath     = "/tale/1"  // returns a stream that may be resumed
 )
 
 // runCaller sends requests one after the other until ctx ends. n numbers the
@@ -49,10 +53,15 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		id := identifier.RequestID(fmt.Sprintf("c%d-%d", n, i))
 		path := []string{nonIdempotentPath, idempotentPath, streamPath}[rng.IntN(3)]
-		entry := s.entries[rng.IntN(len(s.entries))]
-		s.ledger.recordStart(id, path == idempotentPath)
-		outcome, notRun := s.call(client, entry, id, path)
-		s.ledger.recordOutcome(id, outcome, notRun)
+		if n >= callerCount {
+			path = resumablePath
+		}
+		t := try{id: id, host: rng.IntN(len(s.entries)), start: time.Now()}
+		s.ledger.recordStart(id, path == idempotentPath || path == resumablePath)
+		var notRun bool
+		t.outcome, notRun = s.call(client, s.entries[t.host], id, path)
+		t.end = time.Now()
+		s.ledger.recordOutcome(t, notRun)
 		time.Sleep(callInterval)
 	}
 }
@@ -62,7 +71,15 @@
 func (s *soak) call(client *http.Client, entry *process, id identifier.RequestID, path string) (outcome string, notRun bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
+	var isKept, isSent bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(i httptrace.GotConnInfo) { isKept = i.Reused },
+		WroteRequest: func(i httptrace.WroteRequestInfo) { isSent = i.Err == nil },
+	})
 	res, err := post(ctx, client, entry, path, headerOf(id, path))
+	if err != nil && isKept && isSent && !errors.Is(err, context.DeadlineExceeded) {
+		return unanswered, false
+	}
 	if err != nil {
 		return outcomeOf(err), false
 	}
@@ -90,6 +107,13 @@
 	return client.Do(r)
 }
 
+// The outcomes of calls whose connection ended without an answer, after the request was
+// sent on a kept connection, or within the answer.
+const (
+	unanswered = "sent and not answered"
+	brokenOff  = "broken off: no connection"
+)
+
 // neverDue are statuses that say that a call itself is at fault.
 var neverDue = []int{http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound}
 
@@ -114,7 +138,7 @@
 // or is a prefix of it if the connection broke.
 func (s *soak) checkResponse(id identifier.RequestID, path, body string, isComplete bool) {
 	want := standin.Line(id, customer)
-	if path == streamPath {
+	if path == streamPath || path == resumablePath {
 		want = ""
 		for n := range standin.StreamEvents {
 			want += standin.Event(id, n+1)
--- a/internal/soaker/doc.go
+++ b/internal/soaker/doc.go
@@ -6,7 +6,10 @@
 // A Plan is a list of faults, generated from a seed, that may overlap: processes
 // are killed, paused, or stopped and restarted, and links to backend servers
 // stall in one or both directions, are slow, reset connections, or lose
-// responses. While the plan runs, callers keep their connections open and reuse
+// responses. Some entry hosts, or all of one failure domain, lose their connections to
+// all backend servers, and a sound backend server is silent for more than a second.
+// Entry hosts run the program gatedentry, the daemon's role with its connections to
+// backend servers led through a gate for each host. While the plan runs, callers keep their connections open and reuse
 // them until a process exits, and an operator stores one document after the
 // other, and one caller sends calls with a part in their prompts that ends the backend
 // servers which answer it. The run checks these promises:
@@ -20,13 +23,17 @@
 //   - no window is reported with two different counts;
 //   - calls with a part in their prompts that ends backend servers are refused at
 //     last, and no sound call is refused for its prompt;
+//   - from three seconds after a cut began, hosts that are cut off and otherwise in
+//     touch serve calls at least two thirds as often as the others;
+//   - a call that was sent to a server that is sound and only silent does not end
+//     without an answer;
 //   - no process exits unexpectedly;
 //   - after the last fault, every entry host and keeper serves again.
 //
 // # Usage
 //
 //	r, err := soaker.Run(ctx, soaker.Options{
-//		Seed: 7, Binary: "target/cyclamend", Folder: "target/soak", Length: 20 * time.Second,
+//		Seed: 7, Binary: "target/cyclamend", Entry: "target/gatedentry", Folder: "target/soak", Length: 20 * time.Second,
 //	})
 //	if err != nil {
 //		return err
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -16,6 +16,10 @@
 type ledger struct {
 	mu             sync.Mutex
 	outcomes       map[string]int
+	tries          []try
+	spans          []span
+	cuts           []string
+	silences       string
 	nonIdempotent  []identifier.RequestID // may run at most once each
 	notRun         []identifier.RequestID // reported to the caller as not run
 	newestRevision identifier.Revision
@@ -42,15 +46,16 @@
 }
 
 // recordOutcome records the outcome of a request.
-func (l *ledger) recordOutcome(id identifier.RequestID, outcome string, notRun bool) {
+func (l *ledger) recordOutcome(t try, notRun bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.outcomes == nil {
 		l.outcomes = make(map[string]int)
 	}
-	l.outcomes[outcome]++
+	l.outcomes[t.outcome]++
+	l.tries = append(l.tries, t)
 	if notRun {
-		l.notRun = append(l.notRun, id)
+		l.notRun = append(l.notRun, t.id)
 	}
 }
 
--- a/internal/soaker/link.go
+++ b/internal/soaker/link.go
@@ -1,15 +1,22 @@
 package soaker
 
 import (
+	"bufio"
 	"net"
+	"strings"
 	"sync"
 	"time"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/platform/standin"
 )
 
 // slowLinkDelay is the delay that a slow link adds to each chunk of bytes.
 const slowLinkDelay = 150 * time.Millisecond
 
-// link is a TCP proxy in front of a backend server, with injected faults.
+// link is a TCP proxy in front of a backend server, with injected faults. One without
+// a target is the gate of an entry host: each connection begins with a line that holds
+// the address of a backend server, which the gate answers with one byte.
 type link struct {
 	listener net.Listener
 	target   string
@@ -19,6 +26,7 @@
 	injections int  // number of faults injected so far
 	changed    chan struct{}
 	conns      map[net.Conn]struct{}
+	calls      map[identifier.RequestID]struct{} // that were sent to the server
 }
 
 // newLink starts a link that listens at one address and forwards to target.
@@ -27,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]struct{})}
+	l := &link{listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]struct{}), calls: make(map[identifier.RequestID]struct{})}
 	go l.serve()
 	return l, nil
 }
@@ -89,11 +97,17 @@
 
 // proxy connects to the backend server and forwards bytes in both directions.
 func (l *link) proxy(client net.Conn) {
-	if fault, _ := l.currentFault(); fault == Reset {
+	target := l.target
+	if target == "" {
+		line, _ := bufio.NewReader(client).ReadString('\n')
+		target = strings.TrimSpace(line)
+		l.delay(false)
+	}
+	if fault, _ := l.currentFault(); fault == Reset || fault == Refuse {
 		reset(client)
 		return
 	}
-	backend, err := net.Dial("tcp", l.target)
+	backend, err := net.Dial("tcp", target)
 	if err != nil {
 		reset(client)
 		return
@@ -101,6 +115,9 @@
 	l.mu.Lock()
 	l.conns[client], l.conns[backend] = struct{}{}, struct{}{}
 	l.mu.Unlock()
+	if l.target == "" {
+		_, _ = client.Write([]byte{1})
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() { l.forward(backend, client, false) })
 	wg.Go(func() { l.forward(client, backend, true) })
@@ -122,6 +139,9 @@
 	for {
 		n, err := src.Read(b)
 		if n > 0 {
+			if !isResponse {
+				l.recordCall(standin.CallIn(b[:n]))
+			}
 			if fault, _ := l.currentFault(); fault == Lose && isResponse {
 				reset(dst)
 				return
@@ -146,7 +166,7 @@
 		case fault == Slow:
 			time.Sleep(slowLinkDelay)
 			return
-		case fault == Stall, fault == OneWay && isResponse:
+		case fault == Stall, fault == Silence, fault == OneWay && isResponse:
 			<-changed
 		default:
 			return
@@ -154,6 +174,21 @@
 	}
 }
 
+// recordCall records that a call is sent to the server.
+func (l *link) recordCall(id identifier.RequestID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls[id] = struct{}{}
+}
+
+// saw reports whether a call was sent to the server.
+func (l *link) saw(id identifier.RequestID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.calls[id]
+	return ok
+}
+
 // reset closes a connection with a TCP reset.
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -25,6 +25,8 @@
 	binary  string
 	folder  string
 	machine standin.Machine
+	// gate is the link of an entry host to all backend servers.
+	gate *link
 
 	mu sync.Mutex
 	// run is the current run, nil while the process is down. isFaulted is set
@@ -56,6 +58,9 @@
 	}
 	cmd := exec.Command(p.binary, p.role)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
+	if p.gate != nil {
+		cmd.Env = append(cmd.Env, "SOAK_GATE="+p.gate.listener.Addr().String())
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/soaker/soak/main.go
+++ b/internal/soaker/soak/main.go
@@ -22,6 +22,7 @@
 // options holds the command-line flags.
 type options struct {
 	Binary  string        `long:"binary" required:"true" description:"path of cyclamend"`
+	Entry   string        `long:"entry" required:"true" description:"path of gatedentry"`
 	Seed    uint64        `long:"seed" default:"1" description:"first seed"`
 	Seeds   uint64        `long:"seeds" default:"1" description:"how many seeds to play"`
 	Length  time.Duration `long:"length" default:"10s" description:"for how long faults begin in each run"`
@@ -63,7 +64,7 @@
 	}
 	for seed := opts.Seed; seed < opts.Seed+opts.Seeds; seed++ {
 		runOpts := soaker.Options{
-			Seed: seed, Binary: opts.Binary, Length: opts.Length, Keepers: opts.Keepers, Entries: opts.Entries,
+			Seed: seed, Binary: opts.Binary, Entry: opts.Entry, Length: opts.Length, Keepers: opts.Keepers, Entries: opts.Entries,
 			Folder: filepath.Join(folder, fmt.Sprint("seed-", seed)),
 		}
 		if err := os.MkdirAll(runOpts.Folder, 0o700); err != nil {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -20,6 +20,9 @@
 	Seed uint64
 	// Binary is the path of the daemon.
 	Binary string
+	// Entry is the path of the program gatedentry, which the entry hosts run; with the
+	// daemon in its place, cuts have no effect.
+	Entry string
 	// Folder receives the settings, data and logs of the run.
 	Folder string
 	// Length is the period in which faults start; 0 means 10 s.
@@ -39,6 +42,8 @@
 	crashDowntime = 500 * time.Millisecond
 	// serviceTime is how long a request takes at a backend server.
 	serviceTime = 20 * time.Millisecond
+	// retrySlack is few enough retries that a silent server can use them up.
+	retrySlack = 3
 	// recoveryTimeout is how long the system may take to serve again after the
 	// last fault. It is longer than any lease, silence time-out and start
 	// together.
@@ -125,11 +130,18 @@
 	for i := range s.opts.Keepers + s.opts.Entries {
 		p := &process{binary: s.opts.Binary, folder: s.opts.Folder, role: "keeper", name: fmt.Sprint("keeper", i)}
 		if i >= s.opts.Keepers {
-			p.role, p.name = "entry", fmt.Sprint("entry", i-s.opts.Keepers)
+			p.binary, p.role, p.name = s.opts.Entry, "entry", fmt.Sprint("entry", i-s.opts.Keepers)
 		}
 		p.machine = standin.Machine{
 			IP: fmt.Sprintf("%s.%d", base, i+1), Port: port, Seeds: seeds, Founding: i < s.opts.Keepers,
-			Folder: filepath.Join(s.opts.Folder, p.name), Cloud: api,
+			Folder: filepath.Join(s.opts.Folder, p.name), Cloud: api, RetrySlack: retrySlack,
+		}
+		if p.role == "entry" {
+			if p.gate, err = newLink(base+".253:0", ""); err != nil {
+				return err
+			}
+			s.closers = append(s.closers, p.gate.close)
+			p.machine.Domain = string(rune('a' + len(s.entries)%domainCount))
 		}
 		if err := errors.Join(os.MkdirAll(p.machine.Folder, 0o700), p.start()); err != nil {
 			return err
@@ -173,7 +185,7 @@
 func (s *soak) runPlan(ctx context.Context) ([]Fault, error) {
 	workCtx, stopWorkers := context.WithCancel(ctx)
 	var workers, faults sync.WaitGroup
-	for n := range callerCount {
+	for n := range callerCount + resumerCount {
 		workers.Go(func() { s.runCaller(workCtx, n) })
 	}
 	workers.Go(func() { s.runOperator(workCtx) })
@@ -185,7 +197,7 @@
 		errs     []error
 	)
 	start, processes := time.Now(), s.processes()
-	for _, f := range Plan(s.opts.Seed, s.opts.Length, len(processes), len(s.links)) {
+	for _, f := range Plan(s.opts.Seed, s.opts.Length, len(processes), len(s.links), len(s.entries)) {
 		select {
 		case <-time.After(time.Until(start.Add(f.Start))):
 		case <-ctx.Done():
@@ -194,12 +206,14 @@
 			break
 		}
 		faults.Go(func() {
+			from := time.Now()
 			ok, err := s.injectFault(processes, f)
 			mu.Lock()
 			defer mu.Unlock()
 			errs = append(errs, err)
 			if ok {
 				injected = append(injected, f)
+				s.ledger.recordSpan(span{f, from, time.Now()})
 			}
 		})
 		if s.opts.Progress != nil {
@@ -214,12 +228,23 @@
 
 // injectFault injects one fault and waits until it is over. It reports false if
 // the fault could not be injected, because the target process was down or had
-// another fault.
+// another fault, or since a silence would replace the fault of a link.
 func (s *soak) injectFault(processes []*process, f Fault) (bool, error) {
+	if f.isCut() {
+		for _, h := range f.Hosts {
+			defer s.entries[h].gate.inject(f.Kind)()
+		}
+		time.Sleep(f.Duration)
+		return true, nil
+	}
 	if f.Kind.targetsProcess() {
 		return processes[f.Target].inject(f)
 	}
-	restore := s.links[f.Target].inject(f.Kind)
+	l := s.links[f.Target]
+	if current, _ := l.currentFault(); f.Kind == Silence && current != "" {
+		return false, nil
+	}
+	restore := l.inject(f.Kind)
 	time.Sleep(f.Duration)
 	restore()
 	return true, nil
@@ -265,6 +290,8 @@
 	if !s.waitUntil(ctx, s.isIsolated) {
 		s.ledger.addViolation("calls that end backend servers are not refused")
 	}
+	s.checkCuts()
+	s.checkSilences()
 	s.ledger.checkRuns(s.backends.Runs())
 	for _, w := range s.cloud.Conflicts() {
 		s.ledger.addViolation("window %s is reported with two counts", w)
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -20,15 +20,17 @@
 // TestSoak does short runs of the real programs. The soak command does longer
 // runs with more seeds.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "cyclamend")
-	if out, err := exec.Command("go", "build", "-o", binary, "cyclamenhub.org/cmd/cyclamend").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+	binary, entry := filepath.Join(t.TempDir(), "cyclamend"), filepath.Join(t.TempDir(), "gatedentry")
+	for path, program := range map[string]string{binary: "cmd/cyclamend", entry: "internal/soaker/gatedentry"} {
+		if out, err := exec.Command("go", "build", "-o", path, "cyclamenhub.org/"+program).CombinedOutput(); err != nil {
+			t.Fatalf("build: %v\n%s", err, out)
+		}
 	}
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			folder := t.TempDir()
-			r, err := Run(t.Context(), Options{Seed: seed, Binary: binary, Folder: folder, Length: 5 * time.Second})
+			r, err := Run(t.Context(), Options{Seed: seed, Binary: binary, Entry: entry, Folder: folder, Length: 5 * time.Second})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -64,17 +66,28 @@
 func TestPlanFollowsSeed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed, length := rapid.Uint64().Draw(t, "seed"), time.Duration(rapid.IntRange(1, 60).Draw(t, "seconds"))*time.Second
-		faults := Plan(seed, length, 6, 3)
-		if diff := cmp.Diff(faults, Plan(seed, length, 6, 3)); diff != "" {
+		entries := rapid.IntRange(1, 9).Draw(t, "entries")
+		faults := Plan(seed, length, 6, 3, entries)
+		if diff := cmp.Diff(faults, Plan(seed, length, 6, 3, entries)); diff != "" {
 			t.Fatalf("two plans of one seed differ:\n%s", diff)
 		}
 		var before time.Duration
 		for _, f := range faults {
-			targets := 3
+			if f.isCut() {
+				if n := len(f.Hosts); n < 1 || n >= entries || f.Duration < minCutDuration || f.Duration > maxCutDuration || f.Start < before || f.Start > length {
+					t.Errorf("cut %v of %d hosts after %v of %v", f, entries, before, length)
+				}
+				before = f.Start
+				continue
+			}
+			targets, end := 3, length
+			if f.Kind == Silence {
+				end = length + maxCutDuration
+			}
 			if f.Kind.targetsProcess() {
 				targets = 6
 			}
-			if f.Start < before || f.Start >= length || f.Duration < minFaultDuration || f.Duration > maxFaultDuration || f.Target < 0 || f.Target >= targets {
+			if f.Start < before || f.Start >= end || f.Duration < minFaultDuration || f.Duration > maxFaultDuration || f.Target < 0 || f.Target >= targets {
 				t.Errorf("fault %v after %v of %v", f, before, length)
 			}
 			before = f.Start
@@ -89,8 +102,8 @@
 	l := &s.ledger
 	l.recordStart("once", false)
 	l.recordStart("again", true)
-	l.recordOutcome("untrue", "503", true)
-	l.recordOutcome("true", "503", true)
+	l.recordOutcome(try{id: "untrue", outcome: "503"}, true)
+	l.recordOutcome(try{id: "true", outcome: "503"}, true)
 	l.checkRuns(map[identifier.RequestID]int{"once": 2, "again": 2, "untrue": 1})
 
 	prefix := standin.Event("d", 1) + standin.Event("d", 2)
@@ -110,3 +123,57 @@
 		}
 	}
 }
+
+// TestUnservedCallsAreDetected passes calls at hosts that are cut off, and calls to a
+// silent server, to the checks.
+func TestUnservedCallsAreDetected(t *testing.T) {
+	begin := time.Now()
+	at := func(seconds float64) time.Time { return begin.Add(time.Duration(seconds * float64(time.Second))) }
+	cut := span{Fault{Kind: Reset, Hosts: []int{1}}, at(0), at(10)}
+	silence := span{Fault{Kind: Silence}, at(4), at(6)}
+	for _, tc := range []struct {
+		name       string
+		spans      []span
+		host       int
+		fails      int // of 30 calls at the host
+		outcome    string
+		start      float64
+		violations int
+	}{
+		{"calls at a cut host fail", []span{cut}, 1, 20, "503", 5, 1},
+		{"few calls at a cut host fail", []span{cut}, 1, 10, "503", 5, 0},
+		{"calls soon after the cut fail", []span{cut}, 1, 20, "503", 2, 0},
+		{"calls after the cut fail", []span{cut}, 1, 20, "503", 10, 0},
+		{"calls beside a kill of the host fail", []span{cut, {Fault{Kind: Kill, Target: 2}, at(2), at(2.5)}}, 1, 20, "503", 5, 0},
+		{"calls fail beside a restart of the only other host", []span{cut, {Fault{Kind: Stop, Target: 1}, at(2), at(2.5)}}, 1, 20, "503", 5, 0},
+		{"calls beside a pause of a keeper fail", []span{cut, {Fault{Kind: Pause}, at(2), at(2.5)}}, 1, 20, "503", 5, 0},
+		{"calls to a silent server end", []span{silence}, 1, 4, unanswered, 5, 1},
+		{"streams of a silent server end", []span{silence}, 1, 4, brokenOff, 5, 1},
+		{"three calls to a silent server end", []span{silence}, 1, 3, unanswered, 5, 0},
+		{"calls to a sound server end", nil, 1, 4, unanswered, 5, 0},
+		{"calls beside a stop of the host end", []span{silence, {Fault{Kind: Stop, Target: 2}, at(5), at(6)}}, 1, 4, unanswered, 5, 0},
+		{"calls at a cut host end", []span{silence, cut}, 1, 4, unanswered, 5, 0},
+		{"calls to a server whose link breaks end", []span{silence, {Fault{Kind: Lose}, at(5), at(6)}}, 1, 4, unanswered, 5, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := &link{calls: make(map[identifier.RequestID]struct{})}
+			l.recordCall("c")
+			s := &soak{keepers: []*process{{}}, entries: []*process{{}, {}}, links: []*link{l}}
+			s.ledger.spans = tc.spans
+			for n := range 30 {
+				c := try{id: "c", host: tc.host, start: at(tc.start), end: at(tc.start + 1), outcome: "200"}
+				other := c
+				other.host = 0
+				if n < tc.fails {
+					c.outcome = tc.outcome
+				}
+				s.ledger.tries = append(s.ledger.tries, c, other)
+			}
+			s.checkCuts()
+			s.checkSilences()
+			if n := len(s.ledger.violations); n != tc.violations {
+				t.Errorf("%d violations, want %d: %q", n, tc.violations, s.ledger.violations)
+			}
+		})
+	}
+}
