forwarder: silent servers spend half of the retries at most

Cause: replacements of silent servers spent the budget that calls which have lost their server need. Suspected, not traced call by call. Change: a call tries one other server in place of a silent one, and only while half of the host's share of the reserve remains. Result: TestSilenceLeavesRetriesToLosses is new; the package passes with the race detector.

--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -62,6 +62,15 @@
 	return true
 }
 
+// hasSpare reports whether half of this host's share of the reserve remains besides one
+// retry. Only then is a retry spent on a server that is merely silent: calls that have
+// lost their server need the rest.
+func (b *retryBudgets) hasSpare(s identifier.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.available(s)-1 >= b.reserve()/2
+}
+
 // giveBack returns a retry that was withdrawn and not made.
 func (b *retryBudgets) giveBack(s identifier.Service) {
 	b.mu.Lock()
--- a/forwarder/budget_test.go
+++ b/forwarder/budget_test.go
@@ -23,3 +23,19 @@
 		}
 	}
 }
+
+// TestSilenceLeavesRetriesToLosses guards against retries that are all spent on silent
+// servers, so that calls which have lost theirs are not sent again.
+func TestSilenceLeavesRetriesToLosses(t *testing.T) {
+	b := newRetryBudgets(RetryBudget{Reserve: 8}, 1)
+	for b.hasSpare("s") {
+		b.tryWithdraw("s")
+	}
+	left := 0
+	for b.tryWithdraw("s") {
+		left++
+	}
+	if left < 4 {
+		t.Errorf("%d of 8 retries are left after silences, want half", left)
+	}
+}
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -17,7 +17,7 @@
 const (
 	// maxReplacements is how many backend servers are tried in place of silent ones for
 	// one call. A call that none of them takes waits for the silent one.
-	maxReplacements = 2
+	maxReplacements = 1
 	// silenceCheckInterval is how often it is checked, while a replacement is awaited,
 	// whether the silent server goes on.
 	silenceCheckInterval = 50 * time.Millisecond
@@ -82,7 +82,8 @@
 // replace sends the call to another backend server while the current attempt waits, and
 // reports whether that server has begun to answer. It ends early once that is needless.
 func (x *exchange) replace(isNeedless func() bool) bool {
-	if x.replacements >= maxReplacements || x.checkStart() != nil || x.retryDenial(broken) != "" {
+	if x.replacements >= maxReplacements || x.checkStart() != nil ||
+		!x.f.retries.hasSpare(x.service) || x.retryDenial(broken) != "" {
 		return false
 	}
 	choice, err := x.chooseServer()
