forwarder, node: loops and listeners that stood twice are written once

RunReach had a ticker loop of its own beside timer.Repeat, four loops turned ids to names and back, four test servers listened each on their own, and takeOver looped for a second replacement, which a call no longer has. Change: timer.Repeat, decodeNames and encodeNames, listen in the tests, takeOver without its loop. Behaviour and assertions are the same.

--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -15,6 +15,7 @@
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/relayer"
+	"cyclamenhub.org/timer"
 )
 
 const (
@@ -33,22 +34,14 @@
 
 // RunReach finds out whether this host reaches the backend servers, until ctx ends.
 func (f *Forwarder) RunReach(ctx context.Context) {
-	t := time.NewTicker(reachInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		fl := f.fleet.Load()
-		if fl == nil {
-			continue
-		}
-		for _, p := range f.opts.Reach.Due(fl.open) {
-			go f.probe(ctx, p, fl.servers[p.Server].Address)
+	timer.Repeat(ctx, reachInterval, func() time.Duration {
+		if fl := f.fleet.Load(); fl != nil {
+			for _, p := range f.opts.Reach.Due(fl.open) {
+				go f.probe(ctx, p, fl.servers[p.Server].Address)
+			}
 		}
-	}
+		return reachInterval
+	})
 }
 
 // probe opens a connection to a backend server and records whether that succeeded.
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -58,23 +58,10 @@
 // its address.
 func breakingPeer(t *testing.T, answer string) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(c))
-			_, _ = io.WriteString(c, answer)
-			_ = c.Close()
-		}
-	}()
-	return ln.Addr().String()
+	return listen(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, answer)
+	})
 }
 
 // TestRelayedAnswers checks what callers of a host that is cut off get through its peers:
--- a/forwarder/repeated_test.go
+++ b/forwarder/repeated_test.go
@@ -26,27 +26,14 @@
 // start starts the server and returns its address.
 func (s *partsServer) start(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.opened.Add(1)
-			go s.serve(c)
-		}
-	}()
-	return ln.Addr().String()
+	return listen(t, func(c net.Conn) {
+		s.opened.Add(1)
+		s.serve(c)
+	})
 }
 
 // serve answers the requests of one connection.
 func (s *partsServer) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
--- a/forwarder/replacement_test.go
+++ b/forwarder/replacement_test.go
@@ -22,13 +22,7 @@
 // It returns its address.
 func scriptedServer(t *testing.T, steps ...step) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
+	return listen(t, func(c net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
@@ -39,17 +33,7 @@
 			}
 			_, _ = io.WriteString(c, s.text)
 		}
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // callSilent makes a call to a server that takes the steps, beside which others are
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -16,9 +16,8 @@
 // is sent to another backend server.
 const silence = 1500 * time.Millisecond
 
-// silentServer listens and answers each request with before, a pause and after. It
-// calls onRequest before it answers, and returns its address.
-func silentServer(t *testing.T, before, after string, onRequest func()) string {
+// listen serves each connection to a new listener and returns its address.
+func listen(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -33,19 +32,28 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				onRequest()
-				_, _ = io.WriteString(c, before)
-				time.Sleep(silence)
-				_, _ = io.WriteString(c, after)
+				serve(c)
 			}()
 		}
 	}()
 	return ln.Addr().String()
 }
 
+// silentServer listens and answers each request with before, a pause and after. It
+// calls onRequest before it answers, and returns its address.
+func silentServer(t *testing.T, before, after string, onRequest func()) string {
+	t.Helper()
+	return listen(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		onRequest()
+		_, _ = io.WriteString(c, before)
+		time.Sleep(silence)
+		_, _ = io.WriteString(c, after)
+	})
+}
+
 // unreachableAddress is one at which nothing listens. Its port is none that the kernel
 // chooses for a listener.
 const unreachableAddress = "127.0.0.1:1"
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -174,20 +174,15 @@
 	}
 }
 
-// takeOver goes on with the replacement of the last attempt, and with its own if it is
-// replaced in turn.
+// takeOver goes on with the replacement of the last attempt.
 func (x *exchange) takeOver() (attemptResult, string) {
-	for {
-		retriesTotal.Inc()
-		b := x.replacement
-		x.replacement = nil
-		started := x.f.opts.Clock.Now()
-		result, reason := x.finish(b)
-		x.logAttempt(result, reason, x.f.opts.Clock.Now().Sub(started))
-		if x.replacement == nil || result == callerLeft {
-			return result, reason
-		}
-	}
+	retriesTotal.Inc()
+	b := x.replacement
+	x.replacement = nil
+	started := x.f.opts.Clock.Now()
+	result, reason := x.finish(b)
+	x.logAttempt(result, reason, x.f.opts.Clock.Now().Sub(started))
+	return result, reason
 }
 
 // dropReplacement ends a replacement that nothing has been relayed of.
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -10,11 +10,20 @@
 	"cyclamenhub.org/sharer"
 )
 
-// decodeHosts converts names to hosts.
-func decodeHosts(names []string) []identifier.Host {
-	out := make([]identifier.Host, len(names))
+// decodeNames returns ids as they were sent.
+func decodeNames[ID ~string](names []string) []ID {
+	out := make([]ID, len(names))
 	for i, n := range names {
-		out[i] = identifier.Host(n)
+		out[i] = ID(n)
+	}
+	return out
+}
+
+// encodeNames returns ids as they are sent.
+func encodeNames[ID ~string](ids []ID) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = string(id)
 	}
 	return out
 }
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -124,7 +124,7 @@
 		Host: string(e.cfg.Host), FailureDomain: string(e.cfg.FailureDomain), Run: e.run, Revision: uint64(e.dist.Revision(distributor.FleetTopic)),
 	}
 	req.Loads = encodeLoads(e.placer.Loads())
-	req.Unreachable = encodeServices(e.reach.Cut())
+	req.Unreachable = encodeNames(e.reach.Cut())
 	for w, counts := range e.meter.Counts(e.clock.Now()) {
 		req.Windows = append(req.Windows, encodeWindow(w, counts))
 	}
@@ -143,7 +143,7 @@
 	if len(resp.GetKeepers()) == 0 {
 		return
 	}
-	e.contacts.setKeepers(decodeHosts(resp.GetKeepers()))
+	e.contacts.setKeepers(decodeNames[identifier.Host](resp.GetKeepers()))
 }
 
 // applySync applies the response of the leader. The lease counts from when the
