node: test systems end their processes before their folders are removed

The folder of a test is removed by a cleanup that its first call of TempDir registers. newSystem registered the cleanup that ends the processes before that call, and cleanups run in reverse order: the folders were removed while keepers still wrote to them.

Change: newSystem creates the folder first; hosts have folders in it.

--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -25,7 +25,7 @@
 // BenchmarkSync measures a sync between one of many hosts and the leader over
 // loopback, including the work of both sides.
 func BenchmarkSync(b *testing.B) {
-	s := &system{t: b, port: 23456, api: "127.0.0.1:1", folder: map[string]string{keeperA: b.TempDir()}, seeds: []string{keeperA + ":23457"}}
+	s := &system{t: b, port: 23456, api: "127.0.0.1:1", folder: b.TempDir(), seeds: []string{keeperA + ":23457"}}
 	cfg := s.settings(keeperA, true)
 	cfg.LostMachines = 0
 	n := newKeeperNode(cfg, Options{Log: slog.New(slog.DiscardHandler)})
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -18,14 +19,15 @@
 
 // system is a set of keepers and entry hosts on loopback addresses.
 type system struct {
-	t      testing.TB
-	cloud  *standin.Cloud
-	api    string
-	port   int
-	seeds  []string
-	stop   map[string]context.CancelFunc
-	done   map[string]chan error
-	folder map[string]string
+	t     testing.TB
+	cloud *standin.Cloud
+	api   string
+	port  int
+	seeds []string
+	stop  map[string]context.CancelFunc
+	done  map[string]chan error
+	// folder holds the data folders of the hosts.
+	folder string
 	// links are the links of hosts to backend servers that a test may cut.
 	links map[string]*serverLinks
 }
@@ -45,7 +47,8 @@
 	t.Cleanup(api.Close)
 	s := &system{
 		t: t, cloud: c, api: strings.TrimPrefix(api.URL, "http://"), port: freePort(t),
-		stop: make(map[string]context.CancelFunc), done: make(map[string]chan error), folder: make(map[string]string),
+		stop: make(map[string]context.CancelFunc), done: make(map[string]chan error),
+		folder: t.TempDir(), // Before the cleanup that ends the processes: cleanups run in reverse order.
 	}
 	for _, ip := range []string{keeperA, keeperB, keeperC} {
 		s.seeds = append(s.seeds, fmt.Sprintf("%s:%d", ip, s.port+standin.OperatorPort))
@@ -96,10 +99,7 @@
 // settings returns the settings of a host.
 func (s *system) settings(ip string, founding bool) *platform.Settings {
 	s.t.Helper()
-	if s.folder[ip] == "" {
-		s.folder[ip] = s.t.TempDir()
-	}
-	m := standin.Machine{IP: ip, Port: s.port, Seeds: s.seeds, Founding: founding, Folder: s.folder[ip], Cloud: s.api}
+	m := standin.Machine{IP: ip, Port: s.port, Seeds: s.seeds, Founding: founding, Folder: filepath.Join(s.folder, ip), Cloud: s.api}
 	text, err := m.Settings()
 	if err != nil {
 		s.t.Fatal(err)
