scaler: servers at the full price stay while no reclaimable ones are to be had

Cause: after reclaims in all failure domains, servers at the full price were released down to the number below which calls do not finish in time, as if reclaimable ones replaced them, while none were available. A short dip of the load, such as calls that fail fast cause, left 28 servers for a load that needed 44 two seconds later; a server takes over 4 s to start.

Change: while reclaimable servers are not available in some domain, those at the full price are released down to the number at which calls hardly wait. What is ordered stays the same.

--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -197,7 +197,11 @@
 	for _, d := range domains {
 		wanted[d] += have.counts[Place{service, d, false}].limited
 	}
-	wanted = s.keepUntilReplaced(service, have, wanted, needed.required-assured)
+	kept := needed.required
+	if have.availableDomains < len(domains) {
+		kept = needed.comfortable // Servers that are released could not be replaced by reclaimable ones.
+	}
+	wanted = s.keepUntilReplaced(service, have, wanted, kept-assured)
 	var out []Order
 	add := func(p Place, want int) {
 		n := have.counts[p]
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +26,8 @@
 	servers          map[Place][]time.Time // when each server is ready
 	unavailableUntil time.Time
 	calls            int
+	// work is that of the calls, in busy servers.
+	work float64
 	// limited are the servers with limits, limitedCalls the calls at them, and
 	// refused is whether calls are refused because of the limits.
 	limited      map[identifier.BackendServer]bool
@@ -56,7 +59,7 @@
 
 // load returns the load that the scaler is told.
 func (f *fakePlatform) load() Load {
-	return Load{Calls: f.calls, LimitedCalls: f.limitedCalls, Limited: f.limited, Refused: f.refused}
+	return Load{Calls: f.calls, LimitedCalls: f.limitedCalls, Limited: f.limited, Refused: f.refused, Work: f.work}
 }
 
 // TestServersAreOrderedByWork replays calls that are few at a time and bring much work:
@@ -114,6 +117,26 @@
 	}
 }
 
+// TestFullPriceServersStayWhileNoneAreToBeHad replays a reclaim in all domains and a dip
+// of the load soon after, as failing calls cause one: the servers at the full price that
+// carried the load were released, and it was back before others had started.
+func TestFullPriceServersStayWhileNoneAreToBeHad(t *testing.T) {
+	const dip = 9.0 // in busy servers
+	f := newFakePlatform(t)
+	f.calls, f.work = 60, 12
+	f.run(30 * time.Second)
+	for _, d := range []identifier.FailureDomain{"a", "b", "c", "d"} {
+		f.reclaim(d, 40*time.Second)
+	}
+	f.run(10 * time.Second)
+	before := f.ready()
+	f.work = dip
+	f.run(10 * time.Second)
+	if got, want := f.ready(), min(before, int(math.Ceil(dip/comfortableUse))); got < want {
+		t.Errorf("%d servers of %d are left, prompts seldom wait for each other with %d", got, before, want)
+	}
+}
+
 // TestEvacuatedDomainIsReplaced checks that what an evacuated domain carried is ordered
 // in the others, that nothing is ordered or released in it, and that its servers count
 // again once the evacuation has ended.
