--- a/scaler/doc.go
+++ b/scaler/doc.go
@@ -13,7 +13,8 @@
 //   - reclaimable servers in every domain, more than the load needs, so that
 //     enough are left when one domain loses its own;
 //   - more servers at the full price while reclaims leave fewer than the load
-//     needs, until reclaimable servers are back.
+//     needs, until reclaimable servers are back. Until then they are released
+//     only down to the number at which calls hardly wait.
 //
 // Servers that have announced a limit of requests are planned apart: others are
 // ordered beside them for the calls that they do not take.
