expirer: callers' connections obey the limits of the document

Cause: headerTimeoutMs and idleTimeoutMs of the document were decoded and nothing read them; hosts used 10 s and 5 min whatever the document said. Change: expirer, a layer on the accepted connections of callers. The limits come into force with the document, for open connections too; a value that is missing or not above 0 leaves the constants. A wait keeps the longest limit in force since it began, or since the request before it: callers may go by the former document, and may have their answer just before a change. A longer limit holds at once. A connection is closed 1.05 to 1.1 limits after its wait began, at a random time. Peers' and operators' ports, readiness and metrics keep the constants. Weighed: IdleTimeout of net/http (fixed when the server starts, a change reaches no open connection); ConnState with a timer for each connection (closes a connection between the read of a request and the note of it); deadlines set by ConnState (net/http sets its own after the hook). Taken: only the goroutine that reads decides, after a read that returned nothing and with nothing in the kernel's buffer. The server says what it waits for by its deadlines (Prepare); the connection puts the limits in their place. Result: TestLimitsOfTheDocumentBoundCallersConnections failed before: 11 of 11 idle connections were open 1 s after their answer, at a limit of 200 ms. It passes with the race detector, as does expirer (5 times). Trials on a scratch copy, each failing a test of expirer: limits only for new connections; a shorter limit ends present waits; the buffer is not looked at; a byte read amid an answer is not noticed; a wait of 0.8 limits.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -19,6 +19,7 @@
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/distributor"
 	"cyclamenhub.org/evacuator"
+	"cyclamenhub.org/expirer"
 	"cyclamenhub.org/forwarder"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/isolator"
@@ -87,6 +88,7 @@
 	reach      *relayer.Reach
 	placer     *placer.Placer
 	meter      *accountant.Meter
+	expirer    *expirer.Expirer
 	// evacuated are the evacuations in force. Only applyTopic uses it.
 	evacuated evacuator.Book
 	leader    atomic.Pointer[string] // address of the leading keeper, nil while unknown
@@ -154,6 +156,9 @@
 		Self:      configurer.HostAddress{Name: cfg.Host, FailureDomain: cfg.FailureDomain},
 		Upstreams: e.upstreams, Call: e.messenger.Call, OnUpdate: e.applyTopic, Clock: boot,
 	})
+	e.expirer = expirer.New(expirer.Options{
+		Default: expirer.Limits{Header: headerTimeout, Idle: idleTimeout}, Clock: boot, Metrics: metrics.GetDefaultSet(),
+	})
 	e.forwarder = e.newForwarder(boot, opts)
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: ownListingInterval(cfg.Bounds.LeaveNotice),
@@ -228,11 +233,12 @@
 	defer e.messenger.Close()
 	serveMetrics(background, e.cfg, e.log)
 	callers := newServer(e.closeWhenStopping(e.forwarder), e.log)
+	expirer.Prepare(callers)
 	peers := newServer(e.closeWhenStopping(e.forwarder.PeerHandler()), e.log)
 	probes := newServer(http.HandlerFunc(e.serveReadiness), e.log)
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { serve(callers, ln.frontend, e.log) })
+	wg.Go(func() { serve(callers, e.expirer.Listener(ln.frontend), e.log) })
 	wg.Go(func() { serve(probes, ln.readiness, e.log) })
 	wg.Go(func() { serve(peers, ln.peers, e.log) })
 	wg.Go(func() { e.forwarder.RunReach(background) })
@@ -369,6 +375,7 @@
 	if revision != t.Revision {
 		return fmt.Errorf("document %d says that it is revision %d: look at the keepers' logs", t.Revision, revision)
 	}
+	e.expirer.SetLimits(expirer.Limits{Header: document.Limits.HeaderTimeout, Idle: document.Limits.IdleTimeout})
 	e.forwarder.SetTable(matcher.NewTable(revision, document))
 	e.configureEvaluators()
 	e.log.Info("document in force", "revision", revision, "routes", len(document.Routes), "customers", len(document.Customers))
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -23,10 +23,11 @@
 )
 
 const (
-	// headerTimeout bounds how long a client may take to send a header.
+	// headerTimeout bounds how long a client may take to send a header. A limit of
+	// the document replaces it for callers.
 	headerTimeout = 10 * time.Second
-	// idleTimeout bounds how long an unused connection is kept. It is longer than
-	// any caller keeps one idle, so that callers close first.
+	// idleTimeout bounds how long an unused connection is kept, so that clients close
+	// first. A limit of the document replaces it for callers.
 	idleTimeout = 5 * time.Minute
 	// memoryFraction is the fraction of the memory limit at which the garbage
 	// collector runs more often.
