--- a/describer/call.go
+++ b/describer/call.go
@@ -73,6 +73,10 @@
 	// Limit is the rate of requests that the backend server accepts from all
 	// hosts together, or nil if it announces none.
 	Limit *identifier.RequestRate
+	// Brittle is the number of requests for which the backend server has no room that
+	// it survives in a second, from all hosts together, or nil if it does not say that
+	// it is brittle.
+	Brittle *identifier.RequestRate
 	// Leaving is set if the backend server announces that it leaves.
 	Leaving bool
 	// Pause is the time for which the backend server wants no calls from this
@@ -91,6 +95,7 @@
 	AnnouncedLimit   Announcement = "limit"
 	AnnouncedLeaving Announcement = "leaving"
 	AnnouncedPause   Announcement = "pause"
+	AnnouncedBrittle Announcement = "brittle"
 )
 
 // Load is the load of a backend server as it says itself.
