reserver: places at brittle servers, issued by the leader on demand

A brittle backend server falls over when it turns more than N calls away in a second, counted over all hosts. No host can keep that alone: a fixed share of the room for each host refuses most calls where hosts are many, and a rate says nothing of how long calls take.

The leader issues places, as many as a server has slots, to hosts that need them. A place is used call after call and goes back when idle, or at once while places are scarce.

--- /dev/null
+++ b/reserver/report.go
@@ -0,0 +1,133 @@
+package reserver
+
+import (
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// Usage is the number of calls that the host has at a server.
+type Usage struct {
+	Server
+	Running int
+}
+
+// Report returns the next report, given what the host has at the servers of the services
+// that concern it. Idle places are given back with it.
+func (h *Holder) Report(now time.Time, usages []Usage) Report {
+	h.seq++
+	h.reportedAt, h.hasNews = now, false
+	if h.appliedAt.IsZero() {
+		h.appliedAt = now
+	}
+	r := Report{
+		Run: h.run, Sequence: h.seq, Hosts: h.hosts,
+		Services: make(map[identifier.Service]ServiceReport, len(h.services)), Servers: make(map[identifier.ServerRun]ServerReport),
+	}
+	for name, sv := range h.services {
+		if !sv.known.isBrittle() && now.Sub(sv.known.at) > forgetAfter {
+			delete(h.services, name)
+			continue
+		}
+		r.Services[name] = sv.report(now)
+	}
+	for _, u := range usages {
+		h.reportServer(now, &u, &r)
+	}
+	h.reportNeeds(&r)
+	return r
+}
+
+// report returns what the host knows of the service.
+func (s *heldService) report(now time.Time) ServiceReport {
+	var r ServiceReport
+	if !s.own.at.IsZero() {
+		n := s.own.notice(now)
+		r.Notice = &n
+	}
+	if s.known.isBrittle() {
+		r.BrittleFor = max(now.Sub(s.since), 1)
+	}
+	return r
+}
+
+// reportServer adds a server to a report and gives its idle places back.
+func (h *Holder) reportServer(now time.Time, u *Usage, r *Report) {
+	sv, k := h.services[u.Service], h.servers[u.Run]
+	if sv == nil || k == nil && u.Running == 0 {
+		return
+	}
+	k = h.state(u.Server)
+	used := k.used(now, u.Running)
+	switch {
+	case !sv.known.isBrittle():
+		k.held = 0
+	case h.inGrace(now, sv), h.isAlone(now):
+		k.held = used
+	case k.held > used && (sv.scarce || now.Sub(k.busyAt) > idleTime):
+		k.held = used
+	}
+	if k.held > 0 || used > 0 || k.refused > 0 {
+		r.Servers[u.Run] = ServerReport{Service: u.Service, Places: u.Places, Held: k.held, Used: used, Refused: k.refused}
+	}
+	k.refused = 0
+}
+
+// reportNeeds moves the needs to a report.
+func (h *Holder) reportNeeds(r *Report) {
+	for p, n := range h.needs {
+		if n.Calls > 0 {
+			r.Needs = append(r.Needs, *n)
+		}
+		if n.Calls > 0 || n.Turned > 0 {
+			h.needs[p] = &Need{Pool: p}
+			continue
+		}
+		delete(h.needs, p)
+	}
+}
+
+// Apply applies the grant that responds to the last report. An answer to an earlier one
+// is dropped.
+func (h *Holder) Apply(now time.Time, g Grant) {
+	if g.Sequence != h.seq {
+		return
+	}
+	h.appliedAt = h.reportedAt
+	for name, sg := range g.Services {
+		h.Learn(h.reportedAt, name, sg.Notice, sg.BrittleFor)
+		sv := h.services[name]
+		if sv == nil {
+			continue
+		}
+		sv.settled, sv.scarce = sg.Settled, sg.Scarce
+		if sg.Wait > 0 {
+			sv.askAt, sv.returnAt = now.Add(h.Interval()), now.Add(sg.Wait)
+		}
+	}
+	for run, sg := range g.Servers {
+		if k := h.servers[run]; k != nil {
+			k.held = max(k.held+sg.Issued-sg.Taken, 0)
+			k.soloAt = time.Time{}
+			if sg.Issued > 0 {
+				k.busyAt = now
+			}
+		}
+	}
+}
+
+// Learn records what the leader knows of a service, in the answer to a message sent at
+// the given time.
+func (h *Holder) Learn(sent time.Time, name identifier.Service, n Notice, brittleFor time.Duration) {
+	sv := h.services[name]
+	if sv == nil {
+		if n.Refusals == nil {
+			return
+		}
+		sv = &heldService{}
+		h.services[name] = sv
+	}
+	if h.merge(name, sv, n.asOf(sent), sent.Add(-brittleFor)) {
+		h.hasNews = true
+	}
+}
--- /dev/null
+++ b/reserver/simulation_test.go
@@ -0,0 +1,533 @@
+package reserver
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/internal/sequencer"
+)
+
+// contact is how long after they begin to say that they are brittle servers may let fewer
+// calls wait.
+const contact = 3 * time.Second
+
+// scenario describes a simulated fleet whose servers become brittle at brittleAt.
+type scenario struct {
+	seed                  uint64
+	hosts, servers, slots int
+	waiting               int // room for waiting before it shrinks
+	missing               int // slots that are missing after it has shrunk
+	refusals              int // that a server survives in a second
+	callTime              time.Duration
+	// demand is that of all hosts as a part of all slots; a burst multiplies it.
+	demand, burst                float64
+	burstAt                      time.Duration
+	brittleAt, length            time.Duration
+	latency                      time.Duration
+	lossRate, cutShare, cancels  float64
+	leaderChangeAt, cutAt, cutTo time.Duration
+	restartAt, crashAt           time.Duration
+}
+
+const (
+	simService = identifier.Service("cases")
+	downTime   = 5 * time.Second
+	syncPeriod = 250 * time.Millisecond
+	simTimeout = 400 * time.Millisecond
+)
+
+// simServer is a backend server.
+type simServer struct {
+	Server
+	running  int
+	down     bool
+	refused  []time.Time // within the last second
+	inTouch  []bool
+	falls    int
+	worst    int // most refusals in a second to hosts in touch
+	busyTime time.Duration
+	openTime time.Duration
+}
+
+// simCall is a call that runs at a server.
+type simCall struct {
+	server *simServer
+	run    identifier.ServerRun
+	isOver bool
+}
+
+// leave ends the call at its server.
+func (c *simCall) leave() {
+	if !c.isOver && c.server.Run == c.run {
+		c.server.running--
+	}
+	c.isOver = true
+}
+
+// simHost is one entry host.
+type simHost struct {
+	name    identifier.Host
+	holder  *Holder
+	run     uint64
+	running map[identifier.ServerRun]int
+	calls   map[*simCall]bool // at servers
+	cut     bool
+	// syncing is whether an exchange is under way, waiting what follows it.
+	syncing, again bool
+	waiting        []func()
+	wokenAt        time.Time
+	due            bool
+	// synced is whether the host has reached the leader since its start, before which it
+	// serves no calls.
+	synced bool
+}
+
+// simulation plays a scenario on a queue of events.
+type simulation struct {
+	scenario
+	*sequencer.Timeline
+	rng            *rand.Rand
+	start          time.Time
+	ledger         *Ledger
+	leaderless     bool
+	fleet          []*simHost
+	list           []*simServer
+	served, turned int
+}
+
+// play plays a scenario.
+func play(s scenario) *simulation {
+	start := time.Unix(1e6, 0)
+	m := &simulation{scenario: s, Timeline: sequencer.NewTimeline(start), start: start, rng: rand.New(rand.NewPCG(s.seed, 1)), ledger: NewLedger(start.Add(-time.Minute))}
+	for i := range s.servers {
+		run := identifier.ServerRun{ID: identifier.BackendServer(fmt.Sprint("s", i)), Incarnation: 1}
+		m.list = append(m.list, &simServer{Server: Server{run, simService, s.slots}})
+	}
+	for i := range s.hosts {
+		h := &simHost{name: identifier.Host(fmt.Sprint("h", i)), run: uint64(i) + 1}
+		m.fleet = append(m.fleet, h)
+		m.begin(h)
+		m.After(m.random(syncPeriod), func() { m.regular(h) })
+		m.After(m.random(m.gap()), func() { m.arrive(h) })
+	}
+	m.script()
+	m.After(m.brittleAt+contact+time.Second, m.sample)
+	m.RunUntil(start.Add(s.length))
+	return m
+}
+
+// script schedules the disturbances.
+func (m *simulation) script() {
+	if m.leaderChangeAt > 0 {
+		m.After(m.leaderChangeAt, func() { m.leaderless = true })
+		m.After(m.leaderChangeAt+700*time.Millisecond, func() { m.leaderless, m.ledger = false, NewLedger(m.Now()) })
+	}
+	for i, h := range m.fleet {
+		if m.cutAt > 0 && float64(i) < m.cutShare*float64(m.hosts) {
+			m.After(m.cutAt, func() { h.cut = true })
+			m.After(m.cutTo, func() { h.cut = false })
+		}
+	}
+	if m.restartAt > 0 {
+		m.After(m.restartAt, func() { m.fleet[0].run += 1000; m.begin(m.fleet[0]) })
+	}
+	if m.crashAt > 0 {
+		m.After(m.crashAt, func() { m.fall(m.list[0]) })
+	}
+}
+
+// random returns a random time below limit.
+func (m *simulation) random(limit time.Duration) time.Duration {
+	return time.Duration(m.rng.Float64() * float64(limit))
+}
+
+// since returns the time since the start.
+func (m *simulation) since() time.Duration { return m.Now().Sub(m.start) }
+
+// gap returns the mean time between two calls at a host.
+func (m *simulation) gap() time.Duration {
+	demand := m.demand
+	if m.burstAt > 0 && m.since() >= m.burstAt {
+		demand *= m.burst
+	}
+	perSecond := demand * float64(m.servers*m.slots) / m.callTime.Seconds() / float64(m.hosts)
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
+// begin starts the process of a host.
+func (m *simulation) begin(h *simHost) {
+	h.holder = NewHolder(m.Now(), m.rng, h.run)
+	for c := range h.calls { // Connections that close end their calls.
+		c.leave()
+	}
+	h.calls = make(map[*simCall]bool)
+	h.running, h.synced = make(map[identifier.ServerRun]int), false
+	m.sync(h)
+}
+
+// arrive plays a call that arrives at a host.
+func (m *simulation) arrive(h *simHost) {
+	m.After(time.Duration(m.rng.ExpFloat64()*float64(m.gap())), func() { m.arrive(h) })
+	if !h.synced || m.place(h) {
+		return
+	}
+	var all []Server
+	first := m.rng.IntN(len(m.list))
+	for i := range m.list {
+		if s := m.list[(first+i)%len(m.list)]; !s.down {
+			all = append(all, s.Server)
+		}
+	}
+	if !h.holder.Need(m.Now(), Pool{simService, "v1"}, all) {
+		m.turned++
+		return
+	}
+	h.waiting = append(h.waiting, func() {
+		if !m.place(h) {
+			m.turned++
+		}
+	})
+	m.exchange(h)
+}
+
+// place sends a call to an available server and reports whether there is one.
+func (m *simulation) place(h *simHost) bool {
+	var best *simServer
+	first := m.rng.IntN(len(m.list))
+	for i := range m.list {
+		s := m.list[(first+i)%len(m.list)]
+		if !s.down && h.holder.Available(m.Now(), s.Server, h.running[s.Run]) && (best == nil || h.running[s.Run] < h.running[best.Run]) {
+			best = s
+		}
+	}
+	if best == nil {
+		return false
+	}
+	run := best.Run
+	h.running[run]++
+	h.holder.Began(m.Now(), best.Server, h.running[run])
+	holder := h.holder
+	m.After(m.random(m.latency), func() {
+		if h.holder == holder {
+			m.serve(h, best, run)
+		}
+	})
+	return true
+}
+
+// errDown and errFull are how a call fails.
+var errDown, errFull = errors.New("the server is down"), errors.New("the server has no room")
+
+// serve plays a call at a server.
+func (m *simulation) serve(h *simHost, s *simServer, run identifier.ServerRun) {
+	room := m.slots + m.waiting
+	if m.since() >= m.brittleAt+contact {
+		room = m.slots - m.missing
+	}
+	switch {
+	case s.down || s.Run != run:
+		m.end(h, s, run, errDown)
+	case s.running >= room:
+		m.refuse(s, h)
+		m.end(h, s, run, errFull)
+	default:
+		m.run(h, s, run)
+	}
+}
+
+// run plays a call that a server runs. Some callers leave before it has ended; the server
+// notices after a while.
+func (m *simulation) run(h *simHost, s *simServer, run identifier.ServerRun) {
+	s.running++
+	c := &simCall{server: s, run: run}
+	h.calls[c] = true
+	holder, takes := h.holder, time.Duration(m.rng.ExpFloat64()*float64(m.callTime))
+	isCancelled := m.rng.Float64() < m.cancels
+	left := takes
+	if isCancelled {
+		left = m.random(takes)
+		m.After(left, func() {
+			if h.holder == holder {
+				m.finish(h, s, run, false)
+			}
+		})
+		left += min(takes-left, 300*time.Millisecond)
+	}
+	m.After(left, func() {
+		delete(h.calls, c)
+		c.leave()
+		if s.Run == run && h.holder == holder && !isCancelled {
+			m.After(m.random(m.latency), func() { m.end(h, s, run, nil) })
+		}
+	})
+}
+
+// end plays the end of a call as its host sees it.
+func (m *simulation) end(h *simHost, s *simServer, run identifier.ServerRun, err error) {
+	old := Server{run, simService, m.slots}
+	switch {
+	case h.running[run] == 0: // The host has restarted or the server has fallen over.
+	case errors.Is(err, errDown):
+		h.running[run]--
+	case errors.Is(err, errFull):
+		m.record(h, old)
+		h.running[run]--
+		if h.holder.Refused(m.Now(), old) {
+			m.wake(h)
+		}
+	default:
+		m.record(h, old)
+		m.served++
+		m.finish(h, s, run, true)
+	}
+}
+
+// finish plays the end of a call that a server ran.
+func (m *simulation) finish(h *simHost, s *simServer, run identifier.ServerRun, whole bool) {
+	if h.running[run] == 0 {
+		return
+	}
+	h.running[run]--
+	if h.holder.Ended(m.Now(), Server{run, simService, m.slots}, h.running[run], whole) {
+		m.wake(h)
+	}
+}
+
+// record records what an answer says.
+func (m *simulation) record(h *simHost, s Server) {
+	var n *identifier.RequestRate
+	if m.since() >= m.brittleAt {
+		r := identifier.RequestRate(m.refusals)
+		n = &r
+	}
+	h.holder.Record(m.Now(), s, n)
+	if h.holder.HasNews() {
+		m.wake(h)
+	}
+}
+
+// refuse plays a refusal for want of room. Too many make the server fall over.
+func (m *simulation) refuse(s *simServer, h *simHost) {
+	s.refused, s.inTouch = append(s.refused, m.Now()), append(s.inTouch, !h.cut && !m.leaderless)
+	for m.Now().Sub(s.refused[0]) >= time.Second {
+		s.refused, s.inTouch = s.refused[1:], s.inTouch[1:]
+	}
+	touch := 0
+	for _, in := range s.inTouch {
+		if in {
+			touch++
+		}
+	}
+	if m.since() < m.brittleAt+contact {
+		return
+	}
+	s.worst = max(s.worst, touch)
+	if len(s.refused) > m.refusals {
+		if 2*touch > len(s.refused) {
+			s.falls++
+		}
+		m.fall(s)
+	}
+}
+
+// fall makes a server fall over and come back empty.
+func (m *simulation) fall(s *simServer) {
+	for _, h := range m.fleet {
+		delete(h.running, s.Run)
+	}
+	s.down, s.running, s.refused, s.inTouch = true, 0, nil, nil
+	s.Run.Incarnation++
+	m.After(downTime, func() { s.down = false })
+}
+
+// wake makes a host exchange soon.
+func (m *simulation) wake(h *simHost) {
+	if h.due {
+		return
+	}
+	h.due = true
+	m.After(max(h.wokenAt.Add(h.holder.Interval()).Sub(m.Now()), 0), func() {
+		h.due, h.wokenAt = false, m.Now()
+		m.exchange(h)
+	})
+}
+
+// regular plays the regular messages of a host.
+func (m *simulation) regular(h *simHost) {
+	period := max(syncPeriod, time.Duration(m.hosts)*2*time.Millisecond)
+	m.After(period, func() { m.regular(h) })
+	m.sync(h)
+}
+
+// sync plays what the regular syncs tell a host.
+func (m *simulation) sync(h *simHost) {
+	if h.cut || m.leaderless {
+		return
+	}
+	h.synced = true
+	h.holder.SetHosts(m.Now(), m.hosts)
+	for name, g := range m.ledger.Brittle(m.Now()) {
+		h.holder.Learn(m.Now(), name, g.Notice, g.BrittleFor)
+	}
+	if h.holder.IsConcerned() {
+		m.exchange(h)
+	}
+}
+
+// exchange plays the message of a host to the leader and its answer.
+func (m *simulation) exchange(h *simHost) {
+	if h.syncing {
+		h.again = true
+		return
+	}
+	h.again = false
+	holder := h.holder
+	h.syncing = true
+	waiting := h.waiting
+	h.waiting = nil
+	var usages []Usage
+	for _, s := range m.list {
+		usages = append(usages, Usage{s.Server, h.running[s.Run]})
+	}
+	r := holder.Report(m.Now(), usages)
+	isOver := false
+	done := func() {
+		if isOver {
+			return
+		}
+		isOver, h.syncing = true, false
+		for _, f := range waiting {
+			f()
+		}
+		if h.again || holder.HasNeeds() {
+			m.exchange(h)
+		}
+	}
+	m.After(simTimeout, done)
+	if h.cut || m.leaderless || m.rng.Float64() < m.lossRate {
+		return
+	}
+	m.After(m.random(m.latency), func() {
+		g := m.ledger.Exchange(m.Now(), h.name, r)
+		if m.rng.Float64() < m.lossRate {
+			return
+		}
+		m.After(m.random(m.latency), func() {
+			if !isOver && h.holder == holder {
+				holder.Apply(m.Now(), g)
+			}
+			done()
+		})
+	})
+}
+
+// sample adds up the use of the places once they are bounded.
+func (m *simulation) sample() {
+	const step = 10 * time.Millisecond
+	for _, s := range m.list {
+		if !s.down {
+			s.openTime += step * time.Duration(m.slots-m.missing)
+			s.busyTime += step * time.Duration(min(s.running, m.slots))
+		}
+	}
+	m.After(step, m.sample)
+}
+
+// use returns the part of the places that was in use.
+func (m *simulation) use() float64 {
+	var busy, open time.Duration
+	for _, s := range m.list {
+		busy, open = busy+s.busyTime, open+s.openTime
+	}
+	return busy.Seconds() / open.Seconds()
+}
+
+// worst returns the most refusals in a second by one server to hosts in touch, and how
+// often servers fell over mostly by calls of hosts in touch.
+func (m *simulation) worst() (refusals, falls int) {
+	for _, s := range m.list {
+		refusals, falls = max(refusals, s.worst), falls+s.falls
+	}
+	return refusals, falls
+}
+
+// TestBurstAtNinetyServers guards against servers that fall over when the demand rises to
+// three times their slots while they are brittle, and against a service that starves.
+func TestBurstAtNinetyServers(t *testing.T) {
+	for _, c := range []struct {
+		hosts    int
+		callTime time.Duration
+	}{{9, 200 * time.Millisecond}, {57, 400 * time.Millisecond}, {294, 2 * time.Second}} {
+		m := play(scenario{
+			seed: 1, hosts: c.hosts, servers: 90, slots: 4, waiting: 8, refusals: 3, callTime: c.callTime, demand: 0.6, burst: 5,
+			burstAt: 6 * time.Second, brittleAt: time.Second, length: 12 * time.Second, latency: 4 * time.Millisecond,
+		})
+		refusals, falls := m.worst()
+		t.Logf("%d hosts: %d refusals in a second at most, %d falls, use %.2f, served %d, turned away %d", c.hosts, refusals, falls, m.use(), m.served, m.turned)
+		if refusals > m.refusals || falls > 2+m.servers/10 {
+			t.Errorf("%d hosts: %d refusals in a second at one server, %d falls; at most %d and %d are allowed", c.hosts, refusals, falls, m.refusals, 2+m.servers/10)
+		}
+	}
+}
+
+// drawScenario draws a fleet with disturbances.
+func drawScenario(t *rapid.T) scenario {
+	at := func(name string) time.Duration {
+		return time.Duration(rapid.IntRange(0, 8).Draw(t, name)) * time.Second
+	}
+	s := scenario{
+		seed: rapid.Uint64().Draw(t, "seed"), hosts: rapid.SampledFrom([]int{1, 3, 9, 30, 57, 120, 300}).Draw(t, "hosts"),
+		servers: rapid.IntRange(1, 8).Draw(t, "servers"), slots: rapid.IntRange(1, 8).Draw(t, "slots"),
+		waiting: rapid.IntRange(0, 12).Draw(t, "waiting"), refusals: rapid.IntRange(2, 8).Draw(t, "refusals"),
+		callTime: time.Duration(rapid.IntRange(100, 2000).Draw(t, "callMs")) * time.Millisecond,
+		demand:   rapid.Float64Range(0.2, 3).Draw(t, "demand"), burst: rapid.Float64Range(1, 4).Draw(t, "burst"), burstAt: at("burstAt"),
+		brittleAt: time.Duration(rapid.IntRange(0, 2000).Draw(t, "brittleMs")) * time.Millisecond, length: 10 * time.Second,
+		latency:  time.Duration(rapid.IntRange(1, 20).Draw(t, "latencyMs")) * time.Millisecond,
+		lossRate: rapid.Float64Range(0, 0.05).Draw(t, "lossRate"), cancels: rapid.Float64Range(0, 0.1).Draw(t, "cancels"),
+		leaderChangeAt: at("leaderChangeAt"), restartAt: at("restartAt"), crashAt: at("crashAt"), cutAt: at("cutAt"),
+		cutShare: rapid.SampledFrom([]float64{0, 0, 0.3, 1}).Draw(t, "cutShare"),
+	}
+	if s.slots > 2 {
+		s.missing = rapid.IntRange(0, 1).Draw(t, "missing")
+	}
+	s.cutTo = s.cutAt + 4*time.Second
+	return s
+}
+
+// TestRefusalsStayWithinWhatServersSurvive guards against brittle servers that have to
+// turn more calls away in a second than they survive, by calls of hosts in touch.
+func TestRefusalsStayWithinWhatServersSurvive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawScenario(t)
+		m := play(s)
+		refusals, falls := m.worst()
+		isCut := s.cutAt > 0 && s.cutShare > 0
+		if allowed := 2 + s.servers/10; falls > allowed {
+			t.Errorf("servers fell over %d times, mostly by calls of hosts in touch, at most %d are allowed", falls, allowed)
+		}
+		if refusals > s.refusals && !isCut {
+			t.Errorf("one server turned away %d calls of hosts in touch in a second, at most %d are allowed", refusals, s.refusals)
+		}
+	})
+}
+
+// TestPlacesAreUsed guards against a service that starves while its servers are brittle:
+// at twice the demand two thirds of the places have to be in use.
+func TestPlacesAreUsed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawScenario(t)
+		s.servers, s.slots = max(s.servers, 3), max(s.slots, 3) // With one place calls that come at random use two thirds at best.
+		s.latency = min(s.latency, s.callTime/20)               // A place is idle while four messages pass.
+		s.demand, s.burstAt, s.lossRate, s.cancels, s.missing = 2, 0, 0, 0, 0
+		s.cutAt, s.leaderChangeAt, s.restartAt, s.crashAt = 0, 0, 0, 0
+		if m := play(s); m.use() < 2.0/3 {
+			t.Errorf("%.2f of the places are in use, at least two thirds are wanted", m.use())
+		}
+	})
+}
