node, placer, forwarder: calls at brittle servers need places

The word of brittle backend servers was decoded and not obeyed: calls of all hosts went on to fill the room for waiting, which such servers take away.

Hosts report what they hold and need to the leader by node.places, apart from the sync, since it is sent far more often and is small. Syncs carry what the leader knows of brittle services to all hosts. Where no service is brittle no report is sent.

go test ./placer ./forwarder passes; ./internal/node passed but for TestLeaderSearchWaitsForElection, whose temporary folder could not be removed (directory not empty). BenchmarkChoose makes 6 allocations as before.

--- a/forwarder/announcements.go
+++ b/forwarder/announcements.go
@@ -25,6 +25,9 @@
 			x.logAnnouncement(slog.LevelInfo, "request limit of a backend server changed", limitAttr("before", before), limitAttr("perSecond", reply.Limit))
 		}
 	}
+	if !slices.Contains(reply.Unreadable, describer.AnnouncedBrittle) {
+		choice.RecordBrittle(reply.Brittle)
+	}
 	if !slices.Contains(reply.Unreadable, describer.AnnouncedLeaving) && choice.RecordLeaving(reply.Leaving) {
 		x.logAnnouncement(slog.LevelInfo, "backend server announces whether it leaves", slog.Bool("leaving", reply.Leaving))
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -166,6 +166,7 @@
 	var limited *placer.LimitedError
 	if errors.As(err, &limited) && limited.Asks && x.f.opts.RequestPermits != nil {
 		x.f.opts.RequestPermits(x.ctx)
+		r.HasAsked = true
 		choice, err = x.f.opts.Placer.Choose(r)
 	}
 	var none *placer.NoServerError
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,9 +40,9 @@
 	// Versions picks the version of a service; nil means the most common one.
 	Versions Versions
 	Retries  RetryBudget
-	// RequestPermits asks the leader for permits for servers with limits and
-	// returns once it has answered or cannot be waited for; nil means that no
-	// leader issues permits.
+	// RequestPermits asks the leader for permits for servers with limits and for places
+	// at brittle ones and returns once it has answered or cannot be waited for; nil means
+	// that no leader issues any.
 	RequestPermits func(ctx context.Context)
 	// Isolation tells which parts of prompts are isolated and collects evidence; nil
 	// means one without contact to other hosts.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -140,7 +140,9 @@
 	n.addPaces(now, resp)
 	n.addPeers(now, host, &req, resp)
 	if req.GetPermits() != nil {
-		resp.Permits = n.issuePermits(now, host, req.GetPermits())
+		if resp.Permits = n.issuePermits(now, host, req.GetPermits()); resp.Permits != nil {
+			resp.Brittle = encodeBrittleness(n.places.Brittle(now))
+		}
 	}
 	resp.Suspects = encodeSuspects(n.recordEvidence(now, identifier.FencingNumber(resp.GetTerm()), host, decodeEvidence(&req)))
 	return resp, nil
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -106,6 +106,10 @@
 	// permitMu serializes the requests for permits, so that one sync asks for all
 	// calls that wait.
 	permitMu sync.Mutex
+	// placesMu serializes the reports on places at brittle backend servers, and newPlaces
+	// has an element while one is due.
+	placesMu  sync.Mutex
+	newPlaces chan struct{}
 	// peers are the hosts that reach services which this one does not.
 	peers atomic.Pointer[map[identifier.Service][]identifier.Host]
 	// newEvidence has an element while evidence of the isolation waits to be
@@ -142,11 +146,12 @@
 		limiter:  sharer.NewLimiter(timer.System{}), meter: accountant.NewMeter(cfg.Bounds.Window),
 		isolation:     isolator.NewWatcher(cfg.Host, boot),
 		reach:         relayer.NewReach(boot, nil),
+		newPlaces:     make(chan struct{}, 1),
 		newEvidence:   make(chan struct{}, 1),
 		firstLease:    make(chan struct{}),
 		leaseDuration: time.Duration(leaseFraction * float64(cfg.Bounds.WithdrawKeys)),
 	}
-	e.placer = placer.New(placer.Options{FailureDomain: cfg.FailureDomain, Metrics: metrics.GetDefaultSet(), ReportNow: e.evidenceReady})
+	e.placer = placer.New(placer.Options{FailureDomain: cfg.FailureDomain, Metrics: metrics.GetDefaultSet(), ReportNow: e.evidenceReady, Run: e.run, PlacesNow: e.placesReady})
 	metrics.GetOrCreateGauge("cyclamen_isolator_parts", func() float64 { return float64(e.isolation.Parts()) })
 	e.evaluators = roller.NewEvaluators(roller.Source{Host: cfg.Host, Epoch: roller.Epoch(e.run)})
 	e.messenger = messenger.New(messenger.Options{Host: cfg.Host, ReadIdleTimeout: peerProbeDelay, Clock: boot})
@@ -239,6 +244,7 @@
 	wg.Go(func() { e.discoverer.Run(background) })
 	wg.Go(func() { e.runSync(background) })
 	wg.Go(func() { e.runEvidence(background) })
+	wg.Go(func() { e.runPlaces(background) })
 	wg.Go(func() { e.dist.Run(background) })
 	wg.Go(func() { e.runEvaluators(background) })
 	wg.Go(func() { e.contacts.reload(background, opts) })
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -27,6 +27,7 @@
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/relayer"
 	"cyclamenhub.org/replicator"
+	"cyclamenhub.org/reserver"
 	"cyclamenhub.org/roller"
 	"cyclamenhub.org/sharer"
 	"cyclamenhub.org/timer"
@@ -83,8 +84,10 @@
 	// parts of prompts that end backend servers, both in leadTerm.
 	permits      *permitter.Issuer
 	investigator *isolator.Investigator
-	leadTerm     identifier.FencingNumber
-	ledger       *accountant.Ledger
+	// places issues places at brittle backend servers, in leadTerm.
+	places   *reserver.Ledger
+	leadTerm identifier.FencingNumber
+	ledger   *accountant.Ledger
 	// paces are the speeds of backend servers as entry hosts measure them, in
 	// leadTerm.
 	paces        *pacer.Book
@@ -143,6 +146,7 @@
 	n.dist.Register(n.messenger)
 	n.peers = keeper.NewPeers(n.messenger, func(h identifier.Host) (string, bool) { return cfg.PeerAddress(h), true })
 	n.messenger.Handle(syncMethod, n.handleSync)
+	n.messenger.Handle(placesMethod, n.handlePlaces)
 	n.messenger.Handle(leaveMethod, n.handleLeave)
 	n.messenger.Handle(rolloutReportMethod, n.handleRolloutReport)
 	n.messenger.Handle(startRolloutMethod, n.handleStartRollout)
@@ -157,6 +161,7 @@
 	}
 	n.leadTerm = term
 	n.permits = permitter.NewIssuer(permitter.GrantID(term) << termShift)
+	n.places = reserver.NewLedger(n.clock.Now())
 	n.investigator = isolator.NewInvestigator()
 	n.paces, n.encodedPaces = pacer.NewBook(), encodedPaces{}
 	n.hosts = relayer.NewBook()
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -16,12 +16,13 @@
 // leader for. A sync takes a few milliseconds.
 const permitWait = 250 * time.Millisecond
 
-// requestPermits syncs with the leader to get permits for the calls that need
+// requestPermits gets permits and places from the leader for the calls that need
 // them, and returns once that is done, or after permitWait.
 func (e *entry) requestPermits(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		e.requestPlaces(context.WithoutCancel(ctx))
 		e.permitMu.Lock()
 		defer e.permitMu.Unlock()
 		if e.placer.NeedsPermits() { // Otherwise a sync that has ended meanwhile has asked.
@@ -37,11 +38,12 @@
 	}
 }
 
-// applyPermits applies the permits of a sync response. A leader of an older
-// release issues none.
-func (e *entry) applyPermits(resp *wire.SyncResponse) {
+// applyPermits applies the permits of a sync response to a request sent at the given time.
+// A leader of an older release issues none.
+func (e *entry) applyPermits(sent time.Time, resp *wire.SyncResponse) {
 	hosts := int(resp.GetHosts())
 	e.placer.SetFleet(permitter.Fleet{Hosts: hosts, SyncPeriod: syncPeriod(hosts)})
+	e.placer.LearnBrittle(e.clock.Now().Sub(sent), decodeBrittleness(resp.GetBrittle()))
 	if g := resp.GetPermits(); g != nil {
 		e.placer.ApplyPermits(decodePermitGrant(g))
 	}
@@ -70,7 +72,7 @@
 	for i := range services {
 		name := services[i].Name
 		load := loads[name]
-		load.Refused = n.permits.HasRefused(now, name)
+		load.Refused = n.permits.HasRefused(now, name) || n.places.HasRefused(now, name)
 		load.Work = paces.Services[name].Work
 		loads[name] = load
 	}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -155,7 +155,7 @@
 	e.forwarder.SetHosts(int(resp.GetHosts()))
 	e.evaluators.SetHosts(int(resp.GetHosts()))
 	e.placer.SetRemoteLoads(decodeLoads(resp.GetLoads()), int(resp.GetHosts()))
-	e.applyPermits(resp)
+	e.applyPermits(sent, resp)
 	e.placer.ApplyPaces(decodePaces(resp))
 	e.peers.Store(decodePeers(resp))
 	e.isolation.SetSuspects(decodeSuspects(resp.GetSuspects()))
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -115,6 +115,7 @@
 	c.state.removeAwaiting(c)
 	c.state.announced.end(c, now, o == Succeeded)
 	c.state.own = c.state.own.Plus(Load{-c.load.Running, -c.load.Unread, -c.load.Context})
+	c.endPlace(now, o)
 	switch o {
 	case Succeeded:
 		c.state.failureRate.add(now, 0)
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -76,6 +76,9 @@
 	Target, EventGap time.Duration
 	// Exclude lists servers that must not be chosen.
 	Exclude []identifier.BackendServer
+	// HasAsked is whether the leader has been asked for a place at a brittle server for
+	// this choice.
+	HasAsked bool
 	// Homes are the regions that the route and the customer allow; each list that is
 	// not empty binds.
 	Homes [2][]identifier.Region
--- a/placer/limits.go
+++ b/placer/limits.go
@@ -96,6 +96,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.permits.SetFleet(f)
+	p.places.SetHosts(p.opts.Clock.Now(), f.Hosts)
 }
 
 // RecordLimit records what a response of the chosen server says about the rate
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -14,6 +14,7 @@
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/pacer"
 	"cyclamenhub.org/permitter"
+	"cyclamenhub.org/reserver"
 	"cyclamenhub.org/timer"
 )
 
@@ -40,6 +41,11 @@
 	// a long prompt was placed, which others have to keep clear of. It must not block;
 	// nil means that there is no leader.
 	ReportNow func()
+	// Run identifies the start of this process. PlacesNow is called when the leader is to
+	// be told at once of places at brittle servers. It must not block; nil means that
+	// there is no leader.
+	Run       uint64
+	PlacesNow func()
 }
 
 // Placer chooses backend servers for one host. It is safe for concurrent use.
@@ -58,6 +64,8 @@
 	hosts    int
 	// permits are for requests to servers with a limit.
 	permits *permitter.Holder
+	// places are for calls at brittle servers.
+	places *reserver.Holder
 	// paces are the speeds of the servers.
 	paces *pacer.Meter
 	// hasWarmUps is whether this host has found servers that may start and not
@@ -85,11 +93,14 @@
 	if opts.Random == nil {
 		opts.Random = rand.New(rand.NewPCG(uint64(opts.Clock.Now().UnixNano()), 1))
 	}
+	if opts.PlacesNow == nil {
+		opts.PlacesNow = func() {}
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
 	p := &Placer{
-		opts: opts, hosts: 1, permits: permitter.NewHolder(opts.Random), paces: pacer.NewMeter(), servers: make(map[identifier.BackendServer]*serverState),
+		opts: opts, hosts: 1, permits: permitter.NewHolder(opts.Random), places: reserver.NewHolder(opts.Clock.Now(), opts.Random, opts.Run), paces: pacer.NewMeter(), servers: make(map[identifier.BackendServer]*serverState),
 		unreachable: make(map[identifier.FailureDomain]*domainFailures),
 		trials:      make(map[pool]*trialBudget),
 		atHome:      opts.Metrics.GetOrCreateCounter(`cyclamen_placer_choices_total{at="home"}`),
@@ -158,6 +169,7 @@
 		return ok && s.Incarnation == key.Incarnation
 	}
 	p.permits.Retain(isListed)
+	p.places.Retain(isListed)
 	p.paces.Retain(isListed)
 }
 
@@ -227,6 +239,11 @@
 	all := p.pools[pool{r.Service, r.Version}]
 	c := p.classify(all, &r, now)
 	candidates := c.healthy
+	if len(candidates) == 0 && len(c.unplaced) > 0 {
+		if e := p.unplacedError(c.unplaced, &r, now); e.Asks || len(c.suspect) == 0 {
+			return nil, e
+		}
+	}
 	if len(candidates) == 0 {
 		candidates = c.suspect
 	}
@@ -248,6 +265,8 @@
 	healthy, suspect []*serverState
 	// withheld servers have a limit, and this host has no permit for them.
 	withheld []*serverState
+	// unplaced servers are brittle, and this host has no free place there.
+	unplaced []*serverState
 }
 
 // classify returns the classes of the servers of a version. The caller holds mu.
@@ -259,7 +278,9 @@
 		case s.Leaving, !s.announced.takesCalls(now), slices.Contains(r.Exclude, s.ID):
 		case !p.permits.Available(now, s.run()):
 			c.withheld = append(c.withheld, s)
-		case s.inBackoff(now), s.isUnresponsive(now), p.unreachable[s.FailureDomain].isCutOff(now):
+		case !p.places.Available(now, s.placed(), s.own.Running):
+			c.unplaced = append(c.unplaced, s)
+		case p.isSuspect(s, now):
 			c.suspect = append(c.suspect, s)
 		default:
 			c.healthy = append(c.healthy, s)
@@ -268,6 +289,11 @@
 	return c
 }
 
+// isSuspect reports whether a server seems to be down. The caller holds mu.
+func (p *Placer) isSuspect(s *serverState, now time.Time) bool {
+	return s.inBackoff(now) || s.isUnresponsive(now) || p.unreachable[s.FailureDomain].isCutOff(now)
+}
+
 // estimate is the estimated cost of a call at a server.
 type estimate struct {
 	state        *serverState
@@ -384,6 +410,7 @@
 	e.state.announced.begin(c)
 	c.permit = p.permits.Spend(now, e.state.run())
 	e.state.own = e.state.own.Plus(c.load)
+	p.places.Began(now, e.state.placed(), e.state.own.Running)
 	e.state.sinceReport = e.state.sinceReport.Plus(c.load)
 	e.state.awaitingFirst = append(e.state.awaitingFirst, c)
 	e.state.triedAt = now
