reserver: a host asks the leader when a service is brittle again

A host reports nothing while no service is brittle. When one became brittle again after a minute or more, the host took the leader for lost by the age of its last report, and went by the rule for hosts that are alone until its next answer.

The first service that is brittle begins a new time in touch. TestHostAsksWhenAServiceIsBrittleAgain failed before ("the leader is not asked").

--- a/placer/places.go
+++ b/placer/places.go
@@ -92,13 +92,13 @@
 func (p *Placer) PlaceReport() reserver.Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var usages []reserver.Usage
+	var calls []reserver.Running
 	for _, s := range p.servers {
 		if p.places.Concerns(s.Service) {
-			usages = append(usages, reserver.Usage{Server: s.placed(), Running: s.own.Running})
+			calls = append(calls, reserver.Running{Server: s.placed(), Calls: s.own.Running})
 		}
 	}
-	return p.places.Report(p.opts.Clock.Now(), usages)
+	return p.places.Report(p.opts.Clock.Now(), calls)
 }
 
 // ApplyPlaces applies the leader's answer to the last report on places.
--- a/reserver/doc.go
+++ b/reserver/doc.go
@@ -36,6 +36,6 @@
 //	holder.Record(now, server, reply.Brittle)                  // from a response
 //	if holder.Available(now, server, running) { ... }          // before a call
 //	holder.Need(now, pool, candidates)                         // if there is no place
-//	report := holder.Report(now, usages)                       // then, or regularly
+//	report := holder.Report(now, running)                       // then, or regularly
 //	holder.Apply(now, grant)
 package reserver
--- a/reserver/holder.go
+++ b/reserver/holder.go
@@ -120,8 +120,7 @@
 		if refusals == nil {
 			return
 		}
-		sv = &heldService{}
-		h.services[s.Service] = sv
+		sv = h.begin(s.Service)
 	}
 	o := observation{refusals, now}
 	if k := h.state(s); o.supersedes(k.said) {
@@ -135,6 +134,16 @@
 	}
 }
 
+// begin adds a service. If there was none, the host has not reported for some time.
+func (h *Holder) begin(name identifier.Service) *heldService {
+	if len(h.services) == 0 {
+		h.appliedAt = time.Time{}
+	}
+	sv := &heldService{}
+	h.services[name] = sv
+	return sv
+}
+
 // merge merges an observation of a service and reports whether that is news.
 func (h *Holder) merge(name identifier.Service, sv *heldService, o observation, since time.Time) bool {
 	if !sv.merge(o, since) {
--- a/reserver/ledger.go
+++ b/reserver/ledger.go
@@ -323,6 +323,28 @@
 	return out
 }
 
+// Usage is what hosts have at a server of a brittle service.
+type Usage struct {
+	Server
+	// Held is the number of places that hosts hold, Used that of those in use, and Refused
+	// that of the refusals in the last second, of which the server survives Survived.
+	Held, Used, Refused int
+	Survived            identifier.RequestRate
+}
+
+// Usages returns what hosts have at the servers of brittle services, in the order of their
+// ids. Places is what may be issued at the moment.
+func (l *Ledger) Usages(now time.Time) []Usage {
+	var out []Usage
+	for run, a := range l.servers {
+		if sv := l.services[a.service]; sv != nil && sv.known.isBrittle() {
+			out = append(out, Usage{Server{run, a.service, a.room(now)}, a.outstanding, a.used, a.refusals.recent(now), *sv.known.refusals})
+		}
+	}
+	slices.SortFunc(out, func(x, y Usage) int { return x.Run.Compare(y.Run) })
+	return out
+}
+
 // Changes returns the changes of what is known since the last call.
 func (l *Ledger) Changes() []Change {
 	out := l.changes
--- a/reserver/report.go
+++ b/reserver/report.go
@@ -6,15 +6,15 @@
 	"cyclamenhub.org/identifier"
 )
 
-// Usage is the number of calls that the host has at a server.
-type Usage struct {
+// Running is the number of calls that the host has at a server.
+type Running struct {
 	Server
-	Running int
+	Calls int
 }
 
-// Report returns the next report, given what the host has at the servers of the services
+// Report returns the next report, given the calls at the servers of the services
 // that concern it. Idle places are given back with it.
-func (h *Holder) Report(now time.Time, usages []Usage) Report {
+func (h *Holder) Report(now time.Time, calls []Running) Report {
 	h.seq++
 	h.reportedAt, h.hasNews = now, false
 	if h.appliedAt.IsZero() {
@@ -31,7 +31,7 @@
 		}
 		r.Services[name] = sv.report(now)
 	}
-	for _, u := range usages {
+	for _, u := range calls {
 		h.reportServer(now, &u, &r)
 	}
 	h.reportNeeds(&r)
@@ -52,13 +52,13 @@
 }
 
 // reportServer adds a server to a report and gives its idle places back.
-func (h *Holder) reportServer(now time.Time, u *Usage, r *Report) {
+func (h *Holder) reportServer(now time.Time, u *Running, r *Report) {
 	sv, k := h.services[u.Service], h.servers[u.Run]
-	if sv == nil || k == nil && u.Running == 0 {
+	if sv == nil || k == nil && u.Calls == 0 {
 		return
 	}
 	k = h.state(u.Server)
-	used := k.used(now, u.Running)
+	used := k.used(now, u.Calls)
 	switch {
 	case !sv.known.isBrittle():
 		k.held = 0
@@ -124,8 +124,7 @@
 		if n.Refusals == nil {
 			return
 		}
-		sv = &heldService{}
-		h.services[name] = sv
+		sv = h.begin(name)
 	}
 	if h.merge(name, sv, n.asOf(sent), sent.Add(-brittleFor)) {
 		h.hasNews = true
--- /dev/null
+++ b/reserver/reserver_test.go
@@ -0,0 +1,73 @@
+package reserver
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// testServer is a server of simService.
+var testServer = Server{identifier.ServerRun{ID: "s1", Incarnation: 1}, simService, 4}
+
+// newTestHolder returns a Holder of a host that has run for a while at the returned time.
+func newTestHolder() (*Holder, time.Time) {
+	start := time.Unix(1e6, 0)
+	return NewHolder(start, rand.New(rand.NewPCG(1, 1)), 1), start.Add(time.Minute)
+}
+
+// TestNothingIsAllocatedWithoutBrittleServers guards the path of calls where no service is
+// brittle.
+func TestNothingIsAllocatedWithoutBrittleServers(t *testing.T) {
+	h, now := newTestHolder()
+	allocs := testing.AllocsPerRun(100, func() {
+		h.Record(now, testServer, nil)
+		h.Began(now, testServer, 1)
+		if !h.Available(now, testServer, 100) || h.Ended(now, testServer, 0, true) || h.IsConcerned() || h.HasNews() {
+			t.Error("a server that is not brittle is bounded")
+		}
+	})
+	if allocs != 0 {
+		t.Errorf("%v allocations a call", allocs)
+	}
+}
+
+// TestHostAsksWhenAServiceIsBrittleAgain guards against a host that takes the leader for
+// lost, since it has not reported while no service was brittle.
+func TestHostAsksWhenAServiceIsBrittleAgain(t *testing.T) {
+	h, now := newTestHolder()
+	n := identifier.RequestRate(3)
+	h.Record(now, testServer, &n)
+	g := Grant{Sequence: h.Report(now, nil).Sequence}
+	h.Apply(now, g)
+	now = now.Add(time.Second)
+	h.Record(now, testServer, nil)
+	now = now.Add(forgetAfter + time.Second)
+	h.Report(now, nil)
+	if h.IsConcerned() {
+		t.Fatal("a service that is no longer brittle is not forgotten")
+	}
+	now = now.Add(time.Minute)
+	h.Record(now, testServer, &n)
+	h.Report(now, nil)
+	now = now.Add(graceTime + 100*time.Millisecond)
+	if h.Available(now, testServer, 0) {
+		t.Error("a brittle server is available without a place")
+	}
+	if !h.Need(now, Pool{simService, "v1"}, []Server{testServer}) {
+		t.Error("the leader is not asked")
+	}
+}
+
+// TestServerThatHasSaidNothingIsBrittle guards against calls without bound to a server that
+// has just come back.
+func TestServerThatHasSaidNothingIsBrittle(t *testing.T) {
+	h, now := newTestHolder()
+	n := identifier.RequestRate(3)
+	h.Record(now, testServer, &n)
+	other := Server{identifier.ServerRun{ID: "s2", Incarnation: 7}, simService, 4}
+	if now = now.Add(graceTime); h.Available(now, other, 0) {
+		t.Error("a server of a brittle service is available without a place")
+	}
+}
--- a/reserver/simulation_test.go
+++ b/reserver/simulation_test.go
@@ -391,11 +391,11 @@
 	h.syncing = true
 	waiting := h.waiting
 	h.waiting = nil
-	var usages []Usage
+	var calls []Running
 	for _, s := range m.list {
-		usages = append(usages, Usage{s.Server, h.running[s.Run]})
+		calls = append(calls, Running{s.Server, h.running[s.Run]})
 	}
-	r := holder.Report(m.Now(), usages)
+	r := holder.Report(m.Now(), calls)
 	isOver := false
 	done := func() {
 		if isOver {
