--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -207,7 +207,7 @@
 func (n *keeperNode) serve(ctx context.Context, peerLn, operatorLn net.Listener, opts Options) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	serveMetrics(background, n.cfg, n.log)
+	serveMetrics(background, n.cfg, n.log, n.writePlaceMetrics)
 	operators := newServer(platform.OperatorHandler(n, n.log), n.log)
 	var wg sync.WaitGroup
 	defer wg.Wait()
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 
 	"cyclamenhub.org/identifier"
@@ -97,6 +100,28 @@
 	return encodePlaceGrant(g), nil
 }
 
+// writePlaceMetrics writes the metrics of the brittle backend servers while this keeper
+// leads.
+func (n *keeperNode) writePlaceMetrics(w io.Writer) {
+	if !n.holdsLease() {
+		return
+	}
+	n.mu.Lock()
+	usages := n.places.Usages(n.clock.Now())
+	n.mu.Unlock()
+	for _, u := range usages {
+		for _, m := range []struct {
+			name  string
+			value float64
+		}{
+			{"refused_last_second", float64(u.Refused)}, {"refusals_survived", float64(u.Survived)},
+			{"places", float64(u.Places)}, {"places_held", float64(u.Held)}, {"places_used", float64(u.Used)},
+		} {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf(`cyclamen_reserver_%s{service=%q,server=%q}`, m.name, u.Service, u.Run.ID), m.value)
+		}
+	}
+}
+
 // logBrittleness logs which services have become brittle or stopped to be.
 func logBrittleness(log *slog.Logger, changes []reserver.Change) {
 	for _, c := range changes {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -134,8 +135,8 @@
 }
 
 // serveMetrics serves the metrics of the process in the background until ctx
-// ends. A failure to listen is only logged.
-func serveMetrics(ctx context.Context, cfg *platform.Settings, log *slog.Logger) {
+// ends, and what the others write. A failure to listen is only logged.
+func serveMetrics(ctx context.Context, cfg *platform.Settings, log *slog.Logger, others ...func(io.Writer)) {
 	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", cfg.IP, cfg.MetricsPort))
 	if err != nil {
 		log.Error("metrics listener cannot be opened; metrics are not served", "error", err)
@@ -144,6 +145,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
+		for _, write := range others {
+			write(w)
+		}
 	})
 	s := newServer(mux, log)
 	context.AfterFunc(ctx, func() { _ = s.Close() })
