reserver: a service that comes back brittle is bounded at once

A host goes on as before for a second after the first answer that says that a service is brittle, since such servers keep their room for some seconds. Where all servers were down while they became brittle, that answer came late, the room was gone, and the servers fell over again.

That second is now only given if another answer without the header came shortly before.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -100,7 +100,7 @@
 		opts.Metrics = metrics.NewSet()
 	}
 	p := &Placer{
-		opts: opts, hosts: 1, permits: permitter.NewHolder(opts.Random), places: reserver.NewHolder(opts.Clock.Now(), opts.Random, opts.Run), paces: pacer.NewMeter(), servers: make(map[identifier.BackendServer]*serverState),
+		opts: opts, hosts: 1, permits: permitter.NewHolder(opts.Random), places: reserver.NewHolder(opts.Random, opts.Run), paces: pacer.NewMeter(), servers: make(map[identifier.BackendServer]*serverState),
 		unreachable: make(map[identifier.FailureDomain]*domainFailures),
 		trials:      make(map[pool]*trialBudget),
 		atHome:      opts.Metrics.GetOrCreateCounter(`cyclamen_placer_choices_total{at="home"}`),
--- a/reserver/doc.go
+++ b/reserver/doc.go
@@ -32,7 +32,7 @@
 //	ledger := reserver.NewLedger(now)                          // on the leader
 //	grant := ledger.Exchange(now, host, report)
 //
-//	holder := reserver.NewHolder(now, random, run)                     // on an entry host
+//	holder := reserver.NewHolder(random, run)                     // on an entry host
 //	holder.Record(now, server, reply.Brittle)                  // from a response
 //	if holder.Available(now, server, running) { ... }          // before a call
 //	holder.Need(now, pool, candidates)                         // if there is no place
--- a/reserver/holder.go
+++ b/reserver/holder.go
@@ -10,9 +10,9 @@
 const (
 	// graceTime is how long after the first answer that says so a service is not bounded.
 	graceTime = time.Second
-	// startTime is the age of a host from which on it would have known of a service that
-	// was brittle earlier.
-	startTime = 3 * time.Second
+	// plainTime is how long before the first answer that says so another one may have said
+	// nothing, if the service is to have become brittle just now.
+	plainTime = 1500 * time.Millisecond
 	// saidTTL is how long the answer of a server goes before what is known of its service.
 	saidTTL = time.Second
 	// holdTime is how long after the leader's last answer a host uses its places.
@@ -36,14 +36,15 @@
 // Holder holds the places of one entry host.
 type Holder struct {
 	random   *rand.Rand
-	born     time.Time
 	run, seq uint64
 	hosts    int
 	hostsAt  time.Time
 	services map[identifier.Service]*heldService
 	servers  map[identifier.ServerRun]*heldServer
 	needs    map[Pool]*Need
-	changes  []Change
+	// plainAt is when an answer of a service last did not say that it is brittle.
+	plainAt map[identifier.Service]time.Time
+	changes []Change
 	// hasNews is whether the leader is to be told something.
 	hasNews bool
 	// reportedAt is when the last report was made, appliedAt when that of the last grant
@@ -55,17 +56,20 @@
 type heldService struct {
 	knowledge
 	// own is the newest answer to this host.
-	own             observation
+	own observation
+	// plainAt is when an answer to this host last did not say that the service is brittle,
+	// before it became so, and settled whether the leader has bounded it since then.
+	plainAt         time.Time
 	settled, scarce bool
 	// askAt is when the leader may be asked again after it had no place, returnAt when a
 	// call that got none may come back.
 	askAt, returnAt time.Time
 }
 
-// inGrace reports whether a service is not bounded yet. One that is brittle when the host
-// starts may have been so for long.
-func (h *Holder) inGrace(now time.Time, s *heldService) bool {
-	return !s.settled && now.Sub(s.since) < graceTime && s.since.Sub(h.born) >= startTime
+// inGrace reports whether the service is not bounded yet. One that was not called lately
+// may have been brittle for long.
+func (s *heldService) inGrace(now time.Time) bool {
+	return !s.settled && now.Sub(s.since) < graceTime && s.since.Sub(s.plainAt) < plainTime
 }
 
 // heldServer is what the host has at a server.
@@ -92,10 +96,10 @@
 }
 
 // NewHolder returns a Holder that knows no brittle services. The run is that of the
-// host's process, which starts now.
-func NewHolder(now time.Time, random *rand.Rand, run uint64) *Holder {
+// host's process.
+func NewHolder(random *rand.Rand, run uint64) *Holder {
 	return &Holder{
-		born: now, random: random, run: run, hosts: 1, services: make(map[identifier.Service]*heldService),
+		random: random, plainAt: make(map[identifier.Service]time.Time), run: run, hosts: 1, services: make(map[identifier.Service]*heldService),
 		servers: make(map[identifier.ServerRun]*heldServer), needs: make(map[Pool]*Need),
 	}
 }
@@ -115,6 +119,9 @@
 
 // Record records what a response of a server said.
 func (h *Holder) Record(now time.Time, s Server, refusals *identifier.RequestRate) {
+	if refusals == nil {
+		h.plainAt[s.Service] = now
+	}
 	sv := h.services[s.Service]
 	if sv == nil {
 		if refusals == nil {
@@ -150,6 +157,7 @@
 		return false
 	}
 	sv.settled, sv.scarce, sv.askAt, sv.returnAt = false, false, time.Time{}, time.Time{}
+	sv.plainAt = h.plainAt[name]
 	h.changes = append(h.changes, Change{name, sv.known.refusals})
 	return true
 }
@@ -171,7 +179,7 @@
 		return nil
 	}
 	sv := h.services[s.Service]
-	if sv == nil || !h.isBrittle(now, s, sv) || h.inGrace(now, sv) {
+	if sv == nil || !h.isBrittle(now, s, sv) || sv.inGrace(now) {
 		return nil
 	}
 	return sv
--- a/reserver/report.go
+++ b/reserver/report.go
@@ -62,7 +62,7 @@
 	switch {
 	case !sv.known.isBrittle():
 		k.held = 0
-	case h.inGrace(now, sv), h.isAlone(now):
+	case !sv.settled, h.isAlone(now):
 		k.held = used
 	case k.held > used && (sv.scarce || now.Sub(k.busyAt) > idleTime):
 		k.held = used
@@ -100,7 +100,7 @@
 		if sv == nil {
 			continue
 		}
-		sv.settled, sv.scarce = sg.Settled, sg.Scarce
+		sv.settled, sv.scarce = sv.settled || sg.Settled, sg.Scarce
 		if sg.Wait > 0 {
 			sv.askAt, sv.returnAt = now.Add(h.Interval()), now.Add(sg.Wait)
 		}
