node: names of metrics stand whole in the code, and a test reads them

The check of docs/METRICS.md did not find the metrics of brittle servers in the code (internal/documenter failed), since their names were put together. TestBrittleServersStayUp reads two of them from the keepers.

--- a/internal/node/brittle_test.go
+++ b/internal/node/brittle_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -79,6 +81,13 @@
 	for _, b := range backends {
 		b.Shrink(0)
 	}
+	s.await("a keeper shows the places of a brittle server", func() bool {
+		return slices.ContainsFunc([]string{keeperA, keeperB, keeperC}, func(ip string) bool {
+			_, text := s.request(http.MethodGet, ip, standin.MetricsPort, "/metrics", "", nil)
+			return strings.Contains(text, `cyclamen_reserver_places{service="cases",server="i-1"} 8`) &&
+				strings.Contains(text, `cyclamen_reserver_refusals_survived{service="cases",server="i-1"} 3`)
+		})
+	})
 	wg.Wait()
 	falls := 0
 	for i, b := range backends {
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -114,10 +114,10 @@
 			name  string
 			value float64
 		}{
-			{"refused_last_second", float64(u.Refused)}, {"refusals_survived", float64(u.Survived)},
-			{"places", float64(u.Places)}, {"places_held", float64(u.Held)}, {"places_used", float64(u.Used)},
+			{"cyclamen_reserver_refused_last_second", float64(u.Refused)}, {"cyclamen_reserver_refusals_survived", float64(u.Survived)},
+			{"cyclamen_reserver_places", float64(u.Places)}, {"cyclamen_reserver_places_held", float64(u.Held)}, {"cyclamen_reserver_places_used", float64(u.Used)},
 		} {
-			metrics.WriteGaugeFloat64(w, fmt.Sprintf(`cyclamen_reserver_%s{service=%q,server=%q}`, m.name, u.Service, u.Run.ID), m.value)
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf(`%s{service=%q,server=%q}`, m.name, u.Service, u.Run.ID), m.value)
 		}
 	}
 }
