--- a/placer/places_test.go
+++ b/placer/places_test.go
@@ -32,6 +32,8 @@
 
 	clock.Advance(time.Minute)
 	first := choose(r)
+	first.RecordBrittle(nil)
+	clock.Advance(100 * time.Millisecond)
 	n := identifier.RequestRate(2)
 	first.RecordBrittle(&n)
 	first.End(Succeeded)
