--- a/reserver/doc.go
+++ b/reserver/doc.go
@@ -10,8 +10,9 @@
 //
 // What is known of a service is the newest answer of any of its servers. Hosts report
 // their own answers (a Notice) to the leader, which passes the newest one on to all. For
-// graceTime after the first one a service is not bounded: hosts go on as before and count
-// what they have at a server as places that they hold. Then the leader takes back what
+// graceTime after the first one a service is not bounded where another answer without the
+// announcement came shortly before: hosts go on as before and count what they have at a
+// server as places that they hold. Then the leader takes back what
 // exceeds the places of a server.
 //
 // A host uses its places for holdTime after the last answer of the leader. After that it
