isolator: a repeated call is a call of its own in the simulation

Cause: a host that repeated a call reused its record. What was scheduled for the first attempt then went on for the second one: a fatal call was counted as the end of a server that was down already, a sound one survived at once, or ended early.

Change: each attempt has a record of its own. The bounds are the same, and are counted from ends that took place.

--- a/isolator/simulation_test.go
+++ b/isolator/simulation_test.go
@@ -316,7 +316,6 @@
 // attempt has the host of a call send it to a random server.
 func (s *simulation) attempt(c *simCall) {
 	h := c.host
-	c.done, c.contentAt = false, time.Time{}
 	c.attempts++
 	s.attempts++
 	c.number = s.attempts
@@ -405,7 +404,8 @@
 	switch {
 	case !s.retries || h.Has("model", c.shared):
 	case c.attempts < maxAttempts && !h.IsSuspect("model", c.shared):
-		s.After(s.between(0, 5*time.Millisecond), func() { s.attempt(c) })
+		again := &simCall{host: h, shared: c.shared, isFatal: c.isFatal, attempts: c.attempts, isRetry: c.isRetry}
+		s.After(s.between(0, 5*time.Millisecond), func() { s.attempt(again) })
 	case !c.isRetry:
 		again := &simCall{shared: c.shared, isFatal: c.isFatal, isRetry: true}
 		s.After(s.between(10*time.Millisecond, 300*time.Millisecond), func() { s.receive(again) })
