isolator, node: ends are recorded when they are reported

Cause: the leader recorded an end in the control log with its next decision, up to 50 ms (200 ms where nothing was known before) after the report, and again for the suspects that other hosts reported later. A restart of all processes in that time loses the end, and the fatal request then needs one late call more.

Change: a report of an end wakes the leader's loop. It gathers reports for 5 ms, in which those of all hosts come, and proposes the records of a round at the same time; what comes meanwhile makes the next round. Investigator.Unrecorded costs no decision. In the simulation, a restart of all processes now loses the proposals that are under way, which it kept before, and commits draw from random numbers of their own, so that a draw no longer depends on how many there are.

The test plays its case by construction now: all processes restart 26 ms after the second end, with the same bound of three.

--- a/internal/node/isolation.go
+++ b/internal/node/isolation.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"cyclamenhub.org/distributor"
@@ -27,7 +28,8 @@
 	// suspect from its first end on.
 	hearingMargin = 50 * time.Millisecond
 	// gatherTime is how long a host collects the calls that a server's end broke
-	// before it reports them.
+	// before it reports them, and the leader such reports before it records them: all
+	// hosts find out within a few milliseconds.
 	gatherTime = 5 * time.Millisecond
 )
 
@@ -36,41 +38,98 @@
 func (n *keeperNode) recordEvidence(now time.Time, term identifier.FencingNumber, host identifier.Host, r isolator.Report) []isolator.Key {
 	n.enterTerm(term)
 	n.investigator.Record(now, host, r)
+	if n.investigator.HasNews() {
+		n.endReported()
+	}
 	return n.investigator.Suspects()
 }
 
-// runIsolation proposes the decisions on isolated parts that are due while this
-// keeper leads, until ctx ends.
-func (n *keeperNode) runIsolation(ctx context.Context) {
-	timer.Repeat(ctx, idleDecisionInterval, func() time.Duration {
-		events, isIdle := n.dueIsolation()
-		for _, ev := range events {
+// endReported tells runIsolation that there are ends to record.
+func (n *keeperNode) endReported() {
+	select {
+	case n.newEnds <- struct{}{}:
+	default: // They are recorded next.
+	}
+}
+
+// unrecordedEnds returns the events that record what hosts reported of ends. A keeper
+// that does not lead returns none.
+func (n *keeperNode) unrecordedEnds() []isolator.Event {
+	now := n.clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.leadsIsolation() {
+		return nil
+	}
+	return n.investigator.Unrecorded(now, n.machine.Isolated(), n.hearing(now))
+}
+
+// proposeAll proposes events that do not depend on each other at the same time, and
+// returns when all are done.
+func (n *keeperNode) proposeAll(ctx context.Context, events []isolator.Event) {
+	var wg sync.WaitGroup
+	for _, ev := range events {
+		wg.Go(func() {
 			if err := n.propose(ctx, reducer.Isolation{Event: ev}); err != nil {
 				n.log.Warn("decision on an isolation not proposed", "error", err)
 			}
+		})
+	}
+	wg.Wait()
+}
+
+// leadsIsolation reports whether this keeper holds the lease of the term of the
+// Investigator. The caller holds mu.
+func (n *keeperNode) leadsIsolation() bool {
+	lease, err := n.keeper.Load().Lease()
+	return err == nil && n.leadTerm == lease.Fencing()
+}
+
+// hearing returns the time within which every host has reported. The caller holds mu.
+func (n *keeperNode) hearing(now time.Time) time.Duration {
+	return syncPeriod(n.divider.Hosts(now)) + hearingMargin
+}
+
+// runIsolation proposes the decisions on isolated parts that are due while this
+// keeper leads, until ctx ends. Ends are recorded when hosts report them, since all
+// processes may restart before the next decision; those reported while proposals are
+// under way are recorded together after them.
+func (n *keeperNode) runIsolation(ctx context.Context) {
+	next := time.NewTimer(idleDecisionInterval)
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.newEnds:
+			timer.Sleep(ctx, gatherTime)
+			n.proposeAll(ctx, n.unrecordedEnds())
+		case <-next.C:
+			events, isIdle := n.dueIsolation()
+			n.proposeAll(ctx, events)
+			next.Reset(untilDecision(isIdle))
 		}
-		if isIdle {
-			return idleDecisionInterval
-		}
-		return decisionInterval
-	})
+	}
+}
+
+// untilDecision returns the time to the next decision.
+func untilDecision(isIdle bool) time.Duration {
+	if isIdle {
+		return idleDecisionInterval
+	}
+	return decisionInterval
 }
 
 // dueIsolation returns the decisions that are due, and logs them with their
 // evidence, and whether none is due soon. A keeper that does not lead returns none.
 func (n *keeperNode) dueIsolation() (events []isolator.Event, isIdle bool) {
-	lease, err := n.keeper.Load().Lease()
-	if err != nil {
-		return nil, true
-	}
 	now := n.clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.leadTerm != lease.Fencing() {
+	if !n.leadsIsolation() {
 		return nil, true
 	}
-	hearing := syncPeriod(n.divider.Hosts(now)) + hearingMargin
-	events = n.investigator.Decide(now, n.machine.Isolated(), hearing, n.listedVersions)
+	events = n.investigator.Decide(now, n.machine.Isolated(), n.hearing(now), n.listedVersions)
 	for _, ev := range events {
 		switch ev := ev.(type) {
 		case isolator.Isolate:
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -73,6 +73,8 @@
 	peers     *keeper.Peers
 	keeper    atomic.Pointer[keeper.Keeper]
 	client    *platform.Client
+	// newEnds tells that hosts have reported ends of backend servers to record.
+	newEnds chan struct{}
 	// listReader reads the list of backend servers.
 	listReader *discoverer.Reader
 
@@ -131,6 +133,7 @@
 		divider:  sharer.NewDivider(time.Duration(leaseFraction * float64(cfg.Bounds.WithdrawKeys))),
 		ledger:   accountant.NewLedger(cfg.Bounds.Window, usageGrace, cfg.Bounds.UseDue-usageMargin),
 		client:   platform.NewClient(cfg.API.Address, cfg.Name),
+		newEnds:  make(chan struct{}, 1),
 	}
 	n.listReader = discoverer.NewReader(discoverer.Options{Source: n.client, Timeout: dutyTimeout, Clock: clock, Log: opts.Log})
 	n.enterTerm(0)
--- a/isolator/investigator.go
+++ b/isolator/investigator.go
@@ -236,6 +236,19 @@
 	}
 }
 
+// HasNews reports whether Unrecorded has something to record that hosts reported since
+// the last call.
+func (i *Investigator) HasNews() bool {
+	return slices.ContainsFunc(i.ends, func(e *end) bool { return e.isNews })
+}
+
+// Unrecorded returns the events that record what hosts reported of ends, without the
+// other decisions. It costs much less than Decide, and is due as soon as HasNews.
+func (i *Investigator) Unrecorded(now time.Time, b *Book, hearing time.Duration) []Event {
+	i.recall(now, b)
+	return i.unrecorded(now, hearing)
+}
+
 // unrecorded returns the events that record ends: when a host reports suspects that no
 // other has, with those of which no call is known to have survived, and once the hosts
 // have reported which of the others survived since. A restart of all processes may
--- a/isolator/property_test.go
+++ b/isolator/property_test.go
@@ -168,16 +168,29 @@
 	}
 }
 
-// TestFatalRequestAmidEndLostInRestart plays one draw of
-// TestOnlyTheFatalRequestIsIsolated: a server ends under the fatal request 26 ms before
-// all processes restart, and the leader has been told but has not recorded the end.
-func TestFatalRequestAmidEndLostInRestart(t *testing.T) {
-	sc := scenario{
-		seed: 24467148, hosts: 6, servers: 4, domains: 3, soundPerSecond: 148.7871925399586, fatalPerSecond: 0.7312618419528008,
-		fatalFrom: 42, position: 1, fatalRequests: 1, polled: 2, retries: true, sessions: 30, latency: time.Nanosecond,
-		lossRate: 3.5176557246882833e-199, leaderChangeAt: 2 * time.Second, restartAt: 2000055119, length: 24 * time.Second,
+// restartAfterEnd returns a scenario in which all processes restart shortly after the
+// second server has ended under the fatal request.
+func restartAfterEnd(seed uint64, after time.Duration) scenario {
+	return scenario{
+		seed: seed, hosts: 6, servers: 4, domains: 3, soundPerSecond: 148.8, fatalPerSecond: 0.73, position: 1,
+		fatalRequests: 1, polled: 2, retries: true, sessions: 30, latency: 1, restartAfterEnd: after, length: 24 * time.Second,
 	}
-	if fault := simulate(sc).check(); fault != "" {
+}
+
+// TestEndIsRecordedWhenReported guards against ends that are reported and lost in a
+// restart of all processes, because they are recorded with a later decision.
+func TestEndIsRecordedWhenReported(t *testing.T) {
+	for _, seed := range []uint64{12, 16, 57, 60, 67} {
+		if fault := simulate(restartAfterEnd(seed, 40*time.Millisecond)).check(); fault != "" {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+	}
+}
+
+// TestFatalRequestAmidEndLostInRestart plays a restart so soon after the second end that
+// the record of the end is still under way.
+func TestFatalRequestAmidEndLostInRestart(t *testing.T) {
+	if fault := simulate(restartAfterEnd(16, 26*time.Millisecond)).check(); fault != "" {
 		t.Error(fault)
 	}
 }
--- a/isolator/simulation_test.go
+++ b/isolator/simulation_test.go
@@ -60,7 +60,9 @@
 	// begins to lead, when all processes restart, and when a third of the hosts
 	// loses the leader for cutFor.
 	leaderChangeAt, restartAt, cutAt time.Duration
-	length                           time.Duration
+	// restartAfterEnd, if not zero, is how long after the second server has ended under
+	// a fatal call all processes restart.
+	restartAfterEnd, length time.Duration
 }
 
 const cutFor = 4 * time.Second
@@ -123,6 +125,13 @@
 	book         Book
 	stableFrom   time.Time
 	isolated     []Isolate
+	// commits draws how long proposals take, apart from the calls. They are under way
+	// until busyUntil, and isRecordDue is set if ends are recorded then. restarts is
+	// the number of restarts of all processes, which lose the proposals under way.
+	commits     *rand.Rand
+	busyUntil   time.Time
+	isRecordDue bool
+	restarts    int
 
 	arrivals     []arrival
 	fatalEnds    []fatalEnd
@@ -138,7 +147,7 @@
 // simulate plays a scenario.
 func simulate(sc scenario) *simulation {
 	start := time.Unix(1000, 0)
-	s := &simulation{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), Timeline: sequencer.NewTimeline(start), start: start, investigator: NewInvestigator(), term: 1, parts: make(map[string][]describer.PromptPart), refusedBy: make(map[identifier.PartID]bool)}
+	s := &simulation{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), commits: rand.New(rand.NewPCG(sc.seed, 2)), Timeline: sequencer.NewTimeline(start), start: start, investigator: NewInvestigator(), term: 1, parts: make(map[string][]describer.PromptPart), refusedBy: make(map[identifier.PartID]bool)}
 	for i := range sc.servers {
 		s.servers = append(s.servers, &simServer{up: true, calls: make(map[*simCall]struct{}), End: End{
 			Server: identifier.ServerRun{ID: identifier.BackendServer(fmt.Sprint("s", i)), Incarnation: 1}, Service: "model",
@@ -203,6 +212,7 @@
 	report, told := h.Report()
 	s.send(func() {
 		s.investigator.Record(s.Now(), h.name, report)
+		s.recordEnds()
 		suspects, term, book := s.investigator.Suspects(), s.term, s.book
 		s.send(func() {
 			if !h.cut {
@@ -222,15 +232,50 @@
 	}
 }
 
-// decideRegularly makes the leader's decisions, which take the time of a commit.
+// hearing is the time within which every host has reported.
+func (s *simulation) hearing() time.Duration { return s.period() + 50*time.Millisecond }
+
+// decideRegularly makes the leader's decisions.
 func (s *simulation) decideRegularly() {
-	running := func(identifier.Service) []identifier.Version { return []identifier.Version{"v1"} }
-	for _, ev := range s.investigator.Decide(s.Now(), &s.book, s.period()+50*time.Millisecond, running) {
-		s.After(s.between(5*time.Millisecond, 30*time.Millisecond), func() { s.commit(ev) })
+	if wait := s.busyUntil.Sub(s.Now()); wait > 0 {
+		s.After(wait, s.decideRegularly)
+		return
 	}
+	running := func(identifier.Service) []identifier.Version { return []identifier.Version{"v1"} }
+	s.propose(s.investigator.Decide(s.Now(), &s.book, s.hearing(), running))
 	s.After(50*time.Millisecond, s.decideRegularly)
 }
 
+// recordEnds has the leader record what hosts reported of ends, together with what
+// others report shortly after and not before the proposals that are under way.
+func (s *simulation) recordEnds() {
+	if s.isRecordDue || !s.investigator.HasNews() {
+		return
+	}
+	s.isRecordDue = true
+	s.After(max(s.busyUntil.Sub(s.Now()), 0)+5*time.Millisecond, func() {
+		s.isRecordDue = false
+		s.propose(s.investigator.Unrecorded(s.Now(), &s.book, s.hearing()))
+	})
+}
+
+// propose commits events, which takes some time.
+func (s *simulation) propose(events []Event) {
+	restarts := s.restarts
+	s.busyUntil = s.Now()
+	for _, ev := range events {
+		after := 5*time.Millisecond + time.Duration(s.commits.Int64N(int64(25*time.Millisecond)))
+		s.After(after, func() {
+			if s.restarts == restarts {
+				s.commit(ev)
+			}
+		})
+		if done := s.Now().Add(after); done.After(s.busyUntil) {
+			s.busyUntil = done
+		}
+	}
+}
+
 // commit applies a decision and passes the book on to all hosts.
 func (s *simulation) commit(ev Event) {
 	if !s.book.Apply(ev) {
@@ -345,6 +390,9 @@
 			if !c.done {
 				s.fatalEnds = append(s.fatalEnds, fatalEnd{c.request(), s.Now()})
 				s.end(v)
+				if s.restartAfterEnd > 0 && len(s.fatalEnds) == 2 {
+					s.After(s.restartAfterEnd, s.restart)
+				}
 			}
 		})
 		return
@@ -427,13 +475,7 @@
 		}
 	})
 	at(s.leaderChangeAt, s.changeLeader)
-	at(s.restartAt, func() {
-		s.changeLeader()
-		for _, h := range s.hosts {
-			h.Watcher, h.sequence, h.touchedAt = NewWatcher(h.name, s), s.book.Sequence, s.Now()
-			h.Apply(s.book)
-		}
-	})
+	at(s.restartAt, s.restart)
 	at(s.cutAt, func() {
 		for _, h := range s.hosts[:len(s.hosts)/3] {
 			h.cut = true
@@ -442,6 +484,17 @@
 	})
 }
 
+// restart restarts all processes, which lose what the book lacks.
+func (s *simulation) restart() {
+	s.changeLeader()
+	s.restarts++
+	s.busyUntil = s.Now()
+	for _, h := range s.hosts {
+		h.Watcher, h.sequence, h.touchedAt = NewWatcher(h.name, s), s.book.Sequence, s.Now()
+		h.Apply(s.book)
+	}
+}
+
 // endWhere ends the servers that satisfy which.
 func (s *simulation) endWhere(which func(i int) bool) {
 	for i, v := range s.servers {
