announcer: what servers announce and how old it is, written once

permitter and reserver each had a notice, an observation and the rule of which of two is newer; reserver and placer took the margin of that rule from permitter. They are one small package now.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/distributor"
@@ -250,16 +251,16 @@
 	}
 	limit, server := identifier.RequestRate(1.5), identifier.ServerRun{ID: "s", Incarnation: 7}
 	report := permitter.Report{Grant: 4, Servers: map[identifier.ServerRun]permitter.ServerReport{
-		server:    {Notice: &permitter.Notice{Limit: &limit, Age: time.Second}, Service: "model", Needed: 1, Wanted: 2, Spent: 3},
-		{ID: "u"}: {Notice: &permitter.Notice{Age: time.Minute}},
+		server:    {Notice: &announcer.Notice{Rate: &limit, Age: time.Second}, Service: "model", Needed: 1, Wanted: 2, Spent: 3},
+		{ID: "u"}: {Notice: &announcer.Notice{Age: time.Minute}},
 		{ID: "v"}: {Wanted: 1},
 	}}
 	if diff := cmp.Diff(report, decodePermitReport(encodePermitReport(report))); diff != "" {
 		t.Errorf("permit reports differ (-want +got):\n%s", diff)
 	}
 	permits := permitter.Grant{ID: 5, Servers: map[identifier.ServerRun]permitter.ServerGrant{
-		server:    {Notice: permitter.Notice{Limit: &limit, Age: time.Second}, Permits: 2},
-		{ID: "u"}: {Notice: permitter.Notice{Age: time.Minute}, Wait: 3 * time.Second},
+		server:    {Notice: announcer.Notice{Rate: &limit, Age: time.Second}, Permits: 2},
+		{ID: "u"}: {Notice: announcer.Notice{Age: time.Minute}, Wait: 3 * time.Second},
 	}}
 	if diff := cmp.Diff(permits, decodePermitGrant(encodePermitGrant(permits))); diff != "" {
 		t.Errorf("permit grants differ (-want +got):\n%s", diff)
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
 	"cyclamenhub.org/identifier"
@@ -80,21 +81,21 @@
 }
 
 // encodeNotice converts a notice to protobuf.
-func encodeNotice(n permitter.Notice) *wire.LimitNotice {
+func encodeNotice(n announcer.Notice) *wire.LimitNotice {
 	out := &wire.LimitNotice{AgeMillis: encodeMillis(n.Age)}
-	if n.Limit != nil {
-		limit := float64(*n.Limit)
+	if n.Rate != nil {
+		limit := float64(*n.Rate)
 		out.PerSecond = &limit
 	}
 	return out
 }
 
 // decodeNotice converts a notice from protobuf.
-func decodeNotice(w *wire.LimitNotice) permitter.Notice {
-	n := permitter.Notice{Age: decodeMillis(w.GetAgeMillis())}
+func decodeNotice(w *wire.LimitNotice) announcer.Notice {
+	n := announcer.Notice{Age: decodeMillis(w.GetAgeMillis())}
 	if w != nil && w.PerSecond != nil {
 		limit := decodeRate(w.GetPerSecond())
-		n.Limit = &limit
+		n.Rate = &limit
 	}
 	return n
 }
--- a/internal/node/placecodec.go
+++ b/internal/node/placecodec.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/internal/wire"
 	"cyclamenhub.org/reserver"
@@ -16,26 +17,26 @@
 func decodeCount(n uint32) int { return int(min(n, maxPlaceCount)) }
 
 // encodeBrittleNotice writes a notice into a message.
-func encodeBrittleNotice(w *wire.ServiceBrittleness, n *reserver.Notice) {
+func encodeBrittleNotice(w *wire.ServiceBrittleness, n *announcer.Notice) {
 	if n == nil {
 		return
 	}
 	w.Notice, w.AgeMillis = true, encodeMillis(n.Age)
-	if n.Refusals != nil {
-		refusals := float64(*n.Refusals)
+	if n.Rate != nil {
+		refusals := float64(*n.Rate)
 		w.Refusals = &refusals
 	}
 }
 
 // decodeBrittleNotice returns the notice in a message, or nil.
-func decodeBrittleNotice(w *wire.ServiceBrittleness) *reserver.Notice {
+func decodeBrittleNotice(w *wire.ServiceBrittleness) *announcer.Notice {
 	if !w.GetNotice() {
 		return nil
 	}
-	n := &reserver.Notice{Age: decodeMillis(w.GetAgeMillis())}
+	n := &announcer.Notice{Age: decodeMillis(w.GetAgeMillis())}
 	if w.Refusals != nil {
 		refusals := decodeRate(w.GetRefusals())
-		n.Refusals = &refusals
+		n.Rate = &refusals
 	}
 	return n
 }
--- a/internal/node/placecodec_test.go
+++ b/internal/node/placecodec_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/reserver"
 )
@@ -17,8 +18,8 @@
 	report := reserver.Report{
 		Run: 1, Sequence: 2, Hosts: 3,
 		Services: map[identifier.Service]reserver.ServiceReport{
-			"cases": {Notice: &reserver.Notice{Refusals: &n, Age: time.Second}, BrittleFor: time.Minute},
-			"tales": {Notice: &reserver.Notice{Age: time.Second}}, "plain": {BrittleFor: time.Second},
+			"cases": {Notice: &announcer.Notice{Rate: &n, Age: time.Second}, BrittleFor: time.Minute},
+			"tales": {Notice: &announcer.Notice{Age: time.Second}}, "plain": {BrittleFor: time.Second},
 		},
 		Servers: map[identifier.ServerRun]reserver.ServerReport{run: {Service: "cases", Places: 8, Held: 4, Used: 3, Refused: 1}},
 		Needs: []reserver.Need{{
@@ -32,7 +33,7 @@
 	grant := reserver.Grant{
 		Sequence: 2,
 		Services: map[identifier.Service]reserver.ServiceGrant{
-			"cases": {Notice: reserver.Notice{Refusals: &n}, BrittleFor: time.Second, Settled: true, Scarce: true, Wait: time.Second},
+			"cases": {Notice: announcer.Notice{Rate: &n}, BrittleFor: time.Second, Settled: true, Scarce: true, Wait: time.Second},
 		},
 		Servers: map[identifier.ServerRun]reserver.ServerGrant{run: {Issued: 2, Taken: 1}},
 	}
--- a/permitter/bucket.go
+++ b/permitter/bucket.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 )
 
 // bucket is the state of a server of which a notice is known, or that is cold. It
 // is empty when the server begins to have a limit.
 type bucket struct {
-	known       observation
+	known       announcer.Observation
 	warmUp      warmUp
 	level       float64 // permits that can be issued
 	refilledAt  time.Time
@@ -26,7 +27,7 @@
 
 // limit returns the limit of the server, or nil if it has none.
 func (b *bucket) limit(now time.Time) *identifier.RequestRate {
-	return b.warmUp.lower(now, b.known.limit)
+	return b.warmUp.lower(now, b.known.Rate)
 }
 
 // begin empties the bucket if the server has no limit yet.
@@ -39,7 +40,7 @@
 // isOver reports whether nothing is left to say about the server: it announced
 // nothing and is warm.
 func (b *bucket) isOver(now time.Time) bool {
-	return b.known.at.IsZero() && !b.warmUp.isCold(now)
+	return b.known.At.IsZero() && !b.warmUp.isCold(now)
 }
 
 // permits are those that a host may still spend.
--- a/permitter/holder.go
+++ b/permitter/holder.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -36,7 +37,7 @@
 type held struct {
 	// known is the newest observation, also of other hosts. own is the last one of
 	// this host; its time is zero if there is none.
-	known, own observation
+	known, own announcer.Observation
 	// warmUp is that of a server that is cold or may be.
 	warmUp warmUp
 	// permits can be spent before expires.
@@ -56,14 +57,14 @@
 
 // limit returns the limit of the server, or nil if it has none.
 func (h *held) limit(now time.Time) *identifier.RequestRate {
-	return h.warmUp.lower(now, h.known.limit)
+	return h.warmUp.lower(now, h.known.Rate)
 }
 
 // isLimited reports whether requests to the server need permits.
 func (h *held) isLimited(now time.Time) bool { return h != nil && h.limit(now) != nil }
 
 // hasNotice reports whether the server is known to announce a limit.
-func (h *held) hasNotice() bool { return h != nil && h.known.limit != nil }
+func (h *held) hasNotice() bool { return h != nil && h.known.Rate != nil }
 
 // state returns the state of a server, adding an empty one if there is none.
 func (h *Holder) state(s identifier.ServerRun) *held {
@@ -82,26 +83,26 @@
 		return nil, false
 	}
 	k := h.state(s)
-	o := observation{limit, now}
-	if o.supersedes(k.own) {
+	o := announcer.Observation{Rate: limit, At: now}
+	if o.Supersedes(k.own) {
 		k.own = o
 	}
 	return k.merge(o)
 }
 
 // merge merges an observation.
-func (h *held) merge(o observation) (before *identifier.RequestRate, changed bool) {
-	before = h.known.limit
-	if !o.supersedes(h.known) {
+func (h *held) merge(o announcer.Observation) (before *identifier.RequestRate, changed bool) {
+	before = h.known.Rate
+	if !o.Supersedes(h.known) {
 		return before, false
 	}
 	h.known = o
-	if equal(before, o.limit) {
+	if equal(before, o.Rate) {
 		return before, false
 	}
 	h.soloAt = time.Time{}
-	if !equal(h.own.limit, o.limit) {
-		h.own = observation{} // Another host has seen a newer response.
+	if !equal(h.own.Rate, o.Rate) {
+		h.own = announcer.Observation{} // Another host has seen a newer response.
 	}
 	return before, true
 }
@@ -258,7 +259,7 @@
 	r := Report{Grant: h.grant, Servers: make(map[identifier.ServerRun]ServerReport, len(h.servers))}
 	for s, k := range h.servers {
 		k.warmUp.renew(now)
-		if !k.isLimited(now) && now.Sub(k.known.at) > forgetAfter {
+		if !k.isLimited(now) && now.Sub(k.known.At) > forgetAfter {
 			delete(h.servers, s)
 			continue
 		}
@@ -269,11 +270,11 @@
 }
 
 // ownNotice returns the last observation of this host as a notice, or nil.
-func (h *held) ownNotice(now time.Time) *Notice {
-	if h.own.at.IsZero() {
+func (h *held) ownNotice(now time.Time) *announcer.Notice {
+	if h.own.At.IsZero() {
 		return nil
 	}
-	n := h.own.notice(now)
+	n := h.own.Notice(now)
 	return &n
 }
 
@@ -304,7 +305,7 @@
 	h.grant, h.appliedAt = g.ID, h.reportedAt
 	for s, sg := range g.Servers {
 		k := h.state(s)
-		k.merge(sg.Notice.asOf(h.reportedAt))
+		k.merge(sg.Notice.AsOf(h.reportedAt))
 		if w := sg.WarmUp; w != nil {
 			k.warmUp.extend(now, w.Limit, now.Add(w.Left))
 		}
--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -62,7 +63,7 @@
 		}
 		sr := r.Servers[s]
 		b.settle(host, r.Grant, sr.Spent)
-		g.Servers[s] = ServerGrant{Notice: b.known.notice(now), WarmUp: b.warmUp.left(now)}
+		g.Servers[s] = ServerGrant{Notice: b.known.Notice(now), WarmUp: b.warmUp.left(now)}
 		if b.limit(now) == nil {
 			continue
 		}
@@ -146,7 +147,7 @@
 func (i *Issuer) Limited() []identifier.ServerRun {
 	var out []identifier.ServerRun
 	for s, b := range i.servers {
-		if b.known.limit != nil {
+		if b.known.Rate != nil {
 			out = append(out, s)
 		}
 	}
@@ -168,7 +169,7 @@
 }
 
 // record records that a host has reported a server, with a notice or nil.
-func (i *Issuer) record(now time.Time, s identifier.ServerRun, n *Notice) {
+func (i *Issuer) record(now time.Time, s identifier.ServerRun, n *announcer.Notice) {
 	b := i.servers[s]
 	if b != nil {
 		b.reportedAt = now
@@ -176,13 +177,13 @@
 	if n == nil {
 		return
 	}
-	o := n.asOf(now)
+	o := n.AsOf(now)
 	switch {
 	case b == nil:
 		b = newBucket(now)
 		b.known = o
 		i.servers[s] = b
-	case o.supersedes(b.known):
+	case o.Supersedes(b.known):
 		b.begin(now)
 		b.known = o
 	}
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -98,7 +99,7 @@
 func TestNewLeaderStartsEmpty(t *testing.T) {
 	now := time.Unix(1000, 0)
 	server, limit := identifier.ServerRun{ID: "s", Incarnation: 1}, identifier.RequestRate(1)
-	report := Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &Notice{Limit: &limit, Age: time.Minute}, Needed: 1}}}
+	report := Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &announcer.Notice{Rate: &limit, Age: time.Minute}, Needed: 1}}}
 	i := NewIssuer(7)
 	if g := i.Exchange(now, "h", report); g.Servers[server].Permits != 0 || g.Servers[server].Wait != time.Second || g.ID <= 7 {
 		t.Errorf("first grant of a new leader: %+v, want no permits and a wait of 1 s", g)
@@ -118,14 +119,14 @@
 	b.Report(start)
 	i := NewIssuer(0)
 	a.Record(start, server, &limit)
-	if _, changed := a.Record(start.Add(EndMargin), server, nil); changed {
+	if _, changed := a.Record(start.Add(announcer.EndMargin), server, nil); changed {
 		t.Error("a response at the margin ends the limit")
 	}
 	b.Apply(start, i.Exchange(start, "a", a.Report(start)))
 	if b.Available(start, server) {
 		t.Error("a host that learned of the limit from the leader needs no permit")
 	}
-	ended := start.Add(EndMargin + 1)
+	ended := start.Add(announcer.EndMargin + 1)
 	if before, changed := a.Record(ended, server, nil); !changed || *before != limit {
 		t.Errorf("a later response does not end the limit: before %v, changed %v", before, changed)
 	}
@@ -135,7 +136,7 @@
 		t.Error("the other host does not learn that the limit has ended")
 	}
 	// The older notice of the other host does not bring the limit back.
-	if g := i.Exchange(ended, "b", Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &Notice{Limit: &limit, Age: ended.Sub(start)}}}}); g.Servers[server].Notice.Limit != nil {
+	if g := i.Exchange(ended, "b", Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &announcer.Notice{Rate: &limit, Age: ended.Sub(start)}}}}); g.Servers[server].Notice.Rate != nil {
 		t.Error("an older notice brings the limit back")
 	}
 }
@@ -146,14 +147,14 @@
 	now := time.Unix(1000, 0)
 	server, limit := identifier.ServerRun{ID: "s", Incarnation: 1}, identifier.RequestRate(1)
 	need := func(calls int) time.Duration {
-		report := Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &Notice{Limit: &limit}, Needed: calls}}}
+		report := Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &announcer.Notice{Rate: &limit}, Needed: calls}}}
 		return NewIssuer(0).Exchange(now, "a", report).Servers[server].Wait
 	}
 	if first, third := need(1), need(3); first != time.Second || third != 3*time.Second {
 		t.Errorf("waits of one and three calls: %v and %v, want 1 s and 3 s", first, third)
 	}
 	i := NewIssuer(0)
-	report := Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &Notice{Limit: &limit}, Needed: 1000}}}
+	report := Report{Servers: map[identifier.ServerRun]ServerReport{server: {Notice: &announcer.Notice{Rate: &limit}, Needed: 1000}}}
 	i.Exchange(now, "a", report)
 	now = now.Add(maxWait + time.Second)
 	report.Servers[server] = ServerReport{Needed: 4}
--- a/placer/announced.go
+++ b/placer/announced.go
@@ -4,9 +4,9 @@
 	"math/rand/v2"
 	"time"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
-	"cyclamenhub.org/permitter"
 )
 
 const (
@@ -66,7 +66,7 @@
 	switch {
 	case leaving:
 		a.isLeaving, a.leavingAt = true, now
-	case now.Sub(a.leavingAt) > permitter.EndMargin:
+	case now.Sub(a.leavingAt) > announcer.EndMargin:
 		a.isLeaving = false
 	}
 	return was != a.isLeaving
--- a/placer/announced_test.go
+++ b/placer/announced_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
-	"cyclamenhub.org/permitter"
 	"cyclamenhub.org/timer"
 )
 
@@ -126,7 +126,7 @@
 	if _, err := f.hosts[0].Choose(longPrompt("a")); err == nil {
 		t.Error("the server is chosen after a response that was overtaken")
 	}
-	f.clock.Advance(permitter.EndMargin + 1)
+	f.clock.Advance(announcer.EndMargin + 1)
 	c.RecordLeaving(false)
 	place(t, f.hosts[0], longPrompt("a"))
 }
--- a/reserver/holder.go
+++ b/reserver/holder.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -56,7 +57,7 @@
 type heldService struct {
 	knowledge
 	// own is the newest answer to this host.
-	own observation
+	own announcer.Observation
 	// plainAt is when an answer to this host last did not say that the service is brittle,
 	// before it became so, and settled whether the leader has bounded it since then.
 	plainAt         time.Time
@@ -76,7 +77,7 @@
 type heldServer struct {
 	Server
 	// said is the last answer of the server to this host.
-	said observation
+	said announcer.Observation
 	held int
 	// busyAt is when all places were last in use, pausedUntil the end of a pause.
 	busyAt, pausedUntil time.Time
@@ -129,11 +130,11 @@
 		}
 		sv = h.begin(s.Service)
 	}
-	o := observation{refusals, now}
-	if k := h.state(s); o.supersedes(k.said) {
+	o := announcer.Observation{Rate: refusals, At: now}
+	if k := h.state(s); o.Supersedes(k.said) {
 		k.said = o
 	}
-	if o.supersedes(sv.own) {
+	if o.Supersedes(sv.own) {
 		sv.own = o
 	}
 	if h.merge(s.Service, sv, o, now) {
@@ -152,13 +153,13 @@
 }
 
 // merge merges an observation of a service and reports whether that is news.
-func (h *Holder) merge(name identifier.Service, sv *heldService, o observation, since time.Time) bool {
+func (h *Holder) merge(name identifier.Service, sv *heldService, o announcer.Observation, since time.Time) bool {
 	if !sv.merge(o, since) {
 		return false
 	}
 	sv.settled, sv.scarce, sv.askAt, sv.returnAt = false, false, time.Time{}, time.Time{}
 	sv.plainAt = h.plainAt[name]
-	h.changes = append(h.changes, Change{name, sv.known.refusals})
+	h.changes = append(h.changes, Change{name, sv.known.Rate})
 	return true
 }
 
@@ -187,10 +188,10 @@
 
 // isBrittle reports whether a server is brittle.
 func (h *Holder) isBrittle(now time.Time, s *Server, sv *heldService) bool {
-	if k := h.servers[s.Run]; k != nil && now.Sub(k.said.at) <= saidTTL {
-		return k.said.isBrittle()
+	if k := h.servers[s.Run]; k != nil && now.Sub(k.said.At) <= saidTTL {
+		return k.said.Announces()
 	}
-	return sv.known.isBrittle()
+	return sv.known.Announces()
 }
 
 // Available reports whether a call may be sent to a server at which this host has the
@@ -227,10 +228,10 @@
 
 // soloPause returns the time in which all hosts may have one call refused by a server.
 func (h *Holder) soloPause(sv *heldService) time.Duration {
-	if !sv.known.isBrittle() || float64(h.hosts) > maxSoloPause.Seconds()*float64(*sv.known.refusals) {
+	if !sv.known.Announces() || float64(h.hosts) > maxSoloPause.Seconds()*float64(*sv.known.Rate) {
 		return maxSoloPause
 	}
-	return time.Duration(float64(h.hosts) / float64(*sv.known.refusals) * float64(time.Second))
+	return time.Duration(float64(h.hosts) / float64(*sv.known.Rate) * float64(time.Second))
 }
 
 // Began records that a call was sent to a server, at which the host has now the given
--- a/reserver/ledger.go
+++ b/reserver/ledger.go
@@ -75,7 +75,7 @@
 	l.takeBack(now, host, &r, &g)
 	for name, sv := range l.services {
 		g.Services[name] = ServiceGrant{
-			Notice: sv.known.notice(now), BrittleFor: max(now.Sub(sv.since), 0), Settled: l.isSettled(now, sv),
+			Notice: sv.known.Notice(now), BrittleFor: max(now.Sub(sv.since), 0), Settled: l.isSettled(now, sv),
 			Scarce: now.Sub(sv.refusedAt) < scarceTime, Wait: waits[name],
 		}
 	}
@@ -100,7 +100,7 @@
 		}
 	}
 	for name, sv := range l.services {
-		if !sv.known.isBrittle() && now.Sub(sv.known.at) > forgetAfter {
+		if !sv.known.Announces() && now.Sub(sv.known.At) > forgetAfter {
 			delete(l.services, name)
 		}
 	}
@@ -123,8 +123,8 @@
 	}
 	for run, sr := range r.Servers {
 		a := l.account(now, Server{run, sr.Service, sr.Places})
-		if sv := l.services[sr.Service]; sr.Refused > 0 && sv != nil && sv.known.isBrittle() {
-			a.refuse(now, sr.Refused, *sv.known.refusals, l.isSettled(now, sv))
+		if sv := l.services[sr.Service]; sr.Refused > 0 && sv != nil && sv.known.Announces() {
+			a.refuse(now, sr.Refused, *sv.known.Rate, l.isSettled(now, sv))
 		}
 	}
 	l.replace(h, r.Servers)
@@ -134,7 +134,7 @@
 // learn merges what a host knows of a service.
 func (l *Ledger) learn(now time.Time, name identifier.Service, r ServiceReport) {
 	sv := l.services[name]
-	if sv == nil && (r.Notice == nil || r.Notice.Refusals == nil) {
+	if sv == nil && (r.Notice == nil || r.Notice.Rate == nil) {
 		return
 	}
 	if sv == nil {
@@ -147,10 +147,10 @@
 	}
 	o := sv.known
 	if r.Notice != nil {
-		o = r.Notice.asOf(now)
+		o = r.Notice.AsOf(now)
 	}
 	if sv.merge(o, since) {
-		l.changes = append(l.changes, Change{name, sv.known.refusals})
+		l.changes = append(l.changes, Change{name, sv.known.Rate})
 	}
 }
 
@@ -197,7 +197,7 @@
 	h := l.hosts[host]
 	for run, sr := range r.Servers {
 		sv, a := l.services[sr.Service], l.servers[run]
-		if sv == nil || !sv.known.isBrittle() || !l.isSettled(now, sv) {
+		if sv == nil || !sv.known.Announces() || !l.isSettled(now, sv) {
 			continue
 		}
 		over := a.outstanding - a.room(now)
@@ -220,7 +220,7 @@
 	for i := range r.Needs {
 		n := &r.Needs[i]
 		sv := l.services[n.Pool.Service]
-		if sv == nil || !sv.known.isBrittle() || !l.isSettled(now, sv) || l.issue(now, host, sv, n, g) {
+		if sv == nil || !sv.known.Announces() || !l.isSettled(now, sv) || l.issue(now, host, sv, n, g) {
 			continue
 		}
 		if waits == nil {
@@ -318,7 +318,7 @@
 	}
 	out := make(map[identifier.Service]ServiceGrant, len(l.services))
 	for name, sv := range l.services {
-		out[name] = ServiceGrant{Notice: sv.known.notice(now), BrittleFor: max(now.Sub(sv.since), 0)}
+		out[name] = ServiceGrant{Notice: sv.known.Notice(now), BrittleFor: max(now.Sub(sv.since), 0)}
 	}
 	return out
 }
@@ -337,8 +337,8 @@
 func (l *Ledger) Usages(now time.Time) []Usage {
 	var out []Usage
 	for run, a := range l.servers {
-		if sv := l.services[a.service]; sv != nil && sv.known.isBrittle() {
-			out = append(out, Usage{Server{run, a.service, a.room(now)}, a.outstanding, a.used, a.refusals.recent(now), *sv.known.refusals})
+		if sv := l.services[a.service]; sv != nil && sv.known.Announces() {
+			out = append(out, Usage{Server{run, a.service, a.room(now)}, a.outstanding, a.used, a.refusals.recent(now), *sv.known.Rate})
 		}
 	}
 	slices.SortFunc(out, func(x, y Usage) int { return x.Run.Compare(y.Run) })
--- a/reserver/message.go
+++ b/reserver/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -37,7 +38,7 @@
 	// Notice is what the last response to this host said, or nil. What the host has
 	// learned from the leader is not reported, since each message makes a notice look
 	// newer than it is.
-	Notice *Notice
+	Notice *announcer.Notice
 	// BrittleFor is how long the service is known to be brittle, 0 if it is not.
 	BrittleFor time.Duration
 }
@@ -69,7 +70,7 @@
 
 // ServiceGrant is the part of a Grant about one service.
 type ServiceGrant struct {
-	Notice     Notice
+	Notice     announcer.Notice
 	BrittleFor time.Duration
 	// Settled is whether the servers are bounded now.
 	Settled bool
--- a/reserver/report.go
+++ b/reserver/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -25,7 +26,7 @@
 		Services: make(map[identifier.Service]ServiceReport, len(h.services)), Servers: make(map[identifier.ServerRun]ServerReport),
 	}
 	for name, sv := range h.services {
-		if !sv.known.isBrittle() && now.Sub(sv.known.at) > forgetAfter {
+		if !sv.known.Announces() && now.Sub(sv.known.At) > forgetAfter {
 			delete(h.services, name)
 			continue
 		}
@@ -41,11 +42,11 @@
 // report returns what the host knows of the service.
 func (s *heldService) report(now time.Time) ServiceReport {
 	var r ServiceReport
-	if !s.own.at.IsZero() {
-		n := s.own.notice(now)
+	if !s.own.At.IsZero() {
+		n := s.own.Notice(now)
 		r.Notice = &n
 	}
-	if s.known.isBrittle() {
+	if s.known.Announces() {
 		r.BrittleFor = max(now.Sub(s.since), 1)
 	}
 	return r
@@ -60,7 +61,7 @@
 	k = h.state(u.Server)
 	used := k.used(now, u.Calls)
 	switch {
-	case !sv.known.isBrittle():
+	case !sv.known.Announces():
 		k.held = 0
 	case !sv.settled, h.isAlone(now):
 		k.held = used
@@ -118,15 +119,15 @@
 
 // Learn records what the leader knows of a service, in the answer to a message sent at
 // the given time.
-func (h *Holder) Learn(sent time.Time, name identifier.Service, n Notice, brittleFor time.Duration) {
+func (h *Holder) Learn(sent time.Time, name identifier.Service, n announcer.Notice, brittleFor time.Duration) {
 	sv := h.services[name]
 	if sv == nil {
-		if n.Refusals == nil {
+		if n.Rate == nil {
 			return
 		}
 		sv = h.begin(name)
 	}
-	if h.merge(name, sv, n.asOf(sent), sent.Add(-brittleFor)) {
+	if h.merge(name, sv, n.AsOf(sent), sent.Add(-brittleFor)) {
 		h.hasNews = true
 	}
 }
