node: a host of the test system has its folder before it starts

TestKeeperAwaitsItsDisk puts an obstacle into the folder and failed since the folders of a system are created first: with 'no such file or directory'. It passes again.

--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -99,7 +100,11 @@
 // settings returns the settings of a host.
 func (s *system) settings(ip string, founding bool) *platform.Settings {
 	s.t.Helper()
-	m := standin.Machine{IP: ip, Port: s.port, Seeds: s.seeds, Founding: founding, Folder: filepath.Join(s.folder, ip), Cloud: s.api}
+	folder := filepath.Join(s.folder, ip)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		s.t.Fatal(err)
+	}
+	m := standin.Machine{IP: ip, Port: s.port, Seeds: s.seeds, Founding: founding, Folder: folder, Cloud: s.api}
 	text, err := m.Settings()
 	if err != nil {
 		s.t.Fatal(err)
