--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -26,7 +26,7 @@
 	const callers = 24
 	gone := make(chan struct{})
 	var mu sync.Mutex
-	whole := make(map[identifier.RequestID]bool)
+	outcomes := make(map[identifier.RequestID]string)
 	var wg sync.WaitGroup
 	for i := range callers {
 		client := http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}, Timeout: 20 * time.Second}
@@ -38,11 +38,10 @@
 				default:
 				}
 				id := identifier.RequestID(fmt.Sprintf("id-%d-%d", i, n))
-				if s.isAnswered(&client, id) {
-					mu.Lock()
-					whole[id] = true
-					mu.Unlock()
-				}
+				outcome := s.outcome(&client, id)
+				mu.Lock()
+				outcomes[id] = outcome
+				mu.Unlock()
 			}
 		})
 	}
@@ -51,32 +50,39 @@
 	close(gone)
 	wg.Wait()
 	runs := backends.Runs()
-	cut := 0
+	var cut []string
 	for id := range runs {
-		if !whole[id] {
-			cut++
+		if outcomes[id] != answeredWhole {
+			cut = append(cut, outcomes[id])
 		}
 	}
-	if cut > 0 || len(runs) < callers {
-		t.Errorf("%d of %d calls that ran were cut off by the planned stop", cut, len(runs))
+	if len(cut) > 0 || len(runs) < callers {
+		t.Errorf("%d of %d calls that ran were cut off by the planned stop: %q", len(cut), len(runs), cut)
 	}
 }
 
-// isAnswered makes a call and reports whether its whole answer arrived.
-func (s *system) isAnswered(client *http.Client, id identifier.RequestID) bool {
+// answeredWhole is the outcome of a call whose whole answer arrived.
+const answeredWhole = "answered"
+
+// outcome makes a call and returns how it ended.
+func (s *system) outcome(client *http.Client, id identifier.RequestID) string {
 	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/file/1", entryA, s.port+standin.FrontendPort), strings.NewReader("x"))
 	if err != nil {
 		s.t.Error(err)
-		return false
+		return err.Error()
 	}
 	r.Host, r.Header = standin.CallHost, standin.CallHeader(id, "k1", 5*time.Second)
+	start := time.Now()
 	res, err := client.Do(r)
 	if err != nil {
-		return false
+		return fmt.Sprintf("%v after %v", err, time.Since(start))
 	}
 	defer func() { _ = res.Body.Close() }()
 	b, err := io.ReadAll(res.Body)
-	return err == nil && res.StatusCode == http.StatusOK && string(b) == standin.Line(id, "foodbank")
+	if err == nil && res.StatusCode == http.StatusOK && string(b) == standin.Line(id, "foodbank") {
+		return answeredWhole
+	}
+	return fmt.Sprintf("status %d, %q, %v after %v", res.StatusCode, b, err, time.Since(start))
 }
 
 // TestCallsAreAnsweredAtTheEndOfTheGracePeriod guards against a whole call that gets neither
