reserver: a restarted server gets no places beside those of its former run

Callers: brittle servers fell over once more just after they had come back.

Cause: until the list shows the new run, calls reach the new process under the former one; then the account of the new run started empty, so that twice the places could be in use.

Change: what is outstanding under other runs of the server when an account begins is missing from its places for 3 s.

--- a/reserver/account.go
+++ b/reserver/account.go
@@ -19,6 +19,10 @@
 	raisedAt  time.Time
 	raiseTime time.Duration
 	refusals  tally
+	// former is the number of places that were outstanding under former runs of the
+	// server, which count until formerUntil.
+	former      int
+	formerUntil time.Time
 	// stoppedUntil is until when no place is issued, touched when a host last named the
 	// server.
 	stoppedUntil, touched time.Time
@@ -30,6 +34,9 @@
 		a.lowered--
 		a.raisedAt = now
 	}
+	if now.Before(a.formerUntil) {
+		return a.places - a.lowered - a.former
+	}
 	return a.places - a.lowered
 }
 
--- a/reserver/ledger.go
+++ b/reserver/ledger.go
@@ -24,6 +24,8 @@
 	turnedPerPlace = 4
 	// maxWait caps the time after which a refused call may come back.
 	maxWait = 3 * time.Second
+	// formerTime is how long calls that were sent under a former run of a server count.
+	formerTime = 3 * time.Second
 	// refusedPeriod is how long a service counts as one whose calls are refused.
 	refusedPeriod = 2 * time.Second
 )
@@ -177,13 +179,25 @@
 func (l *Ledger) account(now time.Time, s Server) *account {
 	a := l.servers[s.Run]
 	if a == nil {
-		a = &account{raisedAt: now}
+		a = &account{raisedAt: now, former: l.formerPlaces(now, s.Run), formerUntil: now.Add(formerTime)}
 		l.servers[s.Run] = a
 	}
 	a.service, a.places, a.touched = s.Service, max(s.Places, 1), now
 	return a
 }
 
+// formerPlaces returns the number of places that are outstanding under other runs of a
+// server. Calls reach a process that has just started under the run that is listed still.
+func (l *Ledger) formerPlaces(now time.Time, run identifier.ServerRun) int {
+	n := 0
+	for other, a := range l.servers {
+		if other.ID == run.ID && other != run && now.Sub(a.touched) < formerTime {
+			n += a.outstanding
+		}
+	}
+	return n
+}
+
 // isSettled reports whether the servers of a service are bounded now.
 func (l *Ledger) isSettled(now time.Time, sv *serviceAccount) bool {
 	return now.Sub(l.began) >= holdTime && (now.Sub(sv.since) >= graceTime || l.hasHeardAll())
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"cyclamenhub.org/announcer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -71,3 +72,35 @@
 		t.Error("a server of a brittle service is available without a place")
 	}
 }
+
+// TestRestartedServerGetsNoFurtherPlaces guards against twice the places at a server that
+// has restarted: calls reach the new process under the former run until it is listed.
+func TestRestartedServerGetsNoFurtherPlaces(t *testing.T) {
+	now, n := time.Unix(1e6, 0), identifier.RequestRate(3)
+	l := NewLedger(now.Add(-time.Minute))
+	restarted := testServer
+	restarted.Run.Incarnation++
+	issued := func(host identifier.Host, sequence uint64, s Server, held int) int {
+		r := Report{
+			Sequence: sequence, Hosts: 2, Servers: make(map[identifier.ServerRun]ServerReport),
+			Services: map[identifier.Service]ServiceReport{simService: {Notice: &announcer.Notice{Rate: &n}, BrittleFor: time.Minute}},
+		}
+		if held > 0 {
+			r.Servers[s.Run] = ServerReport{Service: simService, Places: s.Places, Held: held, Used: held}
+		} else {
+			r.Needs = []Need{{Pool: Pool{simService, "v1"}, Calls: s.Places, Candidates: []Server{s}}}
+		}
+		return l.Exchange(now, host, r).Servers[s.Run].Issued
+	}
+	if got := issued("a", 1, testServer, 0); got != testServer.Places {
+		t.Fatalf("%d places are issued of %d", got, testServer.Places)
+	}
+	issued("a", 2, testServer, testServer.Places)
+	if got := issued("b", 1, restarted, 0); got != 0 {
+		t.Errorf("%d places are issued while the calls of the former run have all", got)
+	}
+	now = now.Add(formerTime)
+	if got := issued("b", 2, restarted, 0); got != testServer.Places {
+		t.Errorf("%d places are issued later, want %d", got, testServer.Places)
+	}
+}
