reserver: hosts keep their places while no leader issues any

Cause: with places scarce, a host gives each place back whose call has ended, also when its reports are not answered; nobody else could use them. A new leader, which issues nothing for 1.5 s, named no time.

Change: idle places go back only if the last report was answered. A new leader answers with the time at which it begins to issue.

Measured: TestPlacesAreKeptWithoutLeader and TestNewLeaderTellsWhenItIssues failed before.

--- a/reserver/ledger.go
+++ b/reserver/ledger.go
@@ -228,19 +228,26 @@
 }
 
 // serve issues places for the calls that wait, and returns the time after which those of
-// a service that got none may come back.
+// a service that got none may come back: of a new leader after it begins to issue places.
 func (l *Ledger) serve(now time.Time, host identifier.Host, r *Report, g *Grant) map[identifier.Service]time.Duration {
 	var waits map[identifier.Service]time.Duration
 	for i := range r.Needs {
 		n := &r.Needs[i]
 		sv := l.services[n.Pool.Service]
-		if sv == nil || !sv.known.Announces() || !l.isSettled(now, sv) || l.issue(now, host, sv, n, g) {
+		if sv == nil || !sv.known.Announces() {
 			continue
 		}
+		wait := l.began.Add(holdTime).Sub(now)
+		if wait <= 0 {
+			if !l.isSettled(now, sv) || l.issue(now, host, sv, n, g) {
+				continue
+			}
+			wait = sv.turnAway(now, n.Calls)
+		}
 		if waits == nil {
 			waits = make(map[identifier.Service]time.Duration)
 		}
-		waits[n.Pool.Service] = sv.turnAway(now, n.Calls)
+		waits[n.Pool.Service] = wait
 	}
 	return waits
 }
--- a/reserver/report.go
+++ b/reserver/report.go
@@ -17,6 +17,7 @@
 // that concern it. Idle places are given back with it.
 func (h *Holder) Report(now time.Time, calls []Running) Report {
 	h.seq++
+	isAnswered := h.appliedAt.Equal(h.reportedAt)
 	h.reportedAt, h.hasNews = now, false
 	if h.appliedAt.IsZero() {
 		h.appliedAt = now
@@ -33,7 +34,7 @@
 		r.Services[name] = sv.report(now)
 	}
 	for _, u := range calls {
-		h.reportServer(now, &u, &r)
+		h.reportServer(now, &u, isAnswered, &r)
 	}
 	h.reportNeeds(&r)
 	return r
@@ -52,8 +53,9 @@
 	return r
 }
 
-// reportServer adds a server to a report and gives its idle places back.
-func (h *Holder) reportServer(now time.Time, u *Running, r *Report) {
+// reportServer adds a server to a report. It gives idle places back if the last report was
+// answered: without a leader nobody else could use them.
+func (h *Holder) reportServer(now time.Time, u *Running, isAnswered bool, r *Report) {
 	sv, k := h.services[u.Service], h.servers[u.Run]
 	if sv == nil || k == nil && u.Calls == 0 {
 		return
@@ -65,7 +67,7 @@
 		k.held = 0
 	case !sv.settled, h.isAlone(now):
 		k.held = used
-	case k.held > used && (sv.scarce || now.Sub(k.busyAt) > idleTime):
+	case isAnswered && k.held > used && (sv.scarce || now.Sub(k.busyAt) > idleTime):
 		k.held = used
 	}
 	if k.held > 0 || used > 0 || k.refused > 0 {
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -104,3 +104,36 @@
 		t.Errorf("%d places are issued later, want %d", got, testServer.Places)
 	}
 }
+
+// TestNewLeaderTellsWhenItIssues guards against calls that come back at once while a new
+// leader issues no places.
+func TestNewLeaderTellsWhenItIssues(t *testing.T) {
+	now, n := time.Unix(1e6, 0), identifier.RequestRate(3)
+	g := NewLedger(now).Exchange(now, "a", Report{
+		Sequence: 1, Hosts: 2, Needs: []Need{{Pool: Pool{simService, "v1"}, Calls: 1, Candidates: []Server{testServer}}},
+		Services: map[identifier.Service]ServiceReport{simService: {Notice: &announcer.Notice{Rate: &n}, BrittleFor: time.Minute}},
+	})
+	if got := g.Services[simService].Wait; got < holdTime {
+		t.Errorf("a call may come back after %v, places are issued after %v", got, holdTime)
+	}
+}
+
+// TestPlacesAreKeptWithoutLeader guards against hosts that give their places back while no
+// leader hears them, so that hardly a call is served.
+func TestPlacesAreKeptWithoutLeader(t *testing.T) {
+	h, now := newTestHolder()
+	n := identifier.RequestRate(3)
+	h.Record(now, testServer, &n)
+	h.Report(now, []Running{{testServer, 0}})
+	h.Apply(now, Grant{
+		Sequence: h.seq, Services: map[identifier.Service]ServiceGrant{simService: {Notice: announcer.Notice{Rate: &n}, Settled: true, Scarce: true}},
+		Servers: map[identifier.ServerRun]ServerGrant{testServer.Run: {Issued: 2}},
+	})
+	for _, calls := range []int{2, 1, 1, 1} { // These reports are lost.
+		now = now.Add(100 * time.Millisecond)
+		h.Report(now, []Running{{testServer, calls}})
+	}
+	if !h.Available(now, testServer, 1) {
+		t.Error("the place of a call that has ended is gone, though no leader has it")
+	}
+}
