soaker: backend servers are brittle in some runs

Change: in two of three plans all seven servers are brittle for 9 to 13 s and further callers come. New promises: in such a stretch they fall over no more often than 2 + a tenth of their number by calls of hosts in touch, and hosts in touch still serve. Each backend server is a BrittleServer of its own. The older faults of a seed stay as they were.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -63,6 +63,9 @@
 		t.end = time.Now()
 		s.ledger.recordOutcome(t, notRun)
 		time.Sleep(callInterval)
+		if n >= callerCount+resumerCount && t.outcome != fmt.Sprint(http.StatusOK) {
+			time.Sleep(crowdPause)
+		}
 	}
 }
 
--- a/internal/soaker/doc.go
+++ b/internal/soaker/doc.go
@@ -7,7 +7,9 @@
 // are killed, paused, or stopped and restarted, and links to backend servers
 // stall in one or both directions, are slow, reset connections, or lose
 // responses. Some entry hosts, or all of one failure domain, lose their connections to
-// all backend servers, and a sound backend server is silent for more than a second.
+// all backend servers, and a sound backend server is silent for more than a second. All
+// backend servers are brittle for some time in most plans: they let fewer calls wait, and
+// fall over when they turn more than a few away in a second.
 // Entry hosts run the program gatedentry, the daemon's role with its connections to
 // backend servers led through a gate for each host. While the plan runs, callers keep their connections open and reuse
 // them until a process exits, and an operator stores one document after the
@@ -27,6 +29,9 @@
 //     touch serve calls at least two thirds as often as the others;
 //   - a call that was sent to a server that is sound and only silent does not end
 //     without an answer;
+//   - brittle servers fall over no more often than 2 + a tenth of their number in one
+//     stretch, if most of the calls that they turned away came from hosts in touch; such
+//     hosts still serve calls;
 //   - no process exits unexpectedly;
 //   - after the last fault, every entry host and keeper serves again.
 //
--- a/internal/soaker/fatal.go
+++ b/internal/soaker/fatal.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// fatalPart is the part of prompts that ends a standin.CrashingServer, and
+	// fatalPart is the part of prompts that ends a backend server, and
 	// sharedPart one that sound prompts contain too.
 	fatalPart, sharedPart = "fa7a1", "5a6ed"
-	// fatalPath is the path of the request that ends a standin.CrashingServer.
+	// fatalPath is the path of the request that ends a backend server.
 	fatalPath = "/look/fatal"
 	// fatalInterval is the pause between two fatal calls.
 	fatalInterval = 150 * time.Millisecond
@@ -25,32 +25,48 @@
 	fatalChecks = 3
 )
 
-// isFatal reports whether a call ends a standin.CrashingServer.
+// isFatal reports whether a call ends a backend server.
 func isFatal(r *http.Request) bool {
 	return r.URL.Path == fatalPath || standin.HasPart(fatalPart)(r)
 }
 
-// startCrashing starts the backend servers that end on fatal calls.
-func (s *soak) startCrashing() error {
-	for range crashingCount {
-		c, err := standin.NewCrashingServer(s.backends, isFatal, crashDowntime)
+// startServers starts the backend servers: those behind links, and those that end on
+// fatal calls. The former break the connection of such a call.
+func (s *soak) startServers(base string) error {
+	for i := range backendCount + crashingCount {
+		backend := http.Handler(s.backends)
+		if i < backendCount {
+			backend = standin.AbortOn(isFatal, backend)
+		}
+		b, err := standin.NewBrittleServer(backend, waitingRoom, fallDowntime)
 		if err != nil {
 			return err
 		}
-		s.crashing = append(s.crashing, c)
-		s.closers = append(s.closers, c.Close)
-		s.cloud.Servers = append(s.cloud.Servers, c.Address())
-	}
-	start := time.Now()
-	s.cloud.Born = func(server int) time.Time {
-		if n := server - len(s.links); n >= 0 {
-			return s.crashing[n].Born()
+		s.servers = append(s.servers, b)
+		s.closers = append(s.closers, b.Close)
+		address := b.Address()
+		if i >= backendCount {
+			b.SetFatal(isFatal, crashDowntime)
+		} else if address, err = s.startLink(base, address); err != nil {
+			return err
 		}
-		return start
+		s.cloud.Servers = append(s.cloud.Servers, address)
 	}
+	s.cloud.Born = func(server int) time.Time { return s.servers[server].Born() }
 	return nil
 }
 
+// startLink starts a link in front of a backend server and returns its address.
+func (s *soak) startLink(base, server string) (string, error) {
+	l, err := newLink(base+".252:0", server)
+	if err != nil {
+		return "", err
+	}
+	s.links = append(s.links, l)
+	s.closers = append(s.closers, l.close)
+	return l.listener.Addr().String(), nil
+}
+
 // runFatalCaller sends fatal calls until ctx ends.
 func (s *soak) runFatalCaller(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.opts.Seed, callerCount+1))
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -20,6 +20,7 @@
 	spans          []span
 	cuts           []string
 	silences       string
+	brittle        []string
 	nonIdempotent  []identifier.RequestID // may run at most once each
 	notRun         []identifier.RequestID // reported to the caller as not run
 	newestRevision identifier.Revision
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -25,6 +25,11 @@
 	Silence Kind = "silence"
 	// Refuse, in a cut, lets open connections live on and resets new ones.
 	Refuse Kind = "refuse"
+	// Brittle makes all backend servers brittle.
+	Brittle Kind = "brittle"
+	// Fall is the time in which a backend server behind a link is down after it fell over.
+	// It is a consequence and not planned.
+	Fall Kind = "fall"
 )
 
 // targetsProcess reports whether k targets a process; other kinds target a link.
@@ -40,6 +45,9 @@
 	// Hosts are the entry hosts that a cut by Stall, Reset or Refuse takes from all
 	// backend servers; it has no Target.
 	Hosts []int
+	// Survives is the number of refusals in a second that brittle servers survive, Room
+	// that of calls that they let wait in the end.
+	Survives, Room int
 	// Start is when the fault begins, relative to the start of the callers, and
 	// Duration is how long it lasts.
 	Start, Duration time.Duration
@@ -50,6 +58,9 @@
 	if f.isCut() {
 		return fmt.Sprintf("%6.2f s cut (%s) of hosts %v for %.2f s", f.Start.Seconds(), f.Kind, f.Hosts, f.Duration.Seconds())
 	}
+	if f.Kind == Brittle {
+		return fmt.Sprintf("%6.2f s brittle servers, room for %d, survive %d for %.2f s", f.Start.Seconds(), f.Room, f.Survives, f.Duration.Seconds())
+	}
 	return fmt.Sprintf("%6.2f s %-6s %d for %.2f s", f.Start.Seconds(), f.Kind, f.Target, f.Duration.Seconds())
 }
 
@@ -73,6 +84,11 @@
 	minCutDuration, maxCutDuration = 4 * time.Second, 12 * time.Second
 	lastCutStart                   = 2 * time.Second
 	minLastCutDuration             = 8 * time.Second
+	// A brittle stretch lasts longer than contact, after which the servers have less room.
+	minBrittleDuration, maxBrittleDuration = 9 * time.Second, 13 * time.Second
+	// maxSurvived and maxRoom bound what is drawn for it; in half of the stretches no
+	// call may wait.
+	maxSurvived, maxRoom = 4, 8
 	// domainCount is the number of failure domains of the entry hosts.
 	domainCount = 2
 )
@@ -107,6 +123,13 @@
 			Kind: Silence, Target: rng.IntN(links), Start: between(rng, 0, end), Duration: between(rng, minSilence, maxSilence),
 		})
 	}
+	rng = rand.New(rand.NewPCG(seed, 2))
+	if rng.IntN(3) > 0 {
+		faults = append(faults, Fault{
+			Kind: Brittle, Start: between(rng, 0, length), Duration: between(rng, minBrittleDuration, maxBrittleDuration),
+			Survives: 1 + rng.IntN(maxSurvived), Room: max(rng.IntN(2*maxRoom)-maxRoom, 0),
+		})
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return faults
 }
--- a/internal/soaker/reach.go
+++ b/internal/soaker/reach.go
@@ -129,6 +129,7 @@
 			if slices.Contains(f.Hosts, t.host) {
 				return false
 			}
+		case f.Kind == Brittle: // its falls have spans of their own
 		case f.Kind.targetsProcess() || !s.links[f.Target].saw(t.id):
 		case f.Kind != Silence:
 			return false
--- a/internal/soaker/report.go
+++ b/internal/soaker/report.go
@@ -15,6 +15,8 @@
 	Outcomes map[string]int
 	// Cuts and Silences tell how many calls their promises were checked on.
 	Cuts, Silences string
+	// Brittle tells what happened at brittle servers.
+	Brittle string
 	// Stored is the number of acknowledged documents.
 	Stored int
 	// Violations lists the broken promises, at most maxViolations.
@@ -31,7 +33,7 @@
 	return &Report{
 		Seed: s.opts.Seed, Faults: injected, Outcomes: maps.Clone(l.outcomes), Stored: l.stored,
 		Violations: slices.Clone(l.violations), Folder: s.opts.Folder,
-		Cuts: strings.Join(l.cuts, "; "), Silences: l.silences,
+		Cuts: strings.Join(l.cuts, "; "), Silences: l.silences, Brittle: strings.Join(l.brittle, "; "),
 	}
 }
 
@@ -43,7 +45,7 @@
 	for _, o := range slices.Sorted(maps.Keys(r.Outcomes)) {
 		fmt.Fprintf(&b, " %d %s,", r.Outcomes[o], o)
 	}
-	fmt.Fprintf(&b, " cuts [%s], silences [%s],", r.Cuts, r.Silences)
+	fmt.Fprintf(&b, " cuts [%s], silences [%s], brittle [%s],", r.Cuts, r.Silences, r.Brittle)
 	if len(r.Violations) == 0 {
 		b.WriteString(" every promise kept\n")
 		return b.String()
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -36,7 +36,7 @@
 
 const (
 	// backendCount is the number of backend servers behind links, crashingCount that
-	// of those that end on calls with fatalPart, and crashDowntime how long they do.
+	// of those that end on fatal calls, and crashDowntime how long they do.
 	backendCount  = 3
 	crashingCount = 4
 	crashDowntime = 500 * time.Millisecond
@@ -58,7 +58,7 @@
 	cloud     *standin.Cloud
 	backends  *standin.Backends
 	links     []*link
-	crashing  []*standin.CrashingServer
+	servers   []*standin.BrittleServer // those behind links first
 	keepers   []*process
 	entries   []*process
 	operators *http.Client
@@ -106,20 +106,7 @@
 	if err != nil {
 		return err
 	}
-	backend, err := s.serve(base+".251", standin.AbortOn(isFatal, s.backends))
-	if err != nil {
-		return err
-	}
-	for range backendCount {
-		l, err := newLink(base+".252:0", backend)
-		if err != nil {
-			return err
-		}
-		s.links = append(s.links, l)
-		s.closers = append(s.closers, l.close)
-		s.cloud.Servers = append(s.cloud.Servers, l.listener.Addr().String())
-	}
-	if err := s.startCrashing(); err != nil {
+	if err := s.startServers(base); err != nil {
 		return err
 	}
 	const port = 7000
@@ -207,7 +194,7 @@
 		}
 		faults.Go(func() {
 			from := time.Now()
-			ok, err := s.injectFault(processes, f)
+			ok, err := s.injectFault(workCtx, processes, f)
 			mu.Lock()
 			defer mu.Unlock()
 			errs = append(errs, err)
@@ -229,7 +216,11 @@
 // injectFault injects one fault and waits until it is over. It reports false if
 // the fault could not be injected, because the target process was down or had
 // another fault, or since a silence would replace the fault of a link.
-func (s *soak) injectFault(processes []*process, f Fault) (bool, error) {
+func (s *soak) injectFault(ctx context.Context, processes []*process, f Fault) (bool, error) {
+	if f.Kind == Brittle {
+		s.injectBrittle(ctx, f)
+		return true, nil
+	}
 	if f.isCut() {
 		for _, h := range f.Hosts {
 			defer s.entries[h].gate.inject(f.Kind)()
@@ -292,6 +283,7 @@
 	}
 	s.checkCuts()
 	s.checkSilences()
+	s.checkBrittle()
 	s.ledger.checkRuns(s.backends.Runs())
 	for _, w := range s.cloud.Conflicts() {
 		s.ledger.addViolation("window %s is reported with two counts", w)
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -80,14 +81,17 @@
 				before = f.Start
 				continue
 			}
-			targets, end := 3, length
+			targets, end, longest := 3, length, maxFaultDuration
+			if f.Kind == Brittle {
+				longest = maxBrittleDuration
+			}
 			if f.Kind == Silence {
 				end = length + maxCutDuration
 			}
 			if f.Kind.targetsProcess() {
 				targets = 6
 			}
-			if f.Start < before || f.Start >= end || f.Duration < minFaultDuration || f.Duration > maxFaultDuration || f.Target < 0 || f.Target >= targets {
+			if f.Start < before || f.Start >= end || f.Duration < minFaultDuration || f.Duration > longest || f.Target < 0 || f.Target >= targets {
 				t.Errorf("fault %v after %v of %v", f, before, length)
 			}
 			before = f.Start
@@ -177,3 +181,47 @@
 		})
 	}
 }
+
+// TestFallsOfBrittleServersAreDetected passes falls and calls that brittle servers turned
+// away to the checks, and calls that are not served beside them.
+func TestFallsOfBrittleServersAreDetected(t *testing.T) {
+	begin := time.Now()
+	at := func(seconds float64) time.Time { return begin.Add(time.Duration(seconds * float64(time.Second))) }
+	fault := func(k Kind, target int) span { return span{Fault{Kind: k, Target: target}, at(2), at(2.5)} }
+	for _, tc := range []struct {
+		name       string
+		spans      []span
+		falls, at  int
+		outcome    string
+		violations int
+	}{
+		{"three falls", nil, 3, 4, "200", 1},
+		{"two falls", nil, 2, 4, "200", 0},
+		{"three falls by a host that was paused", []span{fault(Pause, 3)}, 3, 4, "200", 0},
+		{"three falls after a pause", []span{fault(Pause, 3)}, 3, 6, "200", 1},
+		{"three falls beside a fault of another host", []span{fault(Kill, 4)}, 3, 4, "200", 1},
+		{"three falls beside a fault of a keeper", []span{fault(Kill, 0)}, 3, 4, "200", 1},
+		{"three falls beside faults of two keepers", []span{fault(Kill, 0), fault(Kill, 1)}, 3, 4, "200", 0},
+		{"three falls by a host that is cut off", []span{{Fault{Kind: Reset, Hosts: []int{0}}, at(1), at(9)}}, 3, 4, "200", 0},
+		{"no call is served", nil, 0, 4, "503", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			gate := &link{calls: map[identifier.RequestID]struct{}{"c": {}}}
+			s := &soak{keepers: []*process{{}, {}, {}}, entries: []*process{{gate: gate}, {gate: &link{}}}}
+			s.ledger.spans = slices.Concat(tc.spans, []span{{Fault{Kind: Brittle}, at(0), at(9)}})
+			for range 30 {
+				s.ledger.tries = append(s.ledger.tries, try{start: at(6), end: at(7), outcome: tc.outcome})
+			}
+			falls := make([]string, tc.falls)
+			s.checkFalls(falls, []standin.Refusal{{Call: "c", At: at(float64(tc.at))}})
+			for _, c := range s.ledger.spans {
+				if c.Kind == Brittle {
+					s.checkServed(c)
+				}
+			}
+			if n := len(s.ledger.violations); n != tc.violations {
+				t.Errorf("%d violations, want %d: %q", n, tc.violations, s.ledger.violations)
+			}
+		})
+	}
+}
