--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -15,6 +15,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -40,3 +41,18 @@
 		t.Errorf("%s differs (-want +got):\n%s", path, diff)
 	}
 }
+
+// CompareStories plays each file testdata/*.story in a test of its own and compares what
+// play returns with the golden file beside it.
+func CompareStories(t *testing.T, play func(t *testing.T, path string) string) {
+	t.Helper()
+	paths, err := filepath.Glob("testdata/*.story")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no stories: %v", err)
+	}
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".story"), func(t *testing.T) {
+			Compare(t, strings.TrimSuffix(path, ".story")+".golden", play(t, path))
+		})
+	}
+}
--- a/isolator/story_test.go
+++ b/isolator/story_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -113,14 +112,4 @@
 
 // TestStories compares the decisions on the evidence in testdata with the golden
 // files beside it.
-func TestStories(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.story")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no stories: %v", err)
-	}
-	for _, path := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(path), ".story"), func(t *testing.T) {
-			golden.Compare(t, strings.TrimSuffix(path, ".story")+".golden", play(t, path))
-		})
-	}
-}
+func TestStories(t *testing.T) { golden.CompareStories(t, play) }
--- a/relayer/story_test.go
+++ b/relayer/story_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -101,14 +100,4 @@
 
 // TestStories compares what a host believes in the stories in testdata with the golden
 // files beside them.
-func TestStories(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.story")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no stories: %v", err)
-	}
-	for _, path := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(path), ".story"), func(t *testing.T) {
-			golden.Compare(t, strings.TrimSuffix(path, ".story")+".golden", play(t, path))
-		})
-	}
-}
+func TestStories(t *testing.T) { golden.CompareStories(t, play) }
