node: rates in notices, runs of servers and wake-ups are written once

An announced rate was converted in two codecs, a server's run was put together in five places beside serverRun, and three channels were signalled by the same select. Behaviour stays the same.

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -110,3 +110,8 @@
 func decodeMillis(ms uint64) time.Duration {
 	return time.Duration(min(ms, uint64(maxMessageTime.Milliseconds()))) * time.Millisecond
 }
+
+// serverRun returns the run of a server as it was sent.
+func serverRun(id string, incarnation uint64) identifier.ServerRun {
+	return identifier.ServerRun{ID: identifier.BackendServer(id), Incarnation: incarnation}
+}
--- a/internal/node/isolation.go
+++ b/internal/node/isolation.go
@@ -46,10 +46,7 @@
 
 // endReported tells runIsolation that there are ends to record.
 func (n *keeperNode) endReported() {
-	select {
-	case n.newEnds <- struct{}{}:
-	default: // They are recorded next.
-	}
+	wake(n.newEnds)
 }
 
 // unrecordedEnds returns the events that record what hosts reported of ends. A keeper
@@ -170,10 +167,7 @@
 
 // evidenceReady tells runEvidence that there is new evidence for the leader.
 func (e *entry) evidenceReady() {
-	select {
-	case e.newEvidence <- struct{}{}:
-	default: // A report is due already.
-	}
+	wake(e.newEvidence)
 }
 
 // runEvidence reports new evidence to the leader at once, until ctx ends.
@@ -220,7 +214,7 @@
 	r := isolator.Report{Survivals: decodeSightings(req.GetSurvivals()), Refusals: decodeSightings(req.GetRefusals())}
 	for _, w := range req.GetEnds() {
 		e := isolator.End{
-			Server:  identifier.ServerRun{ID: identifier.BackendServer(w.GetServer()), Incarnation: w.GetIncarnation()},
+			Server:  serverRun(w.GetServer(), w.GetIncarnation()),
 			Service: identifier.Service(w.GetService()), Version: identifier.Version(w.GetVersion()),
 			Age:      decodeMillis(w.GetAgeMillis()),
 			Suspects: make(map[identifier.PartID]int, len(w.GetSuspects())),
--- a/internal/node/paces.go
+++ b/internal/node/paces.go
@@ -29,7 +29,7 @@
 	var r pacer.Report
 	for _, w := range req.GetServerPaces() {
 		r.Servers = append(r.Servers, pacer.ServerReport{
-			Server:  identifier.ServerRun{ID: identifier.BackendServer(w.GetServer()), Incarnation: w.GetIncarnation()},
+			Server:  serverRun(w.GetServer(), w.GetIncarnation()),
 			Service: identifier.Service(w.GetService()), LogSum: w.GetLogSum(), Count: int(w.GetCount()),
 			Figure: w.GetFigure(), Age: decodeMillis(w.GetAgeMillis()),
 		})
@@ -86,7 +86,7 @@
 		Services: make(map[identifier.Service]pacer.Service, len(resp.GetServicePaces())),
 	}
 	for _, w := range resp.GetServerPaces() {
-		s := identifier.ServerRun{ID: identifier.BackendServer(w.GetServer()), Incarnation: w.GetIncarnation()}
+		s := serverRun(w.GetServer(), w.GetIncarnation())
 		p.Servers[s] = pacer.Pace{Ratio: float64(w.GetRatio()), Figure: float64(w.GetFigure()), Mean: float64(w.GetMean()), Age: decodeMillis(w.GetAgeMillis())}
 	}
 	for _, w := range resp.GetServicePaces() {
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -82,22 +82,33 @@
 
 // encodeNotice converts a notice to protobuf.
 func encodeNotice(n announcer.Notice) *wire.LimitNotice {
-	out := &wire.LimitNotice{AgeMillis: encodeMillis(n.Age)}
-	if n.Rate != nil {
-		limit := float64(*n.Rate)
-		out.PerSecond = &limit
-	}
-	return out
+	return &wire.LimitNotice{AgeMillis: encodeMillis(n.Age), PerSecond: encodeAnnounced(n.Rate)}
 }
 
 // decodeNotice converts a notice from protobuf.
 func decodeNotice(w *wire.LimitNotice) announcer.Notice {
-	n := announcer.Notice{Age: decodeMillis(w.GetAgeMillis())}
-	if w != nil && w.PerSecond != nil {
-		limit := decodeRate(w.GetPerSecond())
-		n.Rate = &limit
+	if w == nil {
+		return announcer.Notice{}
+	}
+	return announcer.Notice{Age: decodeMillis(w.GetAgeMillis()), Rate: decodeAnnounced(w.PerSecond)}
+}
+
+// encodeAnnounced converts an announced rate to protobuf; nil means none.
+func encodeAnnounced(r *identifier.RequestRate) *float64 {
+	if r == nil {
+		return nil
+	}
+	v := float64(*r)
+	return &v
+}
+
+// decodeAnnounced converts an announced rate from protobuf; nil means none.
+func decodeAnnounced(v *float64) *identifier.RequestRate {
+	if v == nil {
+		return nil
 	}
-	return n
+	r := decodeRate(*v)
+	return &r
 }
 
 // decodeRate converts a rate from a message. One that is no number or negative
@@ -176,7 +187,7 @@
 			sr.Notice = &n
 		}
 		sr.WarmUp = decodeWarmUp(ws.GetWarmUp())
-		r.Servers[identifier.ServerRun{ID: identifier.BackendServer(ws.GetServer()), Incarnation: ws.GetIncarnation()}] = sr
+		r.Servers[serverRun(ws.GetServer(), ws.GetIncarnation())] = sr
 	}
 	return r
 }
@@ -197,7 +208,7 @@
 func decodePermitGrant(w *wire.PermitGrant) permitter.Grant {
 	g := permitter.Grant{ID: permitter.GrantID(w.GetId()), Servers: make(map[identifier.ServerRun]permitter.ServerGrant, len(w.GetServers()))}
 	for _, ws := range w.GetServers() {
-		s := identifier.ServerRun{ID: identifier.BackendServer(ws.GetServer()), Incarnation: ws.GetIncarnation()}
+		s := serverRun(ws.GetServer(), ws.GetIncarnation())
 		g.Servers[s] = permitter.ServerGrant{
 			Notice: decodeNotice(ws.GetNotice()), Permits: int(ws.GetPermits()), Wait: decodeMillis(ws.GetWaitMillis()),
 			WarmUp: decodeWarmUp(ws.GetWarmUp()),
--- a/internal/node/placecodec.go
+++ b/internal/node/placecodec.go
@@ -21,11 +21,7 @@
 	if n == nil {
 		return
 	}
-	w.Notice, w.AgeMillis = true, encodeMillis(n.Age)
-	if n.Rate != nil {
-		refusals := float64(*n.Rate)
-		w.Refusals = &refusals
-	}
+	w.Notice, w.AgeMillis, w.Refusals = true, encodeMillis(n.Age), encodeAnnounced(n.Rate)
 }
 
 // decodeBrittleNotice returns the notice in a message, or nil.
@@ -33,12 +29,7 @@
 	if !w.GetNotice() {
 		return nil
 	}
-	n := &announcer.Notice{Age: decodeMillis(w.GetAgeMillis())}
-	if w.Refusals != nil {
-		refusals := decodeRate(w.GetRefusals())
-		n.Rate = &refusals
-	}
-	return n
+	return &announcer.Notice{Age: decodeMillis(w.GetAgeMillis()), Rate: decodeAnnounced(w.Refusals)}
 }
 
 // encodeBrittleness converts what the leader knows of services to protobuf.
@@ -123,11 +114,6 @@
 	return r
 }
 
-// serverRun returns the run of a server as it was sent.
-func serverRun(id string, incarnation uint64) identifier.ServerRun {
-	return identifier.ServerRun{ID: identifier.BackendServer(id), Incarnation: incarnation}
-}
-
 // encodePlaceGrant converts a grant to protobuf.
 func encodePlaceGrant(g reserver.Grant) *wire.PlaceGrant {
 	out := &wire.PlaceGrant{Sequence: g.Sequence, Services: encodeBrittleness(g.Services)}
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -26,10 +26,7 @@
 
 // placesReady tells runPlaces that a report on places is due at once.
 func (e *entry) placesReady() {
-	select {
-	case e.newPlaces <- struct{}{}:
-	default: // A report is due already.
-	}
+	wake(e.newPlaces)
 }
 
 // runPlaces reports on places with the period of the sync and when a report is due, until
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -241,3 +241,12 @@
 	nanos := m.nanos.Load()
 	return time.Duration(clock.Now().UnixNano() - nanos), nanos != 0
 }
+
+// wake tells the reader of a channel with room for one element that something is due. What
+// it has not read yet tells it already.
+func wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
