--- a/review/bodies/main.go
+++ b/review/bodies/main.go
@@ -51,11 +51,12 @@
 	defer b.Close()
 	var entries []bed.Entry
 	for i := range 3 {
-		address, err := b.Serve(100+i, http.HandlerFunc(stream))
+		id := fmt.Sprintf("i-%d", i+1)
+		address, err := b.Serve(100+i, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { stream(b, id, w, r) }))
 		if err != nil {
 			return bed.ExitFailed, err
 		}
-		entries = append(entries, bed.Entry{ID: fmt.Sprintf("i-%d", i+1), Service: bed.Service, Address: address, Zone: "be-central-a", Version: "v1", Slots: 64, State: "ready"})
+		entries = append(entries, bed.Entry{ID: id, Service: bed.Service, Address: address, Zone: "be-central-a", Version: "v1", Slots: 64, State: "ready"})
 	}
 	b.Cloud.List(entries...)
 	if err := b.Start(3, 2); err != nil {
@@ -152,8 +153,9 @@
 }
 
 // stream answers a request with a stream of events once its body has been read.
-func stream(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+func stream(b *bed.Bed, worker string, w http.ResponseWriter, r *http.Request) {
+	n, err := io.Copy(io.Discard, r.Body)
+	b.Record.Add("%s: runs %s with a body of %d bytes, %v", worker, r.Header.Get(bed.HeaderID), n, err)
 	h := w.Header()
 	h.Set(bed.HeaderID, r.Header.Get(bed.HeaderID))
 	h.Set(bed.HeaderSeal, "seal-"+r.Header.Get(bed.HeaderID))
