--- a/connector/conn.go
+++ b/connector/conn.go
@@ -9,13 +9,16 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/timer"
 )
 
@@ -30,6 +33,9 @@
 	// drainTimeout is how long Release waits for the end of a response body,
 	// and for the end of sending a large request body.
 	drainTimeout = 50 * time.Millisecond
+	// maxCarried is how many requests with ids a connection carries, since it remembers
+	// them.
+	maxCarried = 512
 	// The read deadline is set again only if it moves earlier, or later by more
 	// than the read limit divided by deadlineSlackDivisor.
 	deadlineSlackDivisor = 8
@@ -65,6 +71,8 @@
 	reused  bool
 	// bearsIDs is set once a response has borne the id of its request.
 	bearsIDs bool
+	// carried holds the hashes of the ids of the requests that were sent.
+	carried []uint64
 
 	// lastByte is when the last byte was received, or when the connection was
 	// opened if there was none.
@@ -106,6 +114,19 @@
 // request, so that one without an id belongs to no request.
 func (c *Conn) BearsIDs() bool { return c.bearsIDs }
 
+// HasCarried reports whether a request with that id was sent on the connection before. A
+// server may write its answer to that one once more, and the copy could not be told from
+// the answer to the request on its way again.
+func (c *Conn) HasCarried(id identifier.AttemptID) bool {
+	return slices.Contains(c.carried, hashOf(id))
+}
+
+// recordCarried records that a request with an id is sent.
+func (c *Conn) recordCarried(id identifier.AttemptID) { c.carried = append(c.carried, hashOf(id)) }
+
+// hashOf returns the hash of an id.
+func hashOf(id identifier.AttemptID) uint64 { return xxhash.Sum64String(string(id)) }
+
 // Address returns the address of the backend server.
 func (c *Conn) Address() string { return c.address }
 
@@ -239,7 +260,7 @@
 // prepareReuse drains the rest of the body and reports whether the connection
 // can be used for another exchange.
 func (c *Conn) prepareReuse() bool {
-	if c.res == nil || c.closeAfterResponse {
+	if c.res == nil || c.closeAfterResponse || len(c.carried) >= maxCarried {
 		return false
 	}
 	if !c.bodyEnded {
--- a/connector/message.go
+++ b/connector/message.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"cyclamenhub.org/identifier"
 )
 
 // largeBodyBytes is the body size from which the body is sent concurrently with
@@ -16,6 +18,9 @@
 // Message is a request as it is sent over the connection. The request target is
 // sent as the client wrote it.
 type Message struct {
+	// ID is what answers to the request bear, or empty if they bear no id. The header of
+	// requests with an id contains it.
+	ID                   identifier.AttemptID
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
@@ -53,6 +58,9 @@
 // body was sent. Its errors are of type *Error.
 func (c *Conn) Send(ctx context.Context, m *Message, limits Limits) (*Response, error) {
 	c.beginExchange(ctx, limits)
+	if m.ID != "" {
+		c.recordCarried(m.ID)
+	}
 	if err := c.write(m); err != nil {
 		return nil, &Error{Stage: Sending, Sent: c.sent, Reused: c.reused, Err: err}
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -187,6 +187,8 @@
 	limits   connector.Limits
 	// conn is the connection to the server, or nil before it is open.
 	conn *connector.Conn
+	// sentAgain is set if the call is sent on a connection that has carried it before.
+	sentAgain bool
 	// hasRun is set once the attempt is counted as one that may have run.
 	hasRun bool
 	// lost is set if the connection of the attempt broke.
@@ -251,7 +253,7 @@
 	if !conn.Reused() && reach.Dialed() {
 		x.f.reachChanged(x.service)
 	}
-	x.conn = conn
+	x.conn, x.sentAgain = conn, conn.HasCarried(x.call.ID)
 	x.recordRevisionAtSend()
 	sentAt := x.f.opts.TimeOfDay.Now()
 	reply, res, err := x.exchangeHeaders(conn, in)
@@ -334,7 +336,7 @@
 		a.Customer = x.customer.Name
 	}
 	return &connector.Message{
-		Method: x.call.method, Target: x.call.target, Host: x.call.host,
+		ID: x.call.ID, Method: x.call.method, Target: x.call.target, Host: x.call.host,
 		Header: x.f.opts.Codec.Encode(x.call.Call, a), Body: x.call.body,
 	}
 }
@@ -396,6 +398,7 @@
 		if reply.ID == x.call.ID {
 			return reply, res, nil
 		}
+		countForeign(&reply, res.Status)
 		if !res.Delimited || foreign == maxForeignReplies {
 			return reply, res, errMismatchedReply
 		}
--- a/forwarder/identity.go
+++ b/forwarder/identity.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/describer"
 )
@@ -18,6 +20,16 @@
 	return reply.NotRun || status == http.StatusMisdirectedRequest
 }
 
+// countForeign counts a response to another call, which its server wrote once too often or
+// late.
+func countForeign(reply *describer.Reply, status int) {
+	if isRefusal(reply, status) {
+		foreignRefusals.Inc()
+	} else {
+		foreignResponses.Inc()
+	}
+}
+
 // checkUnidentified checks a response without an id, which follows the given number of
 // responses to other calls. The first response on a new connection can only belong to the
 // first call. On a connection that earlier calls used, it may be the repetition of a
@@ -93,3 +105,8 @@
 	}
 	s.members = listed
 }
+
+var (
+	foreignRefusals  = metrics.NewCounter(`cyclamen_forwarder_foreign_answers_total{kind="refusal"}`)
+	foreignResponses = metrics.NewCounter(`cyclamen_forwarder_foreign_answers_total{kind="response"}`)
+)
