forwarder: a test of copied refusals, which fails

Callers may see a call that runs once run twice: a server writes a copy of its refusal while the refused call is under way again on the same connection. Two ways there: two entries of the list have one address (that of a server that has ended and that of its successor), or the caller sends the call again.

--- /dev/null
+++ b/forwarder/refusalcopy_test.go
@@ -0,0 +1,68 @@
+package forwarder
+
+import (
+	"net/http"
+	"testing"
+)
+
+// TestRefusalCopyIsNotTheAnswerToTheNextSend guards against calls that run twice: a faulty
+// server writes a refusal once more while the refused call is under way again on the same
+// connection, so that the copy bears its id.
+func TestRefusalCopyIsNotTheAnswerToTheNextSend(t *testing.T) {
+	const id = "id-1"
+	mine := sealedResponse(http.StatusOK, idLine(id), "mine")
+	for _, tc := range []struct{ name, refusal string }{
+		{"full", refusalOf(http.StatusServiceUnavailable, id)},
+		{"over its limit", refusalOf(http.StatusTooManyRequests, id)},
+		{"another server", misdirectedOf(id)},
+	} {
+		t.Run(tc.name+", listed twice at its address", func(t *testing.T) {
+			h, address, s, other := newCopyingServer(t, tc.refusal, mine)
+			s.onRequest = func(n int) {
+				if n > 0 {
+					h.useAddresses(address, address, other)
+				}
+			}
+			h.useAddresses(address, address) // The entry of an ended server beside that of its successor.
+			expectOneRun(t, h, s, h.callAs(t, id, http.MethodPost, "/file/1", "key", "x"))
+		})
+		t.Run(tc.name+", sent again by its caller", func(t *testing.T) {
+			h, address, s, other := newCopyingServer(t, tc.refusal, mine)
+			s.onRequest = func(n int) {
+				if n > 0 {
+					h.useAddresses(address, other)
+				}
+			}
+			h.useAddresses(address)
+			if res := h.callAs(t, id, http.MethodPost, "/file/1", "key", "x"); res.status != http.StatusServiceUnavailable {
+				t.Fatalf("the first call got %+v", res)
+			}
+			expectOneRun(t, h, s, h.callAs(t, id, http.MethodPost, "/file/1", "key", "x"))
+		})
+	}
+}
+
+// newCopyingServer starts a server that refuses its first request. It answers the second
+// one, with a copy of the refusal first if that comes on the connection of the refusal.
+// Another server runs what it gets.
+func newCopyingServer(t *testing.T, refusal, answer string) (h *harness, address string, s *partsServer, other string) {
+	t.Helper()
+	h = newHarness(t, sealedResponse(http.StatusOK, idLine("id-1"), "other"))
+	s = &partsServer{answers: [][]string{{refusal}, {answer}}, copiesBefore: map[int]string{1: refusal}}
+	return h, s.start(t), s, h.backends.start()
+}
+
+// expectOneRun checks that a call has run once, at the server that refused it first, and
+// that its caller was not told otherwise.
+func expectOneRun(t *testing.T, h *harness, s *partsServer, res response) {
+	t.Helper()
+	if res.status != http.StatusOK || res.body != "mine" {
+		t.Errorf("the caller got %+v, want the answer of the server that ran the call", res)
+	}
+	if n := s.requests.Load(); n != 2 {
+		t.Errorf("the server received %d requests, want the refused one and the one that ran", n)
+	}
+	if n := len(h.backends.requests()); n != 0 {
+		t.Errorf("another server ran the call %d times as well", n)
+	}
+}
--- a/forwarder/repeated_test.go
+++ b/forwarder/repeated_test.go
@@ -18,6 +18,9 @@
 // parts, and writes each part by itself. It keeps its connections open.
 type partsServer struct {
 	answers [][]string
+	// copiesBefore holds copies of earlier answers. One is written before the nth answer,
+	// if that goes to a connection on which an earlier request came.
+	copiesBefore map[int]string
 	// onRequest is called before the nth request is answered, counted from 0.
 	onRequest        func(n int)
 	requests, opened atomic.Int64
@@ -35,7 +38,7 @@
 // serve answers the requests of one connection.
 func (s *partsServer) serve(c net.Conn) {
 	br := bufio.NewReader(c)
-	for {
+	for isFirst := true; ; isFirst = false {
 		r, err := http.ReadRequest(br)
 		if err != nil {
 			return
@@ -45,6 +48,9 @@
 		if s.onRequest != nil {
 			s.onRequest(n)
 		}
+		if !isFirst {
+			_, _ = io.WriteString(c, s.copiesBefore[n])
+		}
 		for i, part := range s.answers[n] {
 			if i > 0 {
 				time.Sleep(partPause)
