connector: a connection carries each id once

Callers saw a call that may run once run twice, or were told that it had not run when it had. A server may write a copy of its refusal while the refused call is under way again on the same connection: by a second entry of the list with the same address (a server that has ended and its successor), or since the caller sent it again under its id. The copy bears the call's id and was taken for its answer.

An id tells the answers of one request from those of another; it does not tell two sends of one request apart. So the connection remembers the ids that it carried and carries none twice: the pool closes an idle connection that has, and Send refuses. No connection is given up for a refusal alone.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -114,15 +114,25 @@
 // request, so that one without an id belongs to no request.
 func (c *Conn) BearsIDs() bool { return c.bearsIDs }
 
-// HasCarried reports whether a request with that id was sent on the connection before. A
+// hasCarried reports whether a request with that id was sent on the connection before. A
 // server may write its answer to that one once more, and the copy could not be told from
 // the answer to the request on its way again.
-func (c *Conn) HasCarried(id identifier.AttemptID) bool {
+func (c *Conn) hasCarried(id identifier.AttemptID) bool {
 	return slices.Contains(c.carried, hashOf(id))
 }
 
-// recordCarried records that a request with an id is sent.
-func (c *Conn) recordCarried(id identifier.AttemptID) { c.carried = append(c.carried, hashOf(id)) }
+// carry records that a request with an id is sent, "" if it has none. It returns an error
+// if the connection has carried that id.
+func (c *Conn) carry(id identifier.AttemptID) error {
+	switch {
+	case id == "":
+		return nil
+	case c.hasCarried(id):
+		return ErrCarried
+	}
+	c.carried = append(c.carried, hashOf(id))
+	return nil
+}
 
 // hashOf returns the hash of an id.
 func hashOf(id identifier.AttemptID) uint64 { return xxhash.Sum64String(string(id)) }
--- a/connector/doc.go
+++ b/connector/doc.go
@@ -9,6 +9,11 @@
 // of their last byte, every read has a time limit, and errors report whether
 // the connection was reused.
 //
+// An answer belongs to the request whose id it bears. Servers may write an answer once
+// more, and a request may be sent again under its id, so that the id tells something only
+// of the first request that a connection carries under it: a connection carries each id
+// once.
+//
 // # Usage
 //
 //	pool := connector.NewPool(connector.Options{Clock: timer.System{}})
--- a/connector/error.go
+++ b/connector/error.go
@@ -36,3 +36,7 @@
 
 // ErrHeaderTooLarge means that a response header exceeds the size limit.
 var ErrHeaderTooLarge = errors.New("the answer's header is too large")
+
+// ErrCarried means that a connection has carried a request with the same id, so that the
+// answers to the two could not be told apart.
+var ErrCarried = errors.New("the connection has carried a request with this id")
--- a/connector/message.go
+++ b/connector/message.go
@@ -55,11 +55,12 @@
 
 // Send sends m and returns the response once its header has been read. A large
 // body is sent concurrently; the connection is not reused unless the complete
-// body was sent. Its errors are of type *Error.
+// body was sent. Its errors are of type *Error; ErrCarried means that the connection
+// is not for this request.
 func (c *Conn) Send(ctx context.Context, m *Message, limits Limits) (*Response, error) {
 	c.beginExchange(ctx, limits)
-	if m.ID != "" {
-		c.recordCarried(m.ID)
+	if err := c.carry(m.ID); err != nil {
+		return nil, &Error{Stage: Sending, Reused: c.reused, Err: err}
 	}
 	if err := c.write(m); err != nil {
 		return nil, &Error{Stage: Sending, Sent: c.sent, Reused: c.reused, Err: err}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/timer"
 )
 
@@ -57,7 +58,7 @@
 	mu   sync.Mutex
 	idle map[string][]*Conn
 
-	opened, reused, discardedByAge, discardedClosed *metrics.Counter
+	opened, reused, discardedByAge, discardedClosed, discardedCarried *metrics.Counter
 }
 
 // NewPool returns an empty Pool.
@@ -82,18 +83,25 @@
 	}
 	return &Pool{
 		opt: opt, idle: make(map[string][]*Conn),
-		opened:          opt.Metrics.GetOrCreateCounter("cyclamen_connections_opened_total"),
-		reused:          opt.Metrics.GetOrCreateCounter("cyclamen_connections_reused_total"),
-		discardedByAge:  opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="age"}`),
-		discardedClosed: opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="closed"}`),
+		opened:           opt.Metrics.GetOrCreateCounter("cyclamen_connections_opened_total"),
+		reused:           opt.Metrics.GetOrCreateCounter("cyclamen_connections_reused_total"),
+		discardedByAge:   opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="age"}`),
+		discardedClosed:  opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="closed"}`),
+		discardedCarried: opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="carried"}`),
 	}
 }
 
 // Open returns a connection to address. Its errors are of type *Error and mean
 // that nothing was sent.
 func (p *Pool) Open(ctx context.Context, address string, reuse Reuse) (*Conn, error) {
+	return p.OpenFor(ctx, address, reuse, "")
+}
+
+// OpenFor is like Open, for a request with an id; "" means that it has none. The
+// connection has not carried that id.
+func (p *Pool) OpenFor(ctx context.Context, address string, reuse Reuse, id identifier.AttemptID) (*Conn, error) {
 	if reuse == Pooled {
-		if c := p.take(address); c != nil {
+		if c := p.take(address, id); c != nil {
 			p.reused.Inc()
 			return c, nil
 		}
@@ -131,9 +139,10 @@
 	return false
 }
 
-// take returns the most recently used idle connection that is still usable, or
-// nil.
-func (p *Pool) take(address string) *Conn {
+// take returns the most recently used idle connection that is still usable for a request
+// with an id, or nil. It closes those before that, so that a caller that repeats an id
+// does not add connections.
+func (p *Pool) take(address string, id identifier.AttemptID) *Conn {
 	for {
 		c := p.pop(address)
 		switch {
@@ -143,6 +152,8 @@
 			p.discardedByAge.Inc()
 		case !c.isUsable():
 			p.discardedClosed.Inc()
+		case id != "" && c.hasCarried(id):
+			p.discardedCarried.Inc()
 		default:
 			return c
 		}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -187,8 +187,6 @@
 	limits   connector.Limits
 	// conn is the connection to the server, or nil before it is open.
 	conn *connector.Conn
-	// sentAgain is set if the call is sent on a connection that has carried it before.
-	sentAgain bool
 	// hasRun is set once the attempt is counted as one that may have run.
 	hasRun bool
 	// lost is set if the connection of the attempt broke.
@@ -241,7 +239,7 @@
 	x.instance = in
 	reach := x.f.opts.Reach.Begin(x.service, choice.Server)
 	defer reach.End()
-	conn, err := x.f.opts.Pool.Open(x.ctx, in.Address, x.reuse(in.Address))
+	conn, err := x.f.opts.Pool.OpenFor(x.ctx, in.Address, x.reuse(in.Address), x.call.ID)
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			return nil, placer.Cancelled, callerLeft, ""
@@ -253,7 +251,7 @@
 	if !conn.Reused() && reach.Dialed() {
 		x.f.reachChanged(x.service)
 	}
-	x.conn, x.sentAgain = conn, conn.HasCarried(x.call.ID)
+	x.conn = conn
 	x.recordRevisionAtSend()
 	sentAt := x.f.opts.TimeOfDay.Now()
 	reply, res, err := x.exchangeHeaders(conn, in)
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -282,7 +282,7 @@
 		attrs = append(attrs, x.brokenAttrs()...)
 	}
 	if x.conn != nil {
-		attrs = append(attrs, slog.String("address", x.conn.Address()), slog.Bool("reused", x.conn.Reused()), slog.Bool("sentAgain", x.sentAgain))
+		attrs = append(attrs, slog.String("address", x.conn.Address()), slog.Bool("reused", x.conn.Reused()))
 	}
 	x.f.opts.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "attempt failed", attrs...)
 }
