forwarder: a test does not end its server in the moment of maxOverlap

Traced: the other server ended 300 ms after its header, and a stream stays at two servers for maxOverlap, 300 ms as well, after which the silent one is left by design.

--- a/forwarder/replacement_test.go
+++ b/forwarder/replacement_test.go
@@ -122,7 +122,7 @@
 	t.Parallel()
 	h := newHarness(t)
 	h.setTargets(500 * time.Millisecond)
-	other := scriptedServer(t, step{text: streamHead}, step{wait: 300 * time.Millisecond})
+	other := scriptedServer(t, step{text: streamHead}, step{wait: 50 * time.Millisecond})
 	res := h.callSilent(t, "/edit/1", []string{other},
 		step{text: streamHead + chunk(event(1))}, step{wait: 1500 * time.Millisecond, text: chunk(event(2)) + "0\r\n\r\n"})
 	if res.body != event(1)+event(2) || !res.complete {
