forwarder: the line of a failed attempt reads no shared connection

The line that names the connection of a failed attempt was made after the connection had gone back to the pool: it said of a new connection that it was used before, and read it while another call used it.

What the line says is recorded when the connection is opened. TestRefusedAttemptLogsANewConnectionAsNew and, with the race detector, TestLogOfARefusedAttemptReadsNoSharedConnection failed before and pass.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -185,8 +185,10 @@
 	server   identifier.BackendServer
 	instance describer.Instance
 	limits   connector.Limits
-	// conn is the connection to the server, or nil before it is open.
-	conn *connector.Conn
+	// conn is the connection to the server, or nil before it is open. isReused is set if
+	// earlier requests used it.
+	conn     *connector.Conn
+	isReused bool
 	// hasRun is set once the attempt is counted as one that may have run.
 	hasRun bool
 	// lost is set if the connection of the attempt broke.
@@ -251,7 +253,7 @@
 	if !conn.Reused() && reach.Dialed() {
 		x.f.reachChanged(x.service)
 	}
-	x.conn = conn
+	x.conn, x.isReused = conn, conn.Reused()
 	x.recordRevisionAtSend()
 	sentAt := x.f.opts.TimeOfDay.Now()
 	reply, res, err := x.exchangeHeaders(conn, in)
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -281,8 +281,8 @@
 	if result == broken {
 		attrs = append(attrs, x.brokenAttrs()...)
 	}
-	if x.conn != nil {
-		attrs = append(attrs, slog.String("address", x.conn.Address()), slog.Bool("reused", x.conn.Reused()))
+	if x.conn != nil { // It may have been released, and be in use by another call.
+		attrs = append(attrs, slog.String("address", x.instance.Address), slog.Bool("reused", x.isReused))
 	}
 	x.f.opts.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "attempt failed", attrs...)
 }
