connector: the start of an answer does not join the next one's header

Callers could see a call that may run once run twice in one more way, found by review: a server cuts off a copy of an earlier refusal within its header, and the answer of the running call goes on in the same line. The two are read as one header, which says that nothing ran and bears the id of the call.

A header that contains the status line of another response, in its reason or in a field, belongs to no request: the exchange fails, and a call that may run once gets 502. TestTruncatedCopyIsNotTheHeadOfTheAnswer failed in 6 of 6 cases before (another server got the call as well) and passes.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -228,6 +228,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if isJoined(res) {
+			return nil, ErrJoined
+		}
 		if res.StatusCode >= http.StatusOK {
 			c.res, c.closeAfterResponse = newResponse(c, res), res.Close
 			c.idleTimeout = keepAliveTimeout(res.Header)
--- a/connector/error.go
+++ b/connector/error.go
@@ -40,3 +40,8 @@
 // ErrCarried means that a connection has carried a request with the same id, so that the
 // answers to the two could not be told apart.
 var ErrCarried = errors.New("the connection has carried a request with this id")
+
+// ErrJoined means that the start of one response and the header of another have come as one
+// header: a server has cut off a response too many, and it is not known which fields belong
+// to which.
+var ErrJoined = errors.New("the answer's header contains the start of another answer")
--- /dev/null
+++ b/forwarder/joined_test.go
@@ -0,0 +1,56 @@
+package forwarder
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// headOf returns the head of a refusal of an earlier call up to, without its line end, the
+// line that says that nothing ran.
+func headOf(status int) string {
+	text := refusalOf(status, "id-0")
+	end := strings.Index(text, testNotRun+": 1") + len(testNotRun+": 1")
+	return text[:end]
+}
+
+// TestTruncatedCopyIsNotTheHeadOfTheAnswer guards against calls that run twice: a faulty
+// server truncates the copy of an earlier refusal within its head, so that the answer of
+// the running call goes on in the same head.
+func TestTruncatedCopyIsNotTheHeadOfTheAnswer(t *testing.T) {
+	const own = "id-1"
+	sealed := sealedResponse(http.StatusOK, idLine(own), "mine")
+	failure := "HTTP/1.1 500 X\r\n" + idLine(own) + "Content-Length: 6\r\n\r\nfailed"
+	for _, tc := range []struct {
+		name  string
+		parts []string
+	}{
+		{"full, in one write", []string{headOf(503) + sealed}},
+		{"full, in two parts", []string{headOf(503), sealed}},
+		{"over its limit", []string{headOf(429), sealed}},
+		{"another server, in the reason", []string{"HTTP/1.1 421 Mis" + sealed}},
+		{"another server, within a line", []string{"HTTP/1.1 421 X\r\nServer: a" + sealed}},
+		{"before a failure without a seal", []string{headOf(503), failure}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, sealedResponse(http.StatusOK, idLine(own), "other"))
+			other := h.backends.start()
+			s := &partsServer{answers: [][]string{{sealedResponse(http.StatusOK, idLine("id-0"), "first")}, tc.parts}}
+			address := s.start(t)
+			s.onRequest = func(n int) {
+				if n > 0 {
+					h.useAddresses(address, other)
+				}
+			}
+			h.useAddresses(address)
+			h.callAs(t, "id-0", http.MethodPost, "/look/0", "key", "x")
+			res := h.callAs(t, own, http.MethodPost, "/file/1", "key", "x")
+			if n := len(h.backends.requests()); n != 0 {
+				t.Errorf("the call ran at its server and was sent to another server %d times", n)
+			}
+			if impliesNotRun(res.status) {
+				t.Errorf("the call ran and its caller got %+v", res)
+			}
+		})
+	}
+}
