connector: a refusal with a short body keeps its connection

A backend server whose refusals have a body, if only a line of text, lost a connection with each, when it was busiest.

Release read one byte of the rest of a body, to meet its end. It reads up to 4 KB now, for 50 ms in all. TestRefusalsWithABodyKeepTheirConnection failed before (3 requests took 3 connections) and passes (one); the tests of connector and forwarder pass with the race detector.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -33,6 +33,8 @@
 	// drainTimeout is how long Release waits for the end of a response body,
 	// and for the end of sending a large request body.
 	drainTimeout = 50 * time.Millisecond
+	// maxDrainBytes is the largest rest of a body that Release reads to its end.
+	maxDrainBytes = 4 << 10
 	// maxCarried is how many requests with ids a connection carries, since it remembers
 	// them.
 	maxCarried = 512
@@ -278,7 +280,8 @@
 	}
 	if !c.bodyEnded {
 		c.readLimit, c.readDeadline, c.limits.GiveUp = drainTimeout, time.Time{}, nil
-		_, _ = io.CopyN(io.Discard, c.res.Body, 1)
+		c.limits.Deadline = c.clock.Now().Add(drainTimeout)
+		_, _ = io.CopyN(io.Discard, c.res.Body, maxDrainBytes+1)
 	}
 	if !c.bodyEnded || c.br.Buffered() > 0 || !c.awaitBodyWritten() {
 		return false
--- a/forwarder/refusalcopy_test.go
+++ b/forwarder/refusalcopy_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 )
 
 // TestRefusalCopyIsNotTheAnswerToTheNextSend guards against calls that run twice: a faulty
@@ -66,3 +67,23 @@
 		t.Errorf("another server ran the call %d times as well", n)
 	}
 }
+
+// TestRefusalsWithABodyKeepTheirConnection guards against a connection that is given up for
+// each refusal of a busy server.
+func TestRefusalsWithABodyKeepTheirConnection(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\n" + idLine(id) + "Content-Length: 5\r\n\r\nfull\n"
+	}
+	h := newHarness(t)
+	s := &partsServer{answers: [][]string{{refusal("id-0")}, {refusal("id-1")}, {refusal("id-2")}}}
+	address := s.start(t)
+	for _, id := range []string{"id-0", "id-1", "id-2"} {
+		h.useAddresses() // The server is listed anew, so that it is asked although it was full.
+		h.useAddresses(address)
+		h.callAs(t, id, http.MethodPost, "/file/1", "key", "x")
+		time.Sleep(partPause)
+	}
+	if r, n := s.requests.Load(), s.opened.Load(); r != 3 || n != 1 {
+		t.Errorf("%d requests took %d connections, want 3 on one", r, n)
+	}
+}
