connector: fields that net/http takes out of a header are looked at too

The check of joined headers did not see the Trailer field of a chunked answer, which net/http moves out of the header, so that a copy cut off in that field still made a running call look refused. Found by review.

TestTruncatedFieldOutsideTheHeaderJoinsNoAnswer failed in 2 of 6 cases before (trailer, and the same in a stream) and passes.

--- a/connector/joined.go
+++ b/connector/joined.go
@@ -12,6 +12,11 @@
 	if hasStatusLine(res.Status) {
 		return true
 	}
+	for field := range res.Trailer { // net/http takes these out of the header.
+		if hasStatusLine(field) {
+			return true
+		}
+	}
 	for _, values := range res.Header {
 		for _, v := range values {
 			if hasStatusLine(v) {
--- a/forwarder/joined_test.go
+++ b/forwarder/joined_test.go
@@ -54,3 +54,40 @@
 		})
 	}
 }
+
+// TestTruncatedFieldOutsideTheHeaderJoinsNoAnswer guards against calls that run twice: the
+// copy of an earlier refusal is cut off in a field that net/http takes out of the header of
+// a chunked answer.
+func TestTruncatedFieldOutsideTheHeaderJoinsNoAnswer(t *testing.T) {
+	const own = "id-1"
+	chunked := "HTTP/1.1 200 X\r\n" + testSeal + ": s\r\n" + idLine(own) + "Transfer-Encoding: chunked\r\n\r\n" + chunk("mine") + "0\r\n\r\n"
+	stream := streamHead[:len(streamHead)-2] + idLine(own) + "\r\n" + chunk(event(1)) + "0\r\n\r\n"
+	for _, tc := range []struct{ name, path, cut, answer string }{
+		{"trailer", "/file/1", "Trailer: a", chunked},
+		{"trailer, a stream", "/draft/1", "Trailer: a", stream},
+		{"length", "/file/1", "Content-Length: 0", chunked},
+		{"length, a stream", "/draft/1", "Content-Length: 0", stream},
+		{"no field", "/file/1", "Content-Length: 0\r\n", chunked},
+		{"end of a line", "/file/1", "Content-Length: 0\r", chunked},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, sealedResponse(http.StatusOK, idLine(own), "other"))
+			other := h.backends.start()
+			s := &partsServer{answers: [][]string{
+				{sealedResponse(http.StatusOK, idLine("id-0"), "first")}, {headOf(503) + "\r\n" + tc.cut + tc.answer},
+			}}
+			address := s.start(t)
+			s.onRequest = func(n int) {
+				if n > 0 {
+					h.useAddresses(address, other)
+				}
+			}
+			h.useAddresses(address)
+			h.callAs(t, "id-0", http.MethodPost, "/look/0", "key", "x")
+			res := h.callAs(t, own, http.MethodPost, tc.path, "key", "x")
+			if n := len(h.backends.requests()); n != 0 || impliesNotRun(res.status) {
+				t.Errorf("the call ran, was sent to another server %d times, and its caller got status %d", n, res.status)
+			}
+		})
+	}
+}
