connector: a caller that repeats an id closes one connection at most

The pool passes over connections that have carried the id. If all have, the oldest makes room for the new one, so that such a caller adds none either. TestRepeatedIDClosesOneConnection fails before (0 idle in place of 4) and passes. Connections that are used up by 512 ids are counted.

--- a/connector/carried_test.go
+++ b/connector/carried_test.go
@@ -112,3 +112,33 @@
 		last = c
 	}
 }
+
+// TestRepeatedIDClosesOneConnection guards against callers that repeat an id and thereby
+// close the connections of others, or add connections without end.
+func TestRepeatedIDClosesOneConnection(t *testing.T) {
+	p, address := NewPool(Options{}), listenOK(t)
+	const idle = 4
+	for range idle {
+		c, err := p.OpenFor(context.Background(), address, Fresh, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := sendAs(c, "a"); err != nil {
+			t.Fatal(err)
+		}
+		p.Release(c)
+	}
+	for range 3 * idle {
+		c, err := p.OpenFor(context.Background(), address, Pooled, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := sendAs(c, "a"); err != nil {
+			t.Fatal(err)
+		}
+		p.Release(c)
+		if n := len(p.idle[address]); n != idle {
+			t.Fatalf("%d connections are idle, want %d", n, idle)
+		}
+	}
+}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,7 +59,7 @@
 	mu   sync.Mutex
 	idle map[string][]*Conn
 
-	opened, reused, discardedByAge, discardedClosed, discardedCarried *metrics.Counter
+	opened, reused, discardedByAge, discardedClosed, discardedCarried, discardedFull *metrics.Counter
 }
 
 // NewPool returns an empty Pool.
@@ -88,6 +89,7 @@
 		discardedByAge:   opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="age"}`),
 		discardedClosed:  opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="closed"}`),
 		discardedCarried: opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="carried"}`),
+		discardedFull:    opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="full"}`),
 	}
 }
 
@@ -140,20 +142,21 @@
 }
 
 // take returns the most recently used idle connection that is still usable for a request
-// with an id, or nil. It closes those before that, so that a caller that repeats an id
-// does not add connections.
+// with an id, or nil.
 func (p *Pool) take(address string, id identifier.AttemptID) *Conn {
 	for {
-		c := p.pop(address)
+		c, hasCarried := p.pop(address, id)
 		switch {
 		case c == nil:
 			return nil
+		case hasCarried:
+			p.discardedCarried.Inc()
+			c.Close()
+			return nil
 		case c.isExpired(p.opt.Clock.Now(), p.opt.MaxIdleAge):
 			p.discardedByAge.Inc()
 		case !c.isUsable():
 			p.discardedClosed.Inc()
-		case id != "" && c.hasCarried(id):
-			p.discardedCarried.Inc()
 		default:
 			return c
 		}
@@ -161,22 +164,33 @@
 	}
 }
 
-func (p *Pool) pop(address string) *Conn {
+// pop takes the most recently used idle connection that has not carried an id out of the
+// pool. If all have carried it, pop takes the oldest one and says so: it makes room for a new
+// one, so that a caller that repeats an id adds no connections.
+func (p *Pool) pop(address string, id identifier.AttemptID) (c *Conn, hasCarried bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	if len(list) == 0 {
-		return nil
+		return nil, false
+	}
+	i := len(list) - 1
+	for i >= 0 && id != "" && list[i].hasCarried(id) {
+		i--
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	return c
+	hasCarried = i < 0
+	i = max(i, 0)
+	c = list[i]
+	p.idle[address] = slices.Delete(list, i, i+1)
+	return c, hasCarried
 }
 
 // Release returns c to the pool if its last exchange ended cleanly, and closes
 // it otherwise.
 func (p *Pool) Release(c *Conn) {
+	if len(c.carried) >= maxCarried {
+		p.discardedFull.Inc()
+	}
 	if !c.prepareReuse() || !p.push(c) {
 		c.Close()
 	}
--- a/forwarder/copies_property_test.go
+++ b/forwarder/copies_property_test.go
@@ -24,6 +24,7 @@
 	copyLater
 	copyBeforeNextAnswer
 	copyInPieces
+	copyCutOff
 )
 
 // copyDelay is how long after an answer a late copy of it is written.
@@ -34,6 +35,8 @@
 type reaction struct {
 	refusal int
 	copies  copyMoment
+	// cutAt is the share of a copy that is cut off after which it ends, in hundredths.
+	cutAt int
 }
 
 // copyingServer is a backend server that writes copies of its answers. It answers its
@@ -110,6 +113,9 @@
 		case copyInPieces:
 			send(answer + answer[:len(answer)/2])
 			time.AfterFunc(copyDelay, func() { send(answer[len(answer)/2:]) })
+		case copyCutOff:
+			send(answer)
+			held = answer[:len(answer)*re.cutAt/100]
 		}
 	}
 }
@@ -124,7 +130,8 @@
 	reactions := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) reaction {
 		return reaction{
 			refusal: rapid.SampledFrom([]int{0, 503, 503, 429, 421}).Draw(t, "refusal"),
-			copies:  copyMoment(rapid.Uint8Range(0, uint8(copyInPieces)).Draw(t, "copy")),
+			copies:  copyMoment(rapid.Uint8Range(0, uint8(copyCutOff)).Draw(t, "copy")),
+			cutAt:   rapid.IntRange(1, 99).Draw(t, "cut at"),
 		}
 	}), 1, 12)
 	check := 0
--- a/forwarder/refusalcopy_test.go
+++ b/forwarder/refusalcopy_test.go
@@ -18,7 +18,7 @@
 		{"another server", misdirectedOf(id)},
 	} {
 		t.Run(tc.name+", listed twice at its address", func(t *testing.T) {
-			h, address, s, other := newCopyingServer(t, tc.refusal, mine)
+			h, address, s, other := newRefusingServer(t, tc.refusal, mine)
 			s.onRequest = func(n int) {
 				if n > 0 {
 					h.useAddresses(address, address, other)
@@ -28,7 +28,7 @@
 			expectOneRun(t, h, s, h.callAs(t, id, http.MethodPost, "/file/1", "key", "x"))
 		})
 		t.Run(tc.name+", sent again by its caller", func(t *testing.T) {
-			h, address, s, other := newCopyingServer(t, tc.refusal, mine)
+			h, address, s, other := newRefusingServer(t, tc.refusal, mine)
 			s.onRequest = func(n int) {
 				if n > 0 {
 					h.useAddresses(address, other)
@@ -43,10 +43,10 @@
 	}
 }
 
-// newCopyingServer starts a server that refuses its first request. It answers the second
+// newRefusingServer starts a server that refuses its first request. It answers the second
 // one, with a copy of the refusal first if that comes on the connection of the refusal.
 // Another server runs what it gets.
-func newCopyingServer(t *testing.T, refusal, answer string) (h *harness, address string, s *partsServer, other string) {
+func newRefusingServer(t *testing.T, refusal, answer string) (h *harness, address string, s *partsServer, other string) {
 	t.Helper()
 	h = newHarness(t, sealedResponse(http.StatusOK, idLine("id-1"), "other"))
 	s = &partsServer{answers: [][]string{{refusal}, {answer}}, copiesBefore: map[int]string{1: refusal}}
