--- a/connector/conn.go
+++ b/connector/conn.go
@@ -9,13 +9,16 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/timer"
 )
 
@@ -30,6 +33,11 @@
 	// drainTimeout is how long Release waits for the end of a response body,
 	// and for the end of sending a large request body.
 	drainTimeout = 50 * time.Millisecond
+	// maxDrainBytes is the largest rest of a body that Release reads to its end.
+	maxDrainBytes = 4 << 10
+	// maxCarried is how many requests with ids a connection carries, since it remembers
+	// them.
+	maxCarried = 512
 	// The read deadline is set again only if it moves earlier, or later by more
 	// than the read limit divided by deadlineSlackDivisor.
 	deadlineSlackDivisor = 8
@@ -65,6 +73,10 @@
 	reused  bool
 	// bearsIDs is set once a response has borne the id of its request.
 	bearsIDs bool
+	// carried holds the hashes of the ids of the requests that were sent.
+	carried []uint64
+	// carriedHead is set once a HEAD request was sent.
+	carriedHead bool
 
 	// lastByte is when the last byte was received, or when the connection was
 	// opened if there was none.
@@ -106,6 +118,29 @@
 // request, so that one without an id belongs to no request.
 func (c *Conn) BearsIDs() bool { return c.bearsIDs }
 
+// hasCarried reports whether a request with that id was sent on the connection before. A
+// server may write its answer to that one once more, and the copy could not be told from
+// the answer to the request on its way again.
+func (c *Conn) hasCarried(id identifier.AttemptID) bool {
+	return slices.Contains(c.carried, hashOf(id))
+}
+
+// carry records that a request with an id is sent, "" if it has none. It returns an error
+// if the connection has carried that id.
+func (c *Conn) carry(id identifier.AttemptID) error {
+	switch {
+	case id == "":
+		return nil
+	case c.hasCarried(id):
+		return ErrCarried
+	}
+	c.carried = append(c.carried, hashOf(id))
+	return nil
+}
+
+// hashOf returns the hash of an id.
+func hashOf(id identifier.AttemptID) uint64 { return xxhash.Sum64String(string(id)) }
+
 // Address returns the address of the backend server.
 func (c *Conn) Address() string { return c.address }
 
@@ -197,6 +232,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if isJoined(res) {
+			return nil, ErrJoined
+		}
 		if res.StatusCode >= http.StatusOK {
 			c.res, c.closeAfterResponse = newResponse(c, res), res.Close
 			c.idleTimeout = keepAliveTimeout(res.Header)
@@ -239,12 +277,13 @@
 // prepareReuse drains the rest of the body and reports whether the connection
 // can be used for another exchange.
 func (c *Conn) prepareReuse() bool {
-	if c.res == nil || c.closeAfterResponse {
+	if c.res == nil || c.closeAfterResponse || len(c.carried) >= maxCarried {
 		return false
 	}
 	if !c.bodyEnded {
 		c.readLimit, c.readDeadline, c.limits.GiveUp = drainTimeout, time.Time{}, nil
-		_, _ = io.CopyN(io.Discard, c.res.Body, 1)
+		c.limits.Deadline = c.clock.Now().Add(drainTimeout)
+		_, _ = io.CopyN(io.Discard, c.res.Body, maxDrainBytes+1)
 	}
 	if !c.bodyEnded || c.br.Buffered() > 0 || !c.awaitBodyWritten() {
 		return false
--- a/connector/message.go
+++ b/connector/message.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"cyclamenhub.org/identifier"
 )
 
 // largeBodyBytes is the body size from which the body is sent concurrently with
@@ -16,6 +18,9 @@
 // Message is a request as it is sent over the connection. The request target is
 // sent as the client wrote it.
 type Message struct {
+	// ID is what answers to the request bear, or empty if they bear no id. The header of
+	// requests with an id contains it.
+	ID                   identifier.AttemptID
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
@@ -50,9 +55,14 @@
 
 // Send sends m and returns the response once its header has been read. A large
 // body is sent concurrently; the connection is not reused unless the complete
-// body was sent. Its errors are of type *Error.
+// body was sent. Its errors are of type *Error; ErrCarried means that the connection
+// is not for this request.
 func (c *Conn) Send(ctx context.Context, m *Message, limits Limits) (*Response, error) {
 	c.beginExchange(ctx, limits)
+	c.carriedHead = c.carriedHead || m.Method == http.MethodHead
+	if err := c.carry(m.ID); err != nil {
+		return nil, &Error{Stage: Sending, Reused: c.reused, Err: err}
+	}
 	if err := c.write(m); err != nil {
 		return nil, &Error{Stage: Sending, Sent: c.sent, Reused: c.reused, Err: err}
 	}
@@ -108,6 +118,10 @@
 	}
 }
 
+// MaySkip reports whether a response to another request can be skipped: whether it has a
+// body depends on the method of that request, which is not known where one was HEAD.
+func (c *Conn) MaySkip() bool { return !c.carriedHead }
+
 // Next reads another response on the connection, after the previous response
 // turned out to belong to another request and was read to its end. Its errors
 // are of type *Error.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -185,8 +185,10 @@
 	server   identifier.BackendServer
 	instance describer.Instance
 	limits   connector.Limits
-	// conn is the connection to the server, or nil before it is open.
-	conn *connector.Conn
+	// conn is the connection to the server, or nil before it is open. isReused is set if
+	// earlier requests used it.
+	conn     *connector.Conn
+	isReused bool
 	// hasRun is set once the attempt is counted as one that may have run.
 	hasRun bool
 	// lost is set if the connection of the attempt broke.
@@ -239,7 +241,7 @@
 	x.instance = in
 	reach := x.f.opts.Reach.Begin(x.service, choice.Server)
 	defer reach.End()
-	conn, err := x.f.opts.Pool.Open(x.ctx, in.Address, x.reuse(in.Address))
+	conn, err := x.f.opts.Pool.OpenFor(x.ctx, in.Address, x.reuse(in.Address), x.call.ID)
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			return nil, placer.Cancelled, callerLeft, ""
@@ -251,7 +253,7 @@
 	if !conn.Reused() && reach.Dialed() {
 		x.f.reachChanged(x.service)
 	}
-	x.conn = conn
+	x.conn, x.isReused = conn, conn.Reused()
 	x.recordRevisionAtSend()
 	sentAt := x.f.opts.TimeOfDay.Now()
 	reply, res, err := x.exchangeHeaders(conn, in)
@@ -334,7 +336,7 @@
 		a.Customer = x.customer.Name
 	}
 	return &connector.Message{
-		Method: x.call.method, Target: x.call.target, Host: x.call.host,
+		ID: x.call.ID, Method: x.call.method, Target: x.call.target, Host: x.call.host,
 		Header: x.f.opts.Codec.Encode(x.call.Call, a), Body: x.call.body,
 	}
 }
@@ -396,7 +398,8 @@
 		if reply.ID == x.call.ID {
 			return reply, res, nil
 		}
-		if !res.Delimited || foreign == maxForeignReplies {
+		countForeign(&reply, res.Status)
+		if !res.Delimited || foreign == maxForeignReplies || !conn.MaySkip() {
 			return reply, res, errMismatchedReply
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxForeignBytes)); err != nil || n == maxForeignBytes {
