--- a/internal/crowder/answers_test.go
+++ b/internal/crowder/answers_test.go
@@ -24,19 +24,28 @@
 	s.checkCrowd(c, 1)
 }
 
-// awaitAnswers makes each member read the first byte of its answer and no more.
+// awaitAnswers makes each member read the status of its answer and no more.
 func (c *crowd) awaitAnswers() {
+	c.t.Helper()
+	statuses := make([]string, len(c.members))
 	c.each(func(i int, m *member) {
 		if m.conn == nil {
 			return
 		}
 		err := m.conn.SetReadDeadline(time.Now().Add(patience))
 		if err == nil {
-			_, err = io.ReadFull(m.conn, make([]byte, 1))
+			status := make([]byte, len("HTTP/1.1 200"))
+			_, err = io.ReadFull(m.conn, status)
+			statuses[i] = string(status)
 		}
 		if err != nil {
 			m.state = closed
-			c.t.Logf("member %d has no answer: %v", i, err)
+			statuses[i] = err.Error()
 		}
 	})
+	counts := make(map[string]int)
+	for _, s := range statuses {
+		counts[s]++
+	}
+	c.t.Logf("answers: %v", counts)
 }
--- a/internal/crowder/heads_test.go
+++ b/internal/crowder/heads_test.go
@@ -17,6 +17,8 @@
 	lineCrowd = 256
 	// longHeadBytes is the size of a head over the limit.
 	longHeadBytes = 32 * 16 << 10
+	// lineBytes is the size of a line over the limit.
+	lineBytes = 768 << 10
 	// endlessBytes is how much a client sends whose head has no end.
 	endlessBytes = 4 << 20
 )
@@ -62,11 +64,13 @@
 }
 
 // TestLineWithoutEndFillsMemory guards against a host that reads on for as long as a
-// line of a head goes on.
+// line of a head goes on. The lines of all clients go on once all have been read so far.
 func TestLineWithoutEndFillsMemory(t *testing.T) {
 	s := newSystem(t)
 	c := newCrowd(t, lineCrowd, s.entry.address(standin.FrontendPort))
 	c.writeHeads("/look/1", []byte("A: "))
+	c.writeInPieces(bytes.Repeat([]byte("a"), lineBytes))
+	c.settle(lineBytes)
 	c.writeWithoutEnd(bytes.Repeat([]byte("a"), 1<<20), endlessBytes)
 	s.checkCrowd(c, endlessBytes)
 }
