forwarder: bodies of requests share a budget

Callers that sent many large bodies of legal size at once, whole, in pieces or in chunks, and stopped short of their end, ended an entry host: its memory ran out.

Cause: each body was read whole with io.ReadAll, into a buffer that doubles, and was held until the call ended. Nothing bounded the bodies of all calls together. The budget of answers does not count requests.

Change: budgeter divides the host's memory and counts every byte of each request's body before it is allocated, in parts that are never copied. Large bodies have a share of their own, so that small ones pass while large ones are refused. When the budget is full, the body that has received nothing for longest, and for a second, is ended as not run; if all move, the one that needs more is refused at once, 503 with Retry-After. The answer is written before the rest of the body is read, and the rest is thrown away for up to 2 s, so that the caller gets it. Calls from other hosts take from the same budget. connector sends a body in parts. The body of a stream that may run once is given back with its first event.

Why it works: what is held never exceeds the share, since memory is taken before it is allocated (property in budgeter); a crowd that stands still keeps nobody out for longer than the grace.

--- a/connector/message.go
+++ b/connector/message.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,7 +25,17 @@
 	ID                   identifier.AttemptID
 	Method, Target, Host string
 	Header               http.Header
-	Body                 []byte
+	// Body is the body in parts. It must not change until the exchange has ended.
+	Body [][]byte
+}
+
+// bodyBytes returns the size of the body.
+func (m *Message) bodyBytes() int {
+	n := 0
+	for _, part := range m.Body {
+		n += len(part)
+	}
+	return n
 }
 
 // encodeHead returns the request line and the header.
@@ -38,8 +50,9 @@
 			b = append(append(b, sanitizeHeaderValue(v)...), "\r\n"...)
 		}
 	}
-	if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
-		b = strconv.AppendInt(append(b, "Content-Length: "...), int64(len(m.Body)), 10)
+	size := m.bodyBytes()
+	if size > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
+		b = strconv.AppendInt(append(b, "Content-Length: "...), int64(size), 10)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
@@ -83,18 +96,20 @@
 	w := connWriter{c}
 	head := m.encodeHead()
 	c.bodyWritten = nil
-	if len(m.Body) < largeBodyBytes {
-		_, err := w.Write(append(head, m.Body...))
+	if m.bodyBytes() < largeBodyBytes {
+		_, err := w.Write(slices.Concat(append([][]byte{head}, m.Body...)...))
 		return err
 	}
-	if _, err := w.Write(append(head, m.Body[:largeBodyBytes/2]...)); err != nil {
+	rest := net.Buffers(slices.Clone(m.Body)) // Its methods change it, and the body may be sent again.
+	first := rest[0][:min(len(rest[0]), largeBodyBytes/2)]
+	rest[0] = rest[0][len(first):]
+	if _, err := w.Write(append(head, first...)); err != nil {
 		return err
 	}
 	done := make(chan error, 1)
 	c.bodyWritten = done
-	rest := m.Body[largeBodyBytes/2:]
 	go func() {
-		_, err := c.nc.Write(rest)
+		_, err := rest.WriteTo(c.nc)
 		done <- err
 	}()
 	return nil
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -335,7 +335,7 @@
 	}
 	return &connector.Message{
 		ID: x.call.ID, Method: x.call.method, Target: x.call.target, Host: x.call.host,
-		Header: x.f.opts.Codec.Encode(x.call.Call, a), Body: x.call.body,
+		Header: x.f.opts.Codec.Encode(x.call.Call, a), Body: x.call.body.parts,
 	}
 }
 
--- a/forwarder/bodies.go
+++ b/forwarder/bodies.go
@@ -4,16 +4,12 @@
 	"errors"
 	"io"
 	"sync/atomic"
+
+	"cyclamenhub.org/budgeter"
 )
 
 const (
-	// maxHeldBytes bounds the bodies of responses that are not streams which a host
-	// holds in all, without the first smallBodyBytes of each.
-	maxHeldBytes = 48 << 20
-	// heldMemoryDivisor gives the same bound as a part of the host's memory, which the
-	// calls in progress and the runtime need as well.
-	heldMemoryDivisor = 6
-	// smallBodyBytes is the part of a body that does not count in maxHeldBytes, so
+	// smallBodyBytes is the part of a body that does not count in the budget, so
 	// that small responses pass beside large ones.
 	smallBodyBytes = 64 << 10
 	// minChunkBytes and maxChunkBytes bound the parts in which a body is held.
@@ -60,10 +56,7 @@
 // setMemory sets the budget for a host with the given memory in bytes, 0 if that is not
 // known.
 func (b *bodyBudget) setMemory(bytes int64) {
-	b.max = maxHeldBytes
-	if bytes > 0 {
-		b.max = min(b.max, bytes/heldMemoryDivisor)
-	}
+	b.max = budgeter.Divide(bytes).Answers
 }
 
 // maxBody returns the size of the largest body that is accepted: one leaves room for others.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -13,7 +13,7 @@
 type call struct {
 	*describer.Call
 	method, target, host string
-	body                 []byte
+	body                 chunks
 }
 
 // fingerprint returns what calls have in common that are the same request of the
@@ -25,7 +25,7 @@
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(c.body)
+	_, _ = c.body.WriteTo(d)
 	return fmt.Sprintf("%s-%016x", customer, d.Sum64())
 }
 
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -184,6 +184,13 @@
 	return append([]received(nil), b.got...)
 }
 
+// forget drops the requests received so far.
+func (b *backends) forget() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.got = nil
+}
+
 // sealedResponse returns a sealed response with a content length.
 func sealedResponse(status int, header, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: s\r\n%sContent-Length: %d\r\n\r\n%s", status, testSeal, header, len(body), body)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -14,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/budgeter"
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
@@ -92,7 +92,9 @@
 	table   atomic.Pointer[matcher.Table]
 	fleet   atomic.Pointer[fleet]
 	retries *retryBudgets
-	bodies  bodyBudget
+	// bodies is the budget for the bodies of answers, and requests that for those of requests.
+	bodies   bodyBudget
+	requests *budgeter.Budget
 	// unidentified holds the addresses of backend servers whose refusals bear no id.
 	unidentified addressSet
 	// active counts the calls in progress, and relayed those of other hosts among them.
@@ -136,6 +138,7 @@
 	}
 	f := &Forwarder{opts: opts, started: opts.Clock.Now(), retries: newRetryBudgets(opts.Retries, opts.Hosts)}
 	f.bodies.setMemory(opts.MemoryBytes)
+	f.requests = newRequestBudget(&f.opts)
 	f.ending, f.endCalls = context.WithCancel(context.Background())
 	return f
 }
@@ -252,8 +255,12 @@
 	// heldResponse is a failure response of a backend server. It is returned if
 	// no later attempt answers the call.
 	heldResponse *bufferedResponse
-	// heldBytes is what the bodies of this call have taken from the host's budget.
+	// heldBytes is what the bodies of this call's answers have taken from the host's budget.
 	heldBytes int64
+	// claim is what the body of the request has taken, or nil if there is none.
+	claim *budgeter.Claim
+	// isUnread is set if the body was not read to its end.
+	isUnread bool
 	// headerSent is set once the header of a stream has been written to the
 	// caller.
 	headerSent bool
@@ -286,6 +293,7 @@
 	x.f.active.Add(1)
 	defer x.f.active.Add(-1)
 	defer x.logCall()
+	defer func() { x.claim.Release() }()
 	x.awaitCurrent()
 	if refusal := x.admit(); refusal != nil {
 		x.refuse(refusal)
@@ -364,16 +372,9 @@
 
 // readCall reads the body and decodes the header.
 func (x *exchange) readCall() *refusal {
-	maxBytes := x.table.Document().Limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, int64(maxBytes)+1))
-	switch {
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: "the body was not read: " + err.Error()}
-	case len(body) > maxBytes:
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	body, r := x.readBody()
+	if r != nil {
+		return r
 	}
 	c, err := x.f.opts.Codec.Decode(x.r)
 	if err != nil {
--- a/forwarder/isolation_test.go
+++ b/forwarder/isolation_test.go
@@ -174,7 +174,7 @@
 
 // TestFingerprintOfRequests checks which calls count as the same request.
 func TestFingerprintOfRequests(t *testing.T) {
-	same := call{method: "GET", host: "h", target: "/a?b", body: []byte("x")}
+	same := call{method: "GET", host: "h", target: "/a?b", body: oneChunk("x")}
 	want := same.fingerprint("c")
 	for _, tc := range []struct {
 		name     string
@@ -182,11 +182,11 @@
 		customer identifier.Customer
 		isSame   bool
 	}{
-		{"repetition", call{method: "GET", host: "h", target: "/a?b", body: []byte("x")}, "c", true},
+		{"repetition", call{method: "GET", host: "h", target: "/a?b", body: oneChunk("x")}, "c", true},
 		{"customer", same, "d", false},
-		{"method", call{method: "PUT", host: "h", target: "/a?b", body: []byte("x")}, "c", false},
-		{"query", call{method: "GET", host: "h", target: "/a?c", body: []byte("x")}, "c", false},
-		{"body", call{method: "GET", host: "h", target: "/a?b", body: []byte("y")}, "c", false},
+		{"method", call{method: "PUT", host: "h", target: "/a?b", body: oneChunk("x")}, "c", false},
+		{"query", call{method: "GET", host: "h", target: "/a?c", body: oneChunk("x")}, "c", false},
+		{"body", call{method: "GET", host: "h", target: "/a?b", body: oneChunk("y")}, "c", false},
 		{"border of path and body", call{method: "GET", host: "h", target: "/a?bx"}, "c", false},
 	} {
 		if got := tc.call.fingerprint(tc.customer) == want; got != tc.isSame {
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -42,6 +42,15 @@
 // refuse writes a refusal to the caller.
 func (x *exchange) refuse(r *refusal) {
 	x.status, x.reason = r.status, r.reason
+	if x.isUnread {
+		x.refuseUnread(r)
+		return
+	}
+	x.writeRefusal(r)
+}
+
+// writeRefusal writes the header and the text of a refusal.
+func (x *exchange) writeRefusal(r *refusal) {
 	h := x.w.Header()
 	if r.retryAfter > 0 {
 		x.f.opts.Codec.RetryAfter(h, r.retryAfter)
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -188,7 +188,7 @@
 func (x *exchange) relayedMessage() *connector.Message {
 	return &connector.Message{
 		Method: x.call.method, Target: x.call.target, Host: x.call.host,
-		Header: x.f.opts.Codec.Relay(x.r.Header, x.deadline.Sub(x.f.opts.Clock.Now())), Body: x.call.body,
+		Header: x.f.opts.Codec.Relay(x.r.Header, x.deadline.Sub(x.f.opts.Clock.Now())), Body: x.call.body.parts,
 	}
 }
 
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -192,6 +192,7 @@
 		return answered, ""
 	}
 	if first {
+		x.dropBody()
 		x.recordFirstContent(choice)
 		x.countUsage(x.f.opts.TimeOfDay.Now())
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -165,6 +165,7 @@
 		Default: expirer.Limits{Header: headerTimeout, Idle: idleTimeout}, Clock: boot, Metrics: metrics.GetDefaultSet(),
 	})
 	e.forwarder = e.newForwarder(boot, opts)
+	e.forwarder.ShowBudgets(metrics.GetDefaultSet())
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: ownListingInterval(cfg.Bounds.LeaveNotice),
 		StartWait: listingWait(cfg.Founding), ConfirmationTTL: cfg.Bounds.LeaveNotice / 2,
