forwarder: a body of a request has a time

Callers that began a body and did not end it kept its memory and their connection for as long as they liked, whether the body stood still or trickled.

Cause: the limits on time end with the header; no deadline applied while a body was read.

Change: a body may stand still for no longer than the document lets a connection be idle (30 s if it names no limit), and must be complete within the time of its call, after which it could not be answered. Its caller gets 408, not run, and the connection is closed. The header is decoded before the body is read, since it holds the call's time.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -353,11 +353,7 @@
 	if r := x.match(current); r != nil {
 		return r
 	}
-	timeout := x.route.Timeout
-	if x.call.Timeout > 0 {
-		timeout = min(timeout, x.call.Timeout)
-	}
-	x.deadline = x.start.Add(timeout)
+	x.deadline = x.start.Add(x.timeoutOn(x.route))
 	if end := x.f.endsAt.Load(); end != nil && x.deadline.After(*end) {
 		return refuseNotRun("this host stops before the call would have to end")
 	}
@@ -370,26 +366,37 @@
 	return x.chargeRate()
 }
 
-// readCall reads the body and decodes the header.
+// readCall decodes the header and reads the body.
 func (x *exchange) readCall() *refusal {
-	body, r := x.readBody()
-	if r != nil {
-		return r
-	}
 	c, err := x.f.opts.Codec.Decode(x.r)
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
 	}
-	x.call = &call{Call: c, method: x.r.Method, target: x.r.RequestURI, host: x.r.Host, body: body}
+	x.call = &call{Call: c, method: x.r.Method, target: x.r.RequestURI, host: x.r.Host}
 	x.lastEvent = c.LastEvent
-	return nil
+	var r *refusal
+	x.call.body, r = x.readBody()
+	return r
+}
+
+// timeoutOn returns the time that the call has on a route.
+func (x *exchange) timeoutOn(r *describer.Route) time.Duration {
+	if x.call.Timeout > 0 {
+		return min(r.Timeout, x.call.Timeout)
+	}
+	return r.Timeout
+}
+
+// findRoute returns the route of the call in its table.
+func (x *exchange) findRoute() (*describer.Route, bool) {
+	path, _, _ := strings.Cut(x.call.target, "?")
+	return x.table.Route(x.call.host, path)
 }
 
 // match finds the route and the customer in the table. current states whether
 // the table is certainly the latest one.
 func (x *exchange) match(current bool) *refusal {
-	path, _, _ := strings.Cut(x.call.target, "?")
-	route, ok := x.table.Route(x.call.host, path)
+	route, ok := x.findRoute()
 	if !ok {
 		return refuseUnknown(current, http.StatusNotFound, "no route matches")
 	}
--- a/forwarder/requestbody.go
+++ b/forwarder/requestbody.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"runtime"
 	"time"
 
@@ -19,6 +20,9 @@
 	// discardTime is how long the rest of a body that is refused is read and thrown away,
 	// so that a caller that reads no answer before it has sent everything gets one.
 	discardTime = 2 * time.Second
+	// defaultBodyPause bounds the time between two parts of a body if the document has no
+	// limit for idle connections.
+	defaultBodyPause = 30 * time.Second
 )
 
 // newRequestBudget returns the budget for the bodies of requests of a host.
@@ -44,6 +48,10 @@
 	claim   *budgeter.Claim
 	max     int64
 	content chunks
+	// pause bounds the time between two reads, and end is when the body must be complete,
+	// or zero.
+	pause time.Duration
+	end   time.Time
 }
 
 // readBody reads the body of the call.
@@ -52,7 +60,7 @@
 		return chunks{}, nil
 	}
 	x.claim = x.f.requests.Open(http.NewResponseController(x.w).SetReadDeadline)
-	b := &requestBody{x: x, claim: x.claim, max: x.maxBodyBytes()}
+	b := &requestBody{x: x, claim: x.claim, max: x.maxBodyBytes(), pause: x.bodyPause(), end: x.bodyEnd()}
 	err := b.read()
 	if ended := x.claim.Settle(); ended != nil {
 		err = ended // Its reads fail as they do when the time is up.
@@ -72,6 +80,24 @@
 	return defaultMaxBodyBytes
 }
 
+// bodyPause returns how long the body may stand still.
+func (x *exchange) bodyPause() time.Duration {
+	if d := x.table.Document().Limits.IdleTimeout; d > 0 {
+		return d
+	}
+	return defaultBodyPause
+}
+
+// bodyEnd returns when the body must be complete, since the call could not be answered after
+// that, or the zero time if its route is not known.
+func (x *exchange) bodyEnd() time.Time {
+	route, ok := x.findRoute()
+	if !ok {
+		return time.Time{}
+	}
+	return x.start.Add(x.timeoutOn(route))
+}
+
 // refusalOfBody returns the refusal of a call whose body was not read to its end.
 func (x *exchange) refusalOfBody(err error) *refusal {
 	x.isUnread = true
@@ -84,6 +110,9 @@
 	case errors.Is(err, budgeter.ErrEnded):
 		bodiesEnded.Inc()
 		return refuseNotRun(err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		bodiesTooSlow.Inc()
+		return &refusal{status: http.StatusRequestTimeout, reason: "the body came too slowly; send it at once"}
 	default:
 		return &refusal{status: http.StatusBadRequest, reason: "the body was not read: " + err.Error()}
 	}
@@ -136,10 +165,19 @@
 	return min(left, max(b.content.size, budgeter.SmallBytes), maxRequestChunkBytes)
 }
 
+// nextDeadline returns the deadline of the next read.
+func (b *requestBody) nextDeadline() time.Time {
+	wait := b.pause
+	if !b.end.IsZero() {
+		wait = min(wait, b.end.Sub(b.x.f.opts.Clock.Now()))
+	}
+	return time.Now().Add(wait)
+}
+
 // fill reads until the part is full.
 func (b *requestBody) fill(part []byte) (n int, err error) {
 	for n < len(part) && err == nil {
-		if err = b.claim.Await(time.Time{}); err != nil {
+		if err = b.claim.Await(b.nextDeadline()); err != nil {
 			return n, err
 		}
 		var m int
@@ -167,4 +205,5 @@
 var (
 	bodiesRefused = metrics.NewCounter(`cyclamen_forwarder_bodies_refused_total{why="full"}`)
 	bodiesEnded   = metrics.NewCounter(`cyclamen_forwarder_bodies_refused_total{why="stoodStill"}`)
+	bodiesTooSlow = metrics.NewCounter(`cyclamen_forwarder_bodies_refused_total{why="tooSlow"}`)
 )
