forwarder: what is certain is refused before the body is read

Callers without a route or key, and such that name a length over the limit, could fill the memory of a host with bodies that nobody may send.

Cause: the body was read first, and the length, the route and the key were looked at after it.

Change: a length over the limit is refused at once, and so are a route and a key that are unknown at a host that certainly knows the newest document. The checks after the body stay, with the table loaded again after the lease check. Refusals that came before the body already (no document yet, too many relayed calls) go the same way: net/http waited for such a body without a limit.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -259,8 +259,8 @@
 	heldBytes int64
 	// claim is what the body of the request has taken, or nil if there is none.
 	claim *budgeter.Claim
-	// isUnread is set if the body was not read to its end.
-	isUnread bool
+	// isRead is set once the body was read to its end.
+	isRead bool
 	// headerSent is set once the header of a stream has been written to the
 	// caller.
 	headerSent bool
@@ -374,11 +374,27 @@
 	}
 	x.call = &call{Call: c, method: x.r.Method, target: x.r.RequestURI, host: x.r.Host}
 	x.lastEvent = c.LastEvent
+	if r := x.refuseUnread(); r != nil {
+		return r
+	}
 	var r *refusal
 	x.call.body, r = x.readBody()
 	return r
 }
 
+// refuseUnread returns the refusal of a call that is certain before its body is read, or nil.
+// What is not certain is left to the checks after that.
+func (x *exchange) refuseUnread() *refusal {
+	if x.r.ContentLength > x.maxBodyBytes() {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: errRequestTooLarge.Error()}
+	}
+	if !x.f.opts.Current() {
+		return nil
+	}
+	x.table = x.f.table.Load() // Loaded after the lease check, as in admit.
+	return x.match(true)
+}
+
 // timeoutOn returns the time that the call has on a route.
 func (x *exchange) timeoutOn(r *describer.Route) time.Duration {
 	if x.call.Timeout > 0 {
@@ -396,6 +412,7 @@
 // match finds the route and the customer in the table. current states whether
 // the table is certainly the latest one.
 func (x *exchange) match(current bool) *refusal {
+	x.customer = nil
 	route, ok := x.findRoute()
 	if !ok {
 		return refuseUnknown(current, http.StatusNotFound, "no route matches")
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -42,11 +42,11 @@
 // refuse writes a refusal to the caller.
 func (x *exchange) refuse(r *refusal) {
 	x.status, x.reason = r.status, r.reason
-	if x.isUnread {
-		x.refuseUnread(r)
+	if x.isRead || x.r.Body == http.NoBody || x.discardSmall() {
+		x.writeRefusal(r)
 		return
 	}
-	x.writeRefusal(r)
+	x.refuseAndClose(r)
 }
 
 // writeRefusal writes the header and the text of a refusal.
--- a/forwarder/requestbody.go
+++ b/forwarder/requestbody.go
@@ -57,6 +57,7 @@
 // readBody reads the body of the call.
 func (x *exchange) readBody() (chunks, *refusal) {
 	if x.r.Body == http.NoBody {
+		x.isRead = true
 		return chunks{}, nil
 	}
 	x.claim = x.f.requests.Open(http.NewResponseController(x.w).SetReadDeadline)
@@ -66,6 +67,7 @@
 		err = ended // Its reads fail as they do when the time is up.
 	}
 	if err == nil {
+		x.isRead = true
 		return b.content, nil
 	}
 	x.claim.Release()
@@ -74,8 +76,8 @@
 
 // maxBodyBytes returns the size of the largest body that the document allows.
 func (x *exchange) maxBodyBytes() int64 {
-	if n := x.table.Document().Limits.BodyBytes; n > 0 {
-		return int64(n)
+	if x.table != nil && x.table.Document().Limits.BodyBytes > 0 {
+		return int64(x.table.Document().Limits.BodyBytes)
 	}
 	return defaultMaxBodyBytes
 }
@@ -100,7 +102,6 @@
 
 // refusalOfBody returns the refusal of a call whose body was not read to its end.
 func (x *exchange) refusalOfBody(err error) *refusal {
-	x.isUnread = true
 	switch {
 	case errors.Is(err, errRequestTooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: err.Error()}
@@ -190,16 +191,40 @@
 	return n, err
 }
 
-// refuseUnread writes a refusal of a call whose body was not read to its end. The connection
+// refuseAndClose writes a refusal of a call whose body was not read to its end. The connection
 // is closed after it, since it would have to be read up to the next request.
-func (x *exchange) refuseUnread(r *refusal) {
+func (x *exchange) refuseAndClose(r *refusal) {
 	rc := http.NewResponseController(x.w)
 	_ = rc.EnableFullDuplex() // The answer does not wait for the body.
 	x.w.Header().Set("Connection", "close")
 	x.writeRefusal(r)
 	_ = rc.Flush()
+	if x.r.Header.Get("Expect") == "" { // Else the caller sends no body after a refusal.
+		x.discard(x.maxBodyBytes())
+	}
+}
+
+// discardSmall reads a small body and throws it away, so that the connection may be used again,
+// and reports whether that succeeded.
+func (x *exchange) discardSmall() bool {
+	n := x.r.ContentLength
+	if n < 0 || n > budgeter.SmallBytes || x.claim != nil || x.r.Header.Get("Expect") != "" {
+		return false
+	}
+	return x.discard(n)
+}
+
+// discard reads up to n bytes of the body and throws them away, for a bounded time. It reports
+// whether all have come.
+func (x *exchange) discard(n int64) bool {
+	rc := http.NewResponseController(x.w)
 	_ = rc.SetReadDeadline(time.Now().Add(discardTime))
-	_, _ = io.CopyN(io.Discard, x.r.Body, x.maxBodyBytes())
+	_, err := io.CopyN(io.Discard, x.r.Body, n)
+	if err != nil {
+		return false
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return true
 }
 
 var (
