forwarder: an answer that nobody reads is given up

Callers that do not read large answers filled the budget of answers for good, and later answers were lost: their calls had run.

Cause: no deadline applied while an answer that is not a stream was written, and its body counts in the budget until the call ends. Streams had one.

Change: such an answer ends 5 s after its call's deadline, with its connection. The text of a refusal has its length, so that one that closes the connection is not chunked.

Measured: TestUnreadAnswersKeepTheirMemory on the commit before: after 30 s, 1 call is open and 33,488,896 bytes are held for a caller whose call had 1 s; passes now. go test -race ./forwarder passes. A trial that flushed every answer at once failed TestLimitChangesAreLogged under -race: callers then see an answer before its call's log line. It is not in this commit.

--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -56,8 +57,10 @@
 		x.f.opts.Codec.RetryAfter(h, r.retryAfter)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := r.reason + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	x.w.WriteHeader(r.status)
-	_, _ = io.WriteString(x.w, r.reason+"\n")
+	_, _ = io.WriteString(x.w, text)
 }
 
 // fail ends a call that no attempt has answered.
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -107,9 +107,18 @@
 	x.nameServer(h, b.run)
 	h.Set("Content-Length", fmt.Sprint(b.body.size))
 	x.w.WriteHeader(b.status)
+	// The write deadline ends a call whose caller does not read. What net/http has not
+	// sent by the end of the call is no more than its own buffer.
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetWriteDeadline(x.deadline.Add(unreadMargin))
 	_, _ = b.body.WriteTo(x.w)
+	_ = rc.SetWriteDeadline(time.Time{})
 }
 
+// unreadMargin is how long after its call's deadline a caller may take to read an answer that
+// is held for it.
+const unreadMargin = 5 * time.Second
+
 // readBytes is the size of the buffer for reading a stream, in bytes.
 const readBytes = 16 << 10
 
