node: documents of operators share a budget

Operators' clients that sent many documents at once and stopped short of their end filled a keeper's memory.

Cause: the same as for the bodies of callers: each was read whole with io.ReadAll, with no bound on all together and none on time.

Change: the reading of a body moves from forwarder to budgeter.Body, and a keeper reads what operators send with it, within an eighth of its memory: a document takes several times its size while it is checked and stored.

--- a/budgeter/claim.go
+++ b/budgeter/claim.go
@@ -5,7 +5,8 @@
 // aLongTimeAgo is a deadline that has passed.
 var aLongTimeAgo = time.Unix(1, 0)
 
-// Claim is what one body has taken from a Budget. Its methods are for one goroutine.
+// Claim is what one body has taken from a Budget. Its methods are for one goroutine, except
+// Release.
 type Claim struct {
 	b *Budget
 	// deadline sets the deadline of the reads of the body.
--- a/budgeter/share.go
+++ b/budgeter/share.go
@@ -15,7 +15,10 @@
 	largeEighths   = 2
 	// answerDivisor gives the part of the memory for the bodies of answers.
 	answerDivisor = 6
-	// maxAnswers bounds that part on a large host.
+	// documentDivisor gives the part of a keeper's memory for the documents that operators
+	// send. One takes up several times its size while it is checked and stored.
+	documentDivisor = 8
+	// maxAnswers bounds the part for answers on a large host.
 	maxAnswers Bytes = 48 << 20
 )
 
@@ -27,15 +30,19 @@
 	Requests, LargeRequests Bytes
 	// Answers is for the bodies of answers that are not streams.
 	Answers Bytes
+	// Documents is for what operators send to a keeper, which holds nothing of the others.
+	Documents Bytes
 }
 
 // Divide returns the shares of a host with the given memory, 0 if that is not known.
 func Divide(memory Bytes) Shares {
-	if memory <= 0 {
-		return Shares{Requests: assumedMemory / 8 * requestEighths, LargeRequests: assumedMemory / 8 * largeEighths, Answers: maxAnswers}
-	}
-	return Shares{
-		Requests: memory / 8 * requestEighths, LargeRequests: memory / 8 * largeEighths,
-		Answers: min(maxAnswers, memory/answerDivisor),
+	s := Shares{Answers: maxAnswers}
+	if memory > 0 {
+		s.Answers = min(maxAnswers, memory/answerDivisor)
+	} else {
+		memory = assumedMemory
 	}
+	s.Requests, s.LargeRequests = memory/8*requestEighths, memory/8*largeEighths
+	s.Documents = memory / documentDivisor
+	return s
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -386,7 +386,7 @@
 // What is not certain is left to the checks after that.
 func (x *exchange) refuseUnread() *refusal {
 	if x.r.ContentLength > x.maxBodyBytes() {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: errRequestTooLarge.Error()}
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: budgeter.ErrTooLarge.Error()}
 	}
 	if !x.f.opts.Current() {
 		return nil
--- a/forwarder/requestbody.go
+++ b/forwarder/requestbody.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"runtime"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,9 +13,6 @@
 )
 
 const (
-	// maxRequestChunkBytes bounds the parts in which the body of a request is held. A body
-	// that stands still holds at most one part of which nothing has arrived.
-	maxRequestChunkBytes = 256 << 10
 	// discardTime is how long the rest of a body that is refused is read and thrown away,
 	// so that a caller that reads no answer before it has sent everything gets one.
 	discardTime = 2 * time.Second
@@ -42,18 +38,6 @@
 	show(`cyclamen_forwarder_arriving_bodies`, func() int64 { return int64(f.requests.Counts().Arriving) })
 }
 
-// requestBody is a body of a request while it is read.
-type requestBody struct {
-	x       *exchange
-	claim   *budgeter.Claim
-	max     int64
-	content chunks
-	// pause bounds the time between two reads, and end is when the body must be complete,
-	// or zero.
-	pause time.Duration
-	end   time.Time
-}
-
 // readBody reads the body of the call.
 func (x *exchange) readBody() (chunks, *refusal) {
 	if x.r.Body == http.NoBody {
@@ -61,17 +45,26 @@
 		return chunks{}, nil
 	}
 	x.claim = x.f.requests.Open(http.NewResponseController(x.w).SetReadDeadline)
-	b := &requestBody{x: x, claim: x.claim, max: x.maxBodyBytes(), pause: x.bodyPause(), end: x.bodyEnd()}
-	err := b.read()
-	if ended := x.claim.Settle(); ended != nil {
-		err = ended // Its reads fail as they do when the time is up.
+	pause, end := x.bodyPause(), x.bodyEnd()
+	b := budgeter.Body{
+		Claim: x.claim, Source: x.r.Body, Length: x.r.ContentLength, Max: x.maxBodyBytes(),
+		Deadline: func() time.Time { return x.nextDeadline(pause, end) },
 	}
-	if err == nil {
-		x.isRead = true
-		return b.content, nil
+	var content chunks
+	if err := b.Read(content.add); err != nil {
+		return chunks{}, x.refusalOfBody(err)
 	}
-	x.claim.Release()
-	return chunks{}, x.refusalOfBody(err)
+	x.isRead = true
+	return content, nil
+}
+
+// nextDeadline returns the deadline of the next read of a body which may stand still for
+// pause and must be complete at end, unless that is zero.
+func (x *exchange) nextDeadline(pause time.Duration, end time.Time) time.Time {
+	if !end.IsZero() {
+		pause = min(pause, end.Sub(x.f.opts.Clock.Now()))
+	}
+	return time.Now().Add(pause)
 }
 
 // maxBodyBytes returns the size of the largest body that the document allows.
@@ -103,7 +96,7 @@
 // refusalOfBody returns the refusal of a call whose body was not read to its end.
 func (x *exchange) refusalOfBody(err error) *refusal {
 	switch {
-	case errors.Is(err, errRequestTooLarge):
+	case errors.Is(err, budgeter.ErrTooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: err.Error()}
 	case errors.Is(err, budgeter.ErrFull):
 		bodiesRefused.Inc()
@@ -128,69 +121,6 @@
 	x.call.body = chunks{}
 }
 
-var errRequestTooLarge = errors.New("the body is too large")
-
-// read reads the body into parts, each taken from the budget before it is allocated.
-func (b *requestBody) read() error {
-	for {
-		size := b.nextPart()
-		isLarge := b.content.size >= budgeter.SmallBytes
-		if err := b.claim.Take(size, isLarge); err != nil {
-			return err
-		}
-		part := make([]byte, size)
-		n, err := b.fill(part)
-		if n > 0 {
-			b.content.add(part[:n])
-		}
-		switch {
-		case b.content.size > b.max:
-			return errRequestTooLarge
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return err
-		}
-	}
-}
-
-// nextPart returns the size of the next part: no more than the body still has, if that is
-// known, and no more than has arrived already beyond the first part.
-func (b *requestBody) nextPart() int64 {
-	length := b.x.r.ContentLength
-	if length < 0 || length > b.max {
-		return min(max(b.content.size, minChunkBytes), maxRequestChunkBytes, b.max+1-b.content.size)
-	}
-	// A byte more than is left would be a second read that only finds the end.
-	left := max(length-b.content.size, 1)
-	return min(left, max(b.content.size, budgeter.SmallBytes), maxRequestChunkBytes)
-}
-
-// nextDeadline returns the deadline of the next read.
-func (b *requestBody) nextDeadline() time.Time {
-	wait := b.pause
-	if !b.end.IsZero() {
-		wait = min(wait, b.end.Sub(b.x.f.opts.Clock.Now()))
-	}
-	return time.Now().Add(wait)
-}
-
-// fill reads until the part is full.
-func (b *requestBody) fill(part []byte) (n int, err error) {
-	for n < len(part) && err == nil {
-		if err = b.claim.Await(b.nextDeadline()); err != nil {
-			return n, err
-		}
-		var m int
-		m, err = b.x.r.Body.Read(part[n:])
-		n += m
-		if b.content.size >= budgeter.SmallBytes {
-			runtime.Gosched() // Bodies in tiny chunks take long to decode.
-		}
-	}
-	return n, err
-}
-
 // refuseAndClose writes a refusal of a call whose body was not read to its end. The connection
 // is closed after it, since it would have to be read up to the next request.
 func (x *exchange) refuseAndClose(r *refusal) {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -211,7 +211,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	serveMetrics(background, n.cfg, n.log, n.writePlaceMetrics)
-	operators := newServer(platform.OperatorHandler(n, n.log), n.log)
+	operators := newServer(platform.OperatorHandler(n, newDocumentReader(n.cfg).read, n.log), n.log)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { _ = n.messenger.Serve(peerLn) })
