--- a/forwarder/bodybench_test.go
+++ b/forwarder/bodybench_test.go
@@ -47,6 +47,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
+				r.RequestURI = "/open/1"
 				x := h.newExchange(discardWriter{}, r)
 				x.table = h.Table()
 				if refusal := x.readCall(); refusal != nil {
