--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -14,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cyclamenhub.org/accountant"
+	"cyclamenhub.org/budgeter"
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
@@ -92,7 +92,9 @@
 	table   atomic.Pointer[matcher.Table]
 	fleet   atomic.Pointer[fleet]
 	retries *retryBudgets
-	bodies  bodyBudget
+	// bodies is the budget for the bodies of answers, and requests that for those of requests.
+	bodies   bodyBudget
+	requests *budgeter.Budget
 	// unidentified holds the addresses of backend servers whose refusals bear no id.
 	unidentified addressSet
 	// active counts the calls in progress, and relayed those of other hosts among them.
@@ -136,6 +138,7 @@
 	}
 	f := &Forwarder{opts: opts, started: opts.Clock.Now(), retries: newRetryBudgets(opts.Retries, opts.Hosts)}
 	f.bodies.setMemory(opts.MemoryBytes)
+	f.requests = newRequestBudget(&f.opts)
 	f.ending, f.endCalls = context.WithCancel(context.Background())
 	return f
 }
@@ -252,8 +255,12 @@
 	// heldResponse is a failure response of a backend server. It is returned if
 	// no later attempt answers the call.
 	heldResponse *bufferedResponse
-	// heldBytes is what the bodies of this call have taken from the host's budget.
+	// heldBytes is what the bodies of this call's answers have taken from the host's budget.
 	heldBytes int64
+	// claim is what the body of the request has taken, or nil if there is none.
+	claim *budgeter.Claim
+	// isRead is set once the body was read to its end.
+	isRead bool
 	// headerSent is set once the header of a stream has been written to the
 	// caller.
 	headerSent bool
@@ -286,6 +293,7 @@
 	x.f.active.Add(1)
 	defer x.f.active.Add(-1)
 	defer x.logCall()
+	defer func() { x.claim.Release() }()
 	x.awaitCurrent()
 	if refusal := x.admit(); refusal != nil {
 		x.refuse(refusal)
@@ -345,11 +353,7 @@
 	if r := x.match(current); r != nil {
 		return r
 	}
-	timeout := x.route.Timeout
-	if x.call.Timeout > 0 {
-		timeout = min(timeout, x.call.Timeout)
-	}
-	x.deadline = x.start.Add(timeout)
+	x.deadline = x.start.Add(x.timeoutOn(x.route))
 	if end := x.f.endsAt.Load(); end != nil && x.deadline.After(*end) {
 		return refuseNotRun("this host stops before the call would have to end")
 	}
@@ -362,33 +366,54 @@
 	return x.chargeRate()
 }
 
-// readCall reads the body and decodes the header.
+// readCall decodes the header and reads the body.
 func (x *exchange) readCall() *refusal {
-	maxBytes := x.table.Document().Limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, int64(maxBytes)+1))
-	switch {
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: "the body was not read: " + err.Error()}
-	case len(body) > maxBytes:
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-	}
 	c, err := x.f.opts.Codec.Decode(x.r)
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
 	}
-	x.call = &call{Call: c, method: x.r.Method, target: x.r.RequestURI, host: x.r.Host, body: body}
+	x.call = &call{Call: c, method: x.r.Method, target: x.r.RequestURI, host: x.r.Host}
 	x.lastEvent = c.LastEvent
-	return nil
+	if r := x.refuseUnread(); r != nil {
+		return r
+	}
+	var r *refusal
+	x.call.body, r = x.readBody()
+	return r
+}
+
+// refuseUnread returns the refusal of a call that is certain before its body is read, or nil.
+// What is not certain is left to the checks after that.
+func (x *exchange) refuseUnread() *refusal {
+	if x.r.ContentLength > x.maxBodyBytes() {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: budgeter.ErrTooLarge.Error()}
+	}
+	if !x.f.opts.Current() {
+		return nil
+	}
+	x.table = x.f.table.Load() // Loaded after the lease check, as in admit.
+	return x.match(true)
+}
+
+// timeoutOn returns the time that the call has on a route.
+func (x *exchange) timeoutOn(r *describer.Route) time.Duration {
+	if x.call.Timeout > 0 {
+		return min(r.Timeout, x.call.Timeout)
+	}
+	return r.Timeout
+}
+
+// findRoute returns the route of the call in its table.
+func (x *exchange) findRoute() (*describer.Route, bool) {
+	path, _, _ := strings.Cut(x.call.target, "?")
+	return x.table.Route(x.call.host, path)
 }
 
 // match finds the route and the customer in the table. current states whether
 // the table is certainly the latest one.
 func (x *exchange) match(current bool) *refusal {
-	path, _, _ := strings.Cut(x.call.target, "?")
-	route, ok := x.table.Route(x.call.host, path)
+	x.customer = nil
+	route, ok := x.findRoute()
 	if !ok {
 		return refuseUnknown(current, http.StatusNotFound, "no route matches")
 	}
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -42,13 +43,24 @@
 // refuse writes a refusal to the caller.
 func (x *exchange) refuse(r *refusal) {
 	x.status, x.reason = r.status, r.reason
+	if x.isRead || x.r.Body == http.NoBody || x.discardSmall() {
+		x.writeRefusal(r)
+		return
+	}
+	x.refuseAndClose(r)
+}
+
+// writeRefusal writes the header and the text of a refusal.
+func (x *exchange) writeRefusal(r *refusal) {
 	h := x.w.Header()
 	if r.retryAfter > 0 {
 		x.f.opts.Codec.RetryAfter(h, r.retryAfter)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := r.reason + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	x.w.WriteHeader(r.status)
-	_, _ = io.WriteString(x.w, r.reason+"\n")
+	_, _ = io.WriteString(x.w, text)
 }
 
 // fail ends a call that no attempt has answered.
