expirer: headers have the document's limit in bytes

Callers that send a header, or a line without end, could have an entry host hold 1 MB for each connection: maxHeaderBytes of the document was decoded and obeyed nowhere, so the limit of net/http held. Line breaks before a request counted for no limit of time either, since they belong to no request.

The connection of an Expirer now counts the bytes that arrive from the last answer to the end of a header, line breaks too, and answers 431 above the longest limit in force since, plus the 4 KB that may be read with a header's end. What is sent meanwhile is read for up to half a second, so that the answer is not lost in a reset. Without a limit in the document 1 MB holds, as before. The limits of time and the ends of waits are unchanged.

--- a/expirer/conn.go
+++ b/expirer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -11,6 +12,16 @@
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// tooLargeAnswer is the answer to a header that is too large.
+	tooLargeAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\n" +
+		"Content-Length: 41\r\n\r\nthe header is too large: send less of it\n"
+	// lingerTime and lingerBytes bound what is read after an answer that ends a connection:
+	// a close with bytes unread would take the answer from the caller.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 64 << 10
+)
+
 // conn is a connection under the limits of an Expirer.
 type conn struct {
 	*net.TCPConn
@@ -48,7 +59,11 @@
 	for {
 		n, err := c.TCPConn.Read(b)
 		if n > 0 {
-			return n, errors.Join(err, c.arrived(b[:n], len(b)))
+			tooLarge, aerr := c.arrived(b[:n], len(b))
+			if tooLarge {
+				return 0, c.refuse()
+			}
+			return n, errors.Join(err, aerr)
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.waitsOn() {
 			return n, err
@@ -62,16 +77,36 @@
 	return c.TCPConn.Close()
 }
 
-// arrived records that bytes were read into a buffer of the given size.
-func (c *conn) arrived(b []byte, size int) error {
+// arrived records that bytes were read into a buffer of the given size. It reports whether
+// the header is too large, which gets an answer as a request does.
+func (c *conn) arrived(b []byte, size int) (tooLarge bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.wait.doing == busy {
 		c.wait.arrived(b, size, time.Time{}, c.limits)
-		return nil
+		return false, nil
 	}
 	c.wait.arrived(b, size, c.now(), c.limits)
-	return c.arm()
+	if c.wait.tooLarge() {
+		c.wait.answer(c.limits)
+		return true, nil
+	}
+	return false, c.arm()
+}
+
+// refuse answers a header that is too large. It returns an error upon which the server
+// closes the connection without a further answer.
+func (c *conn) refuse() error {
+	c.expirer.closedHead.Inc()
+	if err := c.TCPConn.SetDeadline(time.Now().Add(lingerTime)); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(c.TCPConn, tooLargeAnswer); err != nil {
+		return err
+	}
+	_ = c.CloseWrite() // It fails only on a closed connection.
+	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+	return os.ErrDeadlineExceeded
 }
 
 // waitsOn reports whether the connection waits on after a deadline has passed: the limit
--- a/expirer/doc.go
+++ b/expirer/doc.go
@@ -1,5 +1,6 @@
 // Package expirer closes callers' connections that are idle for too long or on which a
-// header takes too long, by limits that may change while connections are open.
+// header takes too long or is too large, by limits that may change while connections are
+// open.
 //
 // A Listener wraps the accepted connections. An http.Server that Prepare has set up says
 // by its read deadlines what it waits for, a request or the rest of a header; the
--- a/expirer/expirer.go
+++ b/expirer/expirer.go
@@ -1,6 +1,7 @@
 package expirer
 
 import (
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,7 +15,8 @@
 
 // Options configure an Expirer.
 type Options struct {
-	// Default holds where SetLimits was not called or names no limit.
+	// Default holds where SetLimits was not called or names no limit. Without a limit for
+	// the bytes of headers, it is that of net/http.
 	Default Limits
 	Clock   timer.Clock
 	Metrics *metrics.Set
@@ -23,8 +25,8 @@
 // Expirer holds the limits in force and the connections under them. It is safe for
 // concurrent use.
 type Expirer struct {
-	opts                   Options
-	closedIdle, closedSlow *metrics.Counter
+	opts                               Options
+	closedIdle, closedSlow, closedHead *metrics.Counter
 
 	mu     sync.Mutex
 	limits Limits
@@ -39,10 +41,14 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
+	if opts.Default.HeadBytes <= 0 {
+		opts.Default.HeadBytes = http.DefaultMaxHeaderBytes
+	}
 	return &Expirer{
 		opts: opts, limits: opts.Default, conns: make(map[*conn]struct{}),
 		closedIdle: opts.Metrics.GetOrCreateCounter(`cyclamen_expirer_closed_total{limit="idle"}`),
 		closedSlow: opts.Metrics.GetOrCreateCounter(`cyclamen_expirer_closed_total{limit="header"}`),
+		closedHead: opts.Metrics.GetOrCreateCounter(`cyclamen_expirer_closed_total{limit="headerBytes"}`),
 	}
 }
 
@@ -55,6 +61,9 @@
 	if l.Idle <= 0 {
 		l.Idle = e.opts.Default.Idle
 	}
+	if l.HeadBytes <= 0 {
+		l.HeadBytes = e.opts.Default.HeadBytes
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l == e.limits {
@@ -117,6 +126,8 @@
 	idleMark   = 3 * headerMark
 )
 
-// Prepare sets the time-outs of a server so that it asks the connections of a Listener
-// for their limits.
-func Prepare(s *http.Server) { s.ReadHeaderTimeout, s.IdleTimeout = headerMark, idleMark }
+// Prepare sets the limits of a server so that it asks the connections of a Listener for
+// theirs.
+func Prepare(s *http.Server) {
+	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerMark, idleMark, math.MaxInt32
+}
--- a/expirer/expirer_test.go
+++ b/expirer/expirer_test.go
@@ -25,13 +25,13 @@
 // front is a server under limits.
 type front struct {
 	*Expirer
-	t       *testing.T
+	t       testing.TB
 	address string
 	runs    atomic.Int64
 }
 
 // newFront starts a server that takes the given time for an answer.
-func newFront(t *testing.T, l Limits, delay time.Duration) *front {
+func newFront(t testing.TB, l Limits, delay time.Duration) *front {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/expirer/wait.go
+++ b/expirer/wait.go
@@ -9,12 +9,19 @@
 // which it outlasts it at most.
 const marginFraction = 0.05
 
-// Limits bound how long callers' connections may wait.
+// headSlack is how many bytes more than those of a head may be read with it: the server
+// reads this many at a time, and so the beginning of a body.
+const headSlack = 4 << 10
+
+// Limits bound how long callers' connections may wait, and what they may send.
 type Limits struct {
 	// Header is how long a caller may take to send a header, from its first byte.
 	Header time.Duration
 	// Idle is how long a connection may stay without a request.
 	Idle time.Duration
+	// HeadBytes is how many bytes a header may have, with the request line and the line
+	// breaks before it. 0 means no limit.
+	HeadBytes int
 }
 
 // activity is what a connection is doing.
@@ -42,11 +49,14 @@
 	// used is set once a byte of a request has arrived, and ahead if, while busy, the
 	// last one that arrived belongs to the next request.
 	used, ahead bool
+	// bytes are those of the header, or of the line breaks, that have arrived, and headBytes
+	// is the longest limit of them in force since the last request was answered.
+	bytes, headBytes int
 }
 
 // newWait returns the wait of a new connection.
 func newWait(now time.Time, l Limits, spread float64) wait {
-	return wait{start: now, limit: l.Idle, spread: spread}
+	return wait{start: now, limit: l.Idle, spread: spread, headBytes: l.HeadBytes}
 }
 
 // beginHeader begins the wait for the rest of a header.
@@ -58,6 +68,7 @@
 // awaitRequest records that the last request was answered. Its caller may have the answer
 // since before the latest change.
 func (w *wait) awaitRequest(now time.Time, l Limits) {
+	w.bytes, w.headBytes = 0, max(w.headBytes, l.HeadBytes)
 	if w.ahead {
 		w.beginHeader(now, l)
 		return
@@ -76,7 +87,7 @@
 // answer records that a request has arrived up to its body.
 func (w *wait) answer(l Limits) {
 	if w.doing != busy {
-		w.doing, w.limit = busy, l.Idle
+		w.doing, w.limit, w.headBytes = busy, l.Idle, l.HeadBytes
 	}
 }
 
@@ -91,11 +102,20 @@
 	case w.doing == busy:
 		w.ahead = begins && size == 1
 	}
+	if w.doing != busy {
+		w.bytes += len(b)
+	}
+}
+
+// tooLarge reports whether more has arrived than the limit of headers allows.
+func (w *wait) tooLarge() bool {
+	return w.doing != busy && w.headBytes > 0 && w.bytes > w.headBytes+headSlack
 }
 
 // raise applies limits that have come into force. A shorter one holds from the next wait
 // on: the caller may rely on the former one.
 func (w *wait) raise(l Limits) {
+	w.headBytes = max(w.headBytes, l.HeadBytes)
 	switch w.doing {
 	case idle, busy:
 		w.limit = max(w.limit, l.Idle)
--- a/expirer/wait_test.go
+++ b/expirer/wait_test.go
@@ -12,7 +12,7 @@
 func TestWaitsKeepTheLongestLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func() Limits {
-			return Limits{time.Duration(rapid.IntRange(1, 1e12).Draw(t, "header")), time.Duration(rapid.IntRange(1, 1e12).Draw(t, "idle"))}
+			return Limits{Header: time.Duration(rapid.IntRange(1, 1e12).Draw(t, "header")), Idle: time.Duration(rapid.IntRange(1, 1e12).Draw(t, "idle"))}
 		}
 		of := func(l Limits, a activity) time.Duration { return []time.Duration{l.Idle, l.Header, l.Idle}[a] }
 		now, l := time.Unix(0, 0), draw()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -376,7 +376,9 @@
 	if revision != t.Revision {
 		return fmt.Errorf("document %d says that it is revision %d: look at the keepers' logs", t.Revision, revision)
 	}
-	e.expirer.SetLimits(expirer.Limits{Header: document.Limits.HeaderTimeout, Idle: document.Limits.IdleTimeout})
+	e.expirer.SetLimits(expirer.Limits{
+		Header: document.Limits.HeaderTimeout, Idle: document.Limits.IdleTimeout, HeadBytes: document.Limits.HeaderBytes,
+	})
 	e.forwarder.SetTable(matcher.NewTable(revision, document))
 	e.configureEvaluators()
 	e.log.Info("document in force", "revision", revision, "routes", len(document.Routes), "customers", len(document.Customers))
