expirer: callers' connections have a capacity

Callers could open connections until the memory or the descriptors of an entry host were used up: ones on which nothing comes (for five minutes each), or on which a header does not end. Headers within the limit can hold much as well: many short lines take over ten times their bytes as a table.

A host now takes as many connections as fit a sixth of its memory, at 24 KB each, and half of its descriptors (maxFds of the settings, less the 200 that the platform keeps; it was not decoded before). Headers that are not ordinary share a tenth of the memory. When either is nearly used up, the connection is closed that has waited longest for a request or for the rest of a header, in the way of the idle limit: by its reader, after a read without a byte and with none in the kernel's buffer. Busy ones stay. With all busy, a new connection is closed at once. The choice (queue) is apart from I/O and has a property. An ordinary header costs no further lock or shared counter.

--- a/expirer/conn.go
+++ b/expirer/conn.go
@@ -30,6 +30,10 @@
 	mu     sync.Mutex
 	wait   wait
 	limits Limits
+	// leaving is set while the connection is to end so that others have room.
+	leaving bool
+	// held is the memory that its header is charged with.
+	held int64
 }
 
 // SetReadDeadline sets the deadline of reads. Those of a server that Prepare has set up
@@ -40,10 +44,13 @@
 	switch left := time.Until(t); {
 	case left > 2*headerMark:
 		c.wait.awaitRequest(c.now(), c.limits)
+		c.charge(c.wait.held())
 	case left > headerMark/2:
 		c.wait.awaitHeader(c.now(), c.limits)
 	default:
+		c.stay()
 		c.wait.answer(c.limits)
+		c.charge(c.wait.held())
 		return c.TCPConn.SetReadDeadline(t)
 	}
 	return c.arm()
@@ -59,11 +66,7 @@
 	for {
 		n, err := c.TCPConn.Read(b)
 		if n > 0 {
-			tooLarge, aerr := c.arrived(b[:n], len(b))
-			if tooLarge {
-				return 0, c.refuse()
-			}
-			return n, errors.Join(err, aerr)
+			return c.afterArrival(n, err, c.arrived(b[:n], len(b)))
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.waitsOn() {
 			return n, err
@@ -74,24 +77,60 @@
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.expirer.forget(c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stay()
+	c.charge(0)
+	c.wait.answer(c.limits)
 	return c.TCPConn.Close()
 }
 
-// arrived records that bytes were read into a buffer of the given size. It reports whether
-// the header is too large, which gets an answer as a request does.
-func (c *conn) arrived(b []byte, size int) (tooLarge bool, err error) {
+// arrival is what follows when bytes have arrived.
+type arrival int
+
+const (
+	// goesOn: the server may have the bytes.
+	goesOn arrival = iota
+	// grows: it may have them if the memory for headers suffices.
+	grows
+	// tooLarge: the header is too large.
+	tooLarge
+)
+
+// arrived records that bytes were read into a buffer of the given size. A header that is too
+// large gets an answer as a request does.
+func (c *conn) arrived(b []byte, size int) arrival {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.wait.doing == busy {
 		c.wait.arrived(b, size, time.Time{}, c.limits)
-		return false, nil
+		return goesOn
 	}
+	c.stay()
 	c.wait.arrived(b, size, c.now(), c.limits)
+	more := c.charge(c.wait.held())
 	if c.wait.tooLarge() {
 		c.wait.answer(c.limits)
-		return true, nil
+		return tooLarge
+	}
+	_ = c.arm() // It fails only on a closed connection.
+	if more {
+		return grows
+	}
+	return goesOn
+}
+
+// afterArrival returns what Read returns after n bytes and an error.
+func (c *conn) afterArrival(n int, err error, a arrival) (int, error) {
+	switch {
+	case a == tooLarge:
+		return 0, c.refuse()
+	case a == grows && !c.expirer.hasHeadRoom(c):
+		c.expirer.closedFull.Inc()
+		return 0, os.ErrDeadlineExceeded // The server closes the connection without an answer.
+	default:
+		return n, err
 	}
-	return false, c.arm()
 }
 
 // refuse answers a header that is too large. It returns an error upon which the server
@@ -118,6 +157,12 @@
 	switch {
 	case !limited:
 		return false
+	case c.leaving && !bytesWait(c.TCPConn):
+		c.expirer.closedFull.Inc()
+		return false
+	case c.leaving:
+		c.stay()
+		return c.TCPConn.SetReadDeadline(time.Time{}) == nil
 	case c.now().Before(end):
 		return c.arm() == nil
 	case bytesWait(c.TCPConn):
@@ -140,6 +185,9 @@
 
 // arm sets the deadline of the present wait. The caller holds mu.
 func (c *conn) arm() error {
+	if c.leaving {
+		return c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // at once
+	}
 	end, _ := c.wait.end()
 	return c.TCPConn.SetReadDeadline(time.Now().Add(end.Sub(c.now())))
 }
--- a/expirer/doc.go
+++ b/expirer/doc.go
@@ -12,6 +12,10 @@
 // that was in force since; a shorter limit holds from the next wait on. A connection is
 // closed a twentieth to a tenth of the limit after it, which spreads the closes.
 //
+// Connections, and the memory that headers take on all of them, have a capacity. When it is
+// nearly used up, the connection that has waited longest for a request or for the rest of a
+// header is closed in the same way.
+//
 // # Usage
 //
 //	e := expirer.New(expirer.Options{Default: expirer.Limits{Header: 10 * time.Second, Idle: 5 * time.Minute}})
--- a/expirer/expirer_test.go
+++ b/expirer/expirer_test.go
@@ -32,11 +32,16 @@
 
 // newFront starts a server that takes the given time for an answer.
 func newFront(t testing.TB, l Limits, delay time.Duration) *front {
+	return newFrontWith(t, Options{Default: l}, delay)
+}
+
+// newFrontWith starts a server under an Expirer with the given options.
+func newFrontWith(t testing.TB, opts Options, delay time.Duration) *front {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &front{Expirer: New(Options{Default: l}), t: t, address: ln.Addr().String()}
+	f := &front{Expirer: New(opts), t: t, address: ln.Addr().String()}
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.runs.Add(1)
 		time.Sleep(delay)
--- a/expirer/wait.go
+++ b/expirer/wait.go
@@ -13,6 +13,14 @@
 // reads this many at a time, and so the beginning of a body.
 const headSlack = 4 << 10
 
+// What a head holds in memory: byteCost for each of its bytes and lineCost for each line, as
+// a table of headers. headIncluded of it belongs to what each connection takes.
+const (
+	byteCost     = 2
+	lineCost     = 160
+	headIncluded = 8 << 10
+)
+
 // Limits bound how long callers' connections may wait, and what they may send.
 type Limits struct {
 	// Header is how long a caller may take to send a header, from its first byte.
@@ -36,6 +44,9 @@
 	busy
 )
 
+// lineBreak ends a line of a header.
+var lineBreak = []byte("\n")
+
 // wait is what a connection waits for and how long it may. It is not safe for concurrent
 // use.
 type wait struct {
@@ -49,9 +60,9 @@
 	// used is set once a byte of a request has arrived, and ahead if, while busy, the
 	// last one that arrived belongs to the next request.
 	used, ahead bool
-	// bytes are those of the header, or of the line breaks, that have arrived, and headBytes
-	// is the longest limit of them in force since the last request was answered.
-	bytes, headBytes int
+	// bytes and lines are those of the header, or of the line breaks, that have arrived, and
+	// headBytes is the longest limit of them in force since the last request was answered.
+	bytes, lines, headBytes int
 }
 
 // newWait returns the wait of a new connection.
@@ -68,7 +79,7 @@
 // awaitRequest records that the last request was answered. Its caller may have the answer
 // since before the latest change.
 func (w *wait) awaitRequest(now time.Time, l Limits) {
-	w.bytes, w.headBytes = 0, max(w.headBytes, l.HeadBytes)
+	w.bytes, w.lines, w.headBytes = 0, 0, max(w.headBytes, l.HeadBytes)
 	if w.ahead {
 		w.beginHeader(now, l)
 		return
@@ -104,6 +115,7 @@
 	}
 	if w.doing != busy {
 		w.bytes += len(b)
+		w.lines += bytes.Count(b, lineBreak)
 	}
 }
 
@@ -112,6 +124,12 @@
 	return w.doing != busy && w.headBytes > 0 && w.bytes > w.headBytes+headSlack
 }
 
+// held returns the bytes of memory that the header holds beyond headIncluded, until its
+// request is answered.
+func (w *wait) held() int64 {
+	return max(0, byteCost*int64(w.bytes)+lineCost*int64(w.lines)-headIncluded)
+}
+
 // raise applies limits that have come into force. A shorter one holds from the next wait
 // on: the caller may rely on the former one.
 func (w *wait) raise(l Limits) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -161,9 +161,9 @@
 		Self:      configurer.HostAddress{Name: cfg.Host, FailureDomain: cfg.FailureDomain},
 		Upstreams: e.upstreams, Call: e.messenger.Call, OnUpdate: e.applyTopic, Clock: boot,
 	})
-	e.expirer = expirer.New(expirer.Options{
-		Default: expirer.Limits{Header: headerTimeout, Idle: idleTimeout}, Clock: boot, Metrics: metrics.GetDefaultSet(),
-	})
+	callers := callerOptions(cfg)
+	callers.Clock, callers.Metrics = boot, metrics.GetDefaultSet()
+	e.expirer = expirer.New(callers)
 	e.forwarder = e.newForwarder(boot, opts)
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: ownListingInterval(cfg.Bounds.LeaveNotice),
