node: all HTTP listeners bound headers and connections

The listeners for readiness, metrics, operators and relayed calls of peers took headers of 1 MB on any number of connections, so who reaches them could end an entry host or a keeper as easily as at the callers' address.

Each now has an Expirer of its own with an eighth of the callers' capacity and headers of 32 KB. That of peers has half, since a host that is cut off relays all its calls, and goes by the callers' limit plus 8 KB, since a relayed call bears its caller's header. Time limits are as before. The first internal port of keepers carries no HTTP and is not bounded here.

Before: TestNoListenerTakesEndlessHeaders, without the change of the product, gets 200 and 404 in place of 431 at all five listeners; now it passes, 3 runs.

TestSingleRequestInsideLimitsIsRefused passes in the same runs.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -88,7 +88,8 @@
 	reach      *relayer.Reach
 	placer     *placer.Placer
 	meter      *accountant.Meter
-	expirer    *expirer.Expirer
+	// expirer and peerExpirer bound connections of callers and of peers.
+	expirer, peerExpirer *expirer.Expirer
 	// evacuated are the evacuations in force. Only applyTopic uses it.
 	evacuated evacuator.Book
 	leader    atomic.Pointer[string] // address of the leading keeper, nil while unknown
@@ -164,6 +165,7 @@
 	callers := callerOptions(cfg)
 	callers.Clock, callers.Metrics = boot, metrics.GetDefaultSet()
 	e.expirer = expirer.New(callers)
+	e.peerExpirer = expirer.New(peerOptions(cfg))
 	e.forwarder = e.newForwarder(boot, opts)
 	e.discoverer = discoverer.New(discoverer.Options{
 		Source: platform.NewClient(cfg.API.Address, cfg.Name), Interval: ownListingInterval(cfg.Bounds.LeaveNotice),
@@ -242,12 +244,14 @@
 	expirer.Prepare(callers)
 	peers := newServer(e.closeWhenStopping(e.forwarder.PeerHandler()), e.log)
 	stoppers := []*stopper{newStopper(callers, ln.frontend), newStopper(peers, ln.peers)}
+	expirer.Prepare(peers)
 	probes := newServer(http.HandlerFunc(e.serveReadiness), e.log)
+	readiness := bounded(e.cfg, probes, ln.readiness)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { serve(callers, e.expirer.Listener(ln.frontend), e.log) })
-	wg.Go(func() { serve(probes, ln.readiness, e.log) })
-	wg.Go(func() { serve(peers, ln.peers, e.log) })
+	wg.Go(func() { serve(probes, readiness, e.log) })
+	wg.Go(func() { serve(peers, e.peerExpirer.Listener(ln.peers), e.log) })
 	wg.Go(func() { e.forwarder.RunReach(background) })
 	wg.Go(func() { e.discoverer.Run(background) })
 	wg.Go(func() { e.runSync(background) })
@@ -379,6 +383,11 @@
 	e.expirer.SetLimits(expirer.Limits{
 		Header: document.Limits.HeaderTimeout, Idle: document.Limits.IdleTimeout, HeadBytes: document.Limits.HeaderBytes,
 	})
+	if n := document.Limits.HeaderBytes; n > 0 {
+		e.peerExpirer.SetLimits(expirer.Limits{HeadBytes: n + relayHeadBytes})
+	} else {
+		e.peerExpirer.SetLimits(expirer.Limits{})
+	}
 	e.forwarder.SetTable(matcher.NewTable(revision, document))
 	e.configureEvaluators()
 	e.log.Info("document in force", "revision", revision, "routes", len(document.Routes), "customers", len(document.Customers))
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -212,10 +212,11 @@
 	defer cancel()
 	serveMetrics(background, n.cfg, n.log, n.writePlaceMetrics)
 	operators := newServer(platform.OperatorHandler(n, n.log), n.log)
+	boundedOperators := bounded(n.cfg, operators, operatorLn)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { _ = n.messenger.Serve(peerLn) })
-	wg.Go(func() { serve(operators, operatorLn, n.log) })
+	wg.Go(func() { serve(operators, boundedOperators, n.log) })
 	wg.Go(func() { n.runConfirm(background) })
 	wg.Go(func() { n.runReopen(background) })
 	wg.Go(func() { n.runDuties(background) })
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -152,7 +152,7 @@
 	})
 	s := newServer(mux, log)
 	context.AfterFunc(ctx, func() { _ = s.Close() })
-	go serve(s, ln, log)
+	go serve(s, bounded(cfg, s, ln), log)
 }
 
 // contacts are the hosts that may know the leading keeper: the seeds of the
