--- a/internal/crowder/ports_test.go
+++ b/internal/crowder/ports_test.go
@@ -102,3 +102,11 @@
 	s := newSystem(t)
 	s.checkHeads(s.entry, standin.MetricsPort)
 }
+
+// TestSilentConnectionsAtKeepersPeersPortUseUpDescriptors guards against a keeper that keeps
+// all connections on which nothing comes where it serves the other processes.
+func TestSilentConnectionsAtKeepersPeersPortUseUpDescriptors(t *testing.T) {
+	s := newSystem(t)
+	c := newCrowd(t, connectionCrowd, s.keeper.address(peerPort))
+	s.checkCrowd(c, 0)
+}
