recorder: what a failed sync left behind is not taken for stored

A replica whose sync fails halts and is opened again. The frame can still be read from the cache, so the opening took its term, vote and entries as stored: the replica could acknowledge them, and lose them with the power. The same holds for a process that is killed between a write and its sync.

Cause: Open inferred from a whole frame that it was synced. A later sync does not help: it does not store what a failed one was to store.

Change: after anything but a clean shutdown, Open writes what it read to a new segment, synced, before it returns; torn writes are left out there instead of being truncated. While there is no room, Open fails with a DiskError and may be tried again.

--- a/keeper/founders.go
+++ b/keeper/founders.go
@@ -45,5 +45,5 @@
 	}
 	// Names of hosts can always be encoded as JSON.
 	b, _ = json.Marshal(founders{Hosts: o.Hosts})
-	return recorder.SaveFile(folder, foundersName, b)
+	return recorder.SaveFile(o.Files, folder, foundersName, b)
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -73,12 +73,12 @@
 	if err := opts.recallFounders(folder); err != nil {
 		return nil, err
 	}
-	rec, recovered, err := recorder.Open(folder, opts.Group)
+	rec, recovered, err := recorder.OpenWith(opts.Files, folder, opts.Group)
 	if err != nil {
 		return nil, err
 	}
 	if recovered.TruncatedBytes > 0 {
-		opts.Log.Warn("truncated an incomplete write at the end of the log", "group", opts.Group, "bytes", recovered.TruncatedBytes)
+		opts.Log.Warn("left out an incomplete write at the end of the log", "group", opts.Group, "bytes", recovered.TruncatedBytes)
 	}
 	if recovered.Stored.Snapshot.Index > 0 {
 		if err := opts.StateMachine.Restore(recovered.Stored.Snapshot.Data); err != nil {
--- a/keeper/options.go
+++ b/keeper/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamenhub.org/identifier"
+	"cyclamenhub.org/recorder"
 	"cyclamenhub.org/replicator"
 	"cyclamenhub.org/timer"
 )
@@ -51,7 +52,9 @@
 	// the group and its process ended before.
 	JoinOnly bool
 	// DataFolder contains one folder for each group.
-	DataFolder   string
+	DataFolder string
+	// Files writes the data folder; nil means the file system.
+	Files        recorder.FileSystem
 	StateMachine StateMachine
 	Transport    Transport
 	Clock        timer.Clock
@@ -116,6 +119,9 @@
 	if o.MaxWaiting == 0 {
 		o.MaxWaiting = DefaultMaxWaiting
 	}
+	if o.Files == nil {
+		o.Files = recorder.Disk{}
+	}
 	if o.Replica.Heartbeat == 0 {
 		o.Replica.Heartbeat = replicator.DefaultHeartbeat
 	}
--- a/recorder/checkpoint.go
+++ b/recorder/checkpoint.go
@@ -35,7 +35,7 @@
 	if err := r.writeFile(name, payload); err != nil {
 		return err
 	}
-	f, err := r.open(filepath.Join(r.folder, name), os.O_WRONLY|os.O_APPEND)
+	f, err := r.files.OpenFile(filepath.Join(r.folder, name), os.O_WRONLY|os.O_APPEND)
 	if err != nil {
 		return err
 	}
@@ -55,7 +55,7 @@
 		return fmt.Errorf("%s has %d bytes: keep the state within the limit of %d bytes", name, len(payload), maxFrameBytes)
 	}
 	b := appendFrame(nil, 0, payload)
-	if err := saveFile(r.open, r.folder, name, b); err != nil {
+	if err := saveFile(r.files, r.folder, name, b); err != nil {
 		return err
 	}
 	r.syncs.Inc()
@@ -66,10 +66,10 @@
 // SaveFile writes a file in a data folder, which it creates if it is missing. The
 // file gets its name only once it is complete and durable. It fails with a
 // DiskError.
-func SaveFile(folder, name string, b []byte) error {
-	err := createFolder(folder)
+func SaveFile(files FileSystem, folder, name string, b []byte) error {
+	err := createFolder(files, folder)
 	if err == nil {
-		err = saveFile(openOnDisk, folder, name, b)
+		err = saveFile(files, folder, name, b)
 	}
 	if err != nil {
 		return &DiskError{"write " + filepath.Join(folder, name), err}
@@ -77,10 +77,10 @@
 	return nil
 }
 
-// saveFile writes a file in an existing folder, which it opens with open.
-func saveFile(open openFile, folder, name string, b []byte) error {
+// saveFile writes a file in an existing folder.
+func saveFile(files FileSystem, folder, name string, b []byte) error {
 	path := filepath.Join(folder, name)
-	f, err := open(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
+	f, err := files.OpenFile(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return err
 	}
@@ -94,49 +94,39 @@
 	if err != nil {
 		return err
 	}
-	if err := os.Rename(path+temporarySuffix, path); err != nil {
+	if err := files.Rename(path+temporarySuffix, path); err != nil {
 		return err
 	}
-	return syncFolder(folder)
+	return files.SyncFolder(folder)
 }
 
 // createFolder creates a folder and makes its name durable, unless it exists.
-func createFolder(folder string) error {
+func createFolder(files FileSystem, folder string) error {
 	if _, err := os.Stat(folder); err == nil {
 		return nil
 	}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return err
 	}
-	return syncFolder(filepath.Dir(folder))
-}
-
-// syncFolder makes the directory entries of a folder durable.
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
+	return files.SyncFolder(filepath.Dir(folder))
 }
 
 // removeSuperseded removes the files that the current segment supersedes. It
 // ignores errors, because a file that remains does no harm and is removed next
 // time.
 func (r *Recorder) removeSuperseded() {
-	l, err := listFolder(r.folder)
+	l, err := listFolder(r.files, r.folder)
 	if err != nil {
 		return
 	}
 	for _, n := range l.segments {
 		if n < r.segmentNumber {
-			_ = os.Remove(filepath.Join(r.folder, segmentName(n)))
+			_ = r.files.Remove(filepath.Join(r.folder, segmentName(n)))
 		}
 	}
 	for _, name := range l.snapshots {
 		if name != snapshotName(r.snapshot) {
-			_ = os.Remove(filepath.Join(r.folder, name))
+			_ = r.files.Remove(filepath.Join(r.folder, name))
 		}
 	}
 }
--- a/recorder/doc.go
+++ b/recorder/doc.go
@@ -6,10 +6,14 @@
 // previous one was synced. If a valid frame follows a damaged one, the damaged
 // one was therefore synced before, and Open refuses the folder as corrupt. A
 // damaged frame at the end of the file is a torn write: a crash interrupted it
-// before Save returned, so no message relies on it, and Open truncates it. Close
+// before Save returned, so no message relies on it, and Open leaves it out. Close
 // writes a last frame, so that after a clean shutdown damage to the last saved
 // frame is not mistaken for a torn write.
 //
+// Without that last frame, Open writes what it read to a new segment before it
+// returns. A frame whose sync failed, or was not reached, can be read as long as the
+// system runs, although it is not stored.
+//
 // A checkpoint writes a snapshot file and starts a new segment that repeats the
 // identity, term, vote and remaining log. Both are written to temporary files,
 // synced, renamed and made durable by a sync of the folder, before older files
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -21,28 +21,18 @@
 	lock          *os.File
 	id            identity
 	segmentNumber uint64
-	file          file
+	file          File
 	frameCount    uint64
 	segmentBytes  int64
 	buffer        []byte
 	failure       error
-	open          openFile
+	files         FileSystem
 
 	snapshot replicator.Position
 	syncs    *metrics.Counter
 	written  *metrics.Counter
 }
 
-// openFile opens the file at path with the given flags.
-type openFile func(path string, flags int) (file, error)
-
-// file holds the methods of os.File that the recorder uses for writing.
-type file interface {
-	Write(b []byte) (int, error)
-	Sync() error
-	Close() error
-}
-
 // Recovered is the state that Open recovered from a data folder.
 type Recovered struct {
 	// Replica is the identity to which the folder belongs.
@@ -50,7 +40,7 @@
 	// Fresh reports that the folder was empty and the identity is new.
 	Fresh  bool
 	Stored replicator.Stored
-	// TruncatedBytes is the size, in bytes, of a torn write that Open truncated.
+	// TruncatedBytes is the size, in bytes, of a torn write that Open left out.
 	TruncatedBytes int64
 }
 
@@ -58,16 +48,12 @@
 // missing or empty, Open creates it with a new identity. It fails with a
 // CorruptError, LockedError, GroupError or DiskError.
 func Open(folder string, group identifier.GroupID) (*Recorder, Recovered, error) {
-	return openWith(folder, group, openOnDisk)
+	return OpenWith(Disk{}, folder, group)
 }
 
-// openOnDisk opens a file of the file system.
-func openOnDisk(path string, flags int) (file, error) { return os.OpenFile(path, flags, 0o600) }
-
-// openWith is like Open and opens files for writing with open. Tests use it to
-// make writes fail.
-func openWith(folder string, group identifier.GroupID, open openFile) (*Recorder, Recovered, error) {
-	if err := createFolder(folder); err != nil {
+// OpenWith is like Open and writes to the given file system.
+func OpenWith(files FileSystem, folder string, group identifier.GroupID) (*Recorder, Recovered, error) {
+	if err := createFolder(files, folder); err != nil {
 		return nil, Recovered{}, &DiskError{"create " + folder, err}
 	}
 	lock, err := lockFolder(folder)
@@ -76,7 +62,7 @@
 	}
 	label := `{group="` + strconv.Itoa(int(group)) + `"}`
 	r := &Recorder{
-		folder: folder, lock: lock, id: identity{group: group}, open: open,
+		folder: folder, lock: lock, id: identity{group: group}, files: files,
 		syncs:   metrics.GetOrCreateCounter("cyclamen_recorder_syncs_total" + label),
 		written: metrics.GetOrCreateCounter("cyclamen_recorder_written_bytes_total" + label),
 	}
@@ -104,7 +90,7 @@
 
 // recover reads the folder and prepares it for writing.
 func (r *Recorder) recover() (Recovered, error) {
-	l, err := listFolder(r.folder)
+	l, err := listFolder(r.files, r.folder)
 	if err != nil {
 		return Recovered{}, err
 	}
@@ -136,23 +122,21 @@
 	return Recovered{Replica: s.id.replica, Stored: s.stored, TruncatedBytes: s.tornBytes}, nil
 }
 
-// openSegment opens the segment for appending and truncates a torn write.
+// openSegment opens the segment for appending after a clean shutdown. Otherwise it
+// writes what the segment holds to a new one: its last frames may be readable without
+// being stored, and a later sync does not store what an earlier one failed to.
 func (r *Recorder) openSegment(path string, s segment) error {
-	f, err := r.open(path, os.O_WRONLY|os.O_APPEND)
-	if err != nil {
-		return &DiskError{"open " + path, err}
-	}
-	r.file = f
-	if s.tornBytes == 0 {
+	if !s.closed {
+		if err := r.startSegment(encodeCheckpoint(r.id, s.stored)); err != nil {
+			return &DiskError{"rewrite " + path, err}
+		}
 		return nil
 	}
-	if err = os.Truncate(path, s.size); err == nil {
-		err = f.Sync()
-	}
+	f, err := r.files.OpenFile(path, os.O_WRONLY|os.O_APPEND)
 	if err != nil {
-		_ = f.Close() // the first error is the cause
-		return &DiskError{"truncate the torn write in " + path, err}
+		return &DiskError{"open " + path, err}
 	}
+	r.file = f
 	return nil
 }
 
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -158,17 +158,28 @@
 
 // failingFile fails with err once more than *left bytes are written.
 type failingFile struct {
-	file
+	File
 	left *int
 	err  error
 }
 
 func (f failingFile) Write(b []byte) (int, error) {
 	if *f.left -= len(b); *f.left < 0 {
-		n, _ := f.file.Write(b[:len(b)/2])
+		n, _ := f.File.Write(b[:len(b)/2])
 		return n, f.err
 	}
-	return f.file.Write(b)
+	return f.File.Write(b)
+}
+
+// failingFiles opens failing files.
+type failingFiles struct {
+	Disk
+	left *int
+}
+
+func (d failingFiles) OpenFile(path string, flags int) (File, error) {
+	f, err := os.OpenFile(path, flags, 0o600)
+	return failingFile{f, d.left, syscall.ENOSPC}, err
 }
 
 // TestFullDiskLosesNothing checks that a full disk loses no saved entry. The disk
@@ -176,10 +187,7 @@
 // A restart recovers everything that was saved before.
 func TestFullDiskLosesNothing(t *testing.T) {
 	folder, left := t.TempDir(), 1000
-	r, _, err := openWith(folder, 0, func(path string, flags int) (file, error) {
-		f, err := os.OpenFile(path, flags, 0o600)
-		return failingFile{f, &left, syscall.ENOSPC}, err
-	})
+	r, _, err := OpenWith(failingFiles{left: &left}, folder, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/recorder/segment.go
+++ b/recorder/segment.go
@@ -37,6 +37,8 @@
 	size       int64
 	// tornBytes is the size of a torn write after these frames.
 	tornBytes int64
+	// closed reports that the segment ends with the mark of a clean shutdown.
+	closed bool
 }
 
 // readSegment reads and decodes the segment file at path.
@@ -61,6 +63,7 @@
 		if err := replay(payload, s.frameCount == 0, &s.id, &s.stored); err != nil {
 			return s, &CorruptError{path, s.size, err.Error()}
 		}
+		s.closed = len(payload) == 1 && payload[0] == recordClosed
 		s.frameCount++
 		s.size += int64(frameHeaderBytes + len(payload))
 	}
@@ -79,7 +82,7 @@
 	case hasLaterFrame(rest, s.frameCount):
 		return s, &CorruptError{path, s.size, "a frame is damaged and undamaged ones follow"}
 	default:
-		s.tornBytes = int64(len(rest))
+		s.tornBytes, s.closed = int64(len(rest)), false
 		return s, nil
 	}
 }
@@ -93,7 +96,7 @@
 
 // listFolder returns the contents of a folder and removes temporary files that
 // were not completed.
-func listFolder(folder string) (folderContents, error) {
+func listFolder(files FileSystem, folder string) (folderContents, error) {
 	var l folderContents
 	entries, err := os.ReadDir(folder)
 	if err != nil {
@@ -103,7 +106,7 @@
 		name := e.Name()
 		switch {
 		case strings.HasSuffix(name, temporarySuffix):
-			if err := os.Remove(filepath.Join(folder, name)); err != nil {
+			if err := files.Remove(filepath.Join(folder, name)); err != nil {
 				return l, &DiskError{"remove " + name, err}
 			}
 		case strings.HasPrefix(name, segmentPrefix):
