keeper: a replica of the daemon whose disk was full is opened again

What callers saw: after the disks of two of three keepers were full for a moment, one after the other, every change and claim was refused to the end, while all processes ran and all disks had room.

Cause: a replica whose storage fails halts, rightly, and must be opened again. Only the keepers of internal/node did that; cyclamend did it neither for the control log nor for the claim groups. Who halts also stays halted: the group goes on without the first, and has no majority after the second.

Change: keeper.Reopener holds a replica and opens it again each second once it has failed, with an empty state machine and attached to its transport. Daemon (control log, claim groups) and node use it. It is closed for good: before, the node could open a replica while it stopped, and leave it open.

Measured: TestChangesGoOnAfterDisksWereFullInTurn, with the former daemon on a scratch copy, failed: no change was acknowledged within a minute after the disk of the second daemon had room. With the change it passes. TestDocumentsAreStoredAfterDisksWereFullInTurn (internal/node) and TestReopenedOnceDiskHasRoom are guards.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -37,7 +37,7 @@
 
 // claimGroup holds the replica and the table of one claim group.
 type claimGroup struct {
-	keeper *keeper.Keeper
+	keeper *keeper.Reopener
 
 	mu    sync.Mutex // guards table
 	table claimer.Table
@@ -52,21 +52,34 @@
 	}
 	for i := range c.cfg.ClaimGroupCount() {
 		g := &claimGroup{}
-		k, err := keeper.Open(keeper.Options{
-			Group: firstClaimGroup + identifier.GroupID(i), Host: c.cfg.Host, Hosts: c.cfg.Keepers,
-			DataFolder: c.cfg.DataFolder, StateMachine: g, Transport: c.peers, Clock: c.clock, Log: c.log,
-		})
-		if err != nil {
+		g.keeper = keeper.NewReopener(func() (*keeper.Keeper, error) {
+			return cs.openReplica(firstClaimGroup+identifier.GroupID(i), g)
+		}, c.log)
+		if err := g.keeper.Open(); err != nil {
 			return err
 		}
-		g.keeper = k
-		c.peers.Attach(k)
 		cs.groups = append(cs.groups, g)
 	}
 	c.messenger.Handle(claimMethod, cs.handle)
 	return nil
 }
 
+// openReplica opens the replica of a claim group with an empty table.
+func (cs *claims) openReplica(id identifier.GroupID, g *claimGroup) (*keeper.Keeper, error) {
+	c := cs.control
+	g.mu.Lock()
+	g.table = claimer.Table{}
+	g.mu.Unlock()
+	k, err := keeper.Open(keeper.Options{
+		Group: id, Host: c.cfg.Host, Hosts: c.cfg.Keepers,
+		DataFolder: c.cfg.DataFolder, Files: c.files, StateMachine: g, Transport: c.peers, Clock: c.clock, Log: c.log,
+	})
+	if err == nil {
+		c.peers.Attach(k)
+	}
+	return k, err
+}
+
 // Apply applies committed entries to the table.
 func (g *claimGroup) Apply(entries ...[]byte) [][]byte {
 	g.mu.Lock()
@@ -91,7 +104,7 @@
 // leaderTerm returns the current term and whether the replica on this host holds
 // the lease of that term.
 func (g *claimGroup) leaderTerm() (identifier.Term, bool) {
-	lease, err := g.keeper.Lease()
+	lease, err := g.keeper.Load().Lease()
 	return identifier.Term(lease.Fencing()), err == nil
 }
 
@@ -114,7 +127,7 @@
 		return nil, refuser.NotRun(refuser.Malformed, fmt.Sprintf("there is no claim group %d", group),
 			"set the same claimGroups on all hosts")
 	}
-	return cs.groups[group].keeper.Propose(ctx, entry)
+	return cs.groups[group].keeper.Load().Propose(ctx, entry)
 }
 
 // handle serves claimMethod.
@@ -132,18 +145,20 @@
 	return &wire.ClaimResponse{Answer: answer}, nil
 }
 
-// run advances the clocks of the claim groups until ctx ends.
+// run advances the clocks of the claim groups, and opens replicas again that have
+// failed, until ctx ends.
 func (cs *claims) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, g := range cs.groups {
 		a := &claimer.Advancer{
 			Clock: cs.control.clock, LeaderTerm: g.leaderTerm,
 			Propose: func(ctx context.Context, entry []byte) error {
-				_, err := g.keeper.Propose(ctx, entry)
+				_, err := g.keeper.Load().Propose(ctx, entry)
 				return err
 			},
 		}
 		wg.Go(func() { a.Run(ctx) })
+		wg.Go(func() { g.keeper.Run(ctx) })
 	}
 	wg.Wait()
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -16,6 +16,7 @@
 	"cyclamenhub.org/internal/wire"
 	"cyclamenhub.org/keeper"
 	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/recorder"
 	"cyclamenhub.org/reducer"
 	"cyclamenhub.org/refuser"
 	"cyclamenhub.org/replicator"
@@ -53,23 +54,25 @@
 	messenger *messenger.Messenger
 	dist      *distributor.Distributor
 
-	mu            sync.Mutex // guards machine
+	mu            sync.Mutex // guards machine and rollouts
 	machine       *reducer.Machine
-	keeper        *keeper.Keeper // nil if this host is not a keeper
+	keeper        *keeper.Reopener // nil if this host is not a keeper
 	peers         *keeper.Peers
 	shareDivision shareDivision
 	// table returns the routing table in use, or nil before the first
 	// configuration.
 	table func() *dispatcher.Table
-	// rollouts controls the rollouts; guarded by mu.
+	// rollouts controls the rollouts.
 	rollouts *roller.Controller
 	clock    timer.Clock
 	log      *slog.Logger
+	// files writes the data folder.
+	files recorder.FileSystem
 }
 
 // newControl returns a control, whose log open opens.
 func newControl(cfg *configurer.Settings, m *messenger.Messenger, d *distributor.Distributor, opts Options) *control {
-	return &control{cfg: cfg, messenger: m, dist: d, clock: opts.Clock, log: opts.Log}
+	return &control{cfg: cfg, messenger: m, dist: d, clock: opts.Clock, log: opts.Log, files: opts.Files}
 }
 
 // open opens the control log if this host is a keeper. It applies a snapshot in
@@ -80,19 +83,12 @@
 	if !cfg.IsKeeper() {
 		return nil
 	}
-	c.machine = &reducer.Machine{Perform: c.perform}
-	c.rollouts = roller.NewController(c.machine.Rollouts())
 	c.peers = keeper.NewPeers(m, c.addressOf)
-	k, err := keeper.Open(keeper.Options{
-		Host: cfg.Host, Hosts: cfg.Keepers, DataFolder: cfg.DataFolder,
-		StateMachine: c, Transport: c.peers, Clock: c.clock, Log: c.log,
-		Replica: controlTiming,
-	})
-	if err != nil {
+	r := keeper.NewReopener(c.openReplica, c.log)
+	if err := r.Open(); err != nil {
 		return err
 	}
-	c.keeper = k
-	c.peers.Attach(k)
+	c.keeper = r
 	m.Handle(proposeMethod, c.handlePropose)
 	m.Handle(viewMethod, c.handleView)
 	m.Handle(rolloutReportMethod, c.handleReport)
@@ -103,6 +99,23 @@
 	return nil
 }
 
+// openReplica opens the replica of the control log with an empty state machine.
+func (c *control) openReplica() (*keeper.Keeper, error) {
+	c.mu.Lock()
+	c.machine = &reducer.Machine{Perform: c.perform}
+	c.rollouts = roller.NewController(c.machine.Rollouts())
+	c.mu.Unlock()
+	k, err := keeper.Open(keeper.Options{
+		Host: c.cfg.Host, Hosts: c.cfg.Keepers, DataFolder: c.cfg.DataFolder, Files: c.files,
+		StateMachine: c, Transport: c.peers, Clock: c.clock, Log: c.log,
+		Replica: controlTiming,
+	})
+	if err == nil {
+		c.peers.Attach(k)
+	}
+	return k, err
+}
+
 // addressOf returns the address of the host with the given name.
 func (c *control) addressOf(name identifier.Host) (string, bool) {
 	h, ok := c.cfg.HostNamed(name)
@@ -176,7 +189,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.keeper.Propose(ctx, entry)
+	return c.keeper.Load().Propose(ctx, entry)
 }
 
 // View returns the control state by a linearizable read.
@@ -192,12 +205,13 @@
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	if c.keeper != nil {
-		if err := c.keeper.Read(ctx); err != nil {
-			return reducer.View{}, err
-		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.machine.View(), nil
+		var v reducer.View
+		err := c.keeper.ReadState(ctx, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			v = c.machine.View()
+		})
+		return v, err
 	}
 	var resp wire.ViewResponse
 	if err := c.callKeepers(ctx, viewMethod, &wire.ViewRequest{Head: head}, &resp); err != nil {
@@ -267,15 +281,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	if err := c.keeper.Read(ctx); err != nil {
-		return nil, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if req.Head {
-		return &wire.ViewResponse{Snapshot: c.machine.ReadSnapshot()}, nil
-	}
-	return &wire.ViewResponse{Snapshot: c.machine.Snapshot()}, nil
+	var resp wire.ViewResponse
+	err := c.keeper.ReadState(ctx, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if req.Head {
+			resp.Snapshot = c.machine.ReadSnapshot()
+			return
+		}
+		resp.Snapshot = c.machine.Snapshot()
+	})
+	return &resp, err
 }
 
 // confirmPeriodically confirms to the distributor that this keeper's state is
@@ -290,7 +306,7 @@
 	for {
 		now := time.Now()
 		readCtx, cancel := context.WithTimeout(ctx, controlTimeout)
-		if c.keeper.Read(readCtx) == nil {
+		if c.keeper.Load().Read(readCtx) == nil {
 			c.dist.Confirm(now)
 		}
 		cancel()
@@ -302,6 +318,13 @@
 	}
 }
 
+// reopen opens a replica of the control log that has failed again, until ctx ends.
+func (c *control) reopen(ctx context.Context) {
+	if c.keeper != nil {
+		c.keeper.Run(ctx)
+	}
+}
+
 // close closes the control log if this host is a keeper.
 func (c *control) close() {
 	if c != nil && c.keeper != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"cyclamenhub.org/evacuator"
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/messenger"
+	"cyclamenhub.org/recorder"
 	"cyclamenhub.org/roller"
 	"cyclamenhub.org/server"
 	"cyclamenhub.org/timer"
@@ -41,6 +42,8 @@
 type Options struct {
 	Log   *slog.Logger
 	Clock timer.Clock
+	// Files writes the data folder; nil means the file system.
+	Files recorder.FileSystem
 }
 
 // Daemon is one cyclamend process.
@@ -168,6 +171,7 @@
 	})
 	d.dist.Start(ctx)
 	wg.Go(func() { d.control.confirmPeriodically(background) })
+	wg.Go(func() { d.control.reopen(background) })
 	wg.Go(func() { d.dist.Run(background) })
 	wg.Go(func() { d.follower.Run(background) })
 	wg.Go(func() { d.claims.run(background) })
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -42,10 +42,10 @@
 // readMembers returns the committed members by a linearizable read on this
 // host.
 func (c *control) readMembers(ctx context.Context) (*wire.MembersResponse, error) {
-	if err := c.keeper.Read(ctx); err != nil {
+	if err := c.keeper.Load().Read(ctx); err != nil {
 		return nil, err
 	}
-	s := c.keeper.Status()
+	s := c.keeper.Load().Status()
 	return &wire.MembersResponse{Term: uint64(s.Term), Leader: uint64(s.Leader), Members: s.Committed.Encode()}, nil
 }
 
@@ -77,7 +77,7 @@
 		change = replicator.Remove{ID: m.Replica}
 	}
 	if c.keeper != nil {
-		return c.keeper.ChangeMembers(ctx, change)
+		return c.keeper.Load().ChangeMembers(ctx, change)
 	}
 	return c.callKeepers(ctx, changeMembersMethod, &wire.ChangeMembersRequest{Change: keeper.EncodeChange(change)}, &wire.Empty{})
 }
@@ -101,5 +101,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	return &wire.Empty{}, c.keeper.ChangeMembers(ctx, change)
+	return &wire.Empty{}, c.keeper.Load().ChangeMembers(ctx, change)
 }
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -70,7 +70,7 @@
 	if c.keeper == nil {
 		return "", false
 	}
-	s := c.keeper.Status()
+	s := c.keeper.Load().Status()
 	if s.Leader == 0 || s.Leader == s.ID {
 		return "", false
 	}
@@ -89,7 +89,7 @@
 	if c.keeper == nil {
 		return upstreams
 	}
-	if s := c.keeper.Status(); s.Leader != 0 && s.Leader == s.ID {
+	if s := c.keeper.Load().Status(); s.Leader != 0 && s.Leader == s.ID {
 		return nil
 	}
 	leader, ok := c.leaderAddress()
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -211,7 +211,7 @@
 
 // isLeader reports whether the keeper on this host is the leader.
 func (c *control) isLeader() bool {
-	_, err := c.keeper.Lease()
+	_, err := c.keeper.Load().Lease()
 	return err == nil
 }
 
--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -176,7 +176,7 @@
 	customers := c.customers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if term := c.keeper.Status().Term; s.divider == nil || term != s.term {
+	if term := c.keeper.Load().Status().Term; s.divider == nil || term != s.term {
 		s.term, s.dividedAt, s.latest = term, time.Time{}, nil
 		s.divider = admitter.NewDivider(hostNames(c.cfg), guaranteedShare, term)
 	}
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	if err := n.open(); err != nil {
+	if err := n.keeper.Open(); err != nil {
 		b.Fatal(err)
 	}
 	go func() { _ = n.messenger.Serve(ln) }()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -56,10 +56,9 @@
 func (n *keeperNode) readState(ctx context.Context) (reducer.View, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if err := n.keeper.Load().Read(ctx); err != nil {
-		return reducer.View{}, err
-	}
-	return n.view(), nil
+	var v reducer.View
+	err := n.keeper.ReadState(ctx, func() { v = n.view() })
+	return v, err
 }
 
 // Document returns the newest document. It implements platform.Control.
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"cyclamenhub.org/accountant"
@@ -37,9 +36,6 @@
 	// confirmInterval is the time between two confirmations that the local control
 	// state is current.
 	confirmInterval = time.Second
-	// reopenInterval is the time between two checks for a replica whose disk
-	// failed, which is then opened again.
-	reopenInterval = time.Second
 	// stopTimeout bounds how long a stopping keeper waits for the calls of
 	// operators.
 	stopTimeout = 500 * time.Millisecond
@@ -67,12 +63,14 @@
 	cfg   *platform.Settings
 	log   *slog.Logger
 	clock timer.Clock
+	// files writes the data folder.
+	files recorder.FileSystem
 
 	contacts  contacts
 	messenger *messenger.Messenger
 	dist      *distributor.Distributor
 	peers     *keeper.Peers
-	keeper    atomic.Pointer[keeper.Keeper]
+	keeper    *keeper.Reopener
 	client    *platform.Client
 	// newEnds tells that hosts have reported ends of backend servers to record.
 	newEnds chan struct{}
@@ -121,7 +119,7 @@
 	peerLn, operatorLn, err := listenBoth(ctx, n.log,
 		listenSetting{"internalPorts", cfg.PeerAddress(cfg.Host)}, listenSetting{"controlPlane", cfg.Operators})
 	if err != nil {
-		return errors.Join(err, n.keeper.Load().Close())
+		return errors.Join(err, n.keeper.Close())
 	}
 	return n.serve(ctx, peerLn, operatorLn, opts)
 }
@@ -131,13 +129,14 @@
 	opts.Log = opts.Log.With("host", cfg.Name)
 	clock := timer.NewBoot()
 	n := &keeperNode{
-		cfg: cfg, log: opts.Log, clock: clock,
+		cfg: cfg, log: opts.Log, clock: clock, files: opts.Files,
 		contacts: contacts{self: cfg.Host, seeds: cfg.Seeds},
 		divider:  sharer.NewDivider(time.Duration(leaseFraction * float64(cfg.Bounds.WithdrawKeys))),
 		ledger:   accountant.NewLedger(cfg.Bounds.Window, usageGrace, cfg.Bounds.UseDue-usageMargin),
 		client:   platform.NewClient(cfg.API.Address, cfg.Name),
 		newEnds:  make(chan struct{}, 1),
 	}
+	n.keeper = keeper.NewReopener(n.open, opts.Log)
 	n.listReader = discoverer.NewReader(discoverer.Options{Source: n.client, Timeout: dutyTimeout, Clock: clock, Log: opts.Log})
 	n.enterTerm(0)
 	n.messenger = messenger.New(messenger.Options{Host: cfg.Host, ReadIdleTimeout: peerProbeDelay, Clock: clock})
@@ -171,36 +170,34 @@
 }
 
 // open opens the replica of the control log with an empty state machine.
-func (n *keeperNode) open() error {
+func (n *keeperNode) open() (*keeper.Keeper, error) {
 	n.mu.Lock()
 	n.machine = &reducer.Machine{Perform: n.perform}
 	n.rollouts = roller.NewController(n.machine.Rollouts())
 	n.mu.Unlock()
 	k, err := keeper.Open(keeper.Options{
 		Host: n.cfg.Host, Hosts: n.cfg.Seeds, Voters: 2*max(n.cfg.LostMachines, 1) + 1, Contacts: n.contacts.list,
-		JoinOnly: !n.cfg.Founding, DataFolder: n.cfg.DataFolder, StateMachine: n, Transport: n.peers,
+		JoinOnly: !n.cfg.Founding, DataFolder: n.cfg.DataFolder, Files: n.files, StateMachine: n, Transport: n.peers,
 		Clock: n.clock, Log: n.log, Replica: keeperTiming, SnapshotBytes: snapshotBytes,
 	})
-	if err != nil {
-		return err
+	if err == nil {
+		n.peers.Attach(k)
 	}
-	n.keeper.Store(k)
-	n.peers.Attach(k)
-	return nil
+	return k, err
 }
 
-// openOnceWritable opens the replica like open. While the disk fails or another
+// openOnceWritable opens the replica for the first time. While the disk fails or another
 // process holds the folder, it tries again, until ctx ends.
 func (n *keeperNode) openOnceWritable(ctx context.Context) error {
 	for {
-		err := n.open()
+		err := n.keeper.Open()
 		var disk *recorder.DiskError
 		var locked *recorder.LockedError
 		if err == nil || !errors.As(err, &disk) && !errors.As(err, &locked) {
 			return err
 		}
 		n.log.Warn("data folder is not usable yet", "error", err)
-		if !timer.Sleep(ctx, reopenInterval) {
+		if !timer.Sleep(ctx, keeper.ReopenInterval) {
 			return err
 		}
 	}
@@ -217,7 +214,7 @@
 	wg.Go(func() { _ = n.messenger.Serve(peerLn) })
 	wg.Go(func() { serve(operators, operatorLn, n.log) })
 	wg.Go(func() { n.runConfirm(background) })
-	wg.Go(func() { n.runReopen(background) })
+	wg.Go(func() { n.keeper.Run(background) })
 	wg.Go(func() { n.runDuties(background) })
 	wg.Go(func() { n.runFinalCounts(background) })
 	wg.Go(func() { n.runRollouts(background) })
@@ -235,7 +232,7 @@
 		err = operators.Close()
 	}
 	cancel()
-	err = errors.Join(err, n.keeper.Load().Close())
+	err = errors.Join(err, n.keeper.Close())
 	n.messenger.Close()
 	_ = peerLn.Close()
 	n.peers.Close()
@@ -329,24 +326,6 @@
 	})
 }
 
-// runReopen reopens a replica whose disk failed, since the failure may be
-// temporary, until ctx ends.
-func (n *keeperNode) runReopen(ctx context.Context) {
-	repeat(ctx, reopenInterval, func() {
-		k := n.keeper.Load()
-		failure := k.Status().Failure
-		if failure == nil {
-			return
-		}
-		_ = k.Close() // Close returns the failure again.
-		if err := n.open(); err != nil {
-			n.log.Warn("failed replica cannot be reopened", "failure", failure, "error", err)
-			return
-		}
-		n.log.Info("failed replica reopened", "failure", failure)
-	})
-}
-
 // holdsLease reports whether this keeper holds the leader's lease.
 func (n *keeperNode) holdsLease() bool {
 	_, err := n.keeper.Load().Lease()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -125,7 +125,7 @@
 	cfg := s.settings(keeperA, true)
 	cfg.LostMachines = 0
 	n := newKeeperNode(cfg, Options{Log: slog.New(slog.DiscardHandler)})
-	if err := n.open(); err != nil {
+	if err := n.keeper.Open(); err != nil {
 		t.Fatal(err)
 	}
 	k := n.keeper.Load()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -20,6 +20,7 @@
 
 	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/platform"
+	"cyclamenhub.org/recorder"
 	"cyclamenhub.org/timer"
 )
 
@@ -52,6 +53,8 @@
 	Reload func() (*platform.Settings, error)
 	// DialServer opens connections to backend servers; nil means TCP.
 	DialServer func(ctx context.Context, address string) (net.Conn, error)
+	// Files writes the data folder of a keeper; nil means the file system.
+	Files recorder.FileSystem
 	// Changed signals that the settings may have changed, so that they are
 	// reloaded immediately.
 	Changed <-chan struct{}
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -16,6 +16,7 @@
 
 	"cyclamenhub.org/platform"
 	"cyclamenhub.org/platform/standin"
+	disks "cyclamenhub.org/recorder/standin"
 )
 
 // system is a set of keepers and entry hosts on loopback addresses.
@@ -31,6 +32,8 @@
 	folder string
 	// links are the links of hosts to backend servers that a test may cut.
 	links map[string]*serverLinks
+	// disks are the disks of hosts that a test may fill.
+	disks map[string]*disks.Disk
 }
 
 // The addresses of the hosts of a system.
@@ -127,6 +130,9 @@
 	if l := s.links[ip]; l != nil {
 		opts.DialServer = l.dial
 	}
+	if d := s.disks[ip]; d != nil {
+		opts.Files = d
+	}
 	go func() { done <- run(ctx, cfg, opts) }()
 }
 
--- a/recorder/full_test.go
+++ b/recorder/full_test.go
@@ -43,10 +43,10 @@
 // reopen opens the folder and compares what it holds with what is known of it. While
 // the disk is full it reports whether that was possible.
 func (f *fullDisk) reopen() bool {
-	refused := f.disk.Refused()
+	refused := f.disk.Refused(f.folder)
 	rec, recovered, err := recorder.OpenWith(f.disk, f.folder, 0)
 	if err != nil {
-		if f.disk.Refused() == refused || !errors.As(err, new(*recorder.DiskError)) {
+		if f.disk.Refused(f.folder) == refused || !errors.As(err, new(*recorder.DiskError)) {
 			f.t.Fatalf("open: %v, want a DiskError of a full disk alone", err)
 		}
 		return false
@@ -69,13 +69,13 @@
 // save saves a frame or a checkpoint. It closes the recorder and reports false if that
 // fails.
 func (f *fullDisk) save(next replicator.Stored, effects []replicator.Effect) bool {
-	refused := f.disk.Refused()
+	refused := f.disk.Refused(f.folder)
 	err := f.rec.Save(effects)
 	if err == nil {
 		f.acknowledged = next
 		return true
 	}
-	if f.disk.Refused() == refused || !errors.As(err, new(*recorder.DiskError)) {
+	if f.disk.Refused(f.folder) == refused || !errors.As(err, new(*recorder.DiskError)) {
 		f.t.Fatalf("save: %v, want a DiskError of a full disk alone", err)
 	}
 	f.attempted = &next
--- a/recorder/standin/disk.go
+++ b/recorder/standin/disk.go
@@ -10,6 +10,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 
@@ -35,7 +36,7 @@
 	failure Failure
 	// left is the number of operations that still succeed.
 	left    int
-	refused int
+	refused map[string]int
 	files   map[string]*content
 }
 
@@ -49,7 +50,9 @@
 var _ recorder.FileSystem = (*Disk)(nil)
 
 // NewDisk returns a disk with room.
-func NewDisk() *Disk { return &Disk{files: make(map[string]*content)} }
+func NewDisk() *Disk {
+	return &Disk{refused: make(map[string]int), files: make(map[string]*content)}
+}
 
 // Fill makes the disk full once it has done the given number of operations that the
 // failure concerns.
@@ -66,11 +69,11 @@
 	d.failure = 0
 }
 
-// Refused returns the number of operations that failed.
-func (d *Disk) Refused() int {
+// Refused returns the number of operations in a folder that failed.
+func (d *Disk) Refused(folder string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.refused
+	return d.refused[folder]
 }
 
 // LosePower cuts off what is not durable from each file.
@@ -86,8 +89,8 @@
 	return nil
 }
 
-// fails reports whether an operation fails. The caller holds mu.
-func (d *Disk) fails(sync bool) bool {
+// fails reports whether an operation in a folder fails. The caller holds mu.
+func (d *Disk) fails(folder string, sync bool) bool {
 	if d.failure == 0 || d.failure == Syncs && !sync {
 		return false
 	}
@@ -95,15 +98,15 @@
 		d.left--
 		return false
 	}
-	d.refused++
+	d.refused[folder]++
 	return true
 }
 
 // check returns ENOSPC if an operation fails.
-func (d *Disk) check(sync bool) error {
+func (d *Disk) check(folder string, sync bool) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.fails(sync) {
+	if d.fails(folder, sync) {
 		return syscall.ENOSPC
 	}
 	return nil
@@ -111,7 +114,7 @@
 
 // OpenFile opens a file. It implements recorder.FileSystem.
 func (d *Disk) OpenFile(path string, flags int) (recorder.File, error) {
-	if err := d.check(false); err != nil {
+	if err := d.check(filepath.Dir(path), false); err != nil {
 		return nil, err
 	}
 	f, err := d.Disk.OpenFile(path, flags)
@@ -128,12 +131,12 @@
 		}
 		d.files[path] = c
 	}
-	return &file{File: f, disk: d, content: c}, nil
+	return &file{File: f, disk: d, folder: filepath.Dir(path), content: c}, nil
 }
 
 // Rename renames a file. It implements recorder.FileSystem.
 func (d *Disk) Rename(from, to string) error {
-	if err := d.check(false); err != nil {
+	if err := d.check(filepath.Dir(to), false); err != nil {
 		return err
 	}
 	d.mu.Lock()
@@ -145,7 +148,7 @@
 
 // Remove removes a file. It implements recorder.FileSystem.
 func (d *Disk) Remove(path string) error {
-	if err := d.check(false); err != nil {
+	if err := d.check(filepath.Dir(path), false); err != nil {
 		return err
 	}
 	d.mu.Lock()
@@ -156,7 +159,7 @@
 
 // SyncFolder makes directory entries durable. It implements recorder.FileSystem.
 func (d *Disk) SyncFolder(folder string) error {
-	if err := d.check(true); err != nil {
+	if err := d.check(folder, true); err != nil {
 		return err
 	}
 	return d.Disk.SyncFolder(folder)
@@ -166,6 +169,7 @@
 type file struct {
 	recorder.File
 	disk    *Disk
+	folder  string
 	content *content
 }
 
@@ -173,7 +177,7 @@
 func (f *file) Write(b []byte) (int, error) {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
-	full := f.disk.fails(false)
+	full := f.disk.fails(f.folder, false)
 	if full {
 		b = b[:len(b)/2]
 	}
@@ -189,7 +193,7 @@
 func (f *file) Sync() error {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
-	if f.disk.fails(true) {
+	if f.disk.fails(f.folder, true) {
 		f.content.lost = f.content.size > f.content.durable
 		return syscall.ENOSPC
 	}
