keeper: nothing is read from a replica that is opened again meanwhile

What callers could see: a reading of the configuration that is older than what was acknowledged, or empty, at the moment at which a replica whose disk was full is opened again.

Cause: a linearizable read was confirmed by the former replica, and the state machine, which the new one fills again from its log, was read after it.

Change: Reopener.ReadState fails, as not run, if the replica has failed when the state was read.

Measured: TestNothingIsReadFromReopenedReplica failed before the change.

--- a/keeper/reopener.go
+++ b/keeper/reopener.go
@@ -72,13 +72,18 @@
 	r.log.Info("failed replica reopened", "failure", failure)
 }
 
-// ReadState calls read, which reads the state machine, after a linearizable read.
+// ReadState calls read, which reads the state machine, after a linearizable read. It
+// fails if the replica has failed by then, since the state machine may have been
+// emptied to open it again.
 func (r *Reopener) ReadState(ctx context.Context, read func()) error {
 	k := r.current.Load()
 	if err := k.Read(ctx); err != nil {
 		return err
 	}
 	read()
+	if k.Status().Failure != nil {
+		return errNoRead()
+	}
 	return nil
 }
 
--- a/keeper/reopener_test.go
+++ b/keeper/reopener_test.go
@@ -65,3 +65,24 @@
 		}
 	})
 }
+
+// TestNothingIsReadFromReopenedReplica guards against a read that was confirmed by a
+// replica and returns the state machine after it was emptied to open the replica again.
+func TestNothingIsReadFromReopenedReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, disk, _ := newFullReopener(t)
+		propose(t, r.Load(), "before")
+		err := r.ReadState(t.Context(), func() {
+			disk.Fill(standin.Syncs, 0)
+			propose(t, r.Load(), "during")
+			disk.Free()
+			r.reopenFailed()
+		})
+		if err == nil {
+			t.Error("a read across the opening of the replica succeeds")
+		}
+		if err := r.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
