--- a/keeper/disks_test.go
+++ b/keeper/disks_test.go
@@ -136,7 +136,9 @@
 	for _, h := range g.hosts {
 		var lines []string
 		g.await(fmt.Sprintf("seed %d: %s reads", seed, h), func() bool {
-			return g.reopeners[h].ReadState(g.t.Context(), func() {
+			ctx, cancel := context.WithTimeout(g.t.Context(), 2*time.Second)
+			defer cancel()
+			return g.reopeners[h].ReadState(ctx, func() {
 				g.mu.Lock()
 				defer g.mu.Unlock()
 				lines = g.machines[h].all()
