replicator: a learner forgets a leader that sends nothing any more

Cause: a replica that must not campaign never forgot its leader. A learner whose disk was full for longer than three seconds is removed from the group. If it comes back and hears the leader once more before that, it never learns of its removal: it has no leader's silence to notice, does not announce itself and does not join again. Its readings wait for entries that no one sends to it.

Change: like a voter, it forgets the leader after an election timeout without a message, announces itself after three seconds without one, and is added again.

Measured: TestLearnerForgetsSilentLeader failed before.

--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -130,6 +130,7 @@
 		return
 	}
 	if !r.canCampaign() {
+		r.forgetSilentLeader()
 		return
 	}
 	if r.members().Voters() == 1 && r.members().IsVoter(r.cfg.ID) {
@@ -143,6 +144,14 @@
 	}
 }
 
+// forgetSilentLeader forgets a leader that sends nothing any more to a replica that
+// must not campaign, for example because the replica was removed without learning it.
+func (r *Replica) forgetSilentLeader() {
+	if r.leader != 0 && !r.now.Before(r.electionDeadline) {
+		r.becomeFollower(r.state.Term, 0)
+	}
+}
+
 // canCampaign reports whether this replica may start an election. A removed
 // voter may do so until it knows that its removal is committed, because it may
 // be the only one that holds that entry (Ongaro, section 4.2.2).
--- a/replicator/rules_test.go
+++ b/replicator/rules_test.go
@@ -235,3 +235,20 @@
 	}
 	return n
 }
+
+// TestLearnerForgetsSilentLeader guards against a learner that was removed without
+// learning it, waits for its leader for ever, and never joins again.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	m := NewMembers(Member{ID: 1}, Member{ID: 2, Voter: true}, Member{ID: 3, Voter: true})
+	r := New(Config{ID: 1, ElectionTimeout: testTimeout}, Stored{
+		State: HardState{Term: 1}, Snapshot: Snapshot{Position: InitialPosition, Members: m}, Base: InitialPosition,
+	}, start)
+	r.Step(start, Receive{2, Append{Term: 1, Previous: InitialPosition}})
+	if got := r.Status().Leader; got != 2 {
+		t.Fatalf("leader %d after its heartbeat, want 2", got)
+	}
+	r.Step(start.Add(2*testTimeout), Tick{})
+	if got := r.Status().Leader; got != 0 {
+		t.Errorf("leader %d after two election timeouts without a message, want none", got)
+	}
+}
