messenger: sessions on which no call comes keep no peer out

A client that opens connections to a keeper's first internal port and sends nothing could use up its descriptors, so that neither hosts nor operators reached it: nothing bounded the sessions that are served, and none of them has to say anything.

Sessions have a bound, half of the machine's descriptors. At the bound the oldest session on which no call has come makes room; if there is none, the new one is closed at once.

--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -19,7 +19,8 @@
 	// defaultMemoryBytes stands in for the memory of a machine that is not known.
 	defaultMemoryBytes = 256 << 20
 	// descriptorsDivisor gives the part of the descriptors that callers' connections may
-	// take: a call has a connection to a backend server as well.
+	// take, since a call has a connection to a backend server as well, and that sessions of
+	// other processes with a keeper may take.
 	descriptorsDivisor = 2
 	// peersDivisor and otherDivisor give the parts of callers' bounds that the listener
 	// for other hosts has, to which a host that is cut off relays all its calls, and each
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -139,7 +139,9 @@
 	n.keeper = keeper.NewReopener(n.open, opts.Log)
 	n.listReader = discoverer.NewReader(discoverer.Options{Source: n.client, Timeout: dutyTimeout, Clock: clock, Log: opts.Log})
 	n.enterTerm(0)
-	n.messenger = messenger.New(messenger.Options{Host: cfg.Host, ReadIdleTimeout: peerProbeDelay, Clock: clock})
+	n.messenger = messenger.New(messenger.Options{
+		Host: cfg.Host, ReadIdleTimeout: peerProbeDelay, Clock: clock, MaxAccepted: cfg.Descriptors / descriptorsDivisor,
+	})
 	n.dist = distributor.New(distributor.Options{
 		Self:      configurer.HostAddress{Name: cfg.Host, FailureDomain: cfg.FailureDomain},
 		Upstreams: func() []string { return nil }, Call: n.messenger.Call,
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -66,6 +66,8 @@
 	Clock timer.Clock
 	// After starts the timers of ReadIdleTimeout. It defaults to time.After.
 	After func(time.Duration) <-chan time.Time
+	// MaxAccepted is how many sessions of peers are served at a time; 0 means no bound.
+	MaxAccepted int
 	// Dial opens a connection to a peer. It defaults to a TCP dial.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -108,6 +110,7 @@
 	bytesRead            = metrics.NewCounter("cyclamen_messenger_bytes_read_total")
 	bytesWritten         = metrics.NewCounter("cyclamen_messenger_bytes_written_total")
 	handlerPanics        = metrics.NewCounter("cyclamen_messenger_handler_panics_total")
+	sessionsRefused      = metrics.NewCounter("cyclamen_messenger_sessions_refused_total")
 	acceptFailures       = metrics.NewCounter("cyclamen_messenger_accept_failures_total")
 	callsServed          = metrics.NewCounter("cyclamen_messenger_calls_answered_total")
 )
@@ -332,23 +335,18 @@
 			_ = c.Close()
 			continue
 		}
-		if !m.trackAccepted(s) {
+		switch m.trackAccepted(s) {
+		case trackClosed:
 			s.close()
 			return errClosed
+		case trackFull:
+			s.close()
+			continue
 		}
 		go m.serveSession(s)
 	}
 }
 
-// trackAccepted records an accepted session, so that Close ends it, and reports
-// whether m is still open.
-func (m *Messenger) trackAccepted(s *session) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.accepted[s] = struct{}{}
-	return !m.closed
-}
-
 // serveSession serves the calls of one session until the session ends.
 func (m *Messenger) serveSession(s *session) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -365,6 +363,7 @@
 		if err != nil {
 			return
 		}
+		s.isUsed.Store(true)
 		running <- struct{}{}
 		go func() {
 			defer func() { <-running }()
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -107,6 +107,9 @@
 type session struct {
 	mux  *yamux.Session
 	conn *monitoredConn
+	// began is when the session began, and isUsed is set once a call has come on it.
+	began  time.Time
+	isUsed atomic.Bool
 }
 
 // newSession starts a yamux session on c, as the client or the server.
@@ -120,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &session{mux: mux, conn: mc}, nil
+	return &session{mux: mux, conn: mc, began: clock.Now()}, nil
 }
 
 // yamuxConfig returns a configuration without keep-alives, since monitor detects
