--- a/internal/crowder/connections_test.go
+++ b/internal/crowder/connections_test.go
@@ -33,3 +33,14 @@
 	c := newCrowd(t, connectionCrowd, s.entry.address(standin.FrontendPort))
 	s.checkCrowd(c, 0)
 }
+
+// TestSmallBodiesShortOfEndKeepCallersOut guards against a host all of whose connections are
+// taken by callers that stop just short of the end of small bodies.
+func TestSmallBodiesShortOfEndKeepCallersOut(t *testing.T) {
+	const size = 100
+	s := newSystem(t)
+	c := newCrowd(t, connectionCrowd, s.entry.address(standin.FrontendPort))
+	c.writeHeads("/look/1", sized(size))
+	c.write(make([]byte, size-1))
+	s.checkCrowd(c, size-1)
+}
