forwarder: the tests of copied answers share their set-up

The host that lists a server by itself first and another one later, and the check that a call that ran went nowhere else, stood in six tests.

--- a/forwarder/foreignhead_test.go
+++ b/forwarder/foreignhead_test.go
@@ -12,22 +12,11 @@
 // body reads like a refusal of the HEAD request (a service that returns what it was sent).
 func TestBodyOfAForeignAnswerIsNotTheAnswerToHEAD(t *testing.T) {
 	const own = "id-1"
-	h := newHarness(t, sealedResponse(http.StatusOK, idLine(own), ""))
-	other := h.backends.start()
 	first := sealedResponse(http.StatusOK, idLine("id-0"), refusalOf(503, own))
-	s := &partsServer{answers: [][]string{{first}, {first + sealedResponse(http.StatusOK, idLine(own), "")}}}
-	address := s.start(t)
-	s.onRequest = func(n int) {
-		if n > 0 {
-			h.useAddresses(address, other)
-		}
-	}
-	h.useAddresses(address)
+	h, _ := newPartsHarness(t, own, []string{first}, []string{first + sealedResponse(http.StatusOK, idLine(own), "")})
 	h.callAs(t, "id-0", http.MethodPost, "/look/0", "key", "x")
 	res := h.callAs(t, own, http.MethodHead, "/file/1", "key", "")
-	if n := len(h.backends.requests()); n != 0 || impliesNotRun(res.status) {
-		t.Errorf("the call ran, was sent to another server %d times, and its caller got status %d", n, res.status)
-	}
+	h.expectNoOtherRun(t, res)
 }
 
 // TestLengthOfAForeignHEADAnswerHidesNoAnswer guards against calls that run twice: the copy
@@ -38,19 +27,8 @@
 	mine := sealedResponse(http.StatusOK, idLine(own), refusalOf(503, own))
 	head := mine[:strings.Index(mine, "\r\n\r\n")+4]
 	headAnswer := fmt.Sprintf("HTTP/1.1 200 X\r\n%s: s\r\n%sContent-Length: %d\r\n\r\n", testSeal, idLine("id-0"), len(head))
-	h := newHarness(t, sealedResponse(http.StatusOK, idLine(own), "other"))
-	other := h.backends.start()
-	s := &partsServer{answers: [][]string{{headAnswer}, {headAnswer + mine}}}
-	address := s.start(t)
-	s.onRequest = func(n int) {
-		if n > 0 {
-			h.useAddresses(address, other)
-		}
-	}
-	h.useAddresses(address)
+	h, _ := newPartsHarness(t, own, []string{headAnswer}, []string{headAnswer + mine})
 	h.callAs(t, "id-0", http.MethodHead, "/look/0", "key", "")
 	res := h.callAs(t, own, http.MethodPost, "/file/1", "key", "x")
-	if n := len(h.backends.requests()); n != 0 || impliesNotRun(res.status) {
-		t.Errorf("the call ran, was sent to another server %d times, and its caller got status %d", n, res.status)
-	}
+	h.expectNoOtherRun(t, res)
 }
--- a/forwarder/foreignids_test.go
+++ b/forwarder/foreignids_test.go
@@ -18,24 +18,11 @@
 	} {
 		for _, copies := range []int{1, 2, 3, 5} {
 			t.Run(fmt.Sprint(tc.name, copies), func(t *testing.T) {
-				h := newHarness(t, sealedResponse(http.StatusOK, idLine(tc.own), "other"))
-				other := h.backends.start()
 				refusal := strings.Repeat(refusalOf(503, tc.earlier), copies)
-				s := &partsServer{answers: [][]string{
-					{refusalOf(503, tc.earlier)}, {refusal + sealedResponse(http.StatusOK, idLine(tc.own), "mine")},
-				}}
-				address := s.start(t)
-				s.onRequest = func(n int) {
-					if n > 0 {
-						h.useAddresses(address, other)
-					}
-				}
-				h.useAddresses(address)
+				h, s := newPartsHarness(t, tc.own, []string{refusalOf(503, tc.earlier)}, []string{refusal + sealedResponse(http.StatusOK, idLine(tc.own), "mine")})
 				h.callAs(t, tc.earlier, http.MethodPost, "/file/0", "key", "x")
 				res := h.callAs(t, tc.own, http.MethodPost, "/file/1", "key", "x")
-				if n := len(h.backends.requests()); n != 0 || impliesNotRun(res.status) {
-					t.Errorf("the call ran, was sent to another server %d times, and its caller got status %d", n, res.status)
-				}
+				h.expectNoOtherRun(t, res)
 				if s.requests.Load() != 2 || s.opened.Load() != 1 {
 					t.Errorf("%d requests on %d connections", s.requests.Load(), s.opened.Load())
 				}
--- a/forwarder/joined_test.go
+++ b/forwarder/joined_test.go
@@ -33,24 +33,10 @@
 		{"before a failure without a seal", []string{headOf(503), failure}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			h := newHarness(t, sealedResponse(http.StatusOK, idLine(own), "other"))
-			other := h.backends.start()
-			s := &partsServer{answers: [][]string{{sealedResponse(http.StatusOK, idLine("id-0"), "first")}, tc.parts}}
-			address := s.start(t)
-			s.onRequest = func(n int) {
-				if n > 0 {
-					h.useAddresses(address, other)
-				}
-			}
-			h.useAddresses(address)
+			h, _ := newPartsHarness(t, own, []string{sealedResponse(http.StatusOK, idLine("id-0"), "first")}, tc.parts)
 			h.callAs(t, "id-0", http.MethodPost, "/look/0", "key", "x")
 			res := h.callAs(t, own, http.MethodPost, "/file/1", "key", "x")
-			if n := len(h.backends.requests()); n != 0 {
-				t.Errorf("the call ran at its server and was sent to another server %d times", n)
-			}
-			if impliesNotRun(res.status) {
-				t.Errorf("the call ran and its caller got %+v", res)
-			}
+			h.expectNoOtherRun(t, res)
 		})
 	}
 }
@@ -71,23 +57,10 @@
 		{"end of a line", "/file/1", "Content-Length: 0\r", chunked},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			h := newHarness(t, sealedResponse(http.StatusOK, idLine(own), "other"))
-			other := h.backends.start()
-			s := &partsServer{answers: [][]string{
-				{sealedResponse(http.StatusOK, idLine("id-0"), "first")}, {headOf(503) + "\r\n" + tc.cut + tc.answer},
-			}}
-			address := s.start(t)
-			s.onRequest = func(n int) {
-				if n > 0 {
-					h.useAddresses(address, other)
-				}
-			}
-			h.useAddresses(address)
+			h, _ := newPartsHarness(t, own, []string{sealedResponse(http.StatusOK, idLine("id-0"), "first")}, []string{headOf(503) + "\r\n" + tc.cut + tc.answer})
 			h.callAs(t, "id-0", http.MethodPost, "/look/0", "key", "x")
 			res := h.callAs(t, own, http.MethodPost, tc.path, "key", "x")
-			if n := len(h.backends.requests()); n != 0 || impliesNotRun(res.status) {
-				t.Errorf("the call ran, was sent to another server %d times, and its caller got status %d", n, res.status)
-			}
+			h.expectNoOtherRun(t, res)
 		})
 	}
 }
--- a/forwarder/repeated_test.go
+++ b/forwarder/repeated_test.go
@@ -60,6 +60,32 @@
 	}
 }
 
+// newPartsHarness returns a host that lists a partsServer with the given answers alone, and
+// from its second request on another server as well, which runs what it gets.
+func newPartsHarness(t *testing.T, id string, answers ...[]string) (*harness, *partsServer) {
+	t.Helper()
+	h := newHarness(t, sealedResponse(http.StatusOK, idLine(id), "other"))
+	other := h.backends.start()
+	s := &partsServer{answers: answers}
+	address := s.start(t)
+	s.onRequest = func(n int) {
+		if n > 0 {
+			h.useAddresses(address, other) // The other comes once this one has the call.
+		}
+	}
+	h.useAddresses(address)
+	return h, s
+}
+
+// expectNoOtherRun checks that a call that ran at its server ran at no other, and that its
+// caller was not told that it had not run.
+func (h *harness) expectNoOtherRun(t *testing.T, res response) {
+	t.Helper()
+	if n := len(h.backends.requests()); n != 0 || impliesNotRun(res.status) {
+		t.Errorf("the call ran, was sent to another server %d times, and its caller got status %d", n, res.status)
+	}
+}
+
 // idLine returns the header line of an id; it is empty without one.
 func idLine(id string) string {
 	if id == "" {
@@ -125,16 +151,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			h := newHarness(t, sealedResponse(http.StatusOK, idLine(own), "other"))
-			other := h.backends.start()
-			s := &partsServer{answers: [][]string{tc.first, tc.second}}
-			address := s.start(t)
-			s.onRequest = func(n int) {
-				if n > 0 {
-					h.useAddresses(address, other) // The other comes once this one has the call.
-				}
-			}
-			h.useAddresses(address)
+			h, _ := newPartsHarness(t, own, tc.first, tc.second)
 			if res := h.callAs(t, earlier, http.MethodPost, "/look/0", "key", "x"); res.status != http.StatusOK {
 				t.Fatalf("the earlier call got %+v", res)
 			}
