--- a/connector/conn.go
+++ b/connector/conn.go
@@ -178,7 +178,8 @@
 
 // Exchange sends req and returns the response once its header has been read.
 // Its errors are of type *Error. The caller must close the connection after an
-// error, and release it to the pool after reading the body.
+// error, and release it to the pool after reading the body. Unlike Send it does not know
+// the id of req: the caller gives each request of its own an id of its own.
 func (c *Conn) Exchange(ctx context.Context, req *http.Request, limits Limits) (*Response, error) {
 	c.beginExchange(ctx, limits)
 	if err := c.send(req); err != nil {
