connector, forwarder: an id is hashed once a send, a route looked up once before the body

The pool hashed the id of a request anew for each idle connection that it looked at, and Send twice more; a call with a body had its route looked up twice before the body was read.

The pool and Send hash it once each, and the time of a body follows from the route that was found, if one was. No change of behaviour; vet, lint and the tests of connector and forwarder with the race detector pass.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -74,7 +74,7 @@
 	// bearsIDs is set once a response has borne the id of its request.
 	bearsIDs bool
 	// carried holds the hashes of the ids of the requests that were sent.
-	carried []uint64
+	carried []idHash
 	// carriedHead is set once a HEAD request was sent.
 	carriedHead bool
 
@@ -118,29 +118,31 @@
 // request, so that one without an id belongs to no request.
 func (c *Conn) BearsIDs() bool { return c.bearsIDs }
 
+// idHash is the hash of the id of a request.
+type idHash uint64
+
+// hashOf returns the hash of an id.
+func hashOf(id identifier.AttemptID) idHash { return idHash(xxhash.Sum64String(string(id))) }
+
 // hasCarried reports whether a request with that id was sent on the connection before. A
 // server may write its answer to that one once more, and the copy could not be told from
 // the answer to the request on its way again.
-func (c *Conn) hasCarried(id identifier.AttemptID) bool {
-	return slices.Contains(c.carried, hashOf(id))
-}
+func (c *Conn) hasCarried(id idHash) bool { return slices.Contains(c.carried, id) }
 
 // carry records that a request with an id is sent, "" if it has none. It returns an error
 // if the connection has carried that id.
 func (c *Conn) carry(id identifier.AttemptID) error {
-	switch {
-	case id == "":
+	if id == "" {
 		return nil
-	case c.hasCarried(id):
+	}
+	h := hashOf(id)
+	if c.hasCarried(h) {
 		return ErrCarried
 	}
-	c.carried = append(c.carried, hashOf(id))
+	c.carried = append(c.carried, h)
 	return nil
 }
 
-// hashOf returns the hash of an id.
-func hashOf(id identifier.AttemptID) uint64 { return xxhash.Sum64String(string(id)) }
-
 // Address returns the address of the backend server.
 func (c *Conn) Address() string { return c.address }
 
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -168,6 +168,7 @@
 // pool. If all have carried it, pop takes the oldest one and says so: it makes room for a new
 // one, so that a caller that repeats an id adds no connections.
 func (p *Pool) pop(address string, id identifier.AttemptID) (c *Conn, hasCarried bool) {
+	h := hashOf(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -175,7 +176,7 @@
 		return nil, false
 	}
 	i := len(list) - 1
-	for i >= 0 && id != "" && list[i].hasCarried(id) {
+	for i >= 0 && id != "" && list[i].hasCarried(h) {
 		i--
 	}
 	hasCarried = i < 0
--- a/forwarder/requestbody.go
+++ b/forwarder/requestbody.go
@@ -86,7 +86,10 @@
 // bodyEnd returns when the body must be complete, since the call could not be answered after
 // that, or the zero time if its route is not known.
 func (x *exchange) bodyEnd() time.Time {
-	route, ok := x.findRoute()
+	route, ok := x.route, true
+	if route == nil { // It was not looked for, since the table may be out of date.
+		route, ok = x.findRoute()
+	}
 	if !ok {
 		return time.Time{}
 	}
