--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the second review start, into target/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+for name in worker2 cutshort; do
+  go build -o "target/review-$name" "./review/$name"
+done
--- /dev/null
+++ b/review/worker2/main.go
@@ -0,0 +1,39 @@
+// Command worker2 is a stand-in of a backend server in a process of its own, so that a case can
+// end it as the platform ends a server.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"cyclamenhub.org/review/rig"
+)
+
+func main() {
+	address := flag.String("address", "", "address to listen at")
+	id := flag.String("id", "", "id in the list of servers")
+	events := flag.Int("events", 40, "events of a stream")
+	pause := flag.Duration("pause", 150*time.Millisecond, "time before each event")
+	unframed := flag.Bool("unframed", false, "answers have neither a length nor chunks")
+	flag.Parse()
+	var mu sync.Mutex
+	w := &rig.Worker{ID: *id, Unframed: *unframed, Events: *events, Pause: *pause, Work: 60 * time.Millisecond, Log: func(format string, args ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Printf(format+"\n", args...)
+	}}
+	if err := w.Listen(*address); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	leaves := make(chan os.Signal, 1)
+	signal.Notify(leaves, syscall.SIGUSR1)
+	for range leaves {
+		w.SetLeaving()
+	}
+}
