review: case 8, a stream of a crashed server looks complete to a frozen host

A worker crashes while it writes streams without a length and while an entry host stands still, and is back under a new id before the host goes on. The host finds the port open, and the callers get the closing chunk of a complete answer after 9 to 11 of 40 events.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,6 +2,6 @@
 # Builds the stand-ins that the scripts of the second review start, into target/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for name in worker2 cutshort cutoff; do
+for name in worker2 cutshort cutoff frozen; do
   go build -o "target/review-$name" "./review/$name"
 done
--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -39,6 +39,8 @@
 	Header http.Header
 	// Complete is whether the answer ended as complete.
 	Complete bool
+	// Closes is whether the answer says that the connection ends with it.
+	Closes bool
 	// Events is the number of whole events of a stream, in order from the first.
 	Events int
 	Body   string
@@ -74,7 +76,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	b, err := io.ReadAll(res.Body)
-	a := Answer{Status: res.StatusCode, Sealed: res.Header.Get("Cyclamenhub-Response-Seal") != "", Header: res.Header, Body: string(b), Err: err}
+	a := Answer{Status: res.StatusCode, Sealed: res.Header.Get("Cyclamenhub-Response-Seal") != "", Header: res.Header, Body: string(b), Err: err, Closes: res.Close}
 	a.Complete = err == nil && (res.ContentLength >= 0 || len(res.TransferEncoding) > 0)
 	for strings.Contains(a.Body, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", a.Events+1, id, a.Events+1)) {
 		a.Events++
