--- a/review/frozen/main.go
+++ b/review/frozen/main.go
@@ -17,7 +17,8 @@
 const (
 	events   = 40
 	pause    = "150ms"
-	callers  = 12
+	callers  = 24
+	servers  = 4
 	freeze   = 4 * time.Second // for which the entry host stands still
 	downFor  = 2 * time.Second // for which the server is down
 	lifetime = 10 * time.Second
@@ -41,14 +42,14 @@
 	defer r.Close()
 	var list []rig.Server
 	var workers []*rig.Process
-	for n := range 2 {
+	for n := range servers {
 		id := fmt.Sprintf("i-%d", n+1)
 		p, err := r.StartWorker(id, r.IP()+":8080", "-unframed", "-events", fmt.Sprint(events), "-pause", pause)
 		if err != nil {
 			return 2, err
 		}
 		workers = append(workers, p)
-		list = append(list, rig.Server{ID: id, Service: rig.Model, Address: p.Address, Zone: rig.Zones[n], Version: "v1", Slots: 64,
+		list = append(list, rig.Server{ID: id, Service: rig.Model, Address: p.Address, Zone: rig.Zones[n%len(rig.Zones)], Version: "v1", Slots: 64,
 			State: "ready", Born: time.Now().UnixMilli()})
 	}
 	r.Platform.SetServersNow(list)
@@ -101,7 +102,7 @@
 	p.Kill()
 	r.Record.Printf("platform: server %s has crashed, it is down for %v", p.ID, downFor)
 	time.Sleep(downFor)
-	list[0].ID, list[0].Born = "i-3", time.Now().UnixMilli()
+	list[0].ID, list[0].Born = "i-5", time.Now().UnixMilli()
 	if _, err := r.StartWorker(list[0].ID, p.Address, "-unframed", "-events", fmt.Sprint(events), "-pause", pause); err != nil {
 		return err
 	}
--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -14,6 +14,9 @@
 
 // Caller is a client with one connection to an entry host, which it keeps.
 type Caller struct {
+	// Parts are what the prompts of all its calls begin with, as in "aa01:100,bb01:100".
+	Parts string
+
 	conn net.Conn
 	br   *bufio.Reader
 }
@@ -24,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Caller{conn: c, br: bufio.NewReader(c)}, nil
+	return &Caller{Parts: "aa01:100", conn: c, br: bufio.NewReader(c)}, nil
 }
 
 // Close closes the connection.
@@ -62,7 +65,7 @@
 	req := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nCyclamenhub-Attempt-Id: %s\r\nAuthorization: Token %s\r\nCyclamenhub-Deadline-Ms: %d\r\n",
 		method, path, Host, id, Key, timeout.Milliseconds())
 	if strings.HasPrefix(path, Draft) || strings.HasPrefix(path, Rewrite) {
-		req += fmt.Sprintf("Cyclamenhub-Model: m\r\nCyclamenhub-Token-Count: 200,80\r\nCyclamenhub-Prefix-Hash: aa01:100,%s:100\r\n", id)
+		req += fmt.Sprintf("Cyclamenhub-Model: m\r\nCyclamenhub-Token-Count: 200,80\r\nCyclamenhub-Prefix-Hash: %s,%s:100\r\n", c.Parts, id)
 	}
 	if method == http.MethodPost {
 		req += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -21,6 +21,8 @@
 	// Events is the number of events of a stream, and Pause the time before each of them.
 	Events int
 	Pause  time.Duration
+	// ShortEvents is the number of events of a stream under the prefix Rewrite, if it is not 0.
+	ShortEvents int
 	// Work is how long a call that is no stream takes.
 	Work time.Duration
 	// Log is called with what the worker does.
@@ -115,7 +117,7 @@
 	isStream := strings.HasPrefix(req.URL.Path, Draft) || strings.HasPrefix(req.URL.Path, Rewrite)
 	body := w.line(id)
 	if isStream {
-		body = w.stream(id)
+		body = w.stream(id, strings.HasPrefix(req.URL.Path, Rewrite))
 		head += "Content-Type: text/event-stream\r\n"
 	}
 	if w.Unframed {
@@ -156,9 +158,13 @@
 }
 
 // stream returns the events of a stream.
-func (w *Worker) stream(id string) []string {
+func (w *Worker) stream(id string, mayBeShort bool) []string {
+	events := w.Events
+	if mayBeShort && w.ShortEvents > 0 {
+		events = w.ShortEvents
+	}
 	var out []string
-	for n := range w.Events {
+	for n := range events {
 		out = append(out, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n+1, id, n+1))
 	}
 	return out
