forwarder, relayer: whole answers reach the callers of a host that is cut off

Cause: an answer without a length ends with its connection, and so does one whose server ends. hasEnded told the two apart by a new connection, and took a refusal for the end of the process. At a host that is cut off, servers that are up refuse too. confirmEnd did the same for servers that had broken connections, so that such a host reported ends that were none, with sound calls as suspects.

Evidence: the host's log names the look for each of the 12 ("the backend server ended with its answer, which has no length") while the servers' record shows whole answers.

Change: a refusal counts only if the host is not cut off (relayer.Refusals). It is if no other server that is tried accepts a connection, some refuse it, and one that refuses holds an older connection open 50 ms later, which a process that has ended does not. The pool knows its open connections for that.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -68,9 +68,13 @@
 	nc      net.Conn
 	address string
 	clock   timer.Clock
-	br      *bufio.Reader
-	bw      *bufio.Writer
-	reused  bool
+	// openedAt is when the connection was opened, and onClose is called when this side
+	// closes it.
+	openedAt time.Time
+	onClose  func(*Conn)
+	br       *bufio.Reader
+	bw       *bufio.Writer
+	reused   bool
 	// bearsIDs is set once a response has borne the id of its request.
 	bearsIDs bool
 	// carried holds the hashes of the ids of the requests that were sent.
@@ -101,7 +105,8 @@
 }
 
 func newConn(nc net.Conn, address string, clock timer.Clock) *Conn {
-	c := &Conn{nc: nc, address: address, clock: clock, lastByte: clock.Now()}
+	now := clock.Now()
+	c := &Conn{nc: nc, address: address, clock: clock, openedAt: now, lastByte: now, onClose: func(*Conn) {}}
 	c.br = bufio.NewReaderSize(connReader{c}, readBufferBytes)
 	c.bw = bufio.NewWriterSize(connWriter{c}, writeBufferBytes)
 	return c
@@ -153,6 +158,7 @@
 func (c *Conn) Close() {
 	c.stopWatching()
 	_ = c.nc.Close()
+	c.onClose(c)
 }
 
 // Response is an HTTP response whose header has been read.
@@ -300,8 +306,8 @@
 	return true
 }
 
-// isUsable reports whether an idle connection is open and has no unexpected
-// data to read.
+// isUsable reports whether a connection is open on both sides and has no data to read,
+// which an idle one should not have.
 func (c *Conn) isUsable() bool {
 	_, err := c.peek()
 	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errNoSocket)
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -58,6 +59,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
+	// open holds all connections that this side has not closed.
+	open map[string]map[*Conn]struct{}
 
 	opened, reused, discardedByAge, discardedClosed, discardedCarried, discardedFull *metrics.Counter
 }
@@ -83,7 +86,7 @@
 		opt.Metrics = metrics.NewSet()
 	}
 	return &Pool{
-		opt: opt, idle: make(map[string][]*Conn),
+		opt: opt, idle: make(map[string][]*Conn), open: make(map[string]map[*Conn]struct{}),
 		opened:           opt.Metrics.GetOrCreateCounter("cyclamen_connections_opened_total"),
 		reused:           opt.Metrics.GetOrCreateCounter("cyclamen_connections_reused_total"),
 		discardedByAge:   opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="age"}`),
@@ -115,7 +118,39 @@
 		return nil, &Error{Stage: Dialing, Err: err}
 	}
 	p.opened.Inc()
-	return newConn(nc, address, p.opt.Clock), nil
+	c := newConn(nc, address, p.opt.Clock)
+	p.register(c)
+	return c, nil
+}
+
+// register adds a new connection to the open ones until it is closed.
+func (p *Pool) register(c *Conn) {
+	c.onClose = p.unregister
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[c.address] == nil {
+		p.open[c.address] = make(map[*Conn]struct{})
+	}
+	p.open[c.address][c] = struct{}{}
+}
+
+// unregister removes a closed connection from the open ones.
+func (p *Pool) unregister(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open[c.address], c)
+	if len(p.open[c.address]) == 0 {
+		delete(p.open, c.address)
+	}
+}
+
+// HasOpen reports whether a connection to address that was opened before a time is open on
+// both sides. It may be in use.
+func (p *Pool) HasOpen(address string, before time.Time) bool {
+	p.mu.Lock()
+	conns := slices.Collect(maps.Keys(p.open[address]))
+	p.mu.Unlock()
+	return slices.ContainsFunc(conns, func(c *Conn) bool { return c.openedAt.Before(before) && c.isUsable() })
 }
 
 // Warm opens a connection to address for later use, and reports whether that succeeded.
@@ -130,15 +165,31 @@
 	return true
 }
 
-// Refuses reports whether a new connection to address is refused, which means that
-// no process listens there. A server that does not respond refuses nothing.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
+// Reception is how an address received a new connection.
+type Reception uint8
+
+// Kinds of Reception.
+const (
+	// Silent: the connection was neither accepted nor refused in time.
+	Silent Reception = iota
+	// Accepted: a process listens.
+	Accepted
+	// Refused: no process listens, or the connection was refused on its way.
+	Refused
+)
+
+// Probe opens a new connection to address, closes it and returns how it was received.
+func (p *Pool) Probe(ctx context.Context, address string) Reception {
 	c, err := p.Open(ctx, address, Fresh)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case err == nil:
+		c.Close()
+		return Accepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	default:
+		return Silent
 	}
-	c.Close()
-	return false
 }
 
 // take returns the most recently used idle connection that is still usable for a request
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -250,8 +250,11 @@
 		x.unsent++
 		return nil, placer.Unreachable, unsent, err.Error()
 	}
-	if !conn.Reused() && reach.Dialed() {
-		x.f.reachChanged(x.service)
+	if !conn.Reused() {
+		x.f.refusals.Accepted()
+		if reach.Dialed() {
+			x.f.reachChanged(x.service)
+		}
 	}
 	x.conn, x.isReused = conn, conn.Reused()
 	x.recordRevisionAtSend()
--- /dev/null
+++ b/forwarder/ending_test.go
@@ -0,0 +1,189 @@
+package forwarder
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// undelimitedStream and undelimitedBody are the heads of answers with neither a length nor
+// chunks.
+const (
+	undelimitedStream = "HTTP/1.1 200 OK\r\n" + testSeal + ": s\r\nContent-Type: text/event-stream\r\n\r\n"
+	undelimitedBody   = "HTTP/1.1 200 OK\r\n" + testSeal + ": s\r\n\r\n"
+)
+
+// heldServers are servers that read one request on each connection and leave the answer to
+// the test.
+type heldServers struct {
+	listeners []net.Listener
+	// conns are the connections with a request, in the order in which they came.
+	conns chan net.Conn
+}
+
+// useHeldServers lists n servers alone that leave their answers to the test.
+func (h *harness) useHeldServers(t *testing.T, n int) *heldServers {
+	t.Helper()
+	s := &heldServers{conns: make(chan net.Conn, 100)}
+	var addresses []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		s.listeners = append(s.listeners, ln)
+		addresses = append(addresses, ln.Addr().String())
+		go s.accept(ln)
+	}
+	h.useAddresses(addresses...)
+	return s
+}
+
+// accept accepts the connections of one server.
+func (s *heldServers) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				s.conns <- c
+			}
+		}()
+	}
+}
+
+// refuse makes servers refuse new connections. Those that are open live on.
+func (s *heldServers) refuse() {
+	for _, ln := range s.listeners {
+		_ = ln.Close()
+	}
+}
+
+// heldCalls are calls whose answers a test writes.
+type heldCalls struct {
+	conns     []net.Conn
+	responses []chan response
+}
+
+// hold makes n calls, one after the other, and writes the beginning of each answer.
+func (h *harness) hold(t *testing.T, s *heldServers, n int, path, beginning string) *heldCalls {
+	t.Helper()
+	c := &heldCalls{}
+	for i := range n {
+		got := make(chan response, 1)
+		go func() { got <- h.callAs(t, fmt.Sprint("id-", i), http.MethodGet, path, "key", "") }()
+		conn := <-s.conns
+		t.Cleanup(func() { _ = conn.Close() })
+		write(t, conn, beginning)
+		c.conns, c.responses = append(c.conns, conn), append(c.responses, got)
+	}
+	return c
+}
+
+// write writes a part of an answer.
+func write(t *testing.T, conn net.Conn, part string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, part); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestWholeAnswersReachCallersOfAHostThatIsCutOff guards against lost answers: while servers
+// that are up refuse new connections, whole answers without a length were broken off at their end.
+func TestWholeAnswersReachCallersOfAHostThatIsCutOff(t *testing.T) {
+	const pause = 100 * time.Millisecond // Longer than witnessTime, so that the last answer has no other beside it.
+	for _, tc := range []struct {
+		name, path, beginning, rest string
+		servers, calls              int
+	}{
+		{"streams at several servers", "/draft/1", undelimitedStream + event(1), event(2), 3, 9},
+		{"a stream at each server", "/draft/1", undelimitedStream + event(1), event(2), 4, 4},
+		{"bodies", "/look/1", undelimitedBody + "wh", "ole", 3, 6},
+		{"an only server", "/draft/1", undelimitedStream + event(1), event(2), 1, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			s := h.useHeldServers(t, tc.servers)
+			c := h.hold(t, s, tc.calls, tc.path, tc.beginning)
+			s.refuse()
+			for i, conn := range c.conns {
+				write(t, conn, tc.rest)
+				_ = conn.Close()
+				if i == 0 && tc.servers == 1 {
+					time.Sleep(3 * pause)
+				}
+				time.Sleep(pause)
+			}
+			for i, got := range c.responses {
+				if res := <-got; res.status != http.StatusOK || !res.complete {
+					t.Errorf("the caller of call %d got %+v, want a complete answer", i, res)
+				}
+			}
+		})
+	}
+}
+
+// TestCutAnswersOfEndedServersAreNotComplete checks that all answers that a server leaves
+// unfinished when it ends are broken off.
+func TestCutAnswersOfEndedServersAreNotComplete(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		others int
+	}{
+		{"one of several servers", 2},
+		{"an only server", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			s := h.useHeldServers(t, 1)
+			c := h.hold(t, s, 4, "/draft/1", undelimitedStream+event(1))
+			addresses := []string{s.listeners[0].Addr().String()}
+			for range tc.others {
+				addresses = append(addresses, h.backends.start())
+			}
+			h.useAddresses(addresses...)
+			s.refuse()
+			for _, conn := range c.conns {
+				_ = conn.Close()
+			}
+			for i, got := range c.responses {
+				if res := <-got; res.complete {
+					t.Errorf("the caller of call %d got %+v as a complete answer", i, res)
+				}
+			}
+		})
+	}
+}
+
+// TestHostThatIsCutOffReportsNoEnds guards against sound requests that are isolated: a host
+// that was cut off took the refusals of servers that were up for their ends, and reported the
+// calls that it had lost there.
+func TestHostThatIsCutOffReportsNoEnds(t *testing.T) {
+	h := newHarness(t)
+	h.parts = "first own"
+	var log lockedBuffer
+	h.opts.Log = slog.New(slog.NewTextHandler(&log, nil))
+	s := h.useHeldServers(t, 3)
+	c := h.hold(t, s, 6, "/draft/1", streamHead+chunk(event(1)))
+	s.refuse()
+	_ = c.conns[0].Close() // Within its answer, which has chunks.
+	<-c.responses[0]
+	for !strings.Contains(log.String(), "backend server broke connections") {
+		time.Sleep(time.Millisecond)
+	}
+	r, _ := h.opts.Isolation.Report()
+	if diff := cmp.Diff(0, len(r.Ends)); diff != "" {
+		t.Errorf("reported ends differ (-want +got):\n%s", diff)
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -95,6 +95,8 @@
 	// bodies is the budget for the bodies of answers, and requests that for those of requests.
 	bodies   bodyBudget
 	requests *budgeter.Budget
+	// refusals tells servers that have ended from those that this host is cut off from.
+	refusals *relayer.Refusals
 	// unidentified holds the addresses of backend servers whose refusals bear no id.
 	unidentified addressSet
 	// active counts the calls in progress, and relayed those of other hosts among them.
@@ -136,7 +138,7 @@
 	if opts.Current == nil {
 		opts.Current = func() bool { return true }
 	}
-	f := &Forwarder{opts: opts, started: opts.Clock.Now(), retries: newRetryBudgets(opts.Retries, opts.Hosts)}
+	f := &Forwarder{opts: opts, started: opts.Clock.Now(), retries: newRetryBudgets(opts.Retries, opts.Hosts), refusals: relayer.NewRefusals(opts.Clock)}
 	f.bodies.setMemory(opts.MemoryBytes)
 	f.requests = newRequestBudget(&f.opts)
 	f.ending, f.endCalls = context.WithCancel(context.Background())
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -9,7 +9,6 @@
 	"syscall"
 
 	"cyclamenhub.org/describer"
-	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/isolator"
 )
 
@@ -100,16 +99,16 @@
 	run := in.Run()
 	end := isolator.End{Server: run, Service: x.service, Version: in.Version}
 	if x.f.opts.Isolation.Lost(end, x.suspects) {
-		go x.f.confirmEnd(run, in.Address)
+		go x.f.confirmEnd(in)
 	} else {
 		x.f.opts.EndConfirmed()
 	}
 }
 
-// confirmEnd finds out whether the process of a backend server has ended: a new
-// connection is refused.
-func (f *Forwarder) confirmEnd(run identifier.ServerRun, address string) {
-	ended := f.opts.Pool.Refuses(context.Background(), address)
+// confirmEnd finds out whether the process of a backend server has ended.
+func (f *Forwarder) confirmEnd(in describer.Instance) {
+	run := in.Run()
+	ended := f.hasEnded(context.Background(), in)
 	f.opts.Isolation.Confirm(run, ended)
 	f.opts.Log.Info("backend server broke connections", "server", run.ID, "incarnation", run.Incarnation, "ended", ended)
 	if ended {
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -202,11 +202,3 @@
 	}
 	return x.limits.BetweenBytes > 0 && since > limit
 }
-
-// hasEnded reports whether the process of the backend server of an attempt has ended,
-// although the server did not say that it leaves. An answer without a length that ends
-// then is not known to be complete.
-func (x *exchange) hasEnded(choice *placer.Choice) bool {
-	in, ok := x.f.fleet.Load().servers[choice.Server]
-	return ok && !in.Draining && !choice.IsLeaving() && x.f.opts.Pool.Refuses(x.ctx, in.Address)
-}
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -38,8 +38,13 @@
 // does not. They are chosen by rendezvous hashing, so that the hosts that ask spread
 // over those that serve, and a peer that leaves is replaced at its own askers only.
 //
-// Nothing here does I/O or starts a goroutine. A Reach is safe for concurrent use, a
-// Book is not.
+// # Refusals
+//
+// Refusals decides whether the process of a server that refuses a new connection has
+// ended, or refuses it only since the host is cut off.
+//
+// Nothing here does I/O or starts a goroutine. A Reach and Refusals are safe for
+// concurrent use, a Book is not.
 //
 // # Usage
 //
@@ -54,6 +59,9 @@
 //	}
 //	if reach.IsCut(service) { ... }                  // relay the call to a peer
 //
+//	refusals := relayer.NewRefusals(clock)           // a server has refused a connection
+//	refusals.Judge(server, others, refusedAt)        // again while Undecided
+//
 //	book := relayer.NewBook()                        // on the leading keeper
 //	book.Report(now, host, domain, unreachable)      // with each sync
 //	peers := book.Peers(now, host, service)          // the answer
