connector: a reset that a write or a look has noticed is no end of an answer

Seen: a server answers a long upload at once with a 200 that has no length, sends part of its body and resets the connection while the upload is still being written. The caller gets that part as a complete answer, on routes of all kinds.

Cause: the kernel reports a reset once, to the first use of the connection after it. If the write of the body gets it, or the look whether a silent server goes on (Conn.HasInput), or the look whether a connection is open (Pool.HasOpen), the error was dropped and the read that follows finds a plain end.

Change: a connection keeps the error with which it broke (connector.failure), and a read that finds an end returns it. The write of a long body is stopped at the end, and its result awaited first.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -99,6 +99,8 @@
 	// bodyWritten receives the result of sending a large request body; it is
 	// nil if there is none.
 	bodyWritten chan error
+	// failure is the error with which the connection broke, noticed by any use of it.
+	failure failure
 	// idleTimeout is how long the connection may be idle according to the
 	// server's Keep-Alive header; 0 if the server does not say.
 	idleTimeout time.Duration
@@ -337,8 +339,11 @@
 	}
 	var peekErr error
 	err = rc.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		peekErr = c.failure.watch(func() (err error) {
+			var b [1]byte
+			n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			return err
+		})
 	})
 	return n, cmp.Or(err, peekErr)
 }
@@ -398,12 +403,18 @@
 	return n, err
 }
 
-// read reads once, until the read limit has passed.
+// read reads once, until the read limit has passed. An end that follows a failure of the
+// connection is that failure.
 func (r connReader) read(p []byte) (int, error) {
 	if err := r.c.setReadDeadline(); err != nil {
 		return 0, err
 	}
-	return r.c.nc.Read(p)
+	n, err := r.c.nc.Read(p)
+	if n == 0 && errors.Is(err, io.EOF) {
+		r.c.stopWritingBody()
+		err = cmp.Or(r.c.failure.get(), err)
+	}
+	return n, err
 }
 
 // isOverdue reports whether a read failed because the read limit has passed, and the
@@ -429,7 +440,9 @@
 		}
 		c.sent = true
 	}
-	return c.nc.Write(p)
+	n, err := c.nc.Write(p)
+	c.failure.record(err)
+	return n, err
 }
 
 // body is a response body that records when it was read to its end.
--- a/connector/doc.go
+++ b/connector/doc.go
@@ -9,6 +9,10 @@
 // of their last byte, every read has a time limit, and errors report whether
 // the connection was reused.
 //
+// The end of a connection ends an answer without a length, unless the connection has
+// broken. A connection keeps the error with which it broke, since the kernel reports it
+// only to the first use that comes after it.
+//
 // An answer belongs to the request whose id it bears. Servers may write an answer once
 // more, and a request may be sent again under its id, so that the id tells something only
 // of the first request that a connection carries under it: a connection carries each id
--- a/connector/message.go
+++ b/connector/message.go
@@ -111,11 +111,23 @@
 	c.bodyWritten = done
 	go func() {
 		_, err := rest.WriteTo(c.nc)
+		c.failure.record(err)
 		done <- err
 	}()
 	return nil
 }
 
+// stopWritingBody ends the sending of a large request body, if it is not over, and waits for
+// its result. It is called at the end of the connection, after which nothing more is read.
+func (c *Conn) stopWritingBody() {
+	if c.bodyWritten == nil {
+		return
+	}
+	_ = c.nc.SetWriteDeadline(time.Unix(1, 0))
+	err := <-c.bodyWritten
+	c.bodyWritten <- err // For awaitBodyWritten.
+}
+
 // awaitBodyWritten reports whether a large request body was sent completely. It
 // waits up to drainTimeout.
 func (c *Conn) awaitBodyWritten() bool {
