connector: a status that HTTP does not have is no answer

Seen: after a head with status 000, 001, 099 or +20, callers got what stood in its body as an answer with status 200. An answer with status 600 or 999 reached them as it was.

Cause: net/http reads three characters that make a number as a status. Each status under 200 counted as interim, so that the body of such an answer was read as the next head.

Change: a head whose status is not from 100 to 599, or is 101, ends the exchange with ErrStatus; the caller gets 502, the connection is closed, and the call may have run.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -246,6 +246,9 @@
 		if isJoined(res) {
 			return nil, ErrJoined
 		}
+		if !isStatusCode(res.StatusCode) {
+			return nil, ErrStatus
+		}
 		if res.StatusCode >= http.StatusOK {
 			c.res, c.closeAfterResponse = newResponse(c, res), res.Close
 			c.idleTimeout = keepAliveTimeout(res.Header)
--- a/connector/error.go
+++ b/connector/error.go
@@ -45,3 +45,7 @@
 // header: a server has cut off a response too many, and it is not known which fields belong
 // to which.
 var ErrJoined = errors.New("the answer's header contains the start of another answer")
+
+// ErrStatus means that what a server has sent is no answer, since HTTP has no such status. It
+// is not known what the bytes that follow belong to.
+var ErrStatus = errors.New("the answer's status is none of HTTP")
