connector: a head with a name that is none is no answer

Seen: in answers of servers in trouble the name of a field holds a blank. Callers got the answer with that line passed on, or, where the field was the length, with bytes that are not of the body. A line that begins with a blank hid a length in the same way.

Cause: net/http keeps a name with a blank as a name of its own, and joins a line that begins with a blank or a tab to the one before.

Change: each line of a head is checked as it comes, before net/http reads it: the first begins with a version of HTTP/1, each other one with a token and a colon. Otherwise nothing of the head is used, the caller gets 502, and the call may have run. A head that is larger than the buffer of its connection gets a larger one until the connection is free again. Lines that continue the one before are not accepted any more (RFC 9112, section 5.2, lets a proxy refuse them).

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -99,6 +99,8 @@
 	// bodyWritten receives the result of sending a large request body; it is
 	// nil if there is none.
 	bodyWritten chan error
+	// hasLargeBuffer is set once br holds more than readBufferBytes.
+	hasLargeBuffer bool
 	// failure is the error with which the connection broke, noticed by any use of it.
 	failure failure
 	// idleTimeout is how long the connection may be idle according to the
@@ -239,6 +241,9 @@
 	c.headerBytesLeft = maxHeaderBytes
 	defer func() { c.headerBytesLeft = 0 }()
 	for {
+		if err := c.awaitHead(); err != nil {
+			return nil, err
+		}
 		res, err := http.ReadResponse(c.br, req) //nolint:bodyclose // The connection is released or closed as a whole.
 		if err != nil {
 			return nil, err
@@ -307,6 +312,7 @@
 		return false
 	}
 	_ = c.nc.SetDeadline(time.Time{})
+	c.shrinkBuffer()
 	c.ctx, c.res = nil, nil
 	return true
 }
--- a/connector/doc.go
+++ b/connector/doc.go
@@ -13,6 +13,9 @@
 // broken. A connection keeps the error with which it broke, since the kernel reports it
 // only to the first use that comes after it.
 //
+// Heads are checked line by line before net/http reads them, since it accepts more than a
+// proxy may.
+//
 // An answer belongs to the request whose id it bears. Servers may write an answer once
 // more, and a request may be sent again under its id, so that the id tells something only
 // of the first request that a connection carries under it: a connection carries each id
--- a/connector/error.go
+++ b/connector/error.go
@@ -49,3 +49,7 @@
 // ErrStatus means that what a server has sent is no answer, since HTTP has no such status. It
 // is not known what the bytes that follow belong to.
 var ErrStatus = errors.New("the answer's status is none of HTTP")
+
+// ErrMalformed means that a head is none of HTTP, or that the name of a field in it is none. It is
+// not known what was meant by it, the length of the body least of all.
+var ErrMalformed = errors.New("the answer's header is malformed")
