forwarder, connector: a server that is ending leaves no part of an answer that looks whole

Cause: the kernel closes the connections of a process that ends before its port. An answer without a length counted as whole unless one new connection right at its end was refused, and for a moment it is accepted, or reset, instead. The isolation looked in the same way, and took such a server for one that is up.

Evidence: the early ends come within 1 ms of the kill, and the host's log has a refused connection only for the streams that were broken off.

Change: the connection of the look is held for 50 ms, in which a process that ends drops it. After one that was dropped or reset another is tried, up to four. What is known of the end of an answer is found in one place (exchange.endOf).

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -324,6 +324,13 @@
 	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errNoSocket)
 }
 
+// staysOpen reports whether a new connection is not closed by the server within a time.
+func (c *Conn) staysOpen(d time.Duration) bool {
+	_ = c.nc.SetReadDeadline(time.Now().Add(d))
+	_, err := c.nc.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // HasInput reports whether a byte has arrived that was not read yet. It may be called by
 // Limits.GiveUp.
 func (c *Conn) HasInput() bool {
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -174,22 +174,30 @@
 	Silent Reception = iota
 	// Accepted: a process listens.
 	Accepted
+	// Dropped: the connection was accepted and closed at once. The process ends, or has
+	// enough connections.
+	Dropped
 	// Refused: no process listens, or the connection was refused on its way.
 	Refused
 )
 
-// Probe opens a new connection to address, closes it and returns how it was received.
-func (p *Pool) Probe(ctx context.Context, address string) Reception {
+// Probe opens a new connection to address and returns how it was received. It keeps the
+// connection open for a time to see whether it is dropped; 0 means that it does not look.
+func (p *Pool) Probe(ctx context.Context, address string, hold time.Duration) Reception {
 	c, err := p.Open(ctx, address, Fresh)
 	switch {
-	case err == nil:
-		c.Close()
-		return Accepted
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refused
-	default:
+	case errors.Is(err, syscall.ECONNRESET):
+		return Dropped
+	case err != nil:
 		return Silent
 	}
+	defer c.Close()
+	if hold == 0 || c.staysOpen(hold) {
+		return Accepted
+	}
+	return Dropped
 }
 
 // take returns the most recently used idle connection that is still usable for a request
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -13,6 +13,12 @@
 )
 
 const (
+	// maxProbes is how many connections a backend server may drop, one each probeHold, before
+	// it counts as one that has enough of them.
+	maxProbes = 4
+	// probeHold is how long a process that ends may take until it drops a connection that
+	// it has accepted meanwhile, and from then on until it refuses them.
+	probeHold = 50 * time.Millisecond
 	// maxWitnesses is how many other backend servers are tried when one has refused a
 	// connection.
 	maxWitnesses = 3
@@ -22,25 +28,73 @@
 	witnessInterval = 10 * time.Millisecond
 )
 
-// hasEnded reports whether the process of the backend server of an attempt has ended,
-// although the server did not say that it leaves. An answer without a length that ends
-// then is not known to be complete.
-func (x *exchange) hasEnded(choice *placer.Choice) bool {
+// answerEnd is what is known of an answer that has ended without an error.
+type answerEnd uint8
+
+const (
+	// cut: the process of the server has ended, and may have done so amid the answer.
+	cut answerEnd = iota
+	// assumedWhole: nothing shows that it was cut.
+	assumedWhole
+	// whole: it has its length or its last chunk, or its server went on after it.
+	whole
+)
+
+// endOf returns what is known of an answer of an attempt that has ended without an error. One
+// without a length ends with its connection, and so does one whose server ends.
+func (x *exchange) endOf(res *connector.Response, choice *placer.Choice) answerEnd {
+	if res.Delimited {
+		return whole
+	}
 	in, ok := x.f.fleet.Load().servers[choice.Server]
-	return ok && !in.Draining && !choice.IsLeaving() && x.f.hasEnded(x.ctx, in)
+	if !ok || in.Draining || choice.IsLeaving() { // It may end in order after its last answer.
+		return assumedWhole
+	}
+	switch x.f.findProcess(x.ctx, in) {
+	case processEnded:
+		return cut
+	case processUp:
+		return whole
+	default:
+		return assumedWhole
+	}
 }
 
-// hasEnded finds out whether the process of a backend server has ended: a new connection is
-// refused, and not because this host is cut off.
-func (f *Forwarder) hasEnded(ctx context.Context, in describer.Instance) bool {
-	switch f.opts.Pool.Probe(ctx, in.Address) {
-	case connector.Accepted:
-		f.refusals.Accepted()
-		return false
-	case connector.Silent:
-		return false
-	case connector.Refused:
+// processState is what is known of the process of a backend server.
+type processState uint8
+
+const (
+	// processUnknown: the server was not reached, or this host is cut off from it.
+	processUnknown processState = iota
+	processUp
+	processEnded
+)
+
+// String returns the name of a processState in logs.
+func (s processState) String() string { return [...]string{"unknown", "up", "ended"}[s] }
+
+// findProcess finds out whether the process of a backend server has ended: a new connection is
+// refused, and not because this host is cut off. A process that is ending may still accept a
+// connection, which it drops then.
+func (f *Forwarder) findProcess(ctx context.Context, in describer.Instance) processState {
+	for range maxProbes {
+		switch f.opts.Pool.Probe(ctx, in.Address, probeHold) {
+		case connector.Accepted:
+			f.refusals.Accepted()
+			return processUp
+		case connector.Refused:
+			return f.judgeRefusal(ctx, in)
+		case connector.Silent:
+			return processUnknown
+		case connector.Dropped: // A process that ends refuses a later one.
+			timer.Sleep(ctx, probeHold)
+		}
 	}
+	return processUnknown
+}
+
+// judgeRefusal returns what is known of the process of a server that has refused a connection.
+func (f *Forwarder) judgeRefusal(ctx context.Context, in describer.Instance) processState {
 	refusedAt := f.opts.Clock.Now()
 	w := f.tryWitnesses(ctx, in)
 	ending := w.judge(in.Address, refusedAt)
@@ -48,7 +102,10 @@
 		ending = w.judge(in.Address, refusedAt)
 	}
 	f.opts.Log.Info("backend server refuses connections", "server", in.ID, "address", in.Address, "ending", ending.String(), "others", len(w.addresses))
-	return ending != relayer.CutOff
+	if ending == relayer.CutOff {
+		return processUnknown
+	}
+	return processEnded
 }
 
 // witnesses are other backend servers that are tried when one has refused a connection.
@@ -73,7 +130,7 @@
 	}
 	results := make(chan result, len(w.addresses))
 	for i, address := range w.addresses {
-		go func() { results <- result{i, f.opts.Pool.Probe(ctx, address)} }()
+		go func() { results <- result{i, f.opts.Pool.Probe(ctx, address, 0)} }()
 	}
 	for range w.addresses {
 		r := <-results
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +29,12 @@
 	listeners []net.Listener
 	// conns are the connections with a request, in the order in which they came.
 	conns chan net.Conn
+	// drops makes servers reset new connections at once.
+	drops atomic.Bool
+
+	mu sync.Mutex
+	// accepted are all connections.
+	accepted []net.Conn
 }
 
 // useHeldServers lists n servers alone that leave their answers to the test.
@@ -55,6 +63,14 @@
 		if err != nil {
 			return
 		}
+		if s.drops.Load() {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			continue
+		}
+		s.mu.Lock()
+		s.accepted = append(s.accepted, c)
+		s.mu.Unlock()
 		go func() {
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 				s.conns <- c
@@ -70,6 +86,16 @@
 	}
 }
 
+// end makes servers refuse new connections and closes those that are open.
+func (s *heldServers) end() {
+	s.refuse()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.accepted {
+		_ = c.Close()
+	}
+}
+
 // heldCalls are calls whose answers a test writes.
 type heldCalls struct {
 	conns     []net.Conn
@@ -166,6 +192,39 @@
 	}
 }
 
+// TestCutAnswersOfEndingServersAreNotComplete guards against parts of answers that look whole: a
+// server that ends closes the connections of its answers some time before its port, so that a
+// new connection is still accepted.
+func TestCutAnswersOfEndingServersAreNotComplete(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, beginning string
+		drops                 bool
+	}{
+		{"stream", "/draft/1", undelimitedStream + event(1), false},
+		{"body", "/look/1", undelimitedBody + "ha", false},
+		{"stream, new connections are reset first", "/draft/1", undelimitedStream + event(1), true},
+		{"body, new connections are reset first", "/look/1", undelimitedBody + "ha", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			s := h.useHeldServers(t, 1)
+			c := h.hold(t, s, 4, tc.path, tc.beginning)
+			h.useAddresses(s.listeners[0].Addr().String(), h.backends.start())
+			s.drops.Store(tc.drops)
+			for _, conn := range c.conns {
+				_ = conn.Close()
+			}
+			time.Sleep(10 * time.Millisecond)
+			s.end()
+			for i, got := range c.responses {
+				if res := <-got; res.status == http.StatusOK && res.complete {
+					t.Errorf("the caller of call %d got %+v as a complete answer", i, res)
+				}
+			}
+		})
+	}
+}
+
 // TestHostThatIsCutOffReportsNoEnds guards against sound requests that are isolated: a host
 // that was cut off took the refusals of servers that were up for their ends, and reported the
 // calls that it had lost there.
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -108,7 +108,7 @@
 // confirmEnd finds out whether the process of a backend server has ended.
 func (f *Forwarder) confirmEnd(in describer.Instance) {
 	run := in.Run()
-	ended := f.hasEnded(context.Background(), in)
+	ended := f.findProcess(context.Background(), in) == processEnded
 	f.opts.Isolation.Confirm(run, ended)
 	f.opts.Log.Info("backend server broke connections", "server", run.ID, "incarnation", run.Incarnation, "ended", ended)
 	if ended {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -58,7 +58,8 @@
 		conn.Close()
 		return x.classifyReadError(err)
 	}
-	if !res.Delimited && x.hasEnded(choice) {
+	end := x.endOf(res, choice)
+	if end == cut {
 		conn.Close()
 		return x.classifyReadError(errServerEnded)
 	}
@@ -152,31 +153,40 @@
 				progressAt = now
 			}
 		}
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF) && s.events == 0 && !res.Delimited:
-			conn.Close()
-			return x.classifyReadError(errNoEvent)
-		case errors.Is(err, io.EOF) && s.continues:
-			conn.Close()
-			return x.classifyReadError(errNothingAdded)
-		case errors.Is(err, io.EOF) && !res.Delimited && x.hasEnded(choice):
-			conn.Close()
-			return x.classifyReadError(errServerEnded)
-		case errors.Is(err, io.EOF) && s.isEmpty():
-			x.recordSurvival(res.Delimited)
-			x.writeStreamHeader(res)
-			_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
-			x.f.opts.Pool.Release(conn)
-			return placer.Succeeded, answered, ""
-		case errors.Is(err, io.EOF):
-			conn.Close()
-			return x.classifyReadError(errCutInEvent)
-		default:
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			err = x.checkStreamEnd(&s, res, choice)
+		}
+		if err != nil {
 			conn.Close()
 			return x.classifyReadError(err)
 		}
+		x.writeStreamHeader(res)
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
+		x.f.opts.Pool.Release(conn)
+		return placer.Succeeded, answered, ""
+	}
+}
+
+// checkStreamEnd returns why a stream that has ended is not whole, or nil.
+func (x *exchange) checkStreamEnd(s *eventSplitter, res *connector.Response, choice *placer.Choice) error {
+	switch {
+	case s.events == 0 && !res.Delimited:
+		return errNoEvent
+	case s.continues:
+		return errNothingAdded
+	}
+	end := x.endOf(res, choice)
+	switch {
+	case end == cut:
+		return errServerEnded
+	case !s.isEmpty():
+		return errCutInEvent
 	}
+	x.recordSurvival(res.Delimited)
+	return nil
 }
 
 var (
