forwarder: whole answers without a length count as survived

Cause: an answer without a length never counted as complete, even where the host had found its server up after it.

Change: an answer counts as survived if it is known to be whole (exchange.endOf): it has a length or chunks, or its server was up after it. One that is only assumed to be whole does not count, as before.

--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -64,8 +64,8 @@
 }
 
 // recordSurvival records that the backend server has survived the call, once it has
-// answered for isolator.SurvivalTime or completely. An answer without a length is not
-// known to be complete when its connection ends.
+// answered for isolator.SurvivalTime or completely. An answer that is only assumed to be whole
+// is not known to be complete.
 func (x *exchange) recordSurvival(complete bool) {
 	if x.survived {
 		return
--- a/forwarder/isolation_test.go
+++ b/forwarder/isolation_test.go
@@ -130,6 +130,9 @@
 		{"call without a prompt", "/look/1", closeAfter, "", false, map[identifier.PartID]int{"request": 0}, false},
 		{"complete stream", "/draft/1", streamHead + chunk(event(1)) + "0\r\n\r\n", "first own", true, nil, true},
 		{"complete answer", "/file/1", sealedResponse(http.StatusOK, "", "x"), "first own", true, nil, true},
+		{"complete stream without a length", "/draft/1", undelimitedStream + event(1) + closeAfter, "first own", true, nil, true},
+		{"complete answer without a length", "/file/1", undelimitedBody + "x" + closeAfter, "first own", true, nil, true},
+		{"failure without a length", "/file/1", strings.Replace(undelimitedBody, "200", "500", 1) + "x" + closeAfter, "first own", true, nil, false},
 		{"failure", "/file/1", sealedResponse(http.StatusInternalServerError, "", "x"), "first own", true, nil, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -64,7 +64,7 @@
 		return x.classifyReadError(errServerEnded)
 	}
 	x.recordFirstContent(choice)
-	x.recordSurvival(res.Status < http.StatusInternalServerError && res.Delimited)
+	x.recordSurvival(res.Status < http.StatusInternalServerError && end == whole)
 	buffered := &bufferedResponse{status: res.Status, header: endToEndHeader(res.Header), body: body, run: x.instance.Run()}
 	x.f.opts.Pool.Release(conn)
 	switch {
@@ -185,7 +185,7 @@
 	case !s.isEmpty():
 		return errCutInEvent
 	}
-	x.recordSurvival(res.Delimited)
+	x.recordSurvival(end == whole)
 	return nil
 }
 
