forwarder, connector: a server that was replaced ends no stream as complete

Cause: the end of such an answer counted as whole if a process accepted a connection at the server's address. A host that has stood still reads an end that came long ago, and the process there may be another one by then. A server that is not listed any more was not asked at all.

Change: an end that comes after a second without any byte may be old (Conn.MayBeOld). It is whole only if the process there says that it is the server; any other one answers 421 at its health path. If the list shows another server at the address, it is cut.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -38,6 +38,9 @@
 	// maxCarried is how many requests with ids a connection carries, since it remembers
 	// them.
 	maxCarried = 512
+	// stillTime is how long nothing must have arrived for what arrives then to be old: one
+	// side may have stood still, and the bytes and the end have waited.
+	stillTime = time.Second
 	// The read deadline is set again only if it moves earlier, or later by more
 	// than the read limit divided by deadlineSlackDivisor.
 	deadlineSlackDivisor = 8
@@ -85,6 +88,9 @@
 	// lastByte is when the last byte was received, or when the connection was
 	// opened if there was none.
 	lastByte time.Time
+	// quietSince is when the last byte was received, or the exchange began. stoodStillAt is when
+	// something last arrived after at least stillTime, or zero.
+	quietSince, stoodStillAt time.Time
 
 	ctx                context.Context
 	limits             Limits
@@ -210,6 +216,7 @@
 func (c *Conn) beginExchange(ctx context.Context, limits Limits) {
 	c.ctx, c.limits, c.readLimit = ctx, limits, limits.FirstByte
 	c.readDeadline, c.sent, c.res, c.bodyEnded = time.Time{}, false, nil, false
+	c.quietSince, c.stoodStillAt = c.clock.Now(), time.Time{}
 	c.stopWatch = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
 }
 
@@ -410,15 +417,30 @@
 		c.readDeadline = time.Time{} // It has passed, however near the next one is.
 		n, err = r.read(p)
 	}
-	if n > 0 {
-		c.lastByte = c.clock.Now()
-	}
+	c.recordArrival(n)
 	if c.headerBytesLeft > 0 {
 		c.headerBytesLeft = max(c.headerBytesLeft-n, 1)
 	}
 	return n, err
 }
 
+// recordArrival records the result of a read, 0 if the connection has ended.
+func (c *Conn) recordArrival(bytes int) {
+	now := c.clock.Now()
+	if now.Sub(c.quietSince) >= stillTime {
+		c.stoodStillAt = now
+	}
+	if bytes > 0 {
+		c.lastByte, c.quietSince = now, now
+	}
+}
+
+// MayBeOld reports whether what arrived just now may have waited for long, as it does while this
+// process is stopped: it came after a time without any byte.
+func (c *Conn) MayBeOld() bool {
+	return !c.stoodStillAt.IsZero() && c.clock.Now().Sub(c.stoodStillAt) < stillTime
+}
+
 // read reads once, until the read limit has passed. An end that follows a failure of the
 // connection is that failure.
 func (r connReader) read(p []byte) (int, error) {
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -19,6 +20,8 @@
 	// probeHold is how long a process that ends may take until it drops a connection that
 	// it has accepted meanwhile, and from then on until it refuses them.
 	probeHold = 50 * time.Millisecond
+	// identifyTimeout is how long a process may take to answer whether it is a server.
+	identifyTimeout = 300 * time.Millisecond
 	// maxWitnesses is how many other backend servers are tried when one has refused a
 	// connection.
 	maxWitnesses = 3
@@ -46,11 +49,19 @@
 	if res.Delimited {
 		return whole
 	}
-	in, ok := x.f.fleet.Load().servers[choice.Server]
-	if !ok || in.Draining || choice.IsLeaving() { // It may end in order after its last answer.
+	fl := x.f.fleet.Load()
+	in, ok := fl.servers[choice.Server]
+	switch {
+	case !ok && fl.hasAddress(x.instance.Address):
+		return cut // Another server has its address: it has ended some time ago.
+	case !ok || in.Draining || choice.IsLeaving(): // It may end in order after its last answer.
 		return assumedWhole
 	}
-	switch x.f.findProcess(x.ctx, in) {
+	state := x.f.findProcess(x.ctx, in)
+	if state == processUp && x.conn.MayBeOld() { // Long enough ago for another process to have the address.
+		state = x.f.identifyProcess(x.ctx, in)
+	}
+	switch state {
 	case processEnded:
 		return cut
 	case processUp:
@@ -93,6 +104,35 @@
 	return processUnknown
 }
 
+// identifyProcess asks whether the process at the address of a backend server is that server: any
+// other one answers that it is not.
+func (f *Forwarder) identifyProcess(ctx context.Context, in describer.Instance) processState {
+	conn, err := f.opts.Pool.Open(ctx, in.Address, connector.Fresh)
+	if err != nil {
+		return processUnknown
+	}
+	defer conn.Close()
+	path := "/"
+	if sv, ok := f.table.Load().Service(in.Service); ok && sv.HealthPath != "" {
+		path = sv.HealthPath
+	}
+	call := &describer.Call{Header: http.Header{}}
+	m := &connector.Message{
+		Method: http.MethodGet, Target: path, Host: in.Address,
+		Header: f.opts.Codec.Encode(call, &describer.Attempt{Server: in.ID, Remaining: identifyTimeout}),
+	}
+	res, err := conn.Send(ctx, m, connector.Limits{Deadline: time.Now().Add(identifyTimeout)})
+	switch {
+	case err != nil:
+		return processUnknown
+	case res.Status == http.StatusMisdirectedRequest:
+		f.opts.Log.Info("another process has the address of a backend server", "server", in.ID, "address", in.Address)
+		return processEnded
+	default:
+		return processUp
+	}
+}
+
 // judgeRefusal returns what is known of the process of a server that has refused a connection.
 func (f *Forwarder) judgeRefusal(ctx context.Context, in describer.Instance) processState {
 	refusedAt := f.opts.Clock.Now()
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -14,6 +14,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"cyclamenhub.org/describer"
+	"cyclamenhub.org/discoverer"
 )
 
 // undelimitedStream and undelimitedBody are the heads of answers with neither a length nor
@@ -225,6 +228,46 @@
 	}
 }
 
+// TestCutAnswersOfReplacedServersAreNotComplete guards against a part of an answer that looks whole:
+// the host stood still while the server ended, and another process had its address after that.
+func TestCutAnswersOfReplacedServersAreNotComplete(t *testing.T) {
+	const other = "HTTP/1.1 421 X\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+	for _, tc := range []struct {
+		name, path, beginning, answer string
+		// isListed is whether the list shows the other server by then.
+		isListed, complete bool
+	}{
+		{"stream, another server", "/draft/1", undelimitedStream + event(1), other, false, false},
+		{"body, another server", "/look/1", undelimitedBody + "ha", other, false, false},
+		{"stream, another server that is listed", "/draft/1", undelimitedStream + event(1), other, true, false},
+		{"stream, the same server", "/draft/1", undelimitedStream + event(1), sealedResponse(http.StatusOK, "", ""), false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			s := h.useHeldServers(t, 1)
+			c := h.hold(t, s, 1, tc.path, tc.beginning)
+			address := s.listeners[0].Addr().String()
+			s.refuse()
+			listenAt(t, address, func(c net.Conn) {
+				for br := bufio.NewReader(c); ; {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, tc.answer)
+				}
+			})
+			if tc.isListed {
+				h.SetListing(&discoverer.Listing{Instances: []describer.Instance{{ID: "new", Service: "cases", Address: address, Slots: 4}}})
+			}
+			time.Sleep(1100 * time.Millisecond) // The host finds that nothing came for a second.
+			_ = c.conns[0].Close()
+			if res := <-c.responses[0]; (res.status == http.StatusOK && res.complete) != tc.complete {
+				t.Errorf("the caller got %+v, want a complete answer: %v", res, tc.complete)
+			}
+		})
+	}
+}
+
 // TestHostThatIsCutOffReportsNoEnds guards against sound requests that are isolated: a host
 // that was cut off took the refusals of servers that were up for their ends, and reported the
 // calls that it had lost there.
--- a/forwarder/fleet.go
+++ b/forwarder/fleet.go
@@ -51,6 +51,16 @@
 	return f.activeCounts[s][v] > 0
 }
 
+// hasAddress reports whether a listed server has an address.
+func (f *fleet) hasAddress(address string) bool {
+	for _, in := range f.servers {
+		if in.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // CommonVersion returns the version that most instances have. Among versions
 // with equal counts it returns the first in the order of their names.
 func CommonVersion(counts map[identifier.Version]int) identifier.Version {
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -19,7 +19,13 @@
 // listen serves each connection to a new listener and returns its address.
 func listen(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return listenAt(t, "127.0.0.1:0", serve)
+}
+
+// listenAt is listen with a given address.
+func listenAt(t *testing.T, address string, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
