connector, forwarder: ages of connections are told by one clock

Cause: Pool.HasOpen compared times of the pool's clock with those of the forwarder, which may be another one; after a step of the wall clock no connection was old enough to show that a host is cut off. A connection that is no socket counted as open.

Change: HasOpen takes an age, and a connection is open only if that is known.

The tests of ends pass, with the race detector.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -324,8 +324,15 @@
 	return true
 }
 
-// isUsable reports whether a connection is open on both sides and has no data to read,
-// which an idle one should not have.
+// isOpen reports whether a connection is known to be open on both sides: nothing has arrived
+// that was not read, nor its end. It may be in use.
+func (c *Conn) isOpen() bool {
+	_, err := c.peek()
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// isUsable reports whether an idle connection is open and has no unexpected
+// data to read.
 func (c *Conn) isUsable() bool {
 	_, err := c.peek()
 	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errNoSocket)
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -144,13 +144,14 @@
 	}
 }
 
-// HasOpen reports whether a connection to address that was opened before a time is open on
-// both sides. It may be in use.
-func (p *Pool) HasOpen(address string, before time.Time) bool {
+// HasOpen reports whether a connection to address that was opened longer ago than age is open
+// on both sides. It may be in use.
+func (p *Pool) HasOpen(address string, age time.Duration) bool {
+	now := p.opt.Clock.Now()
 	p.mu.Lock()
 	conns := slices.Collect(maps.Keys(p.open[address]))
 	p.mu.Unlock()
-	return slices.ContainsFunc(conns, func(c *Conn) bool { return c.openedAt.Before(before) && c.isUsable() })
+	return slices.ContainsFunc(conns, func(c *Conn) bool { return now.Sub(c.openedAt) > age && c.isOpen() })
 }
 
 // Warm opens a connection to address for later use, and reports whether that succeeded.
--- a/connector/reset_test.go
+++ b/connector/reset_test.go
@@ -23,7 +23,7 @@
 		look func(c *connector.Conn, p *connector.Pool, address string)
 	}{
 		{"by the look for input", 1, func(c *connector.Conn, _ *connector.Pool, _ string) { c.HasInput() }},
-		{"by the look for open connections", 1, func(_ *connector.Conn, p *connector.Pool, address string) { p.HasOpen(address, time.Now()) }},
+		{"by the look for open connections", 1, func(_ *connector.Conn, p *connector.Pool, address string) { p.HasOpen(address, 0) }},
 		{"by the write of the body", 8 << 20, func(*connector.Conn, *connector.Pool, string) {}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -186,14 +186,13 @@
 // that has refused a connection. Those with open connections come first, since only they
 // can show that this host is cut off.
 func (f *Forwarder) witnessesFor(refusing describer.Instance) []string {
-	now := f.opts.Clock.Now()
 	var open, rest []string
 	for id, in := range f.fleet.Load().servers { // In random order.
 		switch {
 		case id == refusing.ID || in.Address == refusing.Address || in.Draining:
 		case len(open) == maxWitnesses:
 			return open
-		case f.opts.Pool.HasOpen(in.Address, now):
+		case f.opts.Pool.HasOpen(in.Address, 0):
 			open = append(open, in.Address)
 		default:
 			rest = append(rest, in.Address)
@@ -204,17 +203,17 @@
 }
 
 // judge returns what is known now of a server that refused a connection. Only connections
-// that were opened before count.
+// that were opened before that count.
 func (w *witnesses) judge(refusing string, refusedAt time.Time) relayer.Ending {
-	pool := w.f.opts.Pool
+	pool, age := w.f.opts.Pool, w.f.opts.Clock.Now().Sub(refusedAt)
 	others := make([]relayer.Finding, len(w.addresses))
 	for i, address := range w.addresses {
 		r := w.receptions[i]
 		others[i] = relayer.Finding{
 			Accepts: r == connector.Accepted, Refuses: r == connector.Refused,
-			IsOpen: r == connector.Refused && pool.HasOpen(address, refusedAt),
+			IsOpen: r == connector.Refused && pool.HasOpen(address, age),
 		}
 	}
-	server := relayer.Finding{Refuses: true, IsOpen: pool.HasOpen(refusing, refusedAt)}
+	server := relayer.Finding{Refuses: true, IsOpen: pool.HasOpen(refusing, age)}
 	return w.f.refusals.Judge(server, others, refusedAt)
 }
