forwarder: a server that is taken away ends no stream as complete

Cause: of a server that leaves, the end of such an answer always counted as whole, since it may end in order after its last answer and refuses connections then.

Change: a server ends in order only once it has answered all calls. If it has ended and this host had other calls there, or found one of them cut a short time ago, the answer is cut, unless an older connection shows that the server goes on. Whether it has ended is found out as for other servers.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -154,6 +154,13 @@
 	return slices.ContainsFunc(conns, func(c *Conn) bool { return now.Sub(c.openedAt) > age && c.isOpen() })
 }
 
+// InUse returns the number of connections to address that are not idle.
+func (p *Pool) InUse(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open[address]) - len(p.idle[address])
+}
+
 // Warm opens a connection to address for later use, and reports whether that succeeded.
 func (p *Pool) Warm(ctx context.Context, address string) bool {
 	c, err := p.Open(ctx, address, Fresh)
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -2,33 +2,23 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
+	"maps"
+	"sync"
 	"time"
 
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/describer"
+	"cyclamenhub.org/identifier"
 	"cyclamenhub.org/placer"
-	"cyclamenhub.org/relayer"
 	"cyclamenhub.org/timer"
 )
 
 const (
-	// maxProbes is how many connections a backend server may drop, one each probeHold, before
-	// it counts as one that has enough of them.
-	maxProbes = 4
-	// probeHold is how long a process that ends may take until it drops a connection that
-	// it has accepted meanwhile, and from then on until it refuses them.
-	probeHold = 50 * time.Millisecond
-	// identifyTimeout is how long a process may take to answer whether it is a server.
-	identifyTimeout = 300 * time.Millisecond
-	// maxWitnesses is how many other backend servers are tried when one has refused a
-	// connection.
-	maxWitnesses = 3
-	// witnessDialTimeout is how long they may take to accept one.
-	witnessDialTimeout = 250 * time.Millisecond
-	// witnessInterval is the time between two looks at open connections.
-	witnessInterval = 10 * time.Millisecond
+	// goesOnLooks is how often it is looked whether a server that leaves goes on with other
+	// answers, one look each witnessInterval: one finds none while all have bytes to read.
+	goesOnLooks = 5
+	// abruptTime is how long the end of a server amid other answers is remembered.
+	abruptTime = 5 * time.Second
 )
 
 // answerEnd is what is known of an answer that has ended without an error.
@@ -54,14 +44,12 @@
 	switch {
 	case !ok && fl.hasAddress(x.instance.Address):
 		return cut // Another server has its address: it has ended some time ago.
-	case !ok || in.Draining || choice.IsLeaving(): // It may end in order after its last answer.
-		return assumedWhole
-	}
-	state := x.f.findProcess(x.ctx, in)
-	if state == processUp && x.conn.MayBeOld() { // Long enough ago for another process to have the address.
-		state = x.f.identifyProcess(x.ctx, in)
+	case !ok:
+		return x.endAtLeaving(x.instance)
+	case in.Draining || choice.IsLeaving():
+		return x.endAtLeaving(in)
 	}
-	switch state {
+	switch x.findServer(in) {
 	case processEnded:
 		return cut
 	case processUp:
@@ -71,149 +59,68 @@
 	}
 }
 
-// processState is what is known of the process of a backend server.
-type processState uint8
-
-const (
-	// processUnknown: the server was not reached, or this host is cut off from it.
-	processUnknown processState = iota
-	processUp
-	processEnded
-)
-
-// String returns the name of a processState in logs.
-func (s processState) String() string { return [...]string{"unknown", "up", "ended"}[s] }
-
-// findProcess finds out whether the process of a backend server has ended: a new connection is
-// refused, and not because this host is cut off. A process that is ending may still accept a
-// connection, which it drops then.
-func (f *Forwarder) findProcess(ctx context.Context, in describer.Instance) processState {
-	for range maxProbes {
-		switch f.opts.Pool.Probe(ctx, in.Address, probeHold) {
-		case connector.Accepted:
-			f.refusals.Accepted()
-			return processUp
-		case connector.Refused:
-			return f.judgeRefusal(ctx, in)
-		case connector.Silent:
-			return processUnknown
-		case connector.Dropped: // A process that ends refuses a later one.
-			timer.Sleep(ctx, probeHold)
-		}
-	}
-	return processUnknown
-}
-
-// identifyProcess asks whether the process at the address of a backend server is that server: any
-// other one answers that it is not.
-func (f *Forwarder) identifyProcess(ctx context.Context, in describer.Instance) processState {
-	conn, err := f.opts.Pool.Open(ctx, in.Address, connector.Fresh)
-	if err != nil {
-		return processUnknown
-	}
-	defer conn.Close()
-	path := "/"
-	if sv, ok := f.table.Load().Service(in.Service); ok && sv.HealthPath != "" {
-		path = sv.HealthPath
-	}
-	call := &describer.Call{Header: http.Header{}}
-	m := &connector.Message{
-		Method: http.MethodGet, Target: path, Host: in.Address,
-		Header: f.opts.Codec.Encode(call, &describer.Attempt{Server: in.ID, Remaining: identifyTimeout}),
+// endAtLeaving is endOf for a server that leaves, or has left the list. It may end in order after
+// its last answer, but not while it answers other calls.
+func (x *exchange) endAtLeaving(in describer.Instance) answerEnd {
+	hasOthers := x.f.opts.Pool.InUse(in.Address) > 1 || x.f.abrupt.has(in.Run(), x.f.opts.Clock.Now())
+	switch x.findServer(in) {
+	case processUp:
+		return whole
+	case processUnknown:
+		return assumedWhole
+	case processEnded:
 	}
-	res, err := conn.Send(ctx, m, connector.Limits{Deadline: time.Now().Add(identifyTimeout)})
-	switch {
-	case err != nil:
-		return processUnknown
-	case res.Status == http.StatusMisdirectedRequest:
-		f.opts.Log.Info("another process has the address of a backend server", "server", in.ID, "address", in.Address)
-		return processEnded
-	default:
-		return processUp
+	if !hasOthers || x.f.goesOn(x.ctx, in) {
+		return assumedWhole
 	}
+	x.f.abrupt.add(in.Run(), x.f.opts.Clock.Now())
+	return cut
 }
 
-// judgeRefusal returns what is known of the process of a server that has refused a connection.
-func (f *Forwarder) judgeRefusal(ctx context.Context, in describer.Instance) processState {
-	refusedAt := f.opts.Clock.Now()
-	w := f.tryWitnesses(ctx, in)
-	ending := w.judge(in.Address, refusedAt)
-	for ending == relayer.Undecided && timer.Sleep(ctx, witnessInterval) {
-		ending = w.judge(in.Address, refusedAt)
-	}
-	f.opts.Log.Info("backend server refuses connections", "server", in.ID, "address", in.Address, "ending", ending.String(), "others", len(w.addresses))
-	if ending == relayer.CutOff {
-		return processUnknown
+// goesOn reports whether a server that refuses new connections still holds older ones open.
+func (f *Forwarder) goesOn(ctx context.Context, in describer.Instance) bool {
+	for range goesOnLooks {
+		if f.opts.Pool.HasOpen(in.Address, 0) {
+			return true
+		}
+		timer.Sleep(ctx, witnessInterval)
 	}
-	return processEnded
+	return false
 }
 
-// witnesses are other backend servers that are tried when one has refused a connection.
-type witnesses struct {
-	f         *Forwarder
-	addresses []string
-	// receptions holds how the addresses received a new connection; Silent is the one of
-	// those that were not awaited.
-	receptions []connector.Reception
+// findServer finds out whether the process of the backend server of an attempt has ended. If the
+// end of the answer may be old, another process may have the address by now.
+func (x *exchange) findServer(in describer.Instance) processState {
+	mayBeOld := x.conn.MayBeOld()
+	state := x.f.findProcess(x.ctx, in)
+	if state == processUp && mayBeOld {
+		return x.f.identifyProcess(x.ctx, in)
+	}
+	return state
 }
 
-// tryWitnesses opens new connections to servers other than the one that has refused one. It
-// returns once one is accepted, or none is awaited any more.
-func (f *Forwarder) tryWitnesses(ctx context.Context, refusing describer.Instance) *witnesses {
-	ctx, cancel := context.WithTimeout(ctx, witnessDialTimeout)
-	defer cancel()
-	w := &witnesses{f: f, addresses: f.witnessesFor(refusing)}
-	w.receptions = make([]connector.Reception, len(w.addresses))
-	type result struct {
-		index     int
-		reception connector.Reception
-	}
-	results := make(chan result, len(w.addresses))
-	for i, address := range w.addresses {
-		go func() { results <- result{i, f.opts.Pool.Probe(ctx, address, 0)} }()
-	}
-	for range w.addresses {
-		r := <-results
-		w.receptions[r.index] = r.reception
-		if r.reception == connector.Accepted {
-			break
-		}
-	}
-	return w
+// abruptEnds are the runs of servers that left and were found to have ended amid other answers. The
+// calls that they had at the time learn of it one after the other. It is safe for concurrent use.
+type abruptEnds struct {
+	mu   sync.Mutex
+	runs map[identifier.ServerRun]time.Time
 }
 
-// witnessesFor returns the addresses of up to maxWitnesses listed servers other than the one
-// that has refused a connection. Those with open connections come first, since only they
-// can show that this host is cut off.
-func (f *Forwarder) witnessesFor(refusing describer.Instance) []string {
-	var open, rest []string
-	for id, in := range f.fleet.Load().servers { // In random order.
-		switch {
-		case id == refusing.ID || in.Address == refusing.Address || in.Draining:
-		case len(open) == maxWitnesses:
-			return open
-		case f.opts.Pool.HasOpen(in.Address, 0):
-			open = append(open, in.Address)
-		default:
-			rest = append(rest, in.Address)
-		}
+// add adds a run that was found to have ended.
+func (a *abruptEnds) add(run identifier.ServerRun, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.runs == nil {
+		a.runs = make(map[identifier.ServerRun]time.Time)
 	}
-	all := slices.Concat(open, rest)
-	return all[:min(len(all), maxWitnesses)]
+	maps.DeleteFunc(a.runs, func(_ identifier.ServerRun, at time.Time) bool { return now.Sub(at) >= abruptTime })
+	a.runs[run] = now
 }
 
-// judge returns what is known now of a server that refused a connection. Only connections
-// that were opened before that count.
-func (w *witnesses) judge(refusing string, refusedAt time.Time) relayer.Ending {
-	pool, age := w.f.opts.Pool, w.f.opts.Clock.Now().Sub(refusedAt)
-	others := make([]relayer.Finding, len(w.addresses))
-	for i, address := range w.addresses {
-		r := w.receptions[i]
-		others[i] = relayer.Finding{
-			Accepts: r == connector.Accepted, Refuses: r == connector.Refused,
-			IsOpen: r == connector.Refused && pool.HasOpen(address, age),
-		}
-	}
-	server := relayer.Finding{Refuses: true, IsOpen: pool.HasOpen(refusing, age)}
-	return w.f.refusals.Judge(server, others, refusedAt)
+// has reports whether a run was found to have ended a short time ago.
+func (a *abruptEnds) has(run identifier.ServerRun, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at, ok := a.runs[run]
+	return ok && now.Sub(at) < abruptTime
 }
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -268,6 +268,46 @@
 	}
 }
 
+// TestCutAnswersOfLeavingServersAreNotComplete guards against parts of answers that look whole: a
+// server that leaves is taken away amid its answers. One that ends in order has answered all calls.
+func TestCutAnswersOfLeavingServersAreNotComplete(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		calls           int
+		closes, refuses bool // what the server does with its other connections and new ones
+		complete        bool
+	}{
+		{"taken away amid answers", 4, true, true, false},
+		{"ends after its last answer", 1, true, true, true},
+		{"takes no new connection and goes on", 4, false, true, true},
+		{"goes on", 4, false, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			s := h.useHeldServers(t, 1)
+			c := h.hold(t, s, tc.calls, "/draft/1", undelimitedStream+event(1))
+			h.SetListing(&discoverer.Listing{Instances: []describer.Instance{
+				{ID: "b0", Service: "cases", Address: s.listeners[0].Addr().String(), Slots: 4, Draining: true},
+				{ID: "b1", Service: "cases", Address: h.backends.start(), Slots: 4},
+			}})
+			if tc.refuses {
+				s.refuse()
+			}
+			_ = c.conns[0].Close()
+			answered := c.responses[:1]
+			if tc.closes {
+				s.end()
+				answered = c.responses
+			}
+			for i, got := range answered {
+				if res := <-got; res.complete != tc.complete {
+					t.Errorf("the caller of call %d got %+v, want a complete answer: %v", i, res, tc.complete)
+				}
+			}
+		})
+	}
+}
+
 // TestHostThatIsCutOffReportsNoEnds guards against sound requests that are isolated: a host
 // that was cut off took the refusals of servers that were up for their ends, and reported the
 // calls that it had lost there.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,6 +97,8 @@
 	requests *budgeter.Budget
 	// refusals tells servers that have ended from those that this host is cut off from.
 	refusals *relayer.Refusals
+	// abrupt are the servers that left and were taken away amid their answers.
+	abrupt abruptEnds
 	// unidentified holds the addresses of backend servers whose refusals bear no id.
 	unidentified addressSet
 	// active counts the calls in progress, and relayed those of other hosts among them.
