--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -36,6 +36,7 @@
 			folder := t.TempDir()
 			r, err := Run(t.Context(), Options{Seed: seed, Binary: binary, Entry: entry, Folder: folder, Length: 5 * time.Second})
 			if err != nil {
+				showLogs(t, folder)
 				t.Fatal(err)
 			}
 			t.Log(r)
