forwarder: a server that leaves has time to close its connections

Cause: right after a leaving server was found to have ended, one connection that it had not closed yet counted as a sign that it goes on.

--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -77,8 +77,10 @@
 	return cut
 }
 
-// goesOn reports whether a server that refuses new connections still holds older ones open.
+// goesOn reports whether a server that refuses new connections still holds older ones open, once a
+// process that ends has had time to close them.
 func (f *Forwarder) goesOn(ctx context.Context, in describer.Instance) bool {
+	timer.Sleep(ctx, probeHold)
 	for range goesOnLooks {
 		if f.opts.Pool.HasOpen(in.Address, 0) {
 			return true
