budgeter: of bodies that stood still equally long the largest makes room

Cause: of claims that moved at the same time the last one of a map was taken, in random order.

Change: of these the one that holds more is taken.

--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -84,8 +84,8 @@
 }
 
 // stillest returns the claim whose body has received nothing for longest, or nil if none
-// has for the grace; of large bodies only, if the share of large ones is what is full. The
-// caller holds mu.
+// has for the grace; of large bodies only, if the share of large ones is what is full. Of two
+// that stood still equally long it is the one that holds more. The caller holds mu.
 func (b *Budget) stillest(largeOnly bool) *Claim {
 	latest := b.opts.Clock.Now().Add(-Grace)
 	var found *Claim
@@ -93,7 +93,9 @@
 		if c.held == 0 || largeOnly && c.large == 0 || c.movedAt.After(latest) {
 			continue
 		}
-		found, latest = c, c.movedAt
+		if found == nil || c.movedAt.Before(found.movedAt) || c.held > found.held {
+			found, latest = c, c.movedAt
+		}
 	}
 	return found
 }
