review: show the part of an answer that a reclaimed worker leaves as whole

A worker that may be reclaimed has its notice, is listed as leaving, and is gone 2.5 s after the notice, amid the only answer without a length that it writes for an entry host. The host assumes that a leaving server ended in order and delivers the half that has arrived with status 200 and its length. Nothing reads how long the worker had left.

Evidence: run.sh starts three keepers and one entry host as separate processes, and four workers of its own.

--- a/review/rig3/endless.go
+++ b/review/rig3/endless.go
@@ -38,7 +38,7 @@
 // without end, and looks at the calls of another service, which is sound.
 func runEndless(s *system) (bool, error) {
 	var inTrouble atomic.Bool
-	if err := s.start(3, 2); err != nil {
+	if err := s.start(2); err != nil {
 		return false, err
 	}
 	briefs, err := s.startWorkers("brief-model", briefWorkers, 20, briefSlots, func(w *worker, rw http.ResponseWriter, _ *http.Request) {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,8 +17,10 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*system) (bool, error){
-	"endless": runEndless,
-	"reborn":  runReborn,
+	"endless":   runEndless,
+	"leaving":   runLeaving,
+	"reborn":    runReborn,
+	"reclaimed": runReclaimed,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig3/reborn.go
+++ b/review/rig3/reborn.go
@@ -11,10 +11,12 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -41,7 +43,7 @@
 // runReborn has an entry host stand still while a worker crashes amid answers without a length
 // and starts again under the id that it had.
 func runReborn(s *system) (bool, error) {
-	if err := s.start(3, 1); err != nil {
+	if err := s.start(1); err != nil {
 		return false, err
 	}
 	var workers []*workerProcess
@@ -50,14 +52,9 @@
 			w.kill()
 		}
 	}()
-	var list []instance
-	for i := range rebornWorkers {
-		w := &workerProcess{s: s, id: fmt.Sprintf("i-desk-%d", i+1), addr: s.address(20+i, workerPort)}
-		if err := w.start(); err != nil {
-			return false, err
-		}
-		workers = append(workers, w)
-		list = append(list, instance{ID: w.id, Service: "studio-desk", Address: w.addr, Zone: zoneNames[i%len(zoneNames)], Version: "v1", Slots: 6, State: "ready", Born: w.born})
+	list, err := s.startWorkerProcesses(&workers, false)
+	if err != nil {
+		return false, err
 	}
 	s.cloud.set(slices.Clone(list))
 	if err := errors.Join(s.putConfig(rebornConfig()), s.awaitReady()); err != nil {
@@ -68,12 +65,8 @@
 	for n := range rebornRequests {
 		wg.Go(func() { answers[n] = callReborn(s, fmt.Sprintf("r-%d", n)) })
 	}
-	until := time.Now().Add(rebornWork / 2)
-	for begunAt(workers) < rebornRequests {
-		if time.Now().After(until) {
-			return false, errors.New("not all answers have begun")
-		}
-		time.Sleep(20 * time.Millisecond)
+	if err := awaitBegun(workers, rebornRequests); err != nil {
+		return false, err
 	}
 	crashing := slices.MaxFunc(workers, func(a, b *workerProcess) int { return a.begun() - b.begun() })
 	s.note("all answers have begun, %d of them at %s", crashing.begun(), crashing.id)
@@ -95,13 +88,38 @@
 	return shortened > 0, nil
 }
 
-// begunAt returns the number of answers that workers have begun.
-func begunAt(workers []*workerProcess) int {
-	n := 0
-	for _, w := range workers {
-		n += w.begun()
+// startWorkerProcesses starts the workers, adds them to those given and returns their entries
+// in the provider's list.
+func (s *system) startWorkerProcesses(workers *[]*workerProcess, isSpot bool) ([]instance, error) {
+	var list []instance
+	for i := range rebornWorkers {
+		w := &workerProcess{s: s, id: fmt.Sprintf("i-desk-%d", i+1), addr: s.address(20+i, workerPort)}
+		if err := w.start(); err != nil {
+			return nil, err
+		}
+		*workers = append(*workers, w)
+		list = append(list, instance{
+			ID: w.id, Service: "studio-desk", Address: w.addr, Zone: zoneNames[i%len(zoneNames)], Version: "v1", Slots: 24, State: "ready",
+			Spot: isSpot, Born: w.born,
+		})
+	}
+	return list, nil
+}
+
+// awaitBegun waits until workers have begun a number of answers.
+func awaitBegun(workers []*workerProcess, count int) error {
+	for until := time.Now().Add(rebornWork / 2); ; time.Sleep(20 * time.Millisecond) {
+		n := 0
+		for _, w := range workers {
+			n += w.begun()
+		}
+		switch {
+		case n >= count:
+			return nil
+		case time.Now().After(until):
+			return errors.New("not all answers have begun")
+		}
 	}
-	return n
 }
 
 // troubleReborn freezes the entry host, and crashes and restarts a worker meanwhile.
@@ -176,8 +194,8 @@
 	born int64
 	run  *exec.Cmd
 
-	mu    sync.Mutex
-	count int
+	mu           sync.Mutex
+	began, ended []string
 }
 
 // start starts the process of the worker.
@@ -205,11 +223,17 @@
 	go func() {
 		for lines.Scan() {
 			w.s.log("%s %s", w.id, lines.Text())
-			if strings.HasPrefix(lines.Text(), "began ") {
-				w.mu.Lock()
-				w.count++
-				w.mu.Unlock()
+			what, attempt, _ := strings.Cut(lines.Text(), " ")
+			w.mu.Lock()
+			switch what {
+			case "began":
+				if !strings.HasPrefix(attempt, "short ") {
+					w.began = append(w.began, attempt)
+				}
+			case "ended":
+				w.ended = append(w.ended, attempt)
 			}
+			w.mu.Unlock()
 		}
 	}()
 	return nil
@@ -219,7 +243,14 @@
 func (w *workerProcess) begun() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.count
+	return len(w.began)
+}
+
+// hasEnded reports whether the worker has ended an answer.
+func (w *workerProcess) hasEnded(attempt string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Contains(w.ended, attempt)
 }
 
 // kill kills the process.
@@ -231,12 +262,30 @@
 	}
 }
 
+// reportPath is the path of a worker's report.
+const reportPath = "/cyclamenhub/report"
+
 // workerCase is the argument with which this program is a worker.
 const workerCase = "worker"
 
+// leavesAt is when a worker that leaves is gone, in Unix milliseconds, or 0.
+var leavesAt atomic.Int64
+
+// awaitNotice has the worker leave at the notice of the provider.
+func awaitNotice() {
+	notice := make(chan os.Signal, 1)
+	signal.Notify(notice, syscall.SIGUSR1)
+	go func() {
+		<-notice
+		leavesAt.Store(time.Now().Add(reclaimTime).UnixMilli())
+		fmt.Println("has its notice")
+	}()
+}
+
 // serveAsWorker runs a worker whose answers have no length and end with their channels. It
 // writes what it does to the standard output.
 func serveAsWorker(addr, id, born string) error {
+	awaitNotice()
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
@@ -260,18 +309,35 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		head := "HTTP/1.1 200 OK\r\nCyclamenhub-Instance-Id: " + id + "\r\n"
+		status, leaving := "200 OK", ""
+		if leavesAt.Load() > 0 {
+			leaving = "Server-Leaving: 1\r\n"
+			if req.Header.Get("Cyclamenhub-Attempt-Id") == "" && req.URL.Path != reportPath {
+				status = "503 Service Unavailable"
+			}
+		}
+		head := "HTTP/1.1 " + status + "\r\nCyclamenhub-Instance-Id: " + id + "\r\n" + leaving
 		attempt := req.Header.Get("Cyclamenhub-Attempt-Id")
 		target := req.Header.Get("Cyclamenhub-Target-Instance")
 		switch {
 		case target != "" && target != id:
 			fmt.Fprint(nc, "HTTP/1.1 421 Misdirected Request\r\nCyclamenhub-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-		case req.URL.Path == "/cyclamenhub/report":
-			b, _ := json.Marshal(map[string]any{"stage": "unified", "busy": false, "sequence": 0, "queued": 0, "active": 0, "born": json.Number(born)})
+		case req.URL.Path == reportPath:
+			report := map[string]any{"stage": "unified", "busy": false, "sequence": 0, "queued": 0, "active": 0, "state": "ready", "born": json.Number(born)}
+			if at := leavesAt.Load(); at > 0 {
+				report["state"], report["leaves_ms"] = "draining", at-time.Now().UnixMilli()
+			}
+			b, err := json.Marshal(report)
+			if err != nil {
+				return
+			}
 			fmt.Fprintf(nc, "%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", head, len(b), b)
 		case attempt == "":
 			fmt.Println("probe", req.Method, req.URL.Path)
 			fmt.Fprint(nc, head+"Content-Length: 0\r\n\r\n")
+		case strings.HasPrefix(req.URL.Path, streamPrefix):
+			streamEvents(nc, head, attempt, req.URL.Path == shortPath)
+			return
 		default:
 			fmt.Fprintf(nc, "%sCyclamenhub-Attempt-Id: %s\r\nCyclamenhub-Response-Seal: 3e1b.07\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n%s", head, attempt, firstHalf)
 			fmt.Println("began", attempt)
@@ -282,3 +348,28 @@
 		}
 	}
 }
+
+// streaming is the number of streams that a worker writes.
+var streaming atomic.Int64
+
+// streamEvents writes a stream without a length and closes its channel. A worker that leaves
+// ends once it has ended its last stream.
+func streamEvents(nc net.Conn, head, attempt string, isShort bool) {
+	streaming.Add(1)
+	events, began := leavingEvents, "began"
+	if isShort {
+		events, began = shortEvents, "began short"
+	}
+	fmt.Fprintf(nc, "%sCyclamenhub-Attempt-Id: %s\r\nCyclamenhub-Response-Seal: 3e1b.07\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", head, attempt)
+	fmt.Println(began, attempt)
+	for n := 1; n <= events; n++ {
+		fmt.Fprintf(nc, "id: %d\ndata: event %d of %s\n\n", n, n, attempt)
+		time.Sleep(leavingPause)
+	}
+	_ = nc.Close()
+	fmt.Println("ended", attempt)
+	if streaming.Add(-1) == 0 && leavesAt.Load() > 0 {
+		fmt.Println("leaves")
+		os.Exit(0)
+	}
+}
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -97,13 +97,16 @@
 // zoneNames are the zones of the machines in turn.
 var zoneNames = []string{"riga-a", "riga-b", "riga-c"}
 
-// start starts a platform, keepers and entry hosts.
-func (s *system) start(keepers, entries int) error {
+// keeperCount is the number of keepers, one in each zone.
+const keeperCount = 3
+
+// start starts a platform, the keepers and entry hosts.
+func (s *system) start(entries int) error {
 	var err error
 	if s.cloud, err = newCloud(s); err != nil {
 		return err
 	}
-	for i := range keepers {
+	for i := range keeperCount {
 		s.keepers = append(s.keepers, s.newMachine("core", "keeper", 1+i, i))
 	}
 	for i := range entries {
