review: show cut answers that a host which is cut off passes on as whole

New channels of an entry host to all workers are refused for 5 s and open ones live on. A worker crashes meanwhile amid answers without a length. While the host is cut off, a refused connection shows nothing of a server, so that each end counts as whole: the host delivers the halves that have arrived with status 200 and their length.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,6 +17,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*system) (bool, error){
+	"cutoff":    runCutOff,
 	"endless":   runEndless,
 	"leaving":   runLeaving,
 	"reborn":    runReborn,
--- a/review/rig3/reborn.go
+++ b/review/rig3/reborn.go
@@ -286,17 +286,29 @@
 // writes what it does to the standard output.
 func serveAsWorker(addr, id, born string) error {
 	awaitNotice()
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return err
-	}
-	fmt.Println("listens")
+	cut := make(chan os.Signal, 1)
+	signal.Notify(cut, syscall.SIGUSR2)
 	for {
-		nc, err := ln.Accept()
+		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			return err
 		}
-		go serveChannel(nc, id, born)
+		fmt.Println("listens")
+		go func() {
+			for {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go serveChannel(nc, id, born)
+			}
+		}()
+		<-cut
+		if err := ln.Close(); err != nil {
+			return err
+		}
+		fmt.Println("refuses new channels")
+		time.Sleep(cutForTime)
 	}
 }
 
