--- a/connector/conn.go
+++ b/connector/conn.go
@@ -107,6 +107,8 @@
 	hasLargeBuffer bool
 	// failure is the error with which the connection broke, noticed by any use of it.
 	failure failure
+	// end is how the server has ended the connection, seen by any use of it.
+	end endRecord
 	// idleTimeout is how long the connection may be idle according to the
 	// server's Keep-Alive header; 0 if the server does not say.
 	idleTimeout time.Duration
@@ -215,6 +217,7 @@
 	c.ctx, c.limits, c.readLimit = ctx, limits, limits.FirstByte
 	c.readDeadline, c.sent, c.res, c.bodyEnded = time.Time{}, false, nil, false
 	c.quietSince, c.stoodStillAt = c.clock.Now(), time.Time{}
+	c.end.begin(c.quietSince)
 	c.stopWatch = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
 }
 
@@ -319,6 +322,7 @@
 	_ = c.nc.SetDeadline(time.Time{})
 	c.shrinkBuffer()
 	c.ctx, c.res = nil, nil
+	c.end.finish()
 	return true
 }
 
@@ -363,12 +367,16 @@
 	if c.headerBytesLeft == 1 {
 		return 0, ErrHeaderTooLarge
 	}
+	c.end.awake(c.clock.Now())
 	n, err := r.read(p)
 	for n == 0 && c.isOverdue(err) && !c.limits.GiveUp() {
 		c.readDeadline = time.Time{} // It has passed, however near the next one is.
 		n, err = r.read(p)
 	}
 	c.recordArrival(n)
+	if n == 0 && isEnd(err) {
+		c.end.read(c.clock.Now())
+	}
 	if c.headerBytesLeft > 0 {
 		c.headerBytesLeft = max(c.headerBytesLeft-n, 1)
 	}
@@ -383,6 +391,7 @@
 	}
 	if bytes > 0 {
 		c.lastByte, c.quietSince = now, now
+		c.end.awake(now)
 	}
 }
 
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -61,6 +61,8 @@
 	idle map[string][]*Conn
 	// open holds all connections that this side has not closed.
 	open map[string]map[*Conn]struct{}
+	// ended holds the latest ends of closed connections by address.
+	ended map[string][]End
 
 	opened, reused, discardedByAge, discardedClosed, discardedCarried, discardedFull *metrics.Counter
 }
@@ -86,7 +88,7 @@
 		opt.Metrics = metrics.NewSet()
 	}
 	return &Pool{
-		opt: opt, idle: make(map[string][]*Conn), open: make(map[string]map[*Conn]struct{}),
+		opt: opt, idle: make(map[string][]*Conn), open: make(map[string]map[*Conn]struct{}), ended: make(map[string][]End),
 		opened:           opt.Metrics.GetOrCreateCounter("cyclamen_connections_opened_total"),
 		reused:           opt.Metrics.GetOrCreateCounter("cyclamen_connections_reused_total"),
 		discardedByAge:   opt.Metrics.GetOrCreateCounter(`cyclamen_connections_discarded_total{reason="age"}`),
@@ -138,6 +140,7 @@
 func (p *Pool) unregister(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.remember(c)
 	delete(p.open[c.address], c)
 	if len(p.open[c.address]) == 0 {
 		delete(p.open, c.address)
--- a/forwarder/announcements.go
+++ b/forwarder/announcements.go
@@ -69,6 +69,7 @@
 		r.RecordBrittle(reply.Brittle)
 	}
 	if !slices.Contains(reply.Unreadable, describer.AnnouncedLeaving) && r.RecordLeaving(reply.Leaving) {
+		x.f.notices.heard(r.Run(), reply.Leaving, x.f.opts.Clock.Now())
 		x.logAnnouncement(r, slog.LevelInfo, "backend server announces whether it leaves", slog.Bool("leaving", reply.Leaving))
 	}
 }
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,7 +14,8 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
 
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/discoverer"
@@ -309,6 +311,100 @@
 	}
 }
 
+// TestWholeAnswersOfServersThatLeaveInOrderReachCallers guards against lost answers: of a server that
+// ended its last answers together, or some milliseconds apart, and then its process, all were broken off.
+func TestWholeAnswersOfServersThatLeaveInOrderReachCallers(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, beginning, rest string
+		calls                       int
+		apart                       time.Duration
+		portFirst                   bool
+	}{
+		{"two streams together", "/draft/1", undelimitedStream + event(1), event(2), 2, 0, false},
+		{"streams together", "/draft/1", undelimitedStream + event(1), event(2), 4, 0, false},
+		{"streams together, the port first", "/draft/1", undelimitedStream + event(1), event(2), 4, 0, true},
+		{"streams some milliseconds apart", "/draft/1", undelimitedStream + event(1), event(2), 4, 15 * time.Millisecond, false},
+		{"streams some milliseconds apart, the port first", "/draft/1", undelimitedStream + event(1), event(2), 4, 15 * time.Millisecond, true},
+		{"bodies together", "/look/1", undelimitedBody + "wh", "ole", 4, 0, false},
+		{"bodies some milliseconds apart, the port first", "/look/1", undelimitedBody + "wh", "ole", 4, 15 * time.Millisecond, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			s := h.useHeldServers(t, 1)
+			c := h.hold(t, s, tc.calls, tc.path, tc.beginning)
+			h.listLeaving(s)
+			time.Sleep(20 * time.Millisecond) // The answers are at work meanwhile.
+			if tc.portFirst {
+				s.refuse()
+			}
+			for _, conn := range c.conns {
+				endWith(t, conn, tc.rest)
+				time.Sleep(tc.apart)
+			}
+			s.end()
+			for i, got := range c.responses {
+				if res := <-got; res.status != http.StatusOK || !res.complete {
+					t.Errorf("the caller of call %d got %+v, want a complete answer", i, res)
+				}
+			}
+		})
+	}
+}
+
+// TestServersThatServedTheirTimeEndInOrder guards against lost answers: the last streams of a server
+// that left ended together, long after their last events, and its process right after them. One whose
+// time was not over was taken away amid its answers.
+func TestServersThatServedTheirTimeEndInOrder(t *testing.T) {
+	const leavingTime = 100 * time.Millisecond
+	for _, tc := range []struct {
+		name     string
+		served   time.Duration
+		complete bool
+	}{
+		{"served its time", 2 * leavingTime, true},
+		{"before its time is over", 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.opts.LeavingTime = leavingTime
+			s := h.useHeldServers(t, 1)
+			c := h.hold(t, s, 6, "/draft/1", undelimitedStream+event(1)+event(2))
+			h.listLeaving(s)
+			time.Sleep(tc.served)
+			s.end()
+			for i, got := range c.responses {
+				if res := <-got; res.complete != tc.complete {
+					t.Errorf("the caller of call %d got %+v, want a complete answer: %v", i, res, tc.complete)
+				}
+			}
+		})
+	}
+}
+
+// endWith writes the rest of an answer and ends its connection, both in one segment.
+func endWith(t *testing.T, conn net.Conn, rest string) {
+	t.Helper()
+	rc, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var corkErr error
+	err = rc.Control(func(fd uintptr) { corkErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_CORK, 1) })
+	if err := cmp.Or(err, corkErr); err != nil {
+		t.Fatal(err)
+	}
+	write(t, conn, rest)
+	_ = conn.Close()
+}
+
+// listLeaving lists a held server as one that leaves, and another one that stays.
+func (h *harness) listLeaving(s *heldServers) {
+	h.SetListing(&discoverer.Listing{At: time.Now(), Instances: []describer.Instance{
+		{ID: "b0", Service: "cases", Address: s.listeners[0].Addr().String(), Slots: 4, Draining: true},
+		{ID: "b1", Service: "cases", Address: h.backends.start(), Slots: 4},
+	}})
+}
+
 // TestHostThatIsCutOffReportsNoEnds guards against sound requests that are isolated: a host
 // that was cut off took the refusals of servers that were up for their ends, and reported the
 // calls that it had lost there.
@@ -326,7 +422,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	r, _ := h.opts.Isolation.Report()
-	if diff := cmp.Diff(0, len(r.Ends)); diff != "" {
+	if diff := gocmp.Diff(0, len(r.Ends)); diff != "" {
 		t.Errorf("reported ends differ (-want +got):\n%s", diff)
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -70,6 +70,10 @@
 	// WarmUp is how far requests to a cold backend server may exceed the rate that
 	// it tolerates.
 	WarmUp describer.Tolerance
+	// LeavingTime is for how long a server that leaves in order serves on at least, from its
+	// notice on; 0 means that it is not known. NoticeLag is how much later this host may learn
+	// of the notice.
+	LeavingTime, NoticeLag time.Duration
 	// MemoryBytes is the memory that the process may use; 0 means that it is not known.
 	MemoryBytes int64
 	// Current reports whether this host certainly knows the latest withdrawal
@@ -97,8 +101,8 @@
 	requests *budgeter.Budget
 	// refusals tells servers that have ended from those that this host is cut off from.
 	refusals *relayer.Refusals
-	// abrupt are the servers that left and were taken away amid their answers.
-	abrupt abruptEnds
+	// notices are the runs of servers that leave.
+	notices notices
 	// unidentified holds the addresses of backend servers whose refusals bear no id.
 	unidentified addressSet
 	// active counts the calls in progress, and relayed those of other hosts among them.
@@ -179,6 +183,7 @@
 	fl := newFleet(l)
 	f.fleet.Store(fl)
 	f.unidentified.retain(fl)
+	f.notices.update(fl)
 	f.publishServers()
 }
 
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"syscall"
 
+	"cyclamenhub.org/concluder"
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/isolator"
 )
@@ -108,7 +109,7 @@
 // confirmEnd finds out whether the process of a backend server has ended.
 func (f *Forwarder) confirmEnd(in describer.Instance) {
 	run := in.Run()
-	ended := f.findProcess(context.Background(), in) == processEnded
+	ended := f.findProcess(context.Background(), in) == concluder.Ended
 	f.opts.Isolation.Confirm(run, ended)
 	f.opts.Log.Info("backend server broke connections", "server", run.ID, "incarnation", run.Incarnation, "ended", ended)
 	if ended {
--- /dev/null
+++ b/forwarder/notices.go
@@ -0,0 +1,82 @@
+package forwarder
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"cyclamenhub.org/identifier"
+)
+
+// noticeMemory is how long it is remembered that a server leaves which is not listed any more:
+// longer than the calls that it had.
+const noticeMemory = time.Minute
+
+// notice is what is known of a run of a server that leaves.
+type notice struct {
+	// at is when this host first knew of it.
+	at time.Time
+	// listedAt is when the run was last listed, and isListed is whether the list says that it
+	// leaves.
+	listedAt time.Time
+	isListed bool
+}
+
+// newNotice returns the notice of a run that is known to leave since a time.
+func newNotice(at time.Time, isListed bool) notice {
+	return notice{at: at, listedAt: at, isListed: isListed}
+}
+
+// notices are the runs of servers that leave. What is known of a run outlasts its entry in the
+// list. The zero value is empty. It is safe for concurrent use.
+type notices struct {
+	mu   sync.RWMutex
+	runs map[identifier.ServerRun]notice
+}
+
+// of returns the notice of a run.
+func (n *notices) of(run identifier.ServerRun) (notice, bool) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	known, ok := n.runs[run]
+	return known, ok
+}
+
+// heard records whether an answer of a run said that it leaves.
+func (n *notices) heard(run identifier.ServerRun, leaves bool, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch known, ok := n.runs[run]; {
+	case leaves && !ok:
+		n.add(run, newNotice(now, false))
+	case !leaves && ok && !known.isListed:
+		delete(n.runs, run)
+	}
+}
+
+// update records which servers of a listing leave, and forgets those that were not listed for
+// noticeMemory.
+func (n *notices) update(fl *fleet) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, in := range fl.servers {
+		run := in.Run()
+		known, ok := n.runs[run]
+		switch {
+		case ok:
+			known.listedAt, known.isListed = fl.at, in.Draining
+			n.runs[run] = known
+		case in.Draining:
+			n.add(run, newNotice(fl.at, true))
+		}
+	}
+	maps.DeleteFunc(n.runs, func(_ identifier.ServerRun, known notice) bool { return fl.at.Sub(known.listedAt) > noticeMemory })
+}
+
+// add adds a run. The caller holds mu.
+func (n *notices) add(run identifier.ServerRun, added notice) {
+	if n.runs == nil {
+		n.runs = make(map[identifier.ServerRun]notice)
+	}
+	n.runs[run] = added
+}
--- a/forwarder/process.go
+++ b/forwarder/process.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cyclamenhub.org/concluder"
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/relayer"
@@ -30,42 +31,32 @@
 	witnessInterval = 10 * time.Millisecond
 )
 
-// processState is what is known of the process of a backend server.
-type processState uint8
-
-const (
-	// processUnknown: the server was not reached, or this host is cut off from it.
-	processUnknown processState = iota
-	processUp
-	processEnded
-)
-
 // findProcess finds out whether the process of a backend server has ended: a new connection is
 // refused, and not because this host is cut off. A process that is ending may still accept a
 // connection, which it drops then.
-func (f *Forwarder) findProcess(ctx context.Context, in describer.Instance) processState {
+func (f *Forwarder) findProcess(ctx context.Context, in describer.Instance) concluder.Process {
 	for range maxProbes {
 		switch f.opts.Pool.Probe(ctx, in.Address, probeHold) {
 		case connector.Accepted:
 			f.refusals.Accepted()
-			return processUp
+			return concluder.Up
 		case connector.Refused:
 			return f.judgeRefusal(ctx, in)
 		case connector.Silent:
-			return processUnknown
+			return concluder.Unknown
 		case connector.Dropped: // A process that ends refuses a later one.
 			timer.Sleep(ctx, probeHold)
 		}
 	}
-	return processUnknown
+	return concluder.Unknown
 }
 
 // identifyProcess asks whether the process at the address of a backend server is that server: any
 // other one answers that it is not.
-func (f *Forwarder) identifyProcess(ctx context.Context, in describer.Instance) processState {
+func (f *Forwarder) identifyProcess(ctx context.Context, in describer.Instance) concluder.Identity {
 	conn, err := f.opts.Pool.Open(ctx, in.Address, connector.Fresh)
 	if err != nil {
-		return processUnknown
+		return concluder.Unasked
 	}
 	defer conn.Close()
 	path := "/"
@@ -80,17 +71,17 @@
 	res, err := conn.Send(ctx, m, connector.Limits{Deadline: time.Now().Add(identifyTimeout)})
 	switch {
 	case err != nil:
-		return processUnknown
+		return concluder.Unasked
 	case res.Status == http.StatusMisdirectedRequest:
 		f.opts.Log.Info("another process has the address of a backend server", "server", in.ID, "address", in.Address)
-		return processEnded
+		return concluder.Other
 	default:
-		return processUp
+		return concluder.Same
 	}
 }
 
 // judgeRefusal returns what is known of the process of a server that has refused a connection.
-func (f *Forwarder) judgeRefusal(ctx context.Context, in describer.Instance) processState {
+func (f *Forwarder) judgeRefusal(ctx context.Context, in describer.Instance) concluder.Process {
 	refusedAt := f.opts.Clock.Now()
 	w := f.tryWitnesses(ctx, in)
 	ending := w.judge(in.Address, refusedAt)
@@ -99,9 +90,9 @@
 	}
 	f.opts.Log.Info("backend server refuses connections", "server", in.ID, "address", in.Address, "ending", ending.String(), "others", len(w.addresses))
 	if ending == relayer.CutOff {
-		return processUnknown
+		return concluder.CutOff
 	}
-	return processEnded
+	return concluder.Ended
 }
 
 // witnesses are other backend servers that are tried when one has refused a connection.
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cyclamenhub.org/concluder"
 	"cyclamenhub.org/connector"
 	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
@@ -59,12 +60,12 @@
 		return x.classifyReadError(err)
 	}
 	end := x.endOf(res, choice)
-	if end == cut {
+	if end == concluder.Cut {
 		conn.Close()
 		return x.classifyReadError(errServerEnded)
 	}
 	x.recordFirstContent(choice)
-	x.recordSurvival(res.Status < http.StatusInternalServerError && end == whole)
+	x.recordSurvival(res.Status < http.StatusInternalServerError && end == concluder.Whole)
 	buffered := &bufferedResponse{status: res.Status, header: endToEndHeader(res.Header), body: body, run: x.instance.Run()}
 	x.f.opts.Pool.Release(conn)
 	switch {
@@ -172,6 +173,9 @@
 
 // checkStreamEnd returns why a stream that has ended is not whole, or nil.
 func (x *exchange) checkStreamEnd(s *eventSplitter, res *connector.Response, choice *placer.Choice) error {
+	if s.events == 0 && !res.Delimited || !s.isEmpty() {
+		x.conn.MarkBroken()
+	}
 	switch {
 	case s.events == 0 && !res.Delimited:
 		return errNoEvent
@@ -180,12 +184,12 @@
 	}
 	end := x.endOf(res, choice)
 	switch {
-	case end == cut:
+	case end == concluder.Cut:
 		return errServerEnded
 	case !s.isEmpty():
 		return errCutInEvent
 	}
-	x.recordSurvival(end == whole)
+	x.recordSurvival(end == concluder.Whole)
 	return nil
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -199,6 +199,8 @@
 		Tolerance:      e.cfg.Bounds.Rates,
 		Regions:        e.cfg.Regions,
 		WarmUp:         e.cfg.Bounds.WarmUp,
+		LeavingTime:    e.cfg.Bounds.LeaveNotice,
+		NoticeLag:      e.cfg.API.ListLag + ownListingInterval(e.cfg.Bounds.LeaveNotice),
 		MemoryBytes:    e.cfg.MemoryBytes,
 		Current:        e.hasLease,
 		BecameCurrent:  e.firstLease,
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -55,6 +55,9 @@
 // ID returns the id of the server.
 func (r Responder) ID() identifier.BackendServer { return r.state.ID }
 
+// Run returns the run of the server.
+func (r Responder) Run() identifier.ServerRun { return r.state.run() }
+
 // Choice is the server chosen for one attempt, together with the load that the
 // attempt adds to it. A Choice is not safe for concurrent use.
 type Choice struct {
