--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -22,6 +22,8 @@
 // eventSplitter splits a stream of server-sent events into complete events.
 type eventSplitter struct {
 	buf []byte
+	// searched is how much of buf is known to hold no end of an event.
+	searched int
 	// lastID is the id of the last complete event that has one, and lacksID is set if
 	// an event with data came after it.
 	lastID  string
@@ -43,8 +45,9 @@
 // without data, or if the stream does not continue another one as it must.
 func (s *eventSplitter) add(b []byte) ([]byte, error) {
 	s.buf = append(s.buf, b...)
-	end := lastEventEnd(s.buf)
+	end := lastEventEnd(s.buf, max(s.searched-maxMarkBytes+1, 0))
 	if end == 0 {
+		s.searched = len(s.buf)
 		if len(s.buf) > maxEventBytes {
 			return nil, errEventTooLarge
 		}
@@ -67,7 +70,10 @@
 
 // consume removes the events that add has returned from the buffer.
 func (s *eventSplitter) consume(complete []byte) {
-	s.buf = append(s.buf[:0], s.buf[len(complete):]...)
+	if len(complete) == 0 {
+		return
+	}
+	s.buf, s.searched = append(s.buf[:0], s.buf[len(complete):]...), 0
 }
 
 // isEmpty reports whether the buffer holds no part of an event.
@@ -96,27 +102,49 @@
 	}
 }
 
-// lastEventEnd returns the length of the complete events at the start of b.
-func lastEventEnd(b []byte) int {
-	end := 0
-	for _, mark := range eventEnds {
-		if i := bytes.LastIndex(b, mark); i >= 0 {
-			end = max(end, i+len(mark))
+// maxMarkBytes is the length of the longest empty line that ends an event, with the end of the
+// line before it.
+const maxMarkBytes = len("\n\r\n")
+
+// lastEventEnd returns the length of the complete events at the start of b, 0 if there is none.
+// No event ends with a mark that begins before from.
+func lastEventEnd(b []byte, from int) int {
+	for end := len(b); ; {
+		i := bytes.LastIndexByte(b[from:end], '\n')
+		if i < 0 {
+			return 0
+		}
+		if n := markLength(b[from+i:]); n > 0 {
+			return from + i + n
 		}
+		end = from + i
 	}
-	return end
 }
 
 // cutEvent returns the first event of b and the rest. Without a complete event the first
 // one is b.
 func cutEvent(b []byte) (event, rest []byte) {
-	end := len(b)
+	for from := 0; ; {
+		i := bytes.IndexByte(b[from:], '\n')
+		if i < 0 {
+			return b, nil
+		}
+		if n := markLength(b[from+i:]); n > 0 {
+			return b[:from+i+n], b[from+i+n:]
+		}
+		from += i + 1
+	}
+}
+
+// markLength returns the length of the empty line that ends an event at the start of b, with the
+// end of the line before it, which b begins with. It returns 0 if there is none.
+func markLength(b []byte) int {
 	for _, mark := range eventEnds {
-		if i := bytes.Index(b, mark); i >= 0 {
-			end = min(end, i+len(mark))
+		if bytes.HasPrefix(b, mark) {
+			return len(mark)
 		}
 	}
-	return b[:end], b[end:]
+	return 0
 }
 
 // eventEnds are the forms of the empty line that ends an event, after the end of the
