--- a/concluder/concluder.go
+++ b/concluder/concluder.go
@@ -66,7 +66,11 @@
 	// LeavingFor is for how long at most it was known then that it leaves, and ServesFor for
 	// how long servers serve at least that leave in order, 0 if that is not known.
 	LeavingFor, ServesFor time.Duration
-	Group                 Group
+	// IsNamed is set if a time was named at which the server is taken away, and GoneIn is how
+	// long after the end that is at most, less than 0 if it had passed. It may be Lag less.
+	IsNamed     bool
+	GoneIn, Lag time.Duration
+	Group       Group
 	// GoesOn is set if an older connection to the run was open some time after the end.
 	GoesOn bool
 }
@@ -100,6 +104,8 @@
 		return AssumedWhole // It has only stopped to accept connections.
 	case e.Group.Broken:
 		return Cut
+	case e.isTakenAway() && !e.endsEarly():
+		return Cut
 	case e.hasServedItsTime(), e.Group.isInOrder(e.Old):
 		return AssumedWhole
 	default:
@@ -126,7 +132,17 @@
 	return e.ServesFor > 0 && e.LeavingFor >= e.ServesFor && !e.Old
 }
 
+// isTakenAway reports whether the server ends by being taken away, whatever it is at: a time was
+// named for that, and it has not gone on after it. When an old end came is not known.
+func (e *Evidence) isTakenAway() bool { return e.IsNamed && (e.GoneIn > -overtime || e.Old) }
+
+// endsEarly reports whether the server ended its answers itself, well before it is taken away.
+func (e *Evidence) endsEarly() bool { return e.GoneIn > e.Lag && e.Group.Prompt && !e.Old }
+
 const (
+	// overtime is how long after the time that was named for it a server may be taken away. One
+	// that answers later was not.
+	overtime = 500 * time.Millisecond
 	// closingTime is how long a process that dies may take to close its connections.
 	closingTime = 10 * time.Millisecond
 	// promptTime is how long after its last bytes the end of an answer may come that its server
--- a/concluder/concluder_test.go
+++ b/concluder/concluder_test.go
@@ -17,10 +17,11 @@
 	scenario
 	want Verdict
 }{
-	{"review/6: streams of servers that leave are cut when they are taken away", scenario{Fate: dies, Answers: 3, Quiet: 70 * time.Millisecond, Leaves: true, Heard: true, KnownFor: 2 * time.Second, ServesFor: 3 * time.Second}, Cut},
+	{"review/6: streams of servers that leave are cut when they are taken away", scenario{Fate: dies, Answers: 3, Quiet: 70 * time.Millisecond, Leaves: true, Heard: true, KnownFor: 2 * time.Second, ServesFor: 3 * time.Second, IsNamed: true, GoneIn: time.Second}, Cut},
 	{"review/7: a server that is killed closes its connections in the ordinary way", scenario{Fate: dies, Answers: 3, Quiet: 70 * time.Millisecond}, Cut},
 	{"review/9: whole answers at a host that is cut off", scenario{Fate: goesOn, Host: isCutOff, Answers: 3, Gap: 100 * time.Millisecond, Quiet: 100 * time.Millisecond}, AssumedWhole},
 	{"review/10: the host stood still, and another server has the address", scenario{Fate: isReplaced, Host: stoodStill, Answers: 5, Quiet: 4 * time.Second}, Cut},
+	{"review/13: the only answer of a server that is taken away at its time", scenario{Fate: dies, Answers: 1, Quiet: time.Second, Leaves: true, Heard: true, KnownFor: 2 * time.Second, ServesFor: 3 * time.Second, IsNamed: true, GoneIn: 100 * time.Millisecond}, Cut},
 	{"review/14: the last streams of a server that leaves end together, and its process", scenario{Fate: endsInOrder, Answers: 24, Quiet: 100 * time.Millisecond, Leaves: true, Heard: true, KnownFor: 3 * time.Second, ServesFor: 3 * time.Second}, AssumedWhole},
 }
 
@@ -47,7 +48,7 @@
 			Answers: rapid.IntRange(1, 4).Draw(t, "answers"), Gap: draw("gap", 0, closingTime/4, 3*closingTime, 2*longGap),
 			Quiet:  draw("quiet", 0, promptTime, 2*promptTime, 100*time.Millisecond, 4*time.Second),
 			Leaves: is("leaves"), Heard: is("heard"), KnownFor: draw("knownFor", 0, time.Second, 5*time.Second),
-			ServesFor: draw("servesFor", 0, 3*time.Second), HasIdle: is("hasIdle"), Breaks: is("breaks"), IsMute: is("isMute"),
+			ServesFor: draw("servesFor", 0, 3*time.Second), IsNamed: is("isNamed"), GoneIn: draw("goneIn", -2*time.Second, -overtime/2, 0, time.Second, 10*time.Second), HasIdle: is("hasIdle"), Breaks: is("breaks"), IsMute: is("isMute"),
 		}
 	}).Filter(func(s scenario) bool { return s.isPossible() }).Draw(t, "scenario")
 }
@@ -98,29 +99,22 @@
 
 // allScenarios returns scenarios with each combination of what tells pairs apart.
 func allScenarios() []scenario {
-	both := []bool{false, true}
 	var out []scenario
-	for f := range fates {
-		for h := range hostStates {
-			for _, leaves := range both {
-				for _, quiet := range []time.Duration{0, time.Second} {
-					for _, knownFor := range []time.Duration{0, 5 * time.Second} {
-						for _, answers := range []int{1, 3} {
-							for _, heard := range both {
-								for _, mute := range both {
-									s := scenario{
-										Fate: f, Host: h, Answers: answers, Quiet: quiet, Leaves: leaves, Heard: heard, IsMute: mute,
-										KnownFor: knownFor, ServesFor: 3 * time.Second,
-									}
-									if s.isPossible() {
-										out = append(out, s)
-									}
-								}
-							}
-						}
-					}
-				}
-			}
+	const choices = int(fates) * int(hostStates) << 8
+	for n := range choices {
+		pick := func(of int) int {
+			digit := n % of
+			n /= of
+			return digit
+		}
+		is := func() bool { return pick(2) == 1 }
+		s := scenario{
+			Fate: fate(pick(int(fates))), Host: hostState(pick(int(hostStates))), ServesFor: 3 * time.Second,
+			Answers: 1 + 2*pick(2), Quiet: time.Duration(pick(2)) * time.Second, KnownFor: time.Duration(pick(2)) * time.Minute,
+			Leaves: is(), Heard: is(), IsMute: is(), IsNamed: is(), GoneIn: time.Duration(pick(2)) * time.Minute,
+		}
+		if s.isPossible() {
+			out = append(out, s)
 		}
 	}
 	return out
@@ -152,6 +146,12 @@
 	if e.Group.Broken {
 		return strings.Join(append(words, "one shows that it is cut"), ", ")
 	}
+	if e.Process == Ended && e.isTakenAway() {
+		if e.endsEarly() {
+			return "leaves, well before the time that was named, with the last bytes"
+		}
+		return "leaves, before the time that was named is over"
+	}
 	if e.Process == Ended && e.hasServedItsTime() {
 		return strings.Join(append(words, "has served its time"), ", ")
 	}
--- a/concluder/model_test.go
+++ b/concluder/model_test.go
@@ -51,6 +51,9 @@
 	Leaves, Heard bool
 	KnownFor      time.Duration
 	ServesFor     time.Duration
+	// IsNamed is set if a time is named at which the server is taken away, GoneIn after the end.
+	IsNamed bool
+	GoneIn  time.Duration
 	// HasIdle is set if the host has an idle connection to the server.
 	HasIdle bool
 	// Breaks is set if the server has one more answer, with chunks, which shows that it is cut.
@@ -63,7 +66,7 @@
 // served its time. A host may hear of that late, or not at all.
 func (s *scenario) isPossible() bool {
 	inOrder := s.Fate == endsInOrder || s.Fate == endsPortFirst
-	if s.Heard && !s.Leaves || inOrder && (!s.Leaves || s.Breaks) {
+	if s.Heard && !s.Leaves || s.IsNamed && !s.Heard || inOrder && (!s.Leaves || s.Breaks) {
 		return false
 	}
 	return s.Fate != goesOn || !s.Breaks
@@ -105,7 +108,7 @@
 func (s *scenario) evidenceOf(own connector.End, others []connector.End, i int) Evidence {
 	e := Evidence{Old: s.Host == stoodStill, Leaves: s.Heard, ServesFor: s.ServesFor, Group: GroupOf(own, others)}
 	if s.Heard {
-		e.LeavingFor = s.KnownFor
+		e.LeavingFor, e.IsNamed, e.GoneIn, e.Lag = s.KnownFor, s.IsNamed, s.GoneIn, listLag
 	}
 	e.Process, e.Identity = s.process(), s.identity()
 	e.GoesOn = e.MayGoOn() && s.hasOpen(i == s.Answers-1)
@@ -124,6 +127,9 @@
 	}
 }
 
+// listLag is how much later than a server the hosts may learn when it is taken away.
+const listLag = 1500 * time.Millisecond
+
 // longGap is a time after which a host has found out all that it can of an end.
 const longGap = 200 * time.Millisecond
 
--- a/describer/instance.go
+++ b/describer/instance.go
@@ -24,6 +24,9 @@
 	// ColdFor is how much longer the server is cold, from the time of the listing
 	// on.
 	ColdFor time.Duration `json:"coldFor,omitempty"`
+	// LeavesIn is how long after the listing the server is taken away, whether it has answered
+	// its calls or not; 0 means that no time is known.
+	LeavesIn time.Duration `json:"leavesIn,omitempty"`
 	// StartedAtMillis is when the server started, in milliseconds since 1970; 0
 	// means unknown.
 	StartedAtMillis int64 `json:"born,omitempty"`
@@ -39,6 +42,9 @@
 	Instances []Instance
 	// Skipped counts entries that could not be decoded.
 	Skipped int
+	// BadTimes counts the entries that say in a way that cannot be used when their server is
+	// taken away. They count as entries that do not say it.
+	BadTimes int
 	// Next is the name of the following page, or empty on the last page.
 	Next string
 }
--- a/discoverer/discoverer_test.go
+++ b/discoverer/discoverer_test.go
@@ -97,6 +97,32 @@
 	}
 }
 
+// TestNamedTimesAreChanges checks that a listing differs from an earlier one if it names a time, or
+// another one, at which a server is taken away, and not as that time passes.
+func TestNamedTimesAreChanges(t *testing.T) {
+	start := time.Unix(1000, 0)
+	listing := func(after, leavesIn time.Duration) *Listing {
+		return NewListing(start.Add(after), []describer.Instance{{ID: "a", Draining: true, LeavesIn: leavesIn}})
+	}
+	for _, tc := range []struct {
+		name          string
+		earlier, next *Listing
+		same          bool
+	}{
+		{"none", listing(0, 0), listing(time.Second, 0), true},
+		{"named", listing(0, 0), listing(time.Second, 3*time.Second), false},
+		{"its time passes", listing(0, 3*time.Second), listing(time.Second, 2100*time.Millisecond), true},
+		{"the same number", listing(0, 3*time.Second), listing(2*time.Second, 3*time.Second), true},
+		{"put off", listing(0, 3*time.Second), listing(time.Second, 3*time.Second+1), false},
+		{"brought forward", listing(0, 3*time.Second), listing(time.Second, time.Second), false},
+		{"not named any more", listing(0, 3*time.Second), listing(time.Second, 0), true},
+	} {
+		if tc.next.Equal(tc.earlier) != tc.same {
+			t.Errorf("%s: equal is %v, want %v", tc.name, !tc.same, tc.same)
+		}
+	}
+}
+
 // TestOfferedListingsReplaceReadings checks that a confirmed offer replaces a
 // reading, and that the list is read again once the confirmation expires.
 func TestOfferedListingsReplaceReadings(t *testing.T) {
--- a/discoverer/listing.go
+++ b/discoverer/listing.go
@@ -33,7 +33,7 @@
 	slices.SortFunc(instances, func(a, b describer.Instance) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(b.StartedAtMillis, a.StartedAtMillis),
 			compareBool(b.Draining, a.Draining), cmp.Compare(a.Address, b.Address), cmp.Compare(a.Service, b.Service),
-			cmp.Compare(a.Version, b.Version), cmp.Compare(b.ColdFor, a.ColdFor))
+			cmp.Compare(a.Version, b.Version), cmp.Compare(b.ColdFor, a.ColdFor), cmp.Compare(a.LeavesIn, b.LeavesIn))
 	})
 	return slices.CompactFunc(instances, func(a, b describer.Instance) bool { return a.ID == b.ID })
 }
@@ -92,7 +92,10 @@
 		if now.ColdFor > 0 && l.At.Add(now.ColdFor).Sub(earlier.At.Add(before.ColdFor)) > coldTolerance {
 			return false
 		}
-		now.ColdFor, before.ColdFor = 0, 0
+		if l.movesLeave(&now, earlier, &before) {
+			return false
+		}
+		now.ColdFor, before.ColdFor, now.LeavesIn, before.LeavesIn = 0, 0, 0, 0
 		if now != before {
 			return false
 		}
@@ -100,6 +103,20 @@
 	return true
 }
 
+// leaveTolerance is by how much the time at which a server is taken away may differ between two
+// listings without being a change.
+const leaveTolerance = 500 * time.Millisecond
+
+// movesLeave reports whether a listing says of an instance that it is taken away at another time
+// than the earlier one said. The same number of a platform that does not count down says nothing new.
+func (l *Listing) movesLeave(now *describer.Instance, earlier *Listing, before *describer.Instance) bool {
+	if now.LeavesIn == 0 || now.LeavesIn == before.LeavesIn {
+		return false
+	}
+	moved := l.At.Add(now.LeavesIn).Sub(earlier.At.Add(before.LeavesIn))
+	return before.LeavesIn == 0 || moved.Abs() > leaveTolerance
+}
+
 // Versions returns the number of instances of a service that accept new work,
 // by version.
 func (l *Listing) Versions(s identifier.Service) map[identifier.Version]int {
--- a/discoverer/reader.go
+++ b/discoverer/reader.go
@@ -20,6 +20,9 @@
 	readings       = metrics.NewCounter("cyclamen_discoverer_readings_total")
 	failedReadings = metrics.NewCounter("cyclamen_discoverer_readings_failed_total")
 	skippedEntries = metrics.NewCounter("cyclamen_discoverer_entries_skipped_total")
+	// badTimes are the entries that say in a way that cannot be used when their server is taken
+	// away.
+	badTimes = metrics.NewCounter("cyclamen_discoverer_bad_times_total")
 	// outdatedReadings are those dropped, since another process has offered a listing
 	// meanwhile.
 	outdatedReadings = metrics.NewCounter("cyclamen_discoverer_readings_outdated_total")
@@ -44,6 +47,8 @@
 	mu      sync.Mutex
 	failing bool
 	skipped int
+	// badTimes is the number of entries of the last reading whose time cannot be used.
+	badTimes int
 }
 
 // NewReader returns a Reader. It uses the Source, Timeout, Clock and Log of the options.
@@ -52,7 +57,7 @@
 // Read reads all pages of the list.
 func (r *Reader) Read(ctx context.Context) (*Listing, error) {
 	started := r.opts.Clock.Now()
-	instances, skipped, err := r.readPages(ctx)
+	all, err := r.readPages(ctx)
 	if err != nil {
 		failedReadings.Inc()
 		if ctx.Err() == nil {
@@ -61,9 +66,10 @@
 		return nil, err
 	}
 	readings.Inc()
-	skippedEntries.Add(skipped)
-	r.logSuccess(len(instances), skipped)
-	return NewListing(started, instances), nil
+	skippedEntries.Add(all.Skipped)
+	badTimes.Add(all.BadTimes)
+	r.logSuccess(all)
+	return NewListing(started, all.Instances), nil
 }
 
 // logFailure logs a reading that failed after one that did not.
@@ -77,37 +83,42 @@
 }
 
 // logSuccess logs a reading that did not fail after one that did, and a change of the
-// number of entries that name no server.
-func (r *Reader) logSuccess(instances, skipped int) {
+// number of entries that name no server or hold a time that cannot be used.
+func (r *Reader) logSuccess(all *describer.Page) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	instances := len(all.Instances)
 	if r.failing {
 		r.opts.Log.Info("list of backend servers can be read again", "instances", instances)
 	}
-	if skipped != r.skipped {
-		r.opts.Log.Warn("entries of the list name no backend server", "skipped", skipped, "instances", instances)
+	if all.Skipped != r.skipped {
+		r.opts.Log.Warn("entries of the list name no backend server", "skipped", all.Skipped, "instances", instances)
 	}
-	r.failing, r.skipped = false, skipped
+	if all.BadTimes != r.badTimes {
+		r.opts.Log.Warn("entries of the list say in no usable way when their servers are taken away", "entries", all.BadTimes, "instances", instances)
+	}
+	r.failing, r.skipped, r.badTimes = false, all.Skipped, all.BadTimes
 }
 
-// readPages reads all pages of the list and returns the instances and the number of
-// entries that name none.
-func (r *Reader) readPages(ctx context.Context) (all []describer.Instance, skipped int, err error) {
+// readPages reads all pages of the list and returns them as one.
+func (r *Reader) readPages(ctx context.Context) (*describer.Page, error) {
+	var all describer.Page
 	name := ""
 	read := make(map[string]bool)
-	for len(read) < maxPages && len(all) <= maxInstances && !read[name] {
+	for len(read) < maxPages && len(all.Instances) <= maxInstances && !read[name] {
 		read[name] = true
 		p, err := r.readPage(ctx, name)
 		if err != nil {
-			return nil, 0, err
+			return nil, err
 		}
-		skipped += p.Skipped
-		all = append(all, p.Instances...)
+		all.Skipped += p.Skipped
+		all.BadTimes += p.BadTimes
+		all.Instances = append(all.Instances, p.Instances...)
 		if name = p.Next; name == "" {
-			return all, skipped, nil
+			return &all, nil
 		}
 	}
-	return nil, 0, &EndlessListError{Pages: len(read), Instances: len(all)}
+	return nil, &EndlessListError{Pages: len(read), Instances: len(all.Instances)}
 }
 
 // readPage reads one page.
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -47,6 +47,7 @@
 	e.Leaves = isNoticed || !isListed || in.Draining || choice.IsLeaving()
 	if isNoticed {
 		e.LeavingFor = own.At.Sub(notice.at) + x.f.opts.NoticeLag
+		e.IsNamed, e.GoneIn, e.Lag = !notice.goneAt.IsZero(), notice.goneAt.Sub(own.At), x.f.opts.NoticeLag
 	}
 	e.Process, e.Identity = x.findServer(x.instance, e.Old)
 	timer.Sleep(x.ctx, concluder.ClosingTime-x.f.opts.Clock.Now().Sub(own.At))
@@ -62,7 +63,8 @@
 	x.f.opts.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "answer without a length ended with its connection",
 		slog.String("id", string(x.call.ID)), slog.String("server", string(x.server)), slog.String("verdict", v.String()),
 		slog.String("process", e.Process.String()), slog.Bool("old", e.Old), slog.Bool("leaves", e.Leaves),
-		slog.Duration("leavingFor", e.LeavingFor), slog.Int("together", e.Group.Others), slog.Bool("broken", e.Group.Broken),
+		slog.Duration("leavingFor", e.LeavingFor), slog.Bool("named", e.IsNamed), slog.Duration("goneIn", e.GoneIn),
+		slog.Int("together", e.Group.Others), slog.Bool("broken", e.Group.Broken),
 		slog.Bool("prompt", e.Group.Prompt), slog.Duration("quiet", x.conn.End().Quiet), slog.Bool("goesOn", e.GoesOn))
 }
 
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -381,6 +381,42 @@
 	}
 }
 
+// TestAnswersOfServersThatAreTakenAwayAreNotComplete guards against a part of an answer that looks whole:
+// it was the only one of a server that was taken away at the time that the list had named. One that
+// ends well before that, with the last bytes, or goes on after it has ended in order.
+func TestAnswersOfServersThatAreTakenAwayAreNotComplete(t *testing.T) {
+	const lag = 100 * time.Millisecond
+	for _, tc := range []struct {
+		name, path, beginning, rest string
+		leavesIn, endsIn            time.Duration
+		complete                    bool
+	}{
+		{"a body, at its time", "/look/1", undelimitedBody + "ha", "", 200 * time.Millisecond, 200 * time.Millisecond, false},
+		{"a stream, at its time", "/draft/1", undelimitedStream + event(1), "", 200 * time.Millisecond, 200 * time.Millisecond, false},
+		{"a body, some time before", "/look/1", undelimitedBody + "ha", "", 2 * time.Second, 200 * time.Millisecond, false},
+		{"a whole body, well before", "/look/1", undelimitedBody + "wh", "ole", 2 * time.Second, 0, true},
+		{"a whole body, long after", "/look/1", undelimitedBody + "whole", "", time.Millisecond, 700 * time.Millisecond, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.opts.NoticeLag = lag
+			s := h.useHeldServers(t, 1)
+			c := h.hold(t, s, 1, tc.path, tc.beginning)
+			h.SetListing(&discoverer.Listing{At: time.Now(), Instances: []describer.Instance{
+				{ID: "b0", Service: "cases", Address: s.listeners[0].Addr().String(), Slots: 4, Draining: true, LeavesIn: tc.leavesIn},
+				{ID: "b1", Service: "cases", Address: h.backends.start(), Slots: 4},
+			}})
+			time.Sleep(tc.endsIn)
+			s.refuse()
+			endWith(t, c.conns[0], tc.rest)
+			s.end()
+			if res := <-c.responses[0]; (res.status == http.StatusOK && res.complete) != tc.complete {
+				t.Errorf("the caller got %+v, want a complete answer: %v", res, tc.complete)
+			}
+		})
+	}
+}
+
 // endWith writes the rest of an answer and ends its connection, both in one segment.
 func endWith(t *testing.T, conn net.Conn, rest string) {
 	t.Helper()
--- a/forwarder/notices.go
+++ b/forwarder/notices.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"cyclamenhub.org/describer"
 	"cyclamenhub.org/identifier"
 )
 
@@ -20,6 +21,10 @@
 	// leaves.
 	listedAt time.Time
 	isListed bool
+	// goneAt is when it is taken away, or zero if no time is known, and leavesIn is what the
+	// list last said of it.
+	goneAt   time.Time
+	leavesIn time.Duration
 }
 
 // newNotice returns the notice of a run that is known to leave since a time.
@@ -27,6 +32,15 @@
 	return notice{at: at, listedAt: at, isListed: isListed}
 }
 
+// list records what a listing of the given time says of the run. A number that does not change
+// is no new time, as the list may not count down.
+func (n *notice) list(in *describer.Instance, at time.Time) {
+	n.listedAt, n.isListed = at, in.Draining
+	if in.LeavesIn > 0 && in.LeavesIn != n.leavesIn {
+		n.goneAt, n.leavesIn = at.Add(in.LeavesIn), in.LeavesIn
+	}
+}
+
 // notices are the runs of servers that leave. What is known of a run outlasts its entry in the
 // list. The zero value is empty. It is safe for concurrent use.
 type notices struct {
@@ -63,11 +77,12 @@
 		run := in.Run()
 		known, ok := n.runs[run]
 		switch {
+		case !ok && in.Draining:
+			known = newNotice(fl.at, true)
+			fallthrough
 		case ok:
-			known.listedAt, known.isListed = fl.at, in.Draining
-			n.runs[run] = known
-		case in.Draining:
-			n.add(run, newNotice(fl.at, true))
+			known.list(&in, fl.at)
+			n.add(run, known)
 		}
 	}
 	maps.DeleteFunc(n.runs, func(_ identifier.ServerRun, known notice) bool { return fl.at.Sub(known.listedAt) > noticeMemory })
--- a/forwarder/notices_test.go
+++ b/forwarder/notices_test.go
@@ -11,6 +11,38 @@
 	"cyclamenhub.org/identifier"
 )
 
+// TestNewTimesCount checks which time counts when a listing names another one for a server that is
+// taken away: the newest, but the same number again and again names no new one.
+func TestNewTimesCount(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	type naming struct{ after, leavesIn time.Duration }
+	for _, tc := range []struct {
+		name    string
+		namings []naming
+		// goneIn is the time that counts, after start.
+		goneIn time.Duration
+	}{
+		{"one", []naming{{0, 3 * time.Second}}, 3 * time.Second},
+		{"counted down", []naming{{0, 3 * time.Second}, {time.Second, 2 * time.Second}}, 3 * time.Second},
+		{"not counted down", []naming{{0, 3 * time.Second}, {time.Second, 3 * time.Second}, {2 * time.Second, 3 * time.Second}}, 3 * time.Second},
+		{"put off", []naming{{0, 3 * time.Second}, {time.Second, 9 * time.Second}}, 10 * time.Second},
+		{"brought forward", []naming{{0, 30 * time.Second}, {time.Second, time.Second}}, 2 * time.Second},
+		{"not named any more", []naming{{0, 3 * time.Second}, {time.Second, 0}}, 3 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var n notices
+			for _, named := range tc.namings {
+				in := describer.Instance{ID: "b0", Service: "s", Address: "127.0.0.1:1", Draining: true, LeavesIn: named.leavesIn}
+				n.update(newFleet(&discoverer.Listing{At: start.Add(named.after), Instances: []describer.Instance{in}}))
+			}
+			known, _ := n.of(identifier.ServerRun{ID: "b0"})
+			if diff := cmp.Diff(tc.goneIn, known.goneAt.Sub(start)); diff != "" {
+				t.Errorf("the time at which the server is gone differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestNoticesOutlastTheList checks for how long and since when it is known that a run leaves.
 func TestNoticesOutlastTheList(t *testing.T) {
 	run := identifier.ServerRun{ID: "b0"}
