--- a/concluder/concluder.go
+++ b/concluder/concluder.go
@@ -49,6 +49,8 @@
 	Unasked Identity = iota
 	// Same: it is the run that the request was sent to.
 	Same
+	// SameID: it has the id of the server. It may have started again under it.
+	SameID
 	// Other: it is another one, so that the run has ended.
 	Other
 )
--- a/concluder/model_test.go
+++ b/concluder/model_test.go
@@ -58,6 +58,8 @@
 	HasIdle bool
 	// Breaks is set if the server has one more answer, with chunks, which shows that it is cut.
 	Breaks bool
+	// HasBirth is set if the list and the server itself say when it started.
+	HasBirth bool
 	// IsMute is set if the process at the address does not say which one it is.
 	IsMute bool
 }
@@ -155,6 +157,10 @@
 		return Unasked
 	case s.Fate == isReplaced:
 		return Other
+	case !s.HasBirth:
+		return SameID
+	case s.Fate == comesBack:
+		return Other
 	default:
 		return Same
 	}
--- a/describer/call.go
+++ b/describer/call.go
@@ -118,6 +118,11 @@
 	Relay(h http.Header, remaining time.Duration) http.Header
 	// Reply returns the values from the header of a response.
 	Reply(status int, h http.Header) Reply
+	// ReportPath is the path at which a backend server reports about itself, and StartedAt
+	// returns from the body of such a report when the run that wrote it started, in milliseconds
+	// since 1970, or false if it does not say so.
+	ReportPath() string
+	StartedAt(report []byte) (int64, bool)
 	// RetryAfter adds to the header of a refusal when the caller may retry.
 	RetryAfter(h http.Header, after time.Duration)
 }
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -39,8 +39,8 @@
 	e := concluder.Evidence{Old: x.conn.MayBeOld(), ServesFor: x.f.opts.LeavingTime}
 	fl := x.f.fleet.Load()
 	in, isListed := fl.servers[choice.Server]
-	if !isListed && fl.hasAddress(x.instance.Address) {
-		e.Identity = concluder.Other // Another server has its address: it has ended some time ago.
+	if isListed && isOtherRun(in.StartedAtMillis, x.instance.StartedAtMillis) || !isListed && fl.hasAddress(x.instance.Address) {
+		e.Identity = concluder.Other // It has ended some time ago.
 		return e
 	}
 	notice, isNoticed := x.f.notices.of(x.instance.Run())
@@ -81,6 +81,10 @@
 	return false
 }
 
+// isOtherRun reports whether two starts of a server are those of different runs, in milliseconds
+// since 1970; 0 means that one is not known.
+func isOtherRun(a, b int64) bool { return a > 0 && b > 0 && a != b }
+
 // findServer finds out whether the process of the backend server of an attempt has ended. If the
 // end of the answer may be old, another process may have the address by now.
 func (x *exchange) findServer(in describer.Instance, mayBeOld bool) (concluder.Process, concluder.Identity) {
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -270,6 +270,56 @@
 	}
 }
 
+// TestCutAnswersOfServersThatAreBackAreNotComplete guards against a part of an answer that looks whole:
+// the host stood still while the server ended, and was back under its id after that.
+func TestCutAnswersOfServersThatAreBackAreNotComplete(t *testing.T) {
+	const born = 1_700_000_000_000
+	for _, tc := range []struct {
+		name, path, beginning string
+		// report is what the process says of its start, and listed the start in the list by then.
+		report   string
+		listed   int64
+		complete bool
+	}{
+		{"stream, another run", "/draft/1", undelimitedStream + event(1), fmt.Sprint(born + 1), born, false},
+		{"body, another run", "/look/1", undelimitedBody + "ha", fmt.Sprint(born + 1), born, false},
+		{"stream, another run that is listed", "/draft/1", undelimitedStream + event(1), "", born + 1, false},
+		{"stream, the same run", "/draft/1", undelimitedStream + event(1), fmt.Sprint(born), born, true},
+		{"stream, a server that does not say when it started", "/draft/1", undelimitedStream + event(1), "", born, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			s := h.useHeldServers(t, 1)
+			address := s.listeners[0].Addr().String()
+			list := func(startedAt int64) {
+				h.SetListing(&discoverer.Listing{Instances: []describer.Instance{{ID: "b0", Service: "cases", Address: address, Slots: 4, StartedAtMillis: startedAt}}})
+			}
+			list(born)
+			c := h.hold(t, s, 1, tc.path, tc.beginning)
+			s.refuse()
+			listenAt(t, address, func(c net.Conn) {
+				for br := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					answer := sealedResponse(http.StatusOK, "", "")
+					if r.URL.Path == testReport {
+						answer = sealedResponse(http.StatusOK, "", tc.report)
+					}
+					_, _ = io.WriteString(c, answer)
+				}
+			})
+			list(tc.listed)
+			time.Sleep(1100 * time.Millisecond) // The host finds that nothing came for a second.
+			_ = c.conns[0].Close()
+			if res := <-c.responses[0]; (res.status == http.StatusOK && res.complete) != tc.complete {
+				t.Errorf("the caller got %+v, want a complete answer: %v", res, tc.complete)
+			}
+		})
+	}
+}
+
 // TestCutAnswersOfLeavingServersAreNotComplete guards against parts of answers that look whole: a
 // server that leaves is taken away amid its answers. One that ends in order has answered all calls.
 func TestCutAnswersOfLeavingServersAreNotComplete(t *testing.T) {
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -41,6 +41,9 @@
 	testParts   = "X-Parts"
 )
 
+// testReport is the path of the report of a backend server.
+const testReport = "/report"
+
 // testCodec encodes and decodes the headers above.
 type testCodec struct{}
 
@@ -83,6 +86,13 @@
 	return reply
 }
 
+func (testCodec) ReportPath() string { return testReport }
+
+func (testCodec) StartedAt(report []byte) (int64, bool) {
+	n, err := strconv.ParseInt(string(report), 10, 64)
+	return n, err == nil
+}
+
 func (testCodec) RetryAfter(h http.Header, after time.Duration) { h.Set("Retry-After", after.String()) }
 
 // received is a request as a backend server received it.
--- a/forwarder/process.go
+++ b/forwarder/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -22,6 +23,8 @@
 	probeHold = 50 * time.Millisecond
 	// identifyTimeout is how long a process may take to answer whether it is a server.
 	identifyTimeout = 300 * time.Millisecond
+	// maxReportBytes bounds what is read of a report. A longer one is cut and cannot be decoded.
+	maxReportBytes = 256 << 10
 	// maxWitnesses is how many other backend servers are tried when one has refused a
 	// connection.
 	maxWitnesses = 3
@@ -51,18 +54,38 @@
 	return concluder.Unknown
 }
 
-// identifyProcess asks whether the process at the address of a backend server is that server: any
-// other one answers that it is not.
+// identifyProcess asks whether the process at the address of a backend server is the given run. Any
+// other server answers that it is not, and another run of the server tells another start.
 func (f *Forwarder) identifyProcess(ctx context.Context, in describer.Instance) concluder.Identity {
-	conn, err := f.opts.Pool.Open(ctx, in.Address, connector.Fresh)
-	if err != nil {
-		return concluder.Unasked
+	if in.StartedAtMillis > 0 {
+		identity, report := f.ask(ctx, in, f.opts.Codec.ReportPath())
+		startedAt, ok := f.opts.Codec.StartedAt(report)
+		switch {
+		case identity != concluder.SameID:
+			return identity
+		case ok && startedAt == in.StartedAtMillis:
+			return concluder.Same
+		case ok:
+			f.opts.Log.Info("another run of a backend server has its address", "server", in.ID, "address", in.Address)
+			return concluder.Other
+		}
 	}
-	defer conn.Close()
 	path := "/"
 	if sv, ok := f.table.Load().Service(in.Service); ok && sv.HealthPath != "" {
 		path = sv.HealthPath
 	}
+	identity, _ := f.ask(ctx, in, path)
+	return identity
+}
+
+// ask asks the process at the address of a backend server, under the id of that one, and returns
+// whether it has that id and what it answers.
+func (f *Forwarder) ask(ctx context.Context, in describer.Instance, path string) (concluder.Identity, []byte) {
+	conn, err := f.opts.Pool.Open(ctx, in.Address, connector.Fresh)
+	if err != nil {
+		return concluder.Unasked, nil
+	}
+	defer conn.Close()
 	call := &describer.Call{Header: http.Header{}}
 	m := &connector.Message{
 		Method: http.MethodGet, Target: path, Host: in.Address,
@@ -71,13 +94,18 @@
 	res, err := conn.Send(ctx, m, connector.Limits{Deadline: time.Now().Add(identifyTimeout)})
 	switch {
 	case err != nil:
-		return concluder.Unasked
+		return concluder.Unasked, nil
 	case res.Status == http.StatusMisdirectedRequest:
 		f.opts.Log.Info("another process has the address of a backend server", "server", in.ID, "address", in.Address)
-		return concluder.Other
-	default:
-		return concluder.Same
+		return concluder.Other, nil
+	case res.Status != http.StatusOK:
+		return concluder.SameID, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReportBytes))
+	if err != nil {
+		return concluder.Unasked, nil
 	}
+	return concluder.SameID, body
 }
 
 // judgeRefusal returns what is known of the process of a server that has refused a connection.
