--- a/concluder/concluder.go
+++ b/concluder/concluder.go
@@ -115,12 +115,13 @@
 	}
 }
 
-// judgeCutOff judges an answer whose server refuses new connections as all others do.
+// judgeCutOff judges an answer whose server refuses new connections as all others do. Answers of a
+// server that is up end one by one, and those of one that dies together.
 func (e *Evidence) judgeCutOff() Verdict {
-	if e.Group.Broken && !e.GoesOn {
-		return Cut
+	if e.GoesOn || e.Group.isInOrder(e.Old) {
+		return AssumedWhole
 	}
-	return AssumedWhole
+	return Cut
 }
 
 // MayGoOn reports whether it matters that an older connection to the run is open.
--- a/concluder/concluder_test.go
+++ b/concluder/concluder_test.go
@@ -23,6 +23,7 @@
 	{"review/10: the host stood still, and another server has the address", scenario{Fate: isReplaced, Host: stoodStill, Answers: 5, Quiet: 4 * time.Second}, Cut},
 	{"review/11: the host stood still, and the server is back under its id", scenario{Fate: comesBack, Host: stoodStill, Answers: 5, Quiet: 4 * time.Second, HasBirth: true}, Cut},
 	{"review/13: the only answer of a server that is taken away at its time", scenario{Fate: dies, Answers: 1, Quiet: time.Second, Leaves: true, Heard: true, KnownFor: 2 * time.Second, ServesFor: 3 * time.Second, IsNamed: true, GoneIn: 100 * time.Millisecond}, Cut},
+	{"review/15: a server dies behind a cut", scenario{Fate: dies, Host: isCutOff, Answers: 5, Quiet: 3 * time.Second}, Cut},
 	{"review/14: the last streams of a server that leaves end together, and its process", scenario{Fate: endsInOrder, Answers: 24, Quiet: 100 * time.Millisecond, Leaves: true, Heard: true, KnownFor: 3 * time.Second, ServesFor: 3 * time.Second}, AssumedWhole},
 }
 
--- a/concluder/model_test.go
+++ b/concluder/model_test.go
@@ -29,13 +29,14 @@
 const (
 	isSound hostState = iota
 	stoodStill
-	isCutOff  // new connections to all servers are refused, open ones live on
-	isIgnored // new connections to the server are neither accepted nor refused
+	isCutOff      // new connections to all servers are refused, open ones live on
+	isStillCutOff // it stood still and is cut off then
+	isIgnored     // new connections to the server are neither accepted nor refused
 	hostStates
 )
 
 func (h hostState) String() string {
-	return [...]string{"sound", "stood still", "cut off", "ignored"}[h]
+	return [...]string{"sound", "stood still", "cut off", "stood still and cut off", "ignored"}[h]
 }
 
 // scenario is the end of the answers of one server at one host.
@@ -74,6 +75,9 @@
 	return s.Fate != goesOn || !s.Breaks
 }
 
+// isOld reports whether the host finds ends that came some time ago.
+func (s *scenario) isOld() bool { return s.Host == stoodStill || s.Host == isStillCutOff }
+
 // isWhole reports whether the answers are whole.
 func (s *scenario) isWhole() bool {
 	return s.Fate == goesOn || s.Fate == endsInOrder || s.Fate == endsPortFirst
@@ -100,7 +104,7 @@
 // endAt returns when the host sees the end of an answer.
 func (s *scenario) endAt(i int) time.Time {
 	at := time.Unix(1e9, 0)
-	if s.isWhole() && s.Host != stoodStill {
+	if s.isWhole() && !s.isOld() {
 		at = at.Add(time.Duration(i) * s.Gap)
 	}
 	return at
@@ -108,7 +112,7 @@
 
 // evidenceOf returns what the host finds of the answer with an index.
 func (s *scenario) evidenceOf(own connector.End, others []connector.End, i int) Evidence {
-	e := Evidence{Old: s.Host == stoodStill, Leaves: s.Heard, ServesFor: s.ServesFor, Group: GroupOf(own, others)}
+	e := Evidence{Old: s.isOld(), Leaves: s.Heard, ServesFor: s.ServesFor, Group: GroupOf(own, others)}
 	if s.Heard {
 		e.LeavingFor, e.IsNamed, e.GoneIn, e.Lag = s.KnownFor, s.IsNamed, s.GoneIn, listLag
 	}
@@ -123,7 +127,7 @@
 	case s.Fate == goesOn:
 		return s.HasIdle || !isLast && s.Gap > longGap
 	case s.isWhole(): // Its process is gone by then, unless other answers take long.
-		return !isLast && s.Gap > longGap && s.Host != stoodStill
+		return !isLast && s.Gap > longGap && !s.isOld()
 	default:
 		return false
 	}
@@ -141,9 +145,9 @@
 	switch {
 	case s.Host == isIgnored:
 		return Unknown
-	case s.Host == isCutOff:
+	case s.Host == isCutOff, s.Host == isStillCutOff:
 		return CutOff
-	case s.Fate == goesOn, s.Host == stoodStill && isBack:
+	case s.Fate == goesOn, s.isOld() && isBack:
 		return Up
 	default:
 		return Ended // One that comes back does so later.
@@ -153,7 +157,7 @@
 // identity returns what the process says that a host asks which has found an old end.
 func (s *scenario) identity() Identity {
 	switch {
-	case s.Host != stoodStill || s.IsMute || s.process() != Up:
+	case !s.isOld() || s.IsMute || s.process() != Up:
 		return Unasked
 	case s.Fate == isReplaced:
 		return Other
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -165,6 +165,50 @@
 	}
 }
 
+// TestCutAnswersAtAHostThatIsCutOffAreNotComplete guards against parts of answers that look whole: a
+// server died behind a cut, in which servers that are up refuse new connections too.
+func TestCutAnswersAtAHostThatIsCutOffAreNotComplete(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	for _, tc := range []struct{ name, path, beginning, rest string }{
+		{"streams", "/draft/1", undelimitedStream + event(1), event(2)},
+		{"bodies", "/look/1", undelimitedBody + "wh", "ole"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			s := h.useHeldServers(t, 3)
+			c := h.hold(t, s, 9, tc.path, tc.beginning)
+			s.refuse()
+			time.Sleep(pause)
+			calls := make(map[string]int)
+			dead := "" // The server with most calls has several.
+			for _, conn := range c.conns {
+				address := conn.LocalAddr().String()
+				if calls[address]++; calls[address] > calls[dead] {
+					dead = address
+				}
+			}
+			isDead := func(i int) bool { return c.conns[i].LocalAddr().String() == dead }
+			for i, conn := range c.conns {
+				if isDead(i) {
+					_ = conn.Close()
+				}
+			}
+			for i, conn := range c.conns {
+				if !isDead(i) {
+					time.Sleep(pause)
+					write(t, conn, tc.rest)
+					_ = conn.Close()
+				}
+			}
+			for i, got := range c.responses {
+				if res := <-got; (res.status == http.StatusOK && res.complete) == isDead(i) {
+					t.Errorf("the caller of call %d got %+v, want a complete answer: %v", i, res, !isDead(i))
+				}
+			}
+		})
+	}
+}
+
 // TestCutAnswersOfEndedServersAreNotComplete checks that all answers that a server leaves
 // unfinished when it ends are broken off.
 func TestCutAnswersOfEndedServersAreNotComplete(t *testing.T) {
