--- a/concluder/concluder.go
+++ b/concluder/concluder.go
@@ -60,6 +60,8 @@
 	Process Process
 	// Identity counts where the end may be old.
 	Identity Identity
+	// Interrupted is set if this host has ended the call before all was found out.
+	Interrupted bool
 	// Old is set if the end may have come some time before it was seen: this host, the server
 	// or the network stood still.
 	Old bool
@@ -79,7 +81,7 @@
 
 // Judge returns how the answer ended.
 func (e *Evidence) Judge() Verdict {
-	if e.Identity == Other {
+	if e.Identity == Other || e.Interrupted && e.Process != Up {
 		return Cut
 	}
 	switch e.Process {
--- a/concluder/concluder_test.go
+++ b/concluder/concluder_test.go
@@ -50,7 +50,7 @@
 			Answers: rapid.IntRange(1, 4).Draw(t, "answers"), Gap: draw("gap", 0, closingTime/4, 3*closingTime, 2*longGap),
 			Quiet:  draw("quiet", 0, promptTime, 2*promptTime, 100*time.Millisecond, 4*time.Second),
 			Leaves: is("leaves"), Heard: is("heard"), KnownFor: draw("knownFor", 0, time.Second, 5*time.Second),
-			ServesFor: draw("servesFor", 0, 3*time.Second), IsNamed: is("isNamed"), GoneIn: draw("goneIn", -2*time.Second, -overtime/2, 0, time.Second, 10*time.Second), HasIdle: is("hasIdle"), Breaks: is("breaks"), IsMute: is("isMute"), HasBirth: is("hasBirth"),
+			ServesFor: draw("servesFor", 0, 3*time.Second), IsNamed: is("isNamed"), GoneIn: draw("goneIn", -2*time.Second, -overtime/2, 0, time.Second, 10*time.Second), HasIdle: is("hasIdle"), Breaks: is("breaks"), IsMute: is("isMute"), HasBirth: is("hasBirth"), IsInterrupted: is("isInterrupted"),
 		}
 	}).Filter(func(s scenario) bool { return s.isPossible() }).Draw(t, "scenario")
 }
@@ -102,7 +102,7 @@
 // allScenarios returns scenarios with each combination of what tells pairs apart.
 func allScenarios() []scenario {
 	var out []scenario
-	const choices = int(fates) * int(hostStates) << 9
+	const choices = int(fates) * int(hostStates) << 10
 	for n := range choices {
 		pick := func(of int) int {
 			digit := n % of
@@ -113,7 +113,7 @@
 		s := scenario{
 			Fate: fate(pick(int(fates))), Host: hostState(pick(int(hostStates))), ServesFor: 3 * time.Second,
 			Answers: 1 + 2*pick(2), Quiet: time.Duration(pick(2)) * time.Second, KnownFor: time.Duration(pick(2)) * time.Minute,
-			Leaves: is(), Heard: is(), IsMute: is(), HasBirth: is(), IsNamed: is(), GoneIn: time.Duration(pick(2)) * time.Minute,
+			Leaves: is(), Heard: is(), IsMute: is(), HasBirth: is(), IsInterrupted: is(), IsNamed: is(), GoneIn: time.Duration(pick(2)) * time.Minute,
 		}
 		if s.isPossible() {
 			out = append(out, s)
@@ -128,6 +128,8 @@
 	switch {
 	case e.Identity == Other:
 		return "the address has another process"
+	case e.Interrupted:
+		return "interrupted"
 	case e.Process == Unknown:
 		return "no new connection is answered"
 	case e.Process == Up && !e.Old:
--- a/concluder/model_test.go
+++ b/concluder/model_test.go
@@ -61,6 +61,8 @@
 	Breaks bool
 	// HasBirth is set if the list and the server itself say when it started.
 	HasBirth bool
+	// IsInterrupted is set if the host ends the calls before it has found out all.
+	IsInterrupted bool
 	// IsMute is set if the process at the address does not say which one it is.
 	IsMute bool
 }
@@ -117,6 +119,9 @@
 		e.LeavingFor, e.IsNamed, e.GoneIn, e.Lag = s.KnownFor, s.IsNamed, s.GoneIn, listLag
 	}
 	e.Process, e.Identity = s.process(), s.identity()
+	if s.IsInterrupted && !e.Old {
+		e.Process, e.Interrupted = Unknown, true
+	}
 	e.GoesOn = e.MayGoOn() && s.hasOpen(i == s.Answers-1)
 	return e
 }
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -21,19 +21,34 @@
 	if res.Delimited {
 		return concluder.Whole
 	}
-	e := x.gatherEnd(choice)
+	ctx, cancel := x.judgingContext()
+	defer cancel()
+	e := x.gatherEnd(ctx, choice)
 	verdict := e.Judge()
 	if verdict == concluder.Cut && e.MayGoOn() {
-		e.GoesOn = x.f.goesOn(x.ctx, x.instance)
+		e.GoesOn = x.f.goesOn(ctx, x.instance)
 		verdict = e.Judge()
 	}
 	x.logEnd(&e, verdict)
 	return verdict
 }
 
+// judgingContext returns the context of the judgement of an end. The deadline of the call does not
+// end it: the answer came before, and is late by less than a second.
+func (x *exchange) judgingContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(x.ctx))
+	callerLeaves := context.AfterFunc(x.r.Context(), cancel)
+	hostStops := context.AfterFunc(x.f.ending, cancel)
+	return ctx, func() {
+		callerLeaves()
+		hostStops()
+		cancel()
+	}
+}
+
 // gatherEnd collects what is known of the end of the answer of an attempt, but for whether its
 // server goes on with others.
-func (x *exchange) gatherEnd(choice *placer.Choice) concluder.Evidence {
+func (x *exchange) gatherEnd(ctx context.Context, choice *placer.Choice) concluder.Evidence {
 	own := x.conn.End()
 	_ = x.f.opts.Pool.OtherEnds(x.conn) // Those that are there now are seen now.
 	e := concluder.Evidence{Old: x.conn.MayBeOld(), ServesFor: x.f.opts.LeavingTime}
@@ -49,9 +64,10 @@
 		e.LeavingFor = own.At.Sub(notice.at) + x.f.opts.NoticeLag
 		e.IsNamed, e.GoneIn, e.Lag = !notice.goneAt.IsZero(), notice.goneAt.Sub(own.At), x.f.opts.NoticeLag
 	}
-	e.Process, e.Identity = x.findServer(x.instance, e.Old)
-	timer.Sleep(x.ctx, concluder.ClosingTime-x.f.opts.Clock.Now().Sub(own.At))
+	e.Process, e.Identity = x.findServer(ctx, x.instance, e.Old)
+	timer.Sleep(ctx, concluder.ClosingTime-x.f.opts.Clock.Now().Sub(own.At))
 	e.Group = concluder.GroupOf(own, x.f.opts.Pool.OtherEnds(x.conn))
+	e.Interrupted = ctx.Err() != nil
 	return e
 }
 
@@ -87,10 +103,10 @@
 
 // findServer finds out whether the process of the backend server of an attempt has ended. If the
 // end of the answer may be old, another process may have the address by now.
-func (x *exchange) findServer(in describer.Instance, mayBeOld bool) (concluder.Process, concluder.Identity) {
-	state := x.f.findProcess(x.ctx, in)
+func (x *exchange) findServer(ctx context.Context, in describer.Instance, mayBeOld bool) (concluder.Process, concluder.Identity) {
+	state := x.f.findProcess(ctx, in)
 	if state == concluder.Up && mayBeOld {
-		return state, x.f.identifyProcess(x.ctx, in)
+		return state, x.f.identifyProcess(ctx, in)
 	}
 	return state, concluder.Unasked
 }
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -274,6 +274,41 @@
 	}
 }
 
+// TestCutAnswersAtTheDeadlineAreNotComplete guards against parts of answers that look whole: the deadline
+// of the call, or the end of the host, came while it was found out whether the server had ended.
+func TestCutAnswersAtTheDeadlineAreNotComplete(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	for _, tc := range []struct {
+		name, path, beginning string
+		stops                 bool
+	}{
+		{"stream, at the deadline", "/draft/1", undelimitedStream + event(1), false},
+		{"body, at the deadline", "/look/1", undelimitedBody + "ha", false},
+		{"stream, as the host stops", "/draft/1", undelimitedStream + event(1), true},
+		{"body, as the host stops", "/look/1", undelimitedBody + "ha", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.useTimes(timeout, time.Minute)
+			s := h.useHeldServers(t, 1)
+			began := time.Now()
+			c := h.hold(t, s, 1, tc.path, tc.beginning)
+			h.useAddresses(s.listeners[0].Addr().String(), h.backends.start())
+			s.drops.Store(true) // So that it takes some time until the port refuses.
+			time.Sleep(time.Until(began.Add(timeout - 20*time.Millisecond)))
+			_ = c.conns[0].Close()
+			time.Sleep(10 * time.Millisecond)
+			s.end()
+			if tc.stops {
+				h.EndCalls()
+			}
+			if res := <-c.responses[0]; res.status == http.StatusOK && res.complete {
+				t.Errorf("the caller got %+v as a complete answer", res)
+			}
+		})
+	}
+}
+
 // TestCutAnswersOfReplacedServersAreNotComplete guards against a part of an answer that looks whole:
 // the host stood still while the server ended, and another process had its address after that.
 func TestCutAnswersOfReplacedServersAreNotComplete(t *testing.T) {
