--- a/concluder/concluder.go
+++ b/concluder/concluder.go
@@ -63,8 +63,8 @@
 	// Interrupted is set if this host has ended the call before all was found out.
 	Interrupted bool
 	// Old is set if the end may have come some time before it was seen: this host, the server
-	// or the network stood still.
-	Old bool
+	// or the network stood still, or the server was silent. StoodStill is set if this host did.
+	Old, StoodStill bool
 	// Leaves is set if the server has said that it leaves, or the list has.
 	Leaves bool
 	// LeavingFor is for how long at most it was known then that it leaves, and ServesFor for
@@ -110,7 +110,7 @@
 		return Cut
 	case e.isTakenAway() && !e.endsEarly():
 		return Cut
-	case e.hasServedItsTime(), e.Group.isInOrder(e.Old):
+	case e.hasServedItsTime(), e.Group.isInOrder(e.StoodStill):
 		return AssumedWhole
 	default:
 		return Cut
@@ -120,7 +120,7 @@
 // judgeCutOff judges an answer whose server refuses new connections as all others do. Answers of a
 // server that is up end one by one, and those of one that dies together.
 func (e *Evidence) judgeCutOff() Verdict {
-	if e.GoesOn || e.Group.isInOrder(e.Old) {
+	if e.GoesOn || e.Group.isInOrder(e.StoodStill) {
 		return AssumedWhole
 	}
 	return Cut
@@ -132,17 +132,18 @@
 }
 
 // hasServedItsTime reports whether the server has served on for as long as one that leaves in
-// order does at least. When an old end came is not known.
+// order does at least. When an end came while this host stood still is not known.
 func (e *Evidence) hasServedItsTime() bool {
-	return e.ServesFor > 0 && e.LeavingFor >= e.ServesFor && !e.Old
+	return e.ServesFor > 0 && e.LeavingFor >= e.ServesFor && !e.StoodStill
 }
 
 // isTakenAway reports whether the server ends by being taken away, whatever it is at: a time was
-// named for that, and it has not gone on after it. When an old end came is not known.
-func (e *Evidence) isTakenAway() bool { return e.IsNamed && (e.GoneIn > -overtime || e.Old) }
+// named for that, and it has not gone on after it. When an end came while this host stood still is
+// not known.
+func (e *Evidence) isTakenAway() bool { return e.IsNamed && (e.GoneIn > -overtime || e.StoodStill) }
 
 // endsEarly reports whether the server ended its answers itself, well before it is taken away.
-func (e *Evidence) endsEarly() bool { return e.GoneIn > e.Lag && e.Group.Prompt && !e.Old }
+func (e *Evidence) endsEarly() bool { return e.GoneIn > e.Lag && e.Group.Prompt && !e.StoodStill }
 
 const (
 	// overtime is how long after the time that was named for it a server may be taken away. One
@@ -187,5 +188,8 @@
 func isPrompt(e connector.End) bool { return e.Quiet <= promptTime }
 
 // isInOrder reports whether the server may have ended the answers of the group itself: there is
-// only one, or each ended with its last bytes. The times of old ends are not known.
-func (g *Group) isInOrder(old bool) bool { return !g.Broken && (g.Others == 0 || g.Prompt && !old) }
+// only one, or each ended with its last bytes. Bytes and ends wait together for a host that stands
+// still.
+func (g *Group) isInOrder(stoodStill bool) bool {
+	return !g.Broken && (g.Others == 0 || g.Prompt && !stoodStill)
+}
--- a/concluder/concluder_test.go
+++ b/concluder/concluder_test.go
@@ -23,6 +23,7 @@
 	{"review/10: the host stood still, and another server has the address", scenario{Fate: isReplaced, Host: stoodStill, Answers: 5, Quiet: 4 * time.Second}, Cut},
 	{"review/11: the host stood still, and the server is back under its id", scenario{Fate: comesBack, Host: stoodStill, Answers: 5, Quiet: 4 * time.Second, HasBirth: true}, Cut},
 	{"review/13: the only answer of a server that is taken away at its time", scenario{Fate: dies, Answers: 1, Quiet: time.Second, Leaves: true, Heard: true, KnownFor: 2 * time.Second, ServesFor: 3 * time.Second, IsNamed: true, GoneIn: 100 * time.Millisecond}, Cut},
+	{"the last bodies of a server that leaves end together, after a silence", scenario{Fate: endsInOrder, Answers: 6, IsSilent: true, Quiet: 100 * time.Millisecond, Leaves: true, Heard: true, KnownFor: 3 * time.Second, ServesFor: 3 * time.Second}, AssumedWhole},
 	{"review/15: a server dies behind a cut", scenario{Fate: dies, Host: isCutOff, Answers: 5, Quiet: 3 * time.Second}, Cut},
 	{"review/14: the last streams of a server that leaves end together, and its process", scenario{Fate: endsInOrder, Answers: 24, Quiet: 100 * time.Millisecond, Leaves: true, Heard: true, KnownFor: 3 * time.Second, ServesFor: 3 * time.Second}, AssumedWhole},
 }
@@ -50,7 +51,7 @@
 			Answers: rapid.IntRange(1, 4).Draw(t, "answers"), Gap: draw("gap", 0, closingTime/4, 3*closingTime, 2*longGap),
 			Quiet:  draw("quiet", 0, promptTime, 2*promptTime, 100*time.Millisecond, 4*time.Second),
 			Leaves: is("leaves"), Heard: is("heard"), KnownFor: draw("knownFor", 0, time.Second, 5*time.Second),
-			ServesFor: draw("servesFor", 0, 3*time.Second), IsNamed: is("isNamed"), GoneIn: draw("goneIn", -2*time.Second, -overtime/2, 0, time.Second, 10*time.Second), HasIdle: is("hasIdle"), Breaks: is("breaks"), IsMute: is("isMute"), HasBirth: is("hasBirth"), IsInterrupted: is("isInterrupted"),
+			ServesFor: draw("servesFor", 0, 3*time.Second), IsNamed: is("isNamed"), GoneIn: draw("goneIn", -2*time.Second, -overtime/2, 0, time.Second, 10*time.Second), HasIdle: is("hasIdle"), Breaks: is("breaks"), IsMute: is("isMute"), HasBirth: is("hasBirth"), IsSilent: is("isSilent"), IsInterrupted: is("isInterrupted"),
 		}
 	}).Filter(func(s scenario) bool { return s.isPossible() }).Draw(t, "scenario")
 }
@@ -102,7 +103,7 @@
 // allScenarios returns scenarios with each combination of what tells pairs apart.
 func allScenarios() []scenario {
 	var out []scenario
-	const choices = int(fates) * int(hostStates) << 10
+	const choices = int(fates) * int(hostStates) << 11
 	for n := range choices {
 		pick := func(of int) int {
 			digit := n % of
@@ -113,7 +114,7 @@
 		s := scenario{
 			Fate: fate(pick(int(fates))), Host: hostState(pick(int(hostStates))), ServesFor: 3 * time.Second,
 			Answers: 1 + 2*pick(2), Quiet: time.Duration(pick(2)) * time.Second, KnownFor: time.Duration(pick(2)) * time.Minute,
-			Leaves: is(), Heard: is(), IsMute: is(), HasBirth: is(), IsInterrupted: is(), IsNamed: is(), GoneIn: time.Duration(pick(2)) * time.Minute,
+			Leaves: is(), Heard: is(), IsMute: is(), HasBirth: is(), IsSilent: is(), IsInterrupted: is(), IsNamed: is(), GoneIn: time.Duration(pick(2)) * time.Minute,
 		}
 		if s.isPossible() {
 			out = append(out, s)
@@ -164,8 +165,8 @@
 	switch {
 	case e.Group.Others == 0:
 		words = append(words, "alone")
-	case e.Old:
-		words = append(words, "together, old")
+	case e.StoodStill:
+		words = append(words, "together, stood still")
 	case e.Group.Prompt:
 		words = append(words, "together, with the last bytes")
 	default:
--- a/concluder/model_test.go
+++ b/concluder/model_test.go
@@ -55,6 +55,8 @@
 	// IsNamed is set if a time is named at which the server is taken away, GoneIn after the end.
 	IsNamed bool
 	GoneIn  time.Duration
+	// IsSilent is set if nothing came of the answers for long before their last bytes.
+	IsSilent bool
 	// HasIdle is set if the host has an idle connection to the server.
 	HasIdle bool
 	// Breaks is set if the server has one more answer, with chunks, which shows that it is cut.
@@ -77,7 +79,7 @@
 	return s.Fate != goesOn || !s.Breaks
 }
 
-// isOld reports whether the host finds ends that came some time ago.
+// isOld reports whether the host finds ends that came some time ago, since it stood still.
 func (s *scenario) isOld() bool { return s.Host == stoodStill || s.Host == isStillCutOff }
 
 // isWhole reports whether the answers are whole.
@@ -114,12 +116,12 @@
 
 // evidenceOf returns what the host finds of the answer with an index.
 func (s *scenario) evidenceOf(own connector.End, others []connector.End, i int) Evidence {
-	e := Evidence{Old: s.isOld(), Leaves: s.Heard, ServesFor: s.ServesFor, Group: GroupOf(own, others)}
+	e := Evidence{Old: s.isOld() || s.IsSilent, StoodStill: s.isOld(), Leaves: s.Heard, ServesFor: s.ServesFor, Group: GroupOf(own, others)}
 	if s.Heard {
 		e.LeavingFor, e.IsNamed, e.GoneIn, e.Lag = s.KnownFor, s.IsNamed, s.GoneIn, listLag
 	}
 	e.Process, e.Identity = s.process(), s.identity()
-	if s.IsInterrupted && !e.Old {
+	if s.IsInterrupted && !s.isOld() {
 		e.Process, e.Interrupted = Unknown, true
 	}
 	e.GoesOn = e.MayGoOn() && s.hasOpen(i == s.Answers-1)
@@ -162,7 +164,7 @@
 // identity returns what the process says that a host asks which has found an old end.
 func (s *scenario) identity() Identity {
 	switch {
-	case !s.isOld() || s.IsMute || s.process() != Up:
+	case !s.isOld() && !s.IsSilent || s.IsMute || s.process() != Up:
 		return Unasked
 	case s.Fate == isReplaced:
 		return Other
--- a/connector/end.go
+++ b/connector/end.go
@@ -84,6 +84,13 @@
 	r.end.Broken = true
 }
 
+// isAwaited reports whether the connection has an exchange and its end was not seen.
+func (r *endRecord) isAwaited() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isBusy && r.end.At.IsZero()
+}
+
 // get returns the end, or false if the connection is idle or none was seen.
 func (r *endRecord) get() (End, bool) {
 	r.mu.Lock()
@@ -113,8 +120,8 @@
 // lookForEnd looks whether the server has ended the connection amid an exchange, which another
 // goroutine may be at.
 func (c *Conn) lookForEnd() (End, bool) {
-	if end, ok := c.end.get(); ok {
-		return end, true
+	if !c.end.isAwaited() {
+		return c.end.get()
 	}
 	if n, err := c.peek(); n == 0 && (err == nil || errors.Is(err, syscall.ECONNRESET)) {
 		c.end.seen(c.clock.Now())
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -27,6 +27,7 @@
 	verdict := e.Judge()
 	if verdict == concluder.Cut && e.MayGoOn() {
 		e.GoesOn = x.f.goesOn(ctx, x.instance)
+		e.Interrupted = ctx.Err() != nil
 		verdict = e.Judge()
 	}
 	x.logEnd(&e, verdict)
@@ -68,6 +69,7 @@
 	timer.Sleep(ctx, concluder.ClosingTime-x.f.opts.Clock.Now().Sub(own.At))
 	e.Group = concluder.GroupOf(own, x.f.opts.Pool.OtherEnds(x.conn))
 	e.Interrupted = ctx.Err() != nil
+	e.StoodStill = x.f.pulse.stoodStillAround(own.At, x.f.opts.Clock.Now())
 	return e
 }
 
@@ -78,7 +80,7 @@
 	}
 	x.f.opts.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "answer without a length ended with its connection",
 		slog.String("id", string(x.call.ID)), slog.String("server", string(x.server)), slog.String("verdict", v.String()),
-		slog.String("process", e.Process.String()), slog.Bool("old", e.Old), slog.Bool("leaves", e.Leaves),
+		slog.String("process", e.Process.String()), slog.Bool("old", e.Old), slog.Bool("stoodStill", e.StoodStill), slog.Bool("leaves", e.Leaves),
 		slog.Duration("leavingFor", e.LeavingFor), slog.Bool("named", e.IsNamed), slog.Duration("goneIn", e.GoneIn),
 		slog.Int("together", e.Group.Others), slog.Bool("broken", e.Group.Broken),
 		slog.Bool("prompt", e.Group.Prompt), slog.Duration("quiet", x.conn.End().Quiet), slog.Bool("goesOn", e.GoesOn))
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -486,23 +486,29 @@
 func TestServersThatServedTheirTimeEndInOrder(t *testing.T) {
 	const leavingTime = 100 * time.Millisecond
 	for _, tc := range []struct {
-		name     string
-		served   time.Duration
-		complete bool
+		name, path, answer string
+		served             time.Duration
+		stoodStill         bool // the host, as the answers ended
+		complete           bool
 	}{
-		{"served its time", 2 * leavingTime, true},
-		{"before its time is over", 0, false},
+		{"served its time", "/draft/1", undelimitedStream + event(1) + event(2), 2 * leavingTime, false, true},
+		{"served its time, bodies after a silence", "/look/1", undelimitedBody + "whole", 11 * leavingTime, false, true},
+		{"before its time is over", "/draft/1", undelimitedStream + event(1), 0, false, false},
+		{"the host stood still", "/draft/1", undelimitedStream + event(1), 2 * leavingTime, true, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.opts.LeavingTime = leavingTime
 			s := h.useHeldServers(t, 1)
-			c := h.hold(t, s, 6, "/draft/1", undelimitedStream+event(1)+event(2))
+			c := h.hold(t, s, 6, tc.path, tc.answer)
 			h.listLeaving(s)
 			time.Sleep(tc.served)
+			if tc.stoodStill {
+				h.pulse.beat(time.Now().Add(-time.Second))
+			}
 			s.end()
 			for i, got := range c.responses {
-				if res := <-got; res.complete != tc.complete {
+				if res := <-got; (res.status == http.StatusOK && res.complete) != tc.complete {
 					t.Errorf("the caller of call %d got %+v, want a complete answer: %v", i, res, tc.complete)
 				}
 			}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -103,6 +103,8 @@
 	refusals *relayer.Refusals
 	// notices are the runs of servers that leave.
 	notices notices
+	// pulse tells whether this host stood still.
+	pulse pulse
 	// unidentified holds the addresses of backend servers whose refusals bear no id.
 	unidentified addressSet
 	// active counts the calls in progress, and relayed those of other hosts among them.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -35,6 +35,7 @@
 // RunReach finds out whether this host reaches the backend servers, until ctx ends.
 func (f *Forwarder) RunReach(ctx context.Context) {
 	timer.Repeat(ctx, reachInterval, func() time.Duration {
+		f.pulse.beat(f.opts.Clock.Now())
 		if fl := f.fleet.Load(); fl != nil {
 			for _, p := range f.opts.Reach.Due(fl.open) {
 				go f.probe(ctx, p, fl.servers[p.Server].Address)
