--- a/concluder/concluder.go
+++ b/concluder/concluder.go
@@ -149,15 +149,14 @@
 	// overtime is how long after the time that was named for it a server may be taken away. One
 	// that answers later was not.
 	overtime = 500 * time.Millisecond
-	// closingTime is how long a process that dies may take to close its connections.
-	closingTime = 10 * time.Millisecond
 	// promptTime is how long after its last bytes the end of an answer may come that its server
 	// has ended itself.
 	promptTime = 250 * time.Microsecond
 )
 
-// ClosingTime is how long after the end of an answer the other ends of its group are there.
-const ClosingTime = closingTime
+// ClosingTime is how long a process that dies may take to close its connections: by then the other
+// ends of the group of an end are there.
+const ClosingTime = 10 * time.Millisecond
 
 // Group is the ends of answers of one run of a server that came together, as all of a process
 // that dies do.
@@ -174,7 +173,7 @@
 func GroupOf(own connector.End, others []connector.End) Group {
 	g := Group{Prompt: isPrompt(own)}
 	for _, e := range others {
-		if e.At.Sub(own.At).Abs() > closingTime {
+		if e.At.Sub(own.At).Abs() > ClosingTime {
 			continue
 		}
 		g.Others++
--- a/concluder/concluder_test.go
+++ b/concluder/concluder_test.go
@@ -11,21 +11,61 @@
 	"pgregory.net/rapid"
 )
 
+// leaving returns a scenario whose server leaves, as the host knows for the given time.
+func leaving(s scenario, knownFor time.Duration) scenario {
+	s.Leaves, s.Heard, s.KnownFor, s.ServesFor = true, true, knownFor, 3*time.Second
+	return s
+}
+
+// takenAway returns a scenario whose server is taken away at a named time after the end.
+func takenAway(s scenario, goneIn time.Duration) scenario {
+	s = leaving(s, 2*time.Second)
+	s.IsNamed, s.GoneIn = true, goneIn
+	return s
+}
+
 // The cases of reviews are draws of the model. Each guards against the failure that it showed.
 var reviewed = []struct {
 	name string
 	scenario
 	want Verdict
 }{
-	{"review/6: streams of servers that leave are cut when they are taken away", scenario{Fate: dies, Answers: 3, Quiet: 70 * time.Millisecond, Leaves: true, Heard: true, KnownFor: 2 * time.Second, ServesFor: 3 * time.Second, IsNamed: true, GoneIn: time.Second}, Cut},
-	{"review/7: a server that is killed closes its connections in the ordinary way", scenario{Fate: dies, Answers: 3, Quiet: 70 * time.Millisecond}, Cut},
-	{"review/9: whole answers at a host that is cut off", scenario{Fate: goesOn, Host: isCutOff, Answers: 3, Gap: 100 * time.Millisecond, Quiet: 100 * time.Millisecond}, AssumedWhole},
-	{"review/10: the host stood still, and another server has the address", scenario{Fate: isReplaced, Host: stoodStill, Answers: 5, Quiet: 4 * time.Second}, Cut},
-	{"review/11: the host stood still, and the server is back under its id", scenario{Fate: comesBack, Host: stoodStill, Answers: 5, Quiet: 4 * time.Second, HasBirth: true}, Cut},
-	{"review/13: the only answer of a server that is taken away at its time", scenario{Fate: dies, Answers: 1, Quiet: time.Second, Leaves: true, Heard: true, KnownFor: 2 * time.Second, ServesFor: 3 * time.Second, IsNamed: true, GoneIn: 100 * time.Millisecond}, Cut},
-	{"the last bodies of a server that leaves end together, after a silence", scenario{Fate: endsInOrder, Answers: 6, IsSilent: true, Quiet: 100 * time.Millisecond, Leaves: true, Heard: true, KnownFor: 3 * time.Second, ServesFor: 3 * time.Second}, AssumedWhole},
-	{"review/15: a server dies behind a cut", scenario{Fate: dies, Host: isCutOff, Answers: 5, Quiet: 3 * time.Second}, Cut},
-	{"review/14: the last streams of a server that leaves end together, and its process", scenario{Fate: endsInOrder, Answers: 24, Quiet: 100 * time.Millisecond, Leaves: true, Heard: true, KnownFor: 3 * time.Second, ServesFor: 3 * time.Second}, AssumedWhole},
+	{
+		"review/6: streams of servers that leave are cut when they are taken away",
+		takenAway(scenario{Fate: dies, Answers: 3, Quiet: 70 * time.Millisecond}, time.Second), Cut,
+	},
+	{
+		"review/7: a server that is killed closes its connections in the ordinary way",
+		scenario{Fate: dies, Answers: 3, Quiet: 70 * time.Millisecond}, Cut,
+	},
+	{
+		"review/9: whole answers at a host that is cut off",
+		scenario{Fate: goesOn, Host: isCutOff, Answers: 3, Gap: 100 * time.Millisecond, Quiet: 100 * time.Millisecond}, AssumedWhole,
+	},
+	{
+		"review/10: the host stood still, and another server has the address",
+		scenario{Fate: isReplaced, Host: stoodStill, Answers: 5, Quiet: 4 * time.Second}, Cut,
+	},
+	{
+		"review/11: the host stood still, and the server is back under its id",
+		scenario{Fate: comesBack, Host: stoodStill, Answers: 5, Quiet: 4 * time.Second, HasBirth: true}, Cut,
+	},
+	{
+		"review/13: the only answer of a server that is taken away at its time",
+		takenAway(scenario{Fate: dies, Answers: 1, Quiet: time.Second}, 100*time.Millisecond), Cut,
+	},
+	{
+		"review/14: the last streams of a server that leaves end together, and its process",
+		leaving(scenario{Fate: endsInOrder, Answers: 24, Quiet: 100 * time.Millisecond}, 3*time.Second), AssumedWhole,
+	},
+	{
+		"the same with bodies, after a silence",
+		leaving(scenario{Fate: endsInOrder, Answers: 6, IsSilent: true, Quiet: 100 * time.Millisecond}, 3*time.Second), AssumedWhole,
+	},
+	{
+		"review/15: a server dies behind a cut",
+		scenario{Fate: dies, Host: isCutOff, Answers: 5, Quiet: 3 * time.Second}, Cut,
+	},
 }
 
 // TestJudgeOfReviewedCases checks the cases that reviews have shown.
@@ -43,15 +83,27 @@
 
 // drawScenario draws a scenario that is possible.
 func drawScenario(t *rapid.T) scenario {
-	draw := func(name string, of ...time.Duration) time.Duration { return rapid.SampledFrom(of).Draw(t, name) }
-	is := func(name string) bool { return rapid.Bool().Draw(t, name) }
 	return rapid.Custom(func(t *rapid.T) scenario {
+		draw := func(name string, of ...time.Duration) time.Duration { return rapid.SampledFrom(of).Draw(t, name) }
+		is := func(name string) bool { return rapid.Bool().Draw(t, name) }
 		return scenario{
-			Fate: fate(rapid.IntRange(0, int(fates)-1).Draw(t, "fate")), Host: hostState(rapid.IntRange(0, int(hostStates)-1).Draw(t, "host")),
-			Answers: rapid.IntRange(1, 4).Draw(t, "answers"), Gap: draw("gap", 0, closingTime/4, 3*closingTime, 2*longGap),
-			Quiet:  draw("quiet", 0, promptTime, 2*promptTime, 100*time.Millisecond, 4*time.Second),
-			Leaves: is("leaves"), Heard: is("heard"), KnownFor: draw("knownFor", 0, time.Second, 5*time.Second),
-			ServesFor: draw("servesFor", 0, 3*time.Second), IsNamed: is("isNamed"), GoneIn: draw("goneIn", -2*time.Second, -overtime/2, 0, time.Second, 10*time.Second), HasIdle: is("hasIdle"), Breaks: is("breaks"), IsMute: is("isMute"), HasBirth: is("hasBirth"), IsSilent: is("isSilent"), IsInterrupted: is("isInterrupted"),
+			Fate:          fate(rapid.IntRange(0, int(fates)-1).Draw(t, "fate")),
+			Host:          hostState(rapid.IntRange(0, int(hostStates)-1).Draw(t, "host")),
+			Answers:       rapid.IntRange(1, 4).Draw(t, "answers"),
+			Gap:           draw("gap", 0, ClosingTime/4, 3*ClosingTime, 2*longGap),
+			Quiet:         draw("quiet", 0, promptTime, 2*promptTime, 100*time.Millisecond, 4*time.Second),
+			Leaves:        is("leaves"),
+			Heard:         is("heard"),
+			KnownFor:      draw("knownFor", 0, time.Second, 5*time.Second),
+			ServesFor:     draw("servesFor", 0, 3*time.Second),
+			IsNamed:       is("isNamed"),
+			GoneIn:        draw("goneIn", -2*time.Second, -overtime/2, 0, time.Second, 10*time.Second),
+			IsSilent:      is("isSilent"),
+			HasIdle:       is("hasIdle"),
+			Breaks:        is("breaks"),
+			HasBirth:      is("hasBirth"),
+			IsInterrupted: is("isInterrupted"),
+			IsMute:        is("isMute"),
 		}
 	}).Filter(func(s scenario) bool { return s.isPossible() }).Draw(t, "scenario")
 }
