--- a/connector/conn.go
+++ b/connector/conn.go
@@ -367,7 +367,7 @@
 	if c.headerBytesLeft == 1 {
 		return 0, ErrHeaderTooLarge
 	}
-	c.end.awake(c.clock.Now())
+	c.beginWait()
 	n, err := r.read(p)
 	for n == 0 && c.isOverdue(err) && !c.limits.GiveUp() {
 		c.readDeadline = time.Time{} // It has passed, however near the next one is.
--- a/connector/end.go
+++ b/connector/end.go
@@ -33,16 +33,16 @@
 	mu  sync.Mutex
 	end End
 	// isBusy is set while the connection has an exchange, and quietSince is when it began, last
-	// began to wait or got something.
-	isBusy     bool
-	quietSince time.Time
+	// began to wait or got something. isMet is set if the end was there when it began to wait.
+	isBusy, isMet bool
+	quietSince    time.Time
 }
 
 // begin records that an exchange begins.
 func (r *endRecord) begin(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.end, r.isBusy, r.quietSince = End{}, true, now
+	r.end, r.isBusy, r.isMet, r.quietSince = End{}, true, false, now
 }
 
 // finish records that the exchange is over and the connection is idle.
@@ -74,7 +74,17 @@
 	r.seen(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.end.Quiet = now.Sub(r.quietSince)
+	if !r.isMet {
+		r.end.Quiet = now.Sub(r.quietSince)
+	}
+}
+
+// meet records that the end is there as the exchange begins to wait.
+func (r *endRecord) meet(now time.Time) {
+	r.seen(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.end.Quiet, r.isMet = 0, true
 }
 
 // markBroken records that the answer is not complete.
@@ -117,6 +127,18 @@
 	}
 }
 
+// beginWait records that the exchange begins to wait for bytes. An end that is there already was not
+// awaited, however late this process gets to read it. Only answers without a length or chunks are
+// looked at, since the look is a system call.
+func (c *Conn) beginWait() {
+	c.end.awake(c.clock.Now())
+	if c.res != nil && !c.res.Delimited && c.br.Buffered() == 0 {
+		if n, err := c.peek(); n == 0 && err == nil {
+			c.end.meet(c.clock.Now())
+		}
+	}
+}
+
 // lookForEnd looks whether the server has ended the connection amid an exchange, which another
 // goroutine may be at.
 func (c *Conn) lookForEnd() (End, bool) {
--- a/connector/end_test.go
+++ b/connector/end_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// TestEndThatIsThereWasNotAwaited guards against whole answers that are broken off on a busy host: an
+// end that had come with the last bytes counted as awaited while the host got to read it.
+func TestEndThatIsThereWasNotAwaited(t *testing.T) {
+	p := connector.NewPool(connector.Options{})
+	address, end := startEndingServer(t)
+	x := holdExchange(t, p, address, "/open", 2)
+	end()
+	time.Sleep(30 * time.Millisecond) // The exchange does not wait for bytes meanwhile.
+	if _, err := x.res.Body.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("the answer ended with %v, want EOF", err)
+	}
+	if diff := cmp.Diff(time.Duration(0), x.conn.End().Quiet); diff != "" {
+		t.Errorf("the time for which the end was awaited differs (-want +got):\n%s", diff)
+	}
+}
+
 // TestEndTellsHowLongItWasAwaited checks the time between the last bytes of an answer and its end.
 func TestEndTellsHowLongItWasAwaited(t *testing.T) {
 	const pause = 30 * time.Millisecond
