--- a/concluder/concluder.go
+++ b/concluder/concluder.go
@@ -126,9 +126,9 @@
 	return Cut
 }
 
-// MayGoOn reports whether it matters that an older connection to the run is open.
+// MayGoOn reports whether it matters for the verdict if an older connection to the run is open.
 func (e *Evidence) MayGoOn() bool {
-	return !e.GoesOn && (e.Process == CutOff || e.Process == Ended && e.Leaves)
+	return e.Process == CutOff || e.Process == Ended && e.Leaves
 }
 
 // hasServedItsTime reports whether the server has served on for as long as one that leaves in
--- a/concluder/model_test.go
+++ b/concluder/model_test.go
@@ -19,10 +19,6 @@
 	fates
 )
 
-func (f fate) String() string {
-	return [...]string{"goes on", "ends in order", "ends in order, its port first", "dies", "dies and is back", "dies and is replaced"}[f]
-}
-
 // hostState is what becomes of the host that has the answers.
 type hostState uint8
 
@@ -35,10 +31,6 @@
 	hostStates
 )
 
-func (h hostState) String() string {
-	return [...]string{"sound", "stood still", "cut off", "stood still and cut off", "ignored"}[h]
-}
-
 // scenario is the end of the answers of one server at one host.
 type scenario struct {
 	Fate fate
--- a/connector/end.go
+++ b/connector/end.go
@@ -32,17 +32,17 @@
 type endRecord struct {
 	mu  sync.Mutex
 	end End
-	// isBusy is set while the connection has an exchange, and quietSince is when it began, last
-	// began to wait or got something. isMet is set if the end was there when it began to wait.
+	// isBusy is set while the connection has an exchange, and waitsSince is when it began, last
+	// began to wait for bytes or got some. isMet is set if the end was there when it began to wait.
 	isBusy, isMet bool
-	quietSince    time.Time
+	waitsSince    time.Time
 }
 
 // begin records that an exchange begins.
 func (r *endRecord) begin(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.end, r.isBusy, r.isMet, r.quietSince = End{}, true, false, now
+	r.end, r.isBusy, r.isMet, r.waitsSince = End{}, true, false, now
 }
 
 // finish records that the exchange is over and the connection is idle.
@@ -56,7 +56,7 @@
 func (r *endRecord) awake(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.quietSince = now
+	r.waitsSince = now
 }
 
 // seen records that the end is there, unless it was seen before.
@@ -64,7 +64,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.end.At.IsZero() {
-		r.end.At, r.end.Quiet = now, now.Sub(r.quietSince)
+		r.end.At, r.end.Quiet = now, now.Sub(r.waitsSince)
 	}
 }
 
@@ -75,7 +75,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.isMet {
-		r.end.Quiet = now.Sub(r.quietSince)
+		r.end.Quiet = now.Sub(r.waitsSince)
 	}
 }
 
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -65,7 +65,7 @@
 		e.LeavingFor = own.At.Sub(notice.at) + x.f.opts.NoticeLag
 		e.IsNamed, e.GoneIn, e.Lag = !notice.goneAt.IsZero(), notice.goneAt.Sub(own.At), x.f.opts.NoticeLag
 	}
-	e.Process, e.Identity = x.findServer(ctx, x.instance, e.Old)
+	e.Process, e.Identity = x.f.findServer(ctx, x.instance, e.Old)
 	timer.Sleep(ctx, concluder.ClosingTime-x.f.opts.Clock.Now().Sub(own.At))
 	e.Group = concluder.GroupOf(own, x.f.opts.Pool.OtherEnds(x.conn))
 	e.Interrupted = ctx.Err() != nil
@@ -103,12 +103,12 @@
 // since 1970; 0 means that one is not known.
 func isOtherRun(a, b int64) bool { return a > 0 && b > 0 && a != b }
 
-// findServer finds out whether the process of the backend server of an attempt has ended. If the
-// end of the answer may be old, another process may have the address by now.
-func (x *exchange) findServer(ctx context.Context, in describer.Instance, mayBeOld bool) (concluder.Process, concluder.Identity) {
-	state := x.f.findProcess(ctx, in)
+// findServer finds out whether the process of a backend server has ended after an answer. If the end
+// of the answer may be old, another process may have the address by now.
+func (f *Forwarder) findServer(ctx context.Context, in describer.Instance, mayBeOld bool) (concluder.Process, concluder.Identity) {
+	state := f.findProcess(ctx, in)
 	if state == concluder.Up && mayBeOld {
-		return state, x.f.identifyProcess(ctx, in)
+		return state, f.identifyProcess(ctx, in)
 	}
 	return state, concluder.Unasked
 }
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -1,11 +1,8 @@
 package forwarder
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -216,14 +213,7 @@
 			c := h.hold(t, s, 1, tc.path, tc.beginning)
 			address := s.listeners[0].Addr().String()
 			s.refuse()
-			listenAt(t, address, func(c net.Conn) {
-				for br := bufio.NewReader(c); ; {
-					if _, err := http.ReadRequest(br); err != nil {
-						return
-					}
-					_, _ = io.WriteString(c, tc.answer)
-				}
-			})
+			answerAt(t, address, func(*http.Request) string { return tc.answer })
 			if tc.isListed {
 				h.SetListing(&discoverer.Listing{Instances: []describer.Instance{{ID: "new", Service: "cases", Address: address, Slots: 4}}})
 			}
@@ -263,18 +253,11 @@
 			list(born)
 			c := h.hold(t, s, 1, tc.path, tc.beginning)
 			s.refuse()
-			listenAt(t, address, func(c net.Conn) {
-				for br := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					answer := sealedResponse(http.StatusOK, "", "")
-					if r.URL.Path == testReport {
-						answer = sealedResponse(http.StatusOK, "", tc.report)
-					}
-					_, _ = io.WriteString(c, answer)
+			answerAt(t, address, func(r *http.Request) string {
+				if r.URL.Path == testReport {
+					return sealedResponse(http.StatusOK, "", tc.report)
 				}
+				return sealedResponse(http.StatusOK, "", "")
 			})
 			list(tc.listed)
 			time.Sleep(1100 * time.Millisecond) // The host finds that nothing came for a second.
--- a/forwarder/held_test.go
+++ b/forwarder/held_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// answerAt serves an address that another server had, with the answer to each request.
+func answerAt(t *testing.T, address string, answer func(r *http.Request) string) {
+	t.Helper()
+	listenAt(t, address, func(c net.Conn) {
+		for br := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(r))
+		}
+	})
+}
+
 // endWith writes the rest of an answer and ends its connection, both in one segment.
 func endWith(t *testing.T, conn net.Conn, rest string) {
 	t.Helper()
@@ -143,10 +157,11 @@
 	_ = conn.Close()
 }
 
-// listLeaving lists a held server as one that leaves, and another one that stays.
-func (h *harness) listLeaving(s *heldServers) {
+// listLeaving lists a held server as one that leaves and is taken away after a time, 0 if none is
+// named, and another one that stays.
+func (h *harness) listLeaving(s *heldServers, leavesIn time.Duration) {
 	h.SetListing(&discoverer.Listing{At: time.Now(), Instances: []describer.Instance{
-		{ID: "b0", Service: "cases", Address: s.listeners[0].Addr().String(), Slots: 4, Draining: true},
+		{ID: "b0", Service: "cases", Address: s.listeners[0].Addr().String(), Slots: 4, Draining: true, LeavesIn: leavesIn},
 		{ID: "b1", Service: "cases", Address: h.backends.start(), Slots: 4},
 	}})
 }
--- a/forwarder/leaving_test.go
+++ b/forwarder/leaving_test.go
@@ -71,7 +71,7 @@
 			h := newHarness(t)
 			s := h.useHeldServers(t, 1)
 			c := h.hold(t, s, tc.calls, tc.path, tc.beginning)
-			h.listLeaving(s)
+			h.listLeaving(s, 0)
 			time.Sleep(20 * time.Millisecond) // The answers are at work meanwhile.
 			if tc.portFirst {
 				s.refuse()
@@ -111,7 +111,7 @@
 			h.opts.LeavingTime = leavingTime
 			s := h.useHeldServers(t, 1)
 			c := h.hold(t, s, 6, tc.path, tc.answer)
-			h.listLeaving(s)
+			h.listLeaving(s, 0)
 			time.Sleep(tc.served)
 			if tc.stoodStill {
 				h.pulse.beat(time.Now().Add(-time.Second))
@@ -147,10 +147,7 @@
 			h.opts.NoticeLag = lag
 			s := h.useHeldServers(t, 1)
 			c := h.hold(t, s, 1, tc.path, tc.beginning)
-			h.SetListing(&discoverer.Listing{At: time.Now(), Instances: []describer.Instance{
-				{ID: "b0", Service: "cases", Address: s.listeners[0].Addr().String(), Slots: 4, Draining: true, LeavesIn: tc.leavesIn},
-				{ID: "b1", Service: "cases", Address: h.backends.start(), Slots: 4},
-			}})
+			h.listLeaving(s, tc.leavesIn)
 			time.Sleep(tc.endsIn)
 			s.refuse()
 			endWith(t, c.conns[0], tc.rest)
--- a/forwarder/notices.go
+++ b/forwarder/notices.go
@@ -28,9 +28,7 @@
 }
 
 // newNotice returns the notice of a run that is known to leave since a time.
-func newNotice(at time.Time, isListed bool) notice {
-	return notice{at: at, listedAt: at, isListed: isListed}
-}
+func newNotice(at time.Time) notice { return notice{at: at, listedAt: at} }
 
 // list records what a listing of the given time says of the run. A number that does not change
 // is no new time, as the list may not count down.
@@ -62,7 +60,7 @@
 	defer n.mu.Unlock()
 	switch known, ok := n.runs[run]; {
 	case leaves && !ok:
-		n.add(run, newNotice(now, false))
+		n.add(run, newNotice(now))
 	case !leaves && ok && !known.isListed:
 		delete(n.runs, run)
 	}
@@ -76,14 +74,14 @@
 	for _, in := range fl.servers {
 		run := in.Run()
 		known, ok := n.runs[run]
-		switch {
-		case !ok && in.Draining:
-			known = newNotice(fl.at, true)
-			fallthrough
-		case ok:
-			known.list(&in, fl.at)
-			n.add(run, known)
+		if !ok && !in.Draining {
+			continue
+		}
+		if !ok {
+			known = newNotice(fl.at)
 		}
+		known.list(&in, fl.at)
+		n.add(run, known)
 	}
 	maps.DeleteFunc(n.runs, func(_ identifier.ServerRun, known notice) bool { return fl.at.Sub(known.listedAt) > noticeMemory })
 }
